--- /dev/null
+++ b/cmake/rudderloom_targets.cmake
@@ -0,0 +1,45 @@
+# Flags that every target of the project shares.
+add_library(rudderloom_flags INTERFACE)
+target_include_directories(rudderloom_flags INTERFACE "${CMAKE_SOURCE_DIR}/include")
+target_compile_options(rudderloom_flags INTERFACE -Wall -Wextra -Wpedantic -Werror)
+target_compile_definitions(rudderloom_flags INTERFACE
+  BOOST_ASIO_NO_DEPRECATED RUDDERLOOM_VERSION="${PROJECT_VERSION}")
+if(RUDDERLOOM_SANITIZE)
+  target_compile_options(rudderloom_flags INTERFACE
+    "-fsanitize=${RUDDERLOOM_SANITIZE}" -fno-omit-frame-pointer -fno-sanitize-recover=all)
+  target_link_options(rudderloom_flags INTERFACE "-fsanitize=${RUDDERLOOM_SANITIZE}")
+endif()
+target_link_libraries(rudderloom_flags INTERFACE Threads::Threads)
+
+# rudderloom_module(NAME SOURCES a.cpp b.cpp LINK other)
+# Declares one small static library for one module.
+function(rudderloom_module NAME)
+  cmake_parse_arguments(ARG "" "" "SOURCES;LINK" ${ARGN})
+  add_library(rudderloom_${NAME} STATIC ${ARG_SOURCES})
+  target_link_libraries(rudderloom_${NAME} PUBLIC rudderloom_flags ${ARG_LINK})
+endfunction()
+
+# rudderloom_http_target(TARGET)
+# Lets a target that includes Boost.Beast share one precompiled header.
+function(rudderloom_http_target TARGET)
+  if(TARGET rudderloom_http AND NOT "${TARGET}" STREQUAL "rudderloom_http")
+    target_precompile_headers(${TARGET} REUSE_FROM rudderloom_http)
+  else()
+    target_precompile_headers(${TARGET} PRIVATE
+      <boost/asio.hpp> <boost/beast.hpp> <boost/json.hpp>
+      <chrono> <map> <memory> <optional> <string> <variant> <vector>)
+  endif()
+endfunction()
+
+# rudderloom_test(NAME SOURCES a_test.cpp LINK modules)
+# Declares one test program and registers it with CTest.
+function(rudderloom_test NAME)
+  if(NOT RUDDERLOOM_BUILD_TESTS)
+    return()
+  endif()
+  cmake_parse_arguments(ARG "" "" "SOURCES;LINK" ${ARGN})
+  add_executable(${NAME} ${ARG_SOURCES} "${CMAKE_SOURCE_DIR}/src/test_main.cpp")
+  target_link_libraries(${NAME} PRIVATE rudderloom_flags ${ARG_LINK})
+  add_test(NAME ${NAME} COMMAND ${NAME})
+  set_tests_properties(${NAME} PROPERTIES TIMEOUT 120)
+endfunction()
--- /dev/null
+++ b/include/rudderloom/base/json_reader.hpp
@@ -0,0 +1,92 @@
+/// @file
+/// Checked reading of JSON: every mistake is kept with its JSON path, none stops the reading.
+#ifndef RUDDERLOOM_BASE_JSON_READER_HPP
+#define RUDDERLOOM_BASE_JSON_READER_HPP
+
+#include <boost/json.hpp>  // for value, object
+#include <cstdint>         // for int64_t, uint64_t
+#include <functional>      // for function
+#include <optional>        // for optional
+#include <set>             // for set
+#include <string>          // for string
+#include <string_view>     // for string_view
+#include <variant>         // for variant
+#include <vector>          // for vector
+
+#include "rudderloom/base/clock.hpp"  // for Duration
+
+namespace rudderloom {
+
+/// @brief One mistake in a JSON document.
+/// @ingroup base
+struct JsonError {
+  std::string path;  ///< JSON path, for example `/listeners/callers/port`; may carry a file name.
+  std::string message;  ///< What is wrong, for example `70000 is not in 1..65535`.
+
+  /// @brief `path: message`, as `rudderloom check` prints it.
+  std::string Text() const { return path + ": " + message; }
+  bool operator==(const JsonError&) const = default;
+};
+
+/// @brief All mistakes of one document, in reading order.
+/// @ingroup base
+using JsonErrors = std::vector<JsonError>;
+
+/// @brief Parses text as a JSON object; a syntax mistake becomes one JsonError at `path`.
+/// @ingroup base
+std::variant<boost::json::object, JsonErrors> ParseJsonObject(std::string_view text,
+                                                              const std::string& path);
+
+/// @brief Parses `"250ms"`, `"5s"`, `"10m"` or `"2h"`; empty when the unit or number is wrong.
+/// @ingroup base
+std::optional<Duration> ParseDuration(std::string_view text);
+
+/// @brief Parses `"512B"`, `"64KiB"`, `"8MiB"` or `"14GiB"` into bytes.
+/// @ingroup base
+std::optional<std::uint64_t> ParseSize(std::string_view text);
+
+/// @brief Reads the members of one JSON object and reports unknown members when finished.
+/// A member that is absent takes the given default; without a default it is an error.
+/// @ingroup base
+class ObjectReader {
+ public:
+  ObjectReader(const boost::json::object& object, std::string path, JsonErrors& errors);
+
+  std::string String(std::string_view key, std::optional<std::string> fallback = {});
+  std::int64_t Integer(std::string_view key,
+                       std::int64_t least,
+                       std::int64_t most,
+                       std::optional<std::int64_t> fallback = {});
+  double Number(std::string_view key, double least, double most, std::optional<double> fallback);
+  bool Boolean(std::string_view key, bool fallback);
+  Duration Time(std::string_view key, std::optional<Duration> fallback = {});
+  std::uint64_t Size(std::string_view key, std::optional<std::uint64_t> fallback = {});
+  std::vector<std::string> Strings(std::string_view key);
+
+  /// @brief Reads a nested object; an absent one is read as empty when `optional`.
+  void Object(std::string_view key, bool optional, const std::function<void(ObjectReader&)>& read);
+
+  /// @brief Reads an array of objects; an absent one is empty.
+  void Objects(std::string_view key, const std::function<void(ObjectReader&)>& read);
+
+  /// @brief Adds a mistake at the member `key`.
+  void Fail(std::string_view key, std::string message);
+
+  /// @brief Reports each member that was never asked for. Nested objects do this by themselves.
+  void Finish();
+
+  /// @brief JSON path of this object.
+  const std::string& Path() const { return path_; }
+
+ private:
+  const boost::json::value* Find(std::string_view key, bool required);
+
+  const boost::json::object& object_;
+  std::string path_;
+  JsonErrors& errors_;
+  std::set<std::string, std::less<>> known_;
+};
+
+}  // namespace rudderloom
+
+#endif
--- /dev/null
+++ b/include/rudderloom/control/control_shell.hpp
@@ -0,0 +1,81 @@
+/// @file
+/// The I/O of the control state: watches of the platform, load polls, orders and timers.
+#ifndef RUDDERLOOM_CONTROL_CONTROL_SHELL_HPP
+#define RUDDERLOOM_CONTROL_CONTROL_SHELL_HPP
+
+#include <functional>  // for function
+#include <memory>      // for shared_ptr
+#include <string>      // for string
+
+#include "rudderloom/control/contact.hpp"        // for Contact
+#include "rudderloom/control/control_state.hpp"  // for NodeReport
+#include "rudderloom/control/messages.hpp"       // for message::Any
+#include "rudderloom/http/client.hpp"            // for HttpClient
+#include "rudderloom/platform/object_store.hpp"  // for ObjectStore
+#include "rudderloom/telemetry/metrics.hpp"      // for Metrics
+
+namespace rudderloom {
+
+/// @brief Runs on one io_context's thread and posts what it learns to the control state.
+/// @ingroup control
+class ControlShell {
+ public:
+  ControlShell(asio::io_context& context,
+               Settings settings,
+               std::string incarnation,
+               std::string peers_address,
+               ObjectStore& store,
+               Contact& contact,
+               Metrics& metrics,
+               std::function<void(message::Any)> post);
+
+  /// @brief Starts the watches, polls and timers.
+  void Start();
+
+  /// @brief Carries out effects. May be called from any thread.
+  void Execute(PoolEffects effects);
+
+  /// @brief Takes the newest report. May be called from any thread.
+  void Reported(std::shared_ptr<const NodeReport> report);
+
+  /// @brief Takes this node's name off the platform's list; gives up after a moment.
+  Awaitable<void> Unregister();
+
+ private:
+  using OnList = std::function<void(const ObjectList&)>;
+  using OnEvent = std::function<void(const WatchEvent&)>;
+
+  Awaitable<void> WatchKind(std::string_view kind, OnList on_list, OnEvent on_event);
+  Awaitable<void> Register();
+  Awaitable<void> TickLoop();
+  Awaitable<void> PollLoop();
+  Awaitable<void> ConfirmLoop();
+  Awaitable<void> Poll(std::string name, std::string address, bool service);
+  Awaitable<void> Write(WritePool write);
+  Awaitable<void> Read(ReadPool read);
+  Awaitable<void> Send(Order order);
+  Awaitable<OrderOutcome> SendOnce(Order order);
+  void LogMove(const MoveDecided& move);
+  void OfferConfiguration(const StoredObject& object);
+  void WatchAll();
+  Awaitable<void> Sleep(Duration pause);
+
+  asio::io_context& context_;
+  Settings settings_;
+  std::string incarnation_;
+  std::string peers_address_;
+  ObjectStore& store_;
+  Contact& contact_;
+  Metrics& metrics_;
+  std::function<void(message::Any)> post_;
+  HttpClient client_;
+  std::shared_ptr<const NodeReport> report_;
+  std::map<std::string, TimePoint> polled_at_;
+  std::map<std::string, std::vector<std::string>> pool_writers_;
+  std::map<std::string, NodeState> listed_nodes_;
+  std::uint64_t token_ = 0;
+};
+
+}  // namespace rudderloom
+
+#endif
--- /dev/null
+++ b/include/rudderloom/membership/member_table.hpp
@@ -0,0 +1,97 @@
+/// @file
+/// Which entry nodes there are, which are heard, and whom to send the next heartbeats to.
+#ifndef RUDDERLOOM_MEMBERSHIP_MEMBER_TABLE_HPP
+#define RUDDERLOOM_MEMBERSHIP_MEMBER_TABLE_HPP
+
+#include <cstdint>   // for uint64_t
+#include <map>       // for map
+#include <optional>  // for optional
+#include <set>       // for set
+#include <string>    // for string
+#include <vector>    // for vector
+
+#include "rudderloom/base/clock.hpp"         // for TimePoint
+#include "rudderloom/settings/settings.hpp"  // for MembershipSettings
+
+namespace rudderloom {
+
+/// @brief What one entry node tells the others with each heartbeat.
+/// @ingroup membership
+struct NodeState {
+  std::string name;
+  std::string incarnation;    ///< New with each start of the process.
+  std::string peers_address;  ///< Where it answers peers and operators.
+  std::string availability_zone;
+  std::uint64_t beat = 0;        ///< Grows with each heartbeat of this incarnation.
+  std::uint64_t generation = 0;  ///< Of the configuration in force there.
+  bool stopping = false;
+  std::vector<std::string> leaving;                ///< `endpoint#incarnation` seen leaving.
+  std::map<std::string, std::uint32_t> in_flight;  ///< Requests by endpoint.
+  std::map<std::string, std::uint32_t> demand;     ///< Requests running or waiting, by unit name.
+  std::map<std::string, std::uint64_t> quiet_epochs;  ///< By pool: no older order is in its hand.
+};
+
+/// @brief Heartbeat counters of a third node, passed on by whoever heard it.
+/// @ingroup membership
+struct NodeDigest {
+  std::string name;
+  std::string incarnation;
+  std::uint64_t beat = 0;
+  std::uint64_t generation = 0;
+};
+
+/// @brief One known entry node and when its heartbeat last advanced.
+/// @ingroup membership
+struct Member {
+  NodeState state;
+  bool listed = false;  ///< The platform's list names it.
+  std::optional<TimePoint> advanced_at;
+};
+
+/// @brief Knows the other entry nodes, from the platform's lagging list and from heartbeats.
+/// Pure: no I/O, and time is passed in.
+/// @ingroup membership
+class MemberTable {
+ public:
+  MemberTable(std::string self, MembershipSettings settings);
+
+  /// @brief Takes the platform's list of nodes; one that left the list stays while it is heard.
+  void Listed(const std::vector<NodeState>& nodes);
+
+  /// @brief Takes a node's own word.
+  void Heard(const NodeState& state, TimePoint now);
+
+  /// @brief Takes another's word about a node; only a higher beat counts.
+  void HeardOf(const NodeDigest& digest, TimePoint now);
+
+  /// @brief Forgets nodes that are neither listed nor heard.
+  void Expire(TimePoint now);
+
+  /// @brief Addresses for the next heartbeat round: at most the fanout, all in turn.
+  std::vector<Member> NextTargets();
+
+  /// @brief Up to `most` heartbeat counters to pass on, all in turn.
+  std::vector<NodeDigest> NextDigests(std::size_t most);
+
+  /// @brief Members heard lately, without this node itself.
+  std::vector<const Member*> Live(TimePoint now) const;
+
+  /// @brief True when the member's heartbeat advanced within the silence limit.
+  bool IsLive(const Member& member, TimePoint now) const;
+
+  /// @brief True when no incarnation of this id is listed, heard or remembered.
+  bool Ended(const std::string& incarnation) const;
+
+  const std::map<std::string, Member>& Members() const { return members_; }
+
+ private:
+  std::string self_;
+  MembershipSettings settings_;
+  std::map<std::string, Member> members_;
+  std::string last_target_;
+  std::string last_digest_;
+};
+
+}  // namespace rudderloom
+
+#endif
--- /dev/null
+++ b/include/rudderloom/residency/planner.hpp
@@ -0,0 +1,82 @@
+/// @file
+/// Which units to load and unload next, given what is wanted and what is there. Pure.
+#ifndef RUDDERLOOM_RESIDENCY_PLANNER_HPP
+#define RUDDERLOOM_RESIDENCY_PLANNER_HPP
+
+#include <cstdint>  // for uint64_t
+#include <string>   // for string
+#include <vector>   // for vector
+
+#include "rudderloom/residency/pool_record.hpp"  // for UnitState
+
+namespace rudderloom {
+
+/// @brief Index into PlanInput's lists; -1 for none.
+/// @ingroup residency
+using PlanIndex = int;
+inline constexpr PlanIndex kNoIndex = -1;
+
+/// @brief One unit that is wanted or there.
+/// @ingroup residency
+struct PlanUnit {
+  std::string name;
+  std::uint64_t memory = 0;
+  PlanIndex base = kNoIndex;       ///< For an adapter: the unit of its model.
+  PlanIndex successor = kNoIndex;  ///< For an old version: the unit that replaces it.
+  std::int64_t copies = 0;         ///< Wanted by declaration or event; 0 for undeclared units.
+  double demand = 0.0;             ///< Requests running or waiting, smoothed.
+};
+
+/// @brief One unit on one endpoint.
+/// @ingroup residency
+struct PlanEntry {
+  PlanIndex unit = kNoIndex;
+  UnitState state = UnitState::kLoading;
+};
+
+/// @brief One endpoint of the pool.
+/// @ingroup residency
+struct PlanEndpoint {
+  std::string name;
+  std::uint64_t memory = 0;
+  std::uint64_t taken = 0;  ///< Reserved or reported as used, whichever is more.
+  bool usable = true;       ///< Live, not leaving, not drained.
+  int zone = 0;
+  double slots = 1.0;
+  double load = 0.0;  ///< Requests in flight over slots.
+  std::vector<PlanEntry> entries;
+};
+
+/// @brief What the planner decides from.
+/// @ingroup residency
+struct PlanInput {
+  std::vector<PlanUnit> units;
+  std::vector<PlanEndpoint> endpoints;
+  std::int64_t loads = 1;  ///< Loads that may be started now.
+};
+
+/// @brief One step.
+/// @ingroup residency
+struct PlanAction {
+  enum class Kind { kLoad, kUnload };
+  /// @brief Why the step is worth its cost; counted per move.
+  enum class Reason { kUnreachable, kWanted, kDemand, kMakeRoom, kRelocate };
+  Kind kind = Kind::kLoad;
+  Reason reason = Reason::kWanted;
+  PlanIndex endpoint = kNoIndex;
+  PlanIndex unit = kNoIndex;
+  bool operator==(const PlanAction&) const = default;
+};
+
+/// @brief Name of a reason, as counters and logs show it.
+/// @ingroup residency
+std::string_view NameOf(PlanAction::Reason reason);
+
+/// @brief The next steps, most urgent first. Nothing is unloaded unless its room is needed, and
+/// the last serving copy of a unit is never unloaded for another's sake.
+/// @ingroup residency
+std::vector<PlanAction> Plan(PlanInput input);
+
+}  // namespace rudderloom
+
+#endif
--- /dev/null
+++ b/src/rudderloom/app/daemon.cpp
@@ -0,0 +1,205 @@
+#include "rudderloom/app/daemon.hpp"
+
+#include <atomic>    // for atomic
+#include <csignal>   // for SIGTERM
+#include <iostream>  // for cout
+#include <future>    // for promise
+#include <random>    // for random_device
+#include <thread>    // for thread
+
+#include "rudderloom/base/log_line.hpp"          // for LogLine
+#include "rudderloom/callers/front.hpp"          // for Front
+#include "rudderloom/control/control_actor.hpp"  // for ControlActor
+#include "rudderloom/control/control_shell.hpp"  // for ControlShell
+#include "rudderloom/peers/node_server.hpp"      // for NodeServer
+
+namespace rudderloom {
+
+namespace {
+
+constexpr Duration kStopPoll{20};
+
+std::string NewIncarnation(const std::string& name) {
+  std::random_device device;
+  constexpr unsigned kHalf = 32;
+  const std::uint64_t number = (static_cast<std::uint64_t>(device()) << kHalf) | device();
+  return name + "-" + std::to_string(number);
+}
+
+// Where a thread that serves callers and one that serves control each get their share of metrics.
+CallObserver CountPlatformCalls(Metrics& metrics) {
+  return [&metrics](std::string_view verb, std::string_view kind, std::size_t bytes) {
+    const std::string call = std::string(verb) + " " + std::string(kind);
+    if (verb != "watch_bytes") {
+      metrics.Count({"rudderloom_platform_calls_total", "call", call});
+    }
+    metrics.Count({"rudderloom_control_bytes_total", "with", "platform"}, bytes);
+  };
+}
+
+// All parts of one entry node, in the order in which they are made.
+class Daemon {
+ public:
+  explicit Daemon(const Settings& settings)
+      : settings_(settings),
+        incarnation_(NewIncarnation(settings.name)),
+        control_work_(asio::make_work_guard(control_context_)),
+        traffic_work_(asio::make_work_guard(traffic_context_)),
+        node_server_(settings.peers, settings.membership, contact_, metrics_),
+        control_store_(MakeStore(control_context_)),
+        traffic_store_(MakeStore(traffic_context_)),
+        changer_(control_context_,
+                 *control_store_,
+                 [this](ConfigurationPtr accepted) {
+                   actor_->Post(message::ConfigurationSeen{std::move(accepted)});
+                 }),
+        shell_(control_context_,
+               settings,
+               incarnation_,
+               node_server_.Address(),
+               *control_store_,
+               contact_,
+               metrics_,
+               [this](message::Any any) { actor_->Post(std::move(any)); }),
+        front_(traffic_context_,
+               settings_,
+               incarnation_,
+               *traffic_store_,
+               contact_,
+               metrics_,
+               {[this](message::Any any) { actor_->Post(std::move(any)); }}) {}
+
+  int Run() {
+    contact_.Heard(Now());
+    actor_ =
+        std::make_unique<ControlActor>(settings_, incarnation_, node_server_.Address(), Sinks());
+    const std::string callers = front_.Start();
+    shell_.Start();
+    node_server_.Start({[this](message::Any any) { actor_->Post(std::move(any)); },
+                        [this](ChangeRequest request, std::function<void(ChangeResult)> done) {
+                          Change(std::move(request), std::move(done));
+                        }});
+    std::thread control([this] { control_context_.run(); });
+    std::thread traffic([this] { traffic_context_.run(); });
+    LogLine("started")
+        .With("node", settings_.name)
+        .With("incarnation", incarnation_)
+        .With("callers", callers)
+        .With("peers", node_server_.Address());
+    std::cout << "ready callers=" << callers << " peers=" << node_server_.Address() << std::endl;
+    WaitForSignal();
+    const bool clean = Stop();
+    node_server_.Stop();
+    actor_.reset();
+    control_context_.stop();
+    traffic_context_.stop();
+    control.join();
+    traffic.join();
+    LogLine("stopped").With("node", settings_.name).With("clean", clean ? "yes" : "no");
+    return clean ? 0 : 1;
+  }
+
+ private:
+  std::unique_ptr<ObjectStore> MakeStore(asio::io_context& context) {
+    return MakeHttpObjectStore(context, settings_.platform.address, settings_.platform.call_time,
+                               settings_.platform.watch_time, CountPlatformCalls(metrics_));
+  }
+
+  ControlSinks Sinks() {
+    ControlSinks sinks;
+    sinks.effects = [this](PoolEffects effects) { shell_.Execute(std::move(effects)); };
+    sinks.snapshot = [this](SnapshotPtr snapshot) {
+      metrics_.Set({"rudderloom_generation"},
+                   static_cast<double>(snapshot->configuration->generation));
+      metrics_.Set({"rudderloom_live_nodes"}, snapshot->live_nodes);
+      front_.Use(std::move(snapshot));
+    };
+    sinks.report = [this](std::shared_ptr<const NodeReport> report) {
+      released_.store(report->released);
+      metrics_.Set({"rudderloom_held_leases"}, static_cast<double>(report->held_pools.size()));
+      shell_.Reported(report);
+      node_server_.Reported(std::move(report));
+    };
+    sinks.cpu_seconds = [this](double seconds) {
+      metrics_.Set({"rudderloom_control_cpu_seconds"}, seconds);
+    };
+    return sinks;
+  }
+
+  void Change(ChangeRequest request, std::function<void(ChangeResult)> done) {
+    asio::co_spawn(
+        control_context_,
+        [this, request = std::move(request), done = std::move(done)]() mutable -> Awaitable<void> {
+          ChangeResult result = co_await changer_.Make(std::move(request));
+          done(std::move(result));
+        },
+        asio::detached);
+  }
+
+  static void WaitForSignal() {
+    asio::io_context context;
+    asio::signal_set signals(context, SIGTERM, SIGINT);
+    signals.async_wait([](boost::system::error_code, int) {});
+    context.run();
+  }
+
+  // Tells the balancer and the peers, gives the leases back, and lets requests in flight end.
+  bool Stop() {
+    LogLine("stopping").With("node", settings_.name);
+    const TimePoint until = Now() + settings_.stop_notice + settings_.stop_time;
+    asio::post(traffic_context_, [this] { front_.BeginStop(); });
+    actor_->Post(message::StopAsked{});
+    Wait(settings_.stop_notice);
+    asio::post(traffic_context_, [this] { front_.StopAccepting(); });
+    while (Now() < until) {
+      std::promise<std::size_t> unfinished;
+      asio::post(traffic_context_, [&] { unfinished.set_value(front_.Unfinished()); });
+      const bool done = unfinished.get_future().get() == 0;
+      if (done && released_.load()) {
+        break;
+      }
+      Wait(kStopPoll);
+    }
+    std::promise<std::size_t> left;
+    asio::post(traffic_context_, [&] { left.set_value(front_.Unfinished()); });
+    const std::size_t cut = left.get_future().get();
+    std::promise<void> unregistered;
+    asio::co_spawn(control_context_, shell_.Unregister(),
+                   [&](const std::exception_ptr&) { unregistered.set_value(); });
+    unregistered.get_future().wait();
+    return cut == 0;
+  }
+
+  static void Wait(Duration pause) {
+    asio::io_context context;
+    asio::steady_timer timer(context, pause);
+    timer.async_wait([](boost::system::error_code) {});
+    context.run();
+  }
+
+  const Settings settings_;
+  const std::string incarnation_;
+  Metrics metrics_;
+  Contact contact_;
+  asio::io_context control_context_{1};
+  asio::io_context traffic_context_{1};
+  asio::executor_work_guard<asio::io_context::executor_type> control_work_;
+  asio::executor_work_guard<asio::io_context::executor_type> traffic_work_;
+  std::atomic<bool> released_{false};
+  std::unique_ptr<ControlActor> actor_;
+  NodeServer node_server_;
+  std::unique_ptr<ObjectStore> control_store_;
+  std::unique_ptr<ObjectStore> traffic_store_;
+  ConfigurationChanger changer_;
+  ControlShell shell_;
+  Front front_;
+};
+
+}  // namespace
+
+int RunDaemon(const Settings& settings) {
+  Daemon daemon(settings);
+  return daemon.Run();
+}
+
+}  // namespace rudderloom
--- /dev/null
+++ b/src/rudderloom/attempts/retry_policy.cpp
@@ -0,0 +1,78 @@
+#include "rudderloom/attempts/retry_policy.hpp"
+
+#include <algorithm>  // for min
+
+#include "rudderloom/base/backoff.hpp"  // for Backoff
+
+namespace rudderloom {
+
+namespace {
+// A quiet process may still retry this often, and a busy one saves up no more than this.
+constexpr double kStartBudget = 10.0;
+constexpr double kMostBudget = 50.0;
+constexpr std::int64_t kLongestBackoffSteps = 16;
+}  // namespace
+
+std::string_view NameOf(AttemptFailure failure) {
+  switch (failure) {
+    case AttemptFailure::kConnect:
+      return "connect";
+    case AttemptFailure::kNotResident:
+      return "not_resident";
+    case AttemptFailure::kBusy:
+      return "busy";
+    case AttemptFailure::kLeaving:
+      return "leaving";
+    case AttemptFailure::kCutEarly:
+      return "cut_early";
+    case AttemptFailure::kCutMidway:
+      return "cut_midway";
+    case AttemptFailure::kTimeout:
+      return "timeout";
+    case AttemptFailure::kServerError:
+      return "server_error";
+  }
+  return "server_error";
+}
+
+bool ProvesNotRun(AttemptFailure failure) {
+  return failure == AttemptFailure::kConnect || failure == AttemptFailure::kNotResident ||
+         failure == AttemptFailure::kBusy || failure == AttemptFailure::kLeaving;
+}
+
+RetryPolicy::RetryPolicy(RetrySettings settings, std::uint64_t seed)
+    : settings_(settings), budget_(kStartBudget), seed_(seed) {}
+
+void RetryPolicy::FirstAttempt() {
+  budget_ = std::min(kMostBudget, budget_ + settings_.budget);
+}
+
+std::variant<RetryAfter, GiveUp> RetryPolicy::Decide(AttemptFailure failure,
+                                                     const AttemptState& state,
+                                                     TimePoint now) {
+  const bool may_have_run = state.may_have_run || !ProvesNotRun(failure);
+  if (may_have_run && !state.repeatable) {
+    return GiveUp{GiveUp::Reason::kNotRepeatable, true};
+  }
+  // A caller that retries by itself gets no retries on top, but for failures that cost nothing.
+  const bool exhausted =
+      state.attempts >= settings_.attempts || (state.retried_before && !ProvesNotRun(failure));
+  if (exhausted) {
+    return GiveUp{GiveUp::Reason::kAttempts, may_have_run};
+  }
+  Backoff backoff(settings_.backoff, settings_.backoff * kLongestBackoffSteps, ++seed_);
+  Duration pause = backoff.Next();
+  for (std::int64_t i = 1; i < state.attempts; ++i) {
+    pause = backoff.Next();
+  }
+  if (now + pause >= state.deadline) {
+    return GiveUp{GiveUp::Reason::kDeadline, may_have_run};
+  }
+  if (budget_ < 1.0) {
+    return GiveUp{GiveUp::Reason::kBudget, may_have_run};
+  }
+  budget_ -= 1.0;
+  return RetryAfter{pause};
+}
+
+}  // namespace rudderloom
--- /dev/null
+++ b/src/rudderloom/base/json_reader.cpp
@@ -0,0 +1,257 @@
+#include "rudderloom/base/json_reader.hpp"
+
+#include <array>         // for array
+#include <charconv>      // for from_chars
+#include <system_error>  // for errc
+#include <utility>       // for pair, move
+
+namespace rudderloom {
+
+namespace json = boost::json;
+
+namespace {
+
+struct Unit {
+  std::string_view name;
+  std::uint64_t factor;
+};
+
+constexpr std::uint64_t kKibi = 1024;
+
+constexpr std::array kTimeUnits{Unit{"ms", 1}, Unit{"s", 1000}, Unit{"m", 60'000},
+                                Unit{"h", 3'600'000}};
+constexpr std::array kSizeUnits{Unit{"B", 1}, Unit{"KiB", kKibi}, Unit{"MiB", kKibi* kKibi},
+                                Unit{"GiB", kKibi* kKibi* kKibi}};
+
+// The largest number before a unit; keeps the product inside 64 bits.
+constexpr std::uint64_t kMostBeforeUnit = 1'000'000'000;
+
+template <std::size_t N>
+std::optional<std::uint64_t> ParseWithUnit(std::string_view text,
+                                           const std::array<Unit, N>& units) {
+  std::uint64_t number = 0;
+  const char* end = text.data() + text.size();
+  const auto [rest, error] = std::from_chars(text.data(), end, number);
+  if (error != std::errc() || number > kMostBeforeUnit) {
+    return std::nullopt;
+  }
+  const std::string_view name(rest, static_cast<std::size_t>(end - rest));
+  for (const Unit& unit : units) {
+    if (unit.name == name) {
+      return number * unit.factor;
+    }
+  }
+  return std::nullopt;
+}
+
+std::string Shown(const json::value& value) {
+  return json::serialize(value);
+}
+
+}  // namespace
+
+std::variant<json::object, JsonErrors> ParseJsonObject(std::string_view text,
+                                                       const std::string& path) {
+  json::error_code error;
+  json::value value = json::parse({text.data(), text.size()}, error);
+  if (error) {
+    return JsonErrors{{path, "not JSON: " + error.message()}};
+  }
+  if (!value.is_object()) {
+    return JsonErrors{{path, "not a JSON object"}};
+  }
+  return std::move(value.as_object());
+}
+
+std::optional<Duration> ParseDuration(std::string_view text) {
+  const auto parsed = ParseWithUnit(text, kTimeUnits);
+  if (!parsed) {
+    return std::nullopt;
+  }
+  return Duration(static_cast<Duration::rep>(*parsed));
+}
+
+std::optional<std::uint64_t> ParseSize(std::string_view text) {
+  return ParseWithUnit(text, kSizeUnits);
+}
+
+ObjectReader::ObjectReader(const json::object& object, std::string path, JsonErrors& errors)
+    : object_(object), path_(std::move(path)), errors_(errors) {}
+
+const json::value* ObjectReader::Find(std::string_view key, bool required) {
+  known_.emplace(key);
+  const json::value* found = object_.if_contains({key.data(), key.size()});
+  if (found == nullptr && required) {
+    Fail(key, "is missing");
+  }
+  return found;
+}
+
+void ObjectReader::Fail(std::string_view key, std::string message) {
+  errors_.push_back({path_ + "/" + std::string(key), std::move(message)});
+}
+
+std::string ObjectReader::String(std::string_view key, std::optional<std::string> fallback) {
+  const json::value* found = Find(key, !fallback);
+  if (found == nullptr) {
+    return fallback.value_or("");
+  }
+  if (!found->is_string()) {
+    Fail(key, Shown(*found) + " is not a string");
+    return fallback.value_or("");
+  }
+  if (found->as_string().empty() && !fallback) {
+    Fail(key, "is empty");
+  }
+  return std::string(found->as_string());
+}
+
+std::int64_t ObjectReader::Integer(std::string_view key,
+                                   std::int64_t least,
+                                   std::int64_t most,
+                                   std::optional<std::int64_t> fallback) {
+  const json::value* found = Find(key, !fallback);
+  if (found == nullptr) {
+    return fallback.value_or(least);
+  }
+  if (!found->is_int64()) {
+    Fail(key, Shown(*found) + " is not a whole number");
+    return fallback.value_or(least);
+  }
+  const std::int64_t value = found->as_int64();
+  if (value < least || value > most) {
+    Fail(key, std::to_string(value) + " is not in " + std::to_string(least) + ".." +
+                  std::to_string(most));
+  }
+  return value;
+}
+
+double ObjectReader::Number(std::string_view key,
+                            double least,
+                            double most,
+                            std::optional<double> fallback) {
+  const json::value* found = Find(key, !fallback);
+  if (found == nullptr) {
+    return fallback.value_or(least);
+  }
+  if (!found->is_number()) {
+    Fail(key, Shown(*found) + " is not a number");
+    return fallback.value_or(least);
+  }
+  const double value = found->to_number<double>();
+  if (!(value >= least && value <= most)) {
+    Fail(key, Shown(*found) + " is out of range");
+  }
+  return value;
+}
+
+bool ObjectReader::Boolean(std::string_view key, bool fallback) {
+  const json::value* found = Find(key, false);
+  if (found == nullptr) {
+    return fallback;
+  }
+  if (!found->is_bool()) {
+    Fail(key, Shown(*found) + " is not true or false");
+    return fallback;
+  }
+  return found->as_bool();
+}
+
+Duration ObjectReader::Time(std::string_view key, std::optional<Duration> fallback) {
+  const json::value* found = Find(key, !fallback);
+  if (found == nullptr) {
+    return fallback.value_or(Duration(0));
+  }
+  const auto parsed =
+      found->is_string() ? ParseDuration(std::string_view(found->as_string())) : std::nullopt;
+  if (!parsed) {
+    Fail(key, Shown(*found) + " is not a time such as \"250ms\", \"5s\", \"10m\" or \"2h\"");
+    return fallback.value_or(Duration(0));
+  }
+  return *parsed;
+}
+
+std::uint64_t ObjectReader::Size(std::string_view key, std::optional<std::uint64_t> fallback) {
+  const json::value* found = Find(key, !fallback);
+  if (found == nullptr) {
+    return fallback.value_or(0);
+  }
+  const auto parsed =
+      found->is_string() ? ParseSize(std::string_view(found->as_string())) : std::nullopt;
+  if (!parsed) {
+    Fail(key, Shown(*found) + " is not a size such as \"64KiB\", \"8MiB\" or \"14GiB\"");
+    return fallback.value_or(0);
+  }
+  return *parsed;
+}
+
+std::vector<std::string> ObjectReader::Strings(std::string_view key) {
+  std::vector<std::string> result;
+  const json::value* found = Find(key, false);
+  if (found == nullptr) {
+    return result;
+  }
+  if (!found->is_array()) {
+    Fail(key, Shown(*found) + " is not a list of strings");
+    return result;
+  }
+  for (const json::value& element : found->as_array()) {
+    if (element.is_string()) {
+      result.emplace_back(element.as_string());
+    } else {
+      Fail(key, Shown(element) + " is not a string");
+    }
+  }
+  return result;
+}
+
+void ObjectReader::Object(std::string_view key,
+                          bool optional,
+                          const std::function<void(ObjectReader&)>& read) {
+  const json::value* found = Find(key, !optional);
+  if (found != nullptr && !found->is_object()) {
+    Fail(key, Shown(*found) + " is not an object");
+    return;
+  }
+  if (found == nullptr && !optional) {
+    return;
+  }
+  const json::object empty;
+  const json::object& object = found == nullptr ? empty : found->as_object();
+  ObjectReader nested(object, path_ + "/" + std::string(key), errors_);
+  read(nested);
+  nested.Finish();
+}
+
+void ObjectReader::Objects(std::string_view key, const std::function<void(ObjectReader&)>& read) {
+  const json::value* found = Find(key, false);
+  if (found == nullptr) {
+    return;
+  }
+  if (!found->is_array()) {
+    Fail(key, Shown(*found) + " is not a list");
+    return;
+  }
+  std::size_t index = 0;
+  for (const json::value& element : found->as_array()) {
+    const std::string position = std::string(key) + "/" + std::to_string(index++);
+    if (!element.is_object()) {
+      Fail(position, Shown(element) + " is not an object");
+      continue;
+    }
+    ObjectReader nested(element.as_object(), path_ + "/" + position, errors_);
+    read(nested);
+    nested.Finish();
+  }
+}
+
+void ObjectReader::Finish() {
+  for (const auto& member : object_) {
+    const std::string_view key(member.key().data(), member.key().size());
+    if (known_.find(key) == known_.end()) {
+      Fail(key, "is not a known key");
+    }
+  }
+}
+
+}  // namespace rudderloom
--- /dev/null
+++ b/src/rudderloom/callers/front.cpp
@@ -0,0 +1,199 @@
+#include "rudderloom/callers/front.hpp"
+
+#include <boost/json.hpp>  // for object
+#include <chrono>          // for system_clock
+
+namespace rudderloom {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr Duration kSampleEvery{100};
+constexpr std::string_view kServices = "/services/";
+
+std::uint64_t SeedOf(const std::string& incarnation) {
+  return std::hash<std::string>{}(incarnation);
+}
+
+std::int64_t UnixSeconds() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::seconds>(now).count();
+}
+
+HttpLimits LimitsOf(const LimitSettings& settings) {
+  HttpLimits limits;
+  limits.header_bytes = static_cast<std::uint32_t>(settings.header);
+  limits.body_bytes = settings.body;
+  limits.header_time = settings.header_time;
+  limits.idle_time = settings.idle_time;
+  limits.write_time = settings.write_time;
+  limits.connections = settings.connections;
+  return limits;
+}
+
+Reply TextReply(unsigned status, std::string type, std::string body) {
+  Reply reply;
+  reply.status = status;
+  reply.content_type = std::move(type);
+  reply.body = std::move(body);
+  return reply;
+}
+
+}  // namespace
+
+Front::Front(asio::io_context& context,
+             const Settings& settings,
+             std::string incarnation,
+             ObjectStore& store,
+             const Contact& contact,
+             Metrics& metrics,
+             FrontHooks hooks)
+    : context_(context),
+      settings_(settings),
+      contact_(contact),
+      metrics_(metrics),
+      hooks_(std::move(hooks)),
+      dispatcher_(context, settings.limits.queue, SeedOf(incarnation)),
+      client_(context),
+      retries_(settings.retries, SeedOf(incarnation) + 1),
+      claims_(context, store, incarnation, settings.claims, metrics),
+      shared_{context,
+              settings,
+              dispatcher_,
+              client_,
+              retries_,
+              claims_,
+              metrics,
+              [this](std::string endpoint) {
+                hooks_.post(message::LeavingSaid{std::move(endpoint)});
+              }} {}
+
+std::string Front::Start() {
+  HttpHandlers handlers;
+  handlers.handle = [this](HttpExchange& exchange) { return Handle(exchange); };
+  handlers.read_failure = [this](ReadFailure failure) {
+    const Refusal refusal = RefusalOf(failure);
+    metrics_.Count({"rudderloom_refusals_total", "reason", NameOf(refusal.reason)});
+    return ToReply(refusal, RequestIdOf(HttpRequest()));
+  };
+  handlers.slow_reader = [this] {
+    metrics_.Count({"rudderloom_refusals_total", "reason", "slow_reader"});
+  };
+  server_ = std::make_shared<HttpServer>(context_, LimitsOf(settings_.limits), std::move(handlers));
+  const std::uint16_t port = server_->Listen(settings_.callers.address, settings_.callers.port);
+  asio::co_spawn(context_, SampleLoop(), asio::detached);
+  return settings_.callers.address + ":" + std::to_string(port);
+}
+
+void Front::Use(SnapshotPtr snapshot) {
+  asio::post(context_, [this, snapshot = std::move(snapshot)]() mutable {
+    dispatcher_.Use(std::move(snapshot));
+  });
+}
+
+void Front::BeginStop() {
+  stopping_ = true;
+  server_->CloseAfterAnswers();
+}
+
+Awaitable<void> Front::SampleLoop() {
+  while (true) {
+    asio::steady_timer pause(context_, kSampleEvery);
+    co_await pause.async_wait(kAsTuple);
+    metrics_.Set({"rudderloom_waiting"}, static_cast<double>(dispatcher_.Waiting()));
+    metrics_.Set({"rudderloom_running"}, static_cast<double>(server_->Active()));
+    hooks_.post(dispatcher_.Sample());
+  }
+}
+
+// Why this node takes no requests at the moment; empty when it does.
+std::optional<RefusalReason> Front::NotServing() const {
+  if (!dispatcher_.Current()->ready) {
+    return RefusalReason::kNotReady;
+  }
+  if (contact_.Lost(Now(), settings_.membership.unconfirmed_limit)) {
+    return RefusalReason::kIsolated;
+  }
+  return std::nullopt;
+}
+
+Reply Front::Readiness() const {
+  const auto reason = NotServing();
+  if (!stopping_ && !reason) {
+    return TextReply(200, "application/json", R"({"ready":true})");
+  }
+  const std::string name = stopping_ ? "stopping" : std::string(NameOf(*reason));
+  return TextReply(503, "application/json",
+                   json::serialize(json::object{{"ready", false}, {"reason", name}}));
+}
+
+Awaitable<void> Front::Handle(HttpExchange& exchange) {
+  std::string target(exchange.Request().target());
+  const std::string path = target.substr(0, target.find('?'));
+  if (path == "/healthz") {
+    co_await exchange.Send(TextReply(200, "text/plain", "ok\n"));
+  } else if (path == "/readyz") {
+    co_await exchange.Send(Readiness());
+  } else if (path == "/metrics") {
+    co_await exchange.Send(TextReply(200, "text/plain; version=0.0.4", metrics_.Text()));
+  } else {
+    co_await HandleCall(exchange, path);
+  }
+}
+
+Awaitable<void> Front::HandleCall(HttpExchange& exchange, std::string path) {
+  std::string request_id = RequestIdOf(exchange.Request());
+  const bool chat = path == "/v1/chat/completions";
+  const bool completion = chat || path == "/v1/completions";
+  const bool models = path == "/v1/models";
+  const bool service = path.starts_with(kServices);
+  Refusal refusal;
+  if (!completion && !models && !service) {
+    refusal.reason = RefusalReason::kUnknownPath;
+    co_await Refuse(shared_, exchange, std::move(refusal), std::move(request_id));
+    co_return;
+  }
+  const http::verb wanted = completion ? http::verb::post : http::verb::get;
+  if (!service && exchange.Request().method() != wanted) {
+    refusal.reason = RefusalReason::kMethodNotAllowed;
+    co_await Refuse(shared_, exchange, std::move(refusal), std::move(request_id));
+    co_return;
+  }
+  if (const auto reason = NotServing()) {
+    refusal.reason = *reason;
+    co_await Refuse(shared_, exchange, std::move(refusal), std::move(request_id));
+    co_return;
+  }
+  if (models) {
+    co_await ListModels(exchange, std::move(request_id));
+    co_return;
+  }
+  const ConfigurationPtr configuration = dispatcher_.Current()->configuration;
+  auto info = ReadRequestInfo(exchange.Request(), request_id, *configuration, settings_.deadlines,
+                              Now(), UnixSeconds());
+  if (auto* refused = std::get_if<Refusal>(&info)) {
+    co_await Refuse(shared_, exchange, std::move(*refused), std::move(request_id));
+    co_return;
+  }
+  RequestInfo known = std::move(std::get<RequestInfo>(info));
+  if (service) {
+    co_await ServeService(shared_, exchange, std::move(known));
+  } else {
+    co_await ServeCompletion(shared_, exchange, std::move(known));
+  }
+}
+
+Awaitable<void> Front::ListModels(HttpExchange& exchange, std::string request_id) {
+  json::array data;
+  for (const auto& [name, set] : dispatcher_.Current()->models) {
+    data.push_back(json::object{
+        {"id", name}, {"object", "model"}, {"created", 0}, {"owned_by", "rudderloom"}});
+  }
+  Reply reply;
+  reply.body = json::serialize(json::object{{"object", "list"}, {"data", data}});
+  reply.headers.emplace_back(header::kRequestId, request_id);
+  co_await exchange.Send(std::move(reply));
+}
+
+}  // namespace rudderloom
--- /dev/null
+++ b/src/rudderloom/callers/service_call.cpp
@@ -0,0 +1,298 @@
+#include <optional>  // for optional
+
+#include "rudderloom/base/log_line.hpp"         // for LogLine
+#include "rudderloom/callers/call_context.hpp"  // for CallContext
+
+namespace rudderloom {
+
+namespace {
+
+constexpr std::string_view kPrefix = "/services/";
+constexpr std::size_t kLargestAnswer = 16 * 1024 * 1024;
+constexpr Duration kClaimTime{2'000};
+
+// Headers of the caller's request that concern only its own connection.
+bool IsOneHop(http::field field) {
+  return field == http::field::connection || field == http::field::host ||
+         field == http::field::keep_alive || field == http::field::transfer_encoding ||
+         field == http::field::content_length || field == http::field::upgrade;
+}
+
+// One call of a plain service. A call that may not be repeated is sent a second time only when
+// it is certain that the first sending did not run.
+class ServiceCall {
+ public:
+  ServiceCall(CallContext& shared, HttpExchange& exchange, RequestInfo info)
+      : shared_(shared), exchange_(exchange), info_(std::move(info)) {}
+
+  Awaitable<void> Run() {
+    if (auto refusal = ReadTarget()) {
+      co_await Refuse(shared_, exchange_, std::move(*refusal), info_.request_id);
+      co_return;
+    }
+    if (!repeatable_ && !info_.idempotency_key.empty() && !co_await TakeClaim()) {
+      co_return;
+    }
+    co_await Attempts();
+  }
+
+ private:
+  std::optional<Refusal> ReadTarget() {
+    const auto whole = exchange_.Request().target();
+    std::string_view rest(whole.data(), whole.size());
+    rest.remove_prefix(kPrefix.size());
+    const std::size_t end = std::min(rest.find_first_of("/?"), rest.size());
+    service_ = rest.substr(0, end);
+    target_ = rest.substr(end);
+    if (target_.empty() || target_.front() != '/') {
+      target_.insert(0, "/");
+    }
+    const auto& services = shared_.dispatcher.Current()->configuration->catalog.services;
+    const auto found = services.find(service_);
+    if (found == services.end()) {
+      Refusal refusal;
+      refusal.reason = RefusalReason::kUnknownService;
+      refusal.detail = "service \"" + service_ + "\" is not declared";
+      return refusal;
+    }
+    const std::string method(exchange_.Request().method_string());
+    repeatable_ = found->second.repeatable.contains(method);
+    if (exchange_.Request().find(header::kTimeout) == exchange_.Request().end() &&
+        exchange_.Request().find(header::kKind) == exchange_.Request().end()) {
+      info_.deadline = info_.arrived + found->second.deadline;
+    }
+    return std::nullopt;
+  }
+
+  // Claims the call; false when the caller has its answer already.
+  Awaitable<bool> TakeClaim() {
+    key_ = ClaimKey(service_, info_.caller, info_.idempotency_key);
+    const HttpRequest& request = exchange_.Request();
+    std::string fingerprint =
+        Fingerprint(std::string(request.method_string()), target_, request.body());
+    const std::string mine = fingerprint;
+    const Duration limit =
+        std::max(Duration(1), std::min(kClaimTime, Between(Now(), info_.deadline)));
+    ClaimResult result = co_await shared_.claims.Take(key_, std::move(fingerprint), limit);
+    if (auto* granted = std::get_if<ClaimGranted>(&result)) {
+      claim_ = granted->claim;
+      co_return true;
+    }
+    if (auto* taken = std::get_if<ClaimTaken>(&result)) {
+      co_await AnswerTaken(taken->claim, mine);
+      co_return false;
+    }
+    Refusal refusal;
+    refusal.reason = RefusalReason::kClaimsUnavailable;
+    refusal.detail = std::get<ClaimUnavailable>(result).message;
+    co_await Refuse(shared_, exchange_, std::move(refusal), info_.request_id);
+    co_return false;
+  }
+
+  // The first caller's outcome, or the truth about it.
+  Awaitable<void> AnswerTaken(const Claim& claim, const std::string& fingerprint) {
+    Refusal refusal;
+    refusal.ran = Ran::kUnknown;
+    if (claim.fingerprint != fingerprint) {
+      refusal.reason = RefusalReason::kKeyReused;
+      refusal.ran = Ran::kNo;
+    } else if (claim.state == ClaimState::kEnded && claim.body_kept) {
+      Reply reply;
+      reply.status = claim.status;
+      reply.content_type = claim.content_type;
+      reply.body = claim.body;
+      reply.headers.emplace_back(header::kRequestId, info_.request_id);
+      reply.headers.emplace_back("Idempotency-Replayed", "true");
+      shared_.metrics.Count({"rudderloom_requests_total", "result", "replayed"});
+      co_await exchange_.Send(std::move(reply));
+      co_return;
+    } else if (claim.state == ClaimState::kEnded) {
+      refusal.reason = RefusalReason::kAnswerNotKept;
+      refusal.detail = "it ended with status " + std::to_string(claim.status);
+    } else if (claim.state == ClaimState::kClaimed) {
+      refusal.reason = RefusalReason::kCallInProgress;
+    } else {
+      refusal.reason = RefusalReason::kOutcomeUnknown;
+    }
+    co_await Refuse(shared_, exchange_, std::move(refusal), info_.request_id);
+  }
+
+  Awaitable<void> Attempts() {
+    shared_.retries.FirstAttempt();
+    AttemptState state;
+    state.repeatable = repeatable_;
+    state.deadline = info_.deadline;
+    state.retried_before = info_.retried_before;
+    DispatchAsk ask;
+    ask.target = service_;
+    ask.service = true;
+    ask.caller = info_.caller;
+    ask.priority = info_.priority;
+    ask.deadline = info_.deadline;
+    ask.route.prefix = std::hash<std::string>{}(info_.request_id);
+    while (true) {
+      DispatchAsk present = ask;
+      auto acquired = co_await shared_.dispatcher.Acquire(std::move(present));
+      if (auto* refused = std::get_if<AdmissionRefusal>(&acquired)) {
+        Refusal refusal = RefusalOf(*refused, true);
+        refusal.ran = state.may_have_run ? Ran::kUnknown : Ran::kNo;
+        co_await Fail(std::move(refusal));
+        co_return;
+      }
+      const Grant grant = std::move(std::get<Grant>(acquired));
+      const auto failure = co_await Attempt(grant);
+      if (!failure) {
+        co_return;
+      }
+      auto decided = shared_.retries.Decide(*failure, state, Now());
+      state.may_have_run = state.may_have_run || !ProvesNotRun(*failure);
+      if (auto* given_up = std::get_if<GiveUp>(&decided)) {
+        co_await Fail(RefusalOf(*given_up, *failure));
+        co_return;
+      }
+      shared_.metrics.Count({"rudderloom_retries_total", "reason", NameOf(*failure)});
+      LogLine("retry")
+          .With("request_id", info_.request_id)
+          .With("reason", NameOf(*failure))
+          .With("endpoint", grant.endpoint.name);
+      ++state.attempts;
+      ask.route.excluded = {grant.endpoint.id};
+      co_await PauseFor(shared_.context, std::get<RetryAfter>(decided).pause);
+    }
+  }
+
+  HttpRequest MakeAttempt(const Grant& grant) const {
+    const HttpRequest& original = exchange_.Request();
+    HttpRequest request(original.method(), target_, 11);
+    for (const auto& field : original) {
+      if (!IsOneHop(field.name())) {
+        request.insert(field.name_string(), field.value());
+      }
+    }
+    request.set(http::field::host, grant.endpoint.address);
+    request.set(header::kRequestId, info_.request_id);
+    request.body() = original.body();
+    request.prepare_payload();
+    return request;
+  }
+
+  // Sends the call once and passes its answer on; gives why there was none.
+  Awaitable<std::optional<AttemptFailure>> Attempt(const Grant& grant) {
+    HttpRequest request = MakeAttempt(grant);
+    const Duration left = std::max(Duration(1), Between(Now(), info_.deadline));
+    CallTimes times;
+    times.connect = std::min(left, shared_.settings.deadlines.connect);
+    times.first_byte = left;
+    times.between = left;
+    const TimePoint sent = Now();
+    // On a connection used before, a cut can't be told from a call that was read.
+    const Reuse reuse = repeatable_ ? Reuse::kAllowed : Reuse::kNever;
+    auto opened =
+        co_await shared_.client.Open(grant.endpoint.address, std::move(request), times, reuse);
+    if (auto* failed = std::get_if<HttpFailure>(&opened)) {
+      const AttemptFailure failure = FailureOf(*failed, AttemptFailure::kCutEarly);
+      shared_.dispatcher.Release(grant, RouteResult::kFailed, Duration(0));
+      co_return failure;
+    }
+    auto answer = std::move(std::get<std::unique_ptr<HttpStream>>(opened));
+    const Duration first_byte = Between(sent, Now());
+    if (HeedLeaving(shared_, grant.endpoint, *answer) && answer->Status() == 503) {
+      shared_.dispatcher.Release(grant, RouteResult::kRefused, first_byte);
+      co_return AttemptFailure::kLeaving;
+    }
+    Reply reply;
+    reply.status = answer->Status();
+    std::optional<HttpFailure> cut = co_await ReadBody(*answer, reply);
+    if (cut) {
+      shared_.dispatcher.Release(grant, RouteResult::kFailed, first_byte);
+      co_return FailureOf(*cut, AttemptFailure::kCutMidway);
+    }
+    shared_.dispatcher.Release(grant, RouteResult::kServed, first_byte);
+    shared_.client.Release(grant.endpoint.address, std::move(answer));
+    FinishClaim(reply);
+    shared_.metrics.Count({"rudderloom_requests_total", "result", "served"});
+    LogLine("service_call_ended")
+        .With("request_id", info_.request_id)
+        .With("service", service_)
+        .With("endpoint", grant.endpoint.name)
+        .With("status", reply.status)
+        .With("ms", Between(info_.arrived, Now()).count());
+    co_await exchange_.Send(std::move(reply));
+    co_return std::nullopt;
+  }
+
+  static AttemptFailure FailureOf(const HttpFailure& failure, AttemptFailure cut) {
+    if (!failure.may_have_left) {
+      return AttemptFailure::kConnect;
+    }
+    return failure.timed_out ? AttemptFailure::kTimeout : cut;
+  }
+
+  Awaitable<std::optional<HttpFailure>> ReadBody(HttpStream& answer, Reply& reply) {
+    reply.content_type = answer.Header("Content-Type");
+    for (const auto& [name, value] : answer.EndToEndHeaders()) {
+      if (!beast::iequals(name, "Content-Type") && !beast::iequals(name, header::kRequestId)) {
+        reply.headers.emplace_back(name, value);
+      }
+    }
+    reply.headers.emplace_back(header::kRequestId, info_.request_id);
+    while (true) {
+      auto piece = co_await answer.ReadSome();
+      if (auto* failure = std::get_if<HttpFailure>(&piece)) {
+        co_return std::move(*failure);
+      }
+      if (std::holds_alternative<HttpStream::End>(piece)) {
+        co_return std::nullopt;
+      }
+      reply.body += std::get<std::string>(piece);
+      if (reply.body.size() > kLargestAnswer) {
+        HttpFailure failure;
+        failure.may_have_left = true;
+        failure.message = "the answer is too large";
+        co_return failure;
+      }
+    }
+  }
+
+  void FinishClaim(const Reply& reply) {
+    if (!claim_) {
+      return;
+    }
+    Claim ended = *claim_;
+    ended.state = ClaimState::kEnded;
+    ended.status = reply.status;
+    ended.content_type = reply.content_type;
+    ended.body_kept = reply.body.size() <= shared_.settings.claims.answer_bytes;
+    ended.body = ended.body_kept ? reply.body : "";
+    shared_.claims.Finish(key_, ended);
+  }
+
+  Awaitable<void> Fail(Refusal refusal) {
+    if (claim_ && refusal.ran == Ran::kNo) {
+      shared_.claims.Release(key_, *claim_);
+    } else if (claim_) {
+      Claim unknown = *claim_;
+      unknown.state = ClaimState::kUnknown;
+      shared_.claims.Finish(key_, unknown);
+    }
+    co_await Refuse(shared_, exchange_, std::move(refusal), info_.request_id);
+  }
+
+  CallContext& shared_;
+  HttpExchange& exchange_;
+  RequestInfo info_;
+  std::string service_;
+  std::string target_;
+  bool repeatable_ = true;
+  std::string key_;
+  std::optional<Claim> claim_;
+};
+
+}  // namespace
+
+Awaitable<void> ServeService(CallContext& shared, HttpExchange& exchange, RequestInfo info) {
+  ServiceCall call(shared, exchange, std::move(info));
+  co_await call.Run();
+}
+
+}  // namespace rudderloom
--- /dev/null
+++ b/src/rudderloom/claims/claim_keeper.cpp
@@ -0,0 +1,247 @@
+#include "rudderloom/claims/claim_keeper.hpp"
+
+#include <algorithm>  // for any_of
+#include <chrono>     // for system_clock
+
+#include "rudderloom/base/backoff.hpp"   // for Backoff
+#include "rudderloom/base/log_line.hpp"  // for LogLine
+
+namespace rudderloom {
+
+namespace {
+
+// A shard nearly as large as the platform's limit on values takes no more claims.
+constexpr std::size_t kMostBytes = 900 * 1024;
+constexpr Duration kBackoffLeast{50};
+constexpr Duration kBackoffMost{2'000};
+constexpr Duration kSettleLimit{1'500};
+constexpr Duration kSettlePause{50};
+
+std::int64_t UnixSeconds() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::seconds>(now).count();
+}
+
+}  // namespace
+
+ClaimKeeper::ClaimKeeper(asio::io_context& context,
+                         ObjectStore& store,
+                         std::string incarnation,
+                         ClaimSettings settings,
+                         Metrics& metrics)
+    : context_(context),
+      store_(store),
+      incarnation_(std::move(incarnation)),
+      settings_(settings),
+      metrics_(metrics) {}
+
+std::size_t ClaimKeeper::Pending() const {
+  std::size_t count = 0;
+  for (const auto& [number, shard] : shards_) {
+    count += shard.pending.size();
+  }
+  return count;
+}
+
+// True while some shard is trying to reach the platform, so that others need not.
+bool ClaimKeeper::ProbeUnderWay() const {
+  return std::any_of(shards_.begin(), shards_.end(),
+                     [](const auto& entry) { return entry.second.running; });
+}
+
+Awaitable<ClaimResult> ClaimKeeper::Take(std::string key, std::string fingerprint, Duration limit) {
+  if (failing_ && ProbeUnderWay()) {
+    co_return ClaimUnavailable{"the platform does not answer"};
+  }
+  Change change;
+  change.kind = ChangeKind::kTake;
+  change.key = key;
+  change.claim.owner = incarnation_ + "/" + std::to_string(++number_);
+  change.claim.fingerprint = std::move(fingerprint);
+  change.claim.claimed_at = UnixSeconds();
+  change.give_up_at = Now() + limit;
+  change.result = std::make_shared<std::variant<std::monostate, ClaimResult>>();
+  change.waiter = std::make_shared<asio::steady_timer>(context_);
+  change.waiter->expires_at(TimePoint::max());
+  const auto waiter = change.waiter;
+  const auto result = change.result;
+  Add(std::move(change));
+  while (std::holds_alternative<std::monostate>(*result)) {
+    co_await waiter->async_wait(kAsTuple);
+  }
+  co_return std::get<ClaimResult>(*result);
+}
+
+void ClaimKeeper::Finish(const std::string& key, const Claim& ended) {
+  Change change;
+  change.kind = ChangeKind::kFinish;
+  change.key = key;
+  change.claim = ended;
+  Add(std::move(change));
+}
+
+void ClaimKeeper::Release(const std::string& key, const Claim& claim) {
+  Change change;
+  change.kind = ChangeKind::kRelease;
+  change.key = key;
+  change.claim = claim;
+  Add(std::move(change));
+}
+
+void ClaimKeeper::Add(Change change) {
+  const std::int64_t number = ShardOf(change.key, settings_.shards);
+  Shard& shard = shards_[number];
+  shard.name = "shard-" + std::to_string(number);
+  shard.pending.push_back(std::move(change));
+  if (!shard.running) {
+    shard.running = true;
+    asio::co_spawn(context_, Run(shard), asio::detached);
+  }
+}
+
+void ClaimKeeper::Answer(Change& change, ClaimResult result) {
+  *change.result = std::move(result);
+  change.waiter->cancel();
+}
+
+// One commit after the other, each with all changes that came in the meantime.
+Awaitable<void> ClaimKeeper::Run(Shard& shard) {
+  Backoff backoff(kBackoffLeast, kBackoffMost, std::hash<std::string>{}(incarnation_ + shard.name));
+  while (!shard.pending.empty()) {
+    asio::steady_timer batch(context_, settings_.batch);
+    co_await batch.async_wait(kAsTuple);
+    const bool done = (!shard.version.empty() || co_await Read(shard)) && co_await Commit(shard);
+    failing_ = !done;
+    if (done) {
+      backoff.Reset();
+      continue;
+    }
+    GiveUpLate(shard, "the platform does not answer");
+    asio::steady_timer pause(context_, backoff.Next());
+    co_await pause.async_wait(kAsTuple);
+  }
+  shard.running = false;
+}
+
+Awaitable<bool> ClaimKeeper::Read(Shard& shard) {
+  auto got = co_await store_.Get(std::string(object_kind::kClaims), shard.name);
+  if (auto* object = std::get_if<StoredObject>(&got)) {
+    shard.book = ClaimBook::FromJson(object->spec);
+    shard.version = object->version;
+    shard.writers = object->writers;
+    co_return true;
+  }
+  if (std::get<StoreError>(got).kind == StoreError::Kind::kNotFound) {
+    shard.book = ClaimBook();
+    shard.version = std::string(kMustNotExist);
+    shard.writers.clear();
+    co_return true;
+  }
+  co_return false;
+}
+
+// Answers claims whose key is taken already, by the book as last read or written.
+void ClaimKeeper::AnswerTaken(Shard& shard) {
+  for (auto change = shard.pending.begin(); change != shard.pending.end();) {
+    const Claim* present =
+        change->kind == ChangeKind::kTake ? shard.book.Find(change->key) : nullptr;
+    if (present != nullptr && present->owner != change->claim.owner) {
+      Answer(*change, ClaimTaken{*present});
+      change = shard.pending.erase(change);
+    } else {
+      ++change;
+    }
+  }
+}
+
+// Ends the waiting of claims whose time is up. Whether such a claim was recorded may be unknown,
+// so it is taken back in the background; its call is never sent.
+void ClaimKeeper::GiveUpLate(Shard& shard, const std::string& why) {
+  const TimePoint now = Now();
+  for (Change& change : shard.pending) {
+    if (change.kind == ChangeKind::kTake && now >= change.give_up_at) {
+      Answer(change, ClaimUnavailable{why});
+      change.kind = ChangeKind::kRelease;
+    }
+  }
+}
+
+Awaitable<bool> ClaimKeeper::Commit(Shard& shard) {
+  shard.book.Prune(UnixSeconds() - settings_.retention.count() / 1000);
+  AnswerTaken(shard);
+  if (shard.book.Bytes() > kMostBytes) {
+    for (Change& change : shard.pending) {
+      if (change.kind == ChangeKind::kTake) {
+        Answer(change, ClaimUnavailable{"the shard of this key is full"});
+        change.kind = ChangeKind::kRelease;
+      }
+    }
+  }
+  if (shard.pending.empty()) {
+    co_return true;
+  }
+  ClaimBook book = shard.book;
+  std::list<Change> batch;
+  batch.swap(shard.pending);
+  for (const Change& change : batch) {
+    switch (change.kind) {
+      case ChangeKind::kTake:
+        book.TryClaim(change.key, change.claim);
+        break;
+      case ChangeKind::kFinish:
+        book.Finish(change.key, change.claim);
+        break;
+      case ChangeKind::kRelease:
+        book.Release(change.key, change.claim.owner);
+        break;
+    }
+  }
+  StoredObject object;
+  object.name = shard.name;
+  object.version = shard.version;
+  object.writers = shard.writers;
+  object.spec = book.ToJson();
+  const std::string token = incarnation_ + "/w" + std::to_string(++number_);
+  const SettleTimes times{kSettleLimit, kSettlePause};
+  auto written = co_await PutSettled(context_, store_, std::string(object_kind::kClaims),
+                                     std::move(object), token, times);
+  if (auto* stored = std::get_if<StoredObject>(&written)) {
+    // A lost answer may be settled by an object that others have written since.
+    shard.book = stored->spec.empty() ? std::move(book) : ClaimBook::FromJson(stored->spec);
+    shard.version = stored->version;
+    shard.writers = stored->writers;
+    metrics_.Count({"rudderloom_claim_commits_total", "result", "done"});
+    metrics_.Count({"rudderloom_claim_changes_total"}, batch.size());
+    for (Change& change : batch) {
+      if (change.kind != ChangeKind::kTake) {
+        continue;
+      }
+      const Claim* present = shard.book.Find(change.key);
+      if (present != nullptr && present->owner == change.claim.owner) {
+        Answer(change, ClaimGranted{change.claim});
+      } else if (present != nullptr) {
+        Answer(change, ClaimTaken{*present});
+      } else {
+        Answer(change, ClaimUnavailable{"the claim was not kept"});
+      }
+    }
+    co_return true;
+  }
+  const StoreError& error = std::get<StoreError>(written);
+  metrics_.Count({"rudderloom_claim_commits_total", "result", NameOf(error.kind)});
+  // Back into the line, before what came since; the next read shows which of it was recorded.
+  shard.pending.splice(shard.pending.begin(), batch);
+  shard.version.clear();
+  if (error.kind == StoreError::Kind::kConflict) {
+    // Another node was first: read and go on at once.
+    const bool read = co_await Read(shard);
+    co_return read;
+  }
+  LogLine("claim_commit_failed", Severity::kWarning)
+      .With("shard", shard.name)
+      .With("kind", NameOf(error.kind))
+      .With("message", error.message);
+  co_return false;
+}
+
+}  // namespace rudderloom
--- /dev/null
+++ b/src/rudderloom/control/control_shell.cpp
@@ -0,0 +1,430 @@
+#include "rudderloom/control/control_shell.hpp"
+
+#include "rudderloom/base/backoff.hpp"   // for Backoff
+#include "rudderloom/base/log_line.hpp"  // for LogLine
+
+namespace rudderloom {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr Duration kTickEvery{100};
+constexpr Duration kPollLeast{500};
+constexpr Duration kPollTime{1'000};
+constexpr Duration kConfirmEvery{1'000};
+constexpr Duration kConfirmAfter{2'000};
+constexpr Duration kUnregisterTime{1'000};
+constexpr SettleTimes kPoolSettle{Duration(1'500), Duration(100)};
+
+std::string TextAt(const json::object& object, std::string_view key) {
+  const json::value* found = object.if_contains({key.data(), key.size()});
+  return found != nullptr && found->is_string() ? std::string(found->as_string()) : "";
+}
+
+NodeState NodeOf(const StoredObject& object) {
+  NodeState node;
+  node.name = object.name;
+  node.incarnation = TextAt(object.spec, "incarnation");
+  node.peers_address = TextAt(object.spec, "peersAddress");
+  node.availability_zone = TextAt(object.spec, "availabilityZone");
+  return node;
+}
+
+OrderOutcome OutcomeOf(unsigned status) {
+  switch (status) {
+    case 200:
+      return OrderOutcome::kDone;
+    case 202:
+    case 503:
+      return OrderOutcome::kNotYet;
+    case 409:
+      return OrderOutcome::kFenced;
+    case 507:
+      return OrderOutcome::kNoMemory;
+    default:
+      return OrderOutcome::kUnknown;
+  }
+}
+
+}  // namespace
+
+ControlShell::ControlShell(asio::io_context& context,
+                           Settings settings,
+                           std::string incarnation,
+                           std::string peers_address,
+                           ObjectStore& store,
+                           Contact& contact,
+                           Metrics& metrics,
+                           std::function<void(message::Any)> post)
+    : context_(context),
+      settings_(std::move(settings)),
+      incarnation_(std::move(incarnation)),
+      peers_address_(std::move(peers_address)),
+      store_(store),
+      contact_(contact),
+      metrics_(metrics),
+      post_(std::move(post)),
+      client_(context) {}
+
+Awaitable<void> ControlShell::Sleep(Duration pause) {
+  asio::steady_timer timer(context_, pause);
+  co_await timer.async_wait(kAsTuple);
+}
+
+void ControlShell::Start() {
+  asio::co_spawn(context_, TickLoop(), asio::detached);
+  asio::co_spawn(context_, PollLoop(), asio::detached);
+  asio::co_spawn(context_, ConfirmLoop(), asio::detached);
+  asio::co_spawn(context_, Register(), asio::detached);
+  WatchAll();
+}
+
+void ControlShell::WatchAll() {
+  const auto on_configuration = [this](const StoredObject& object) { OfferConfiguration(object); };
+  asio::co_spawn(context_,
+                 WatchKind(
+                     object_kind::kConfigurations,
+                     [=](const ObjectList& list) {
+                       for (const StoredObject& object : list.objects) {
+                         on_configuration(object);
+                       }
+                     },
+                     [=](const WatchEvent& event) { on_configuration(event.object); }),
+                 asio::detached);
+  asio::co_spawn(
+      context_,
+      WatchKind(
+          object_kind::kEndpoints,
+          [this](const ObjectList& list) {
+            message::EndpointsListed listed;
+            for (const StoredObject& object : list.objects) {
+              if (auto spec = EndpointFromJson(object.name, object.spec)) {
+                listed.specs.push_back(std::move(*spec));
+              }
+            }
+            post_(std::move(listed));
+          },
+          [this](const WatchEvent& event) {
+            if (event.kind == WatchEvent::Kind::kGone) {
+              post_(message::EndpointRemoved{event.object.name});
+            } else if (auto spec = EndpointFromJson(event.object.name, event.object.spec)) {
+              post_(message::EndpointPut{std::move(*spec)});
+            }
+          }),
+      asio::detached);
+  const auto post_nodes = [this] {
+    message::NodesListed listed;
+    for (const auto& [name, node] : listed_nodes_) {
+      listed.nodes.push_back(node);
+    }
+    post_(std::move(listed));
+  };
+  asio::co_spawn(context_,
+                 WatchKind(
+                     object_kind::kNodes,
+                     [this, post_nodes](const ObjectList& list) {
+                       listed_nodes_.clear();
+                       for (const StoredObject& object : list.objects) {
+                         listed_nodes_[object.name] = NodeOf(object);
+                       }
+                       post_nodes();
+                     },
+                     [this, post_nodes](const WatchEvent& event) {
+                       if (event.kind == WatchEvent::Kind::kGone) {
+                         listed_nodes_.erase(event.object.name);
+                       } else {
+                         listed_nodes_[event.object.name] = NodeOf(event.object);
+                       }
+                       post_nodes();
+                     }),
+                 asio::detached);
+  const auto on_pool = [this](const StoredObject& object) {
+    if (auto record = PoolRecordFromJson(object.spec)) {
+      post_(message::PoolSeen{object.name, std::move(*record), object.version});
+    }
+  };
+  asio::co_spawn(context_,
+                 WatchKind(
+                     object_kind::kPools,
+                     [=](const ObjectList& list) {
+                       for (const StoredObject& object : list.objects) {
+                         on_pool(object);
+                       }
+                     },
+                     [=](const WatchEvent& event) {
+                       if (event.kind == WatchEvent::Kind::kPut) {
+                         on_pool(event.object);
+                       }
+                     }),
+                 asio::detached);
+}
+
+void ControlShell::OfferConfiguration(const StoredObject& object) {
+  auto read = ConfigurationFromJson(object.spec);
+  if (auto* configuration = std::get_if<Configuration>(&read)) {
+    post_(message::ConfigurationSeen{
+        std::make_shared<const Configuration>(std::move(*configuration))});
+    return;
+  }
+  // What is in force stays in force: a configuration that can't be read never replaces it.
+  LogLine("configuration_unreadable", Severity::kError)
+      .With("mistake", std::get<JsonErrors>(read).front().Text());
+}
+
+// Lists, then watches for ever: on from the last version while that is possible.
+Awaitable<void> ControlShell::WatchKind(std::string_view kind, OnList on_list, OnEvent on_event) {
+  const std::string name(kind);
+  Backoff backoff(settings_.platform.backoff_least, settings_.platform.backoff_most,
+                  std::hash<std::string>{}(incarnation_ + name));
+  std::string version;
+  while (true) {
+    if (version.empty()) {
+      auto listed = co_await store_.List(name);
+      if (auto* error = std::get_if<StoreError>(&listed)) {
+        metrics_.Count({"rudderloom_platform_errors_total", "kind", NameOf(error->kind)});
+        co_await Sleep(backoff.Next());
+        continue;
+      }
+      contact_.Heard(Now());
+      const ObjectList& list = std::get<ObjectList>(listed);
+      version = list.version;
+      on_list(list);
+      backoff.Reset();
+    }
+    const TimePoint started = Now();
+    const StoreError ended = co_await store_.Watch(name, version, [&](const WatchEvent& event) {
+      contact_.Heard(Now());
+      version = event.object.version;
+      if (event.kind != WatchEvent::Kind::kBookmark) {
+        on_event(event);
+      }
+    });
+    if (ended.kind == StoreError::Kind::kExpired) {
+      version.clear();
+    }
+    const bool ordinary = ended.message.empty() && Now() - started > kConfirmEvery;
+    if (ordinary) {
+      backoff.Reset();
+      continue;
+    }
+    metrics_.Count({"rudderloom_platform_errors_total", "kind", NameOf(ended.kind)});
+    co_await Sleep(backoff.Next());
+  }
+}
+
+Awaitable<void> ControlShell::Register() {
+  Backoff backoff(settings_.platform.backoff_least, settings_.platform.backoff_most,
+                  std::hash<std::string>{}(incarnation_));
+  while (true) {
+    StoredObject object;
+    object.name = settings_.name;
+    object.spec = {{"incarnation", incarnation_},
+                   {"peersAddress", peers_address_},
+                   {"availabilityZone", settings_.availability_zone}};
+    auto put = co_await store_.Put(std::string(object_kind::kNodes), std::move(object));
+    if (std::holds_alternative<StoredObject>(put)) {
+      LogLine("registered").With("node", settings_.name).With("address", peers_address_);
+      co_return;
+    }
+    co_await Sleep(backoff.Next());
+  }
+}
+
+Awaitable<void> ControlShell::Unregister() {
+  const TimePoint until = Now() + kUnregisterTime;
+  while (Now() < until) {
+    auto gone = co_await store_.Delete(std::string(object_kind::kNodes), settings_.name);
+    const auto* error = std::get_if<StoreError>(&gone);
+    if (error == nullptr || error->kind == StoreError::Kind::kNotFound) {
+      co_return;
+    }
+    co_await Sleep(kTickEvery);
+  }
+}
+
+Awaitable<void> ControlShell::TickLoop() {
+  while (true) {
+    post_(message::Tick{});
+    co_await Sleep(kTickEvery);
+  }
+}
+
+// Alone with the platform, this node asks it often enough to notice a newer configuration.
+Awaitable<void> ControlShell::ConfirmLoop() {
+  while (true) {
+    co_await Sleep(kConfirmEvery);
+    if (contact_.Silence(Now()) < kConfirmAfter) {
+      continue;
+    }
+    auto got = co_await store_.Get(std::string(object_kind::kConfigurations), "current");
+    if (auto* object = std::get_if<StoredObject>(&got)) {
+      contact_.Heard(Now());
+      OfferConfiguration(*object);
+    } else if (std::get<StoreError>(got).kind == StoreError::Kind::kNotFound) {
+      contact_.Heard(Now());
+    }
+  }
+}
+
+void ControlShell::Reported(std::shared_ptr<const NodeReport> report) {
+  asio::post(context_, [this, report = std::move(report)] { report_ = report; });
+}
+
+// Asks the endpoints in turn, within the rate set for all of them together.
+Awaitable<void> ControlShell::PollLoop() {
+  const Duration between(1'000 / settings_.membership.polls_per_second);
+  while (true) {
+    co_await Sleep(between);
+    if (!report_) {
+      continue;
+    }
+    const TimePoint now = Now();
+    const EndpointState* next = nullptr;
+    TimePoint oldest = now - kPollLeast;
+    for (const EndpointState& state : report_->endpoints) {
+      const auto found = polled_at_.find(state.spec.name);
+      const TimePoint polled = found == polled_at_.end() ? TimePoint() : found->second;
+      if (polled <= oldest) {
+        oldest = polled;
+        next = &state;
+      }
+    }
+    if (next != nullptr) {
+      polled_at_[next->spec.name] = now;
+      asio::co_spawn(context_,
+                     Poll(next->spec.name, next->spec.address, !next->spec.service.empty()),
+                     asio::detached);
+    }
+  }
+}
+
+Awaitable<void> ControlShell::Poll(std::string name, std::string address, bool service) {
+  HttpRequest request = MakeRequest(http::verb::get, address, "/load");
+  const CallTimes times{kPollTime, kPollTime, kPollTime};
+  auto answer = co_await client_.Call(address, std::move(request), times, Reuse::kAllowed);
+  message::EndpointPolled polled;
+  polled.name = name;
+  polled.address = address;
+  if (const auto* response = std::get_if<HttpResponse>(&answer)) {
+    metrics_.Count({"rudderloom_control_bytes_total", "with", "endpoints"},
+                   response->body().size());
+    polled.report = ReportFromJson(response->body());
+    // A plain service need not know about load reports: any answer shows that it lives.
+    if (service && !polled.report) {
+      polled.report = LoadReport();
+    }
+  }
+  post_(std::move(polled));
+}
+
+void ControlShell::Execute(PoolEffects effects) {
+  asio::post(context_, [this, effects = std::move(effects)]() mutable {
+    for (PoolEffect& effect : effects) {
+      if (auto* write = std::get_if<WritePool>(&effect)) {
+        asio::co_spawn(context_, Write(std::move(*write)), asio::detached);
+      } else if (auto* read = std::get_if<ReadPool>(&effect)) {
+        asio::co_spawn(context_, Read(std::move(*read)), asio::detached);
+      } else if (auto* order = std::get_if<Order>(&effect)) {
+        asio::co_spawn(context_, Send(std::move(*order)), asio::detached);
+      } else {
+        LogMove(std::get<MoveDecided>(effect));
+      }
+    }
+  });
+}
+
+void ControlShell::LogMove(const MoveDecided& move) {
+  const bool load = move.kind == PlanAction::Kind::kLoad;
+  metrics_.Count({"rudderloom_moves_total", "kind", load ? "load" : "unload"});
+  LogLine("move_decided")
+      .With("kind", load ? "load" : "unload")
+      .With("reason", NameOf(move.reason))
+      .With("unit", move.unit)
+      .With("endpoint", move.endpoint);
+}
+
+Awaitable<void> ControlShell::Write(WritePool write) {
+  StoredObject object;
+  object.name = write.pool;
+  object.version = write.version;
+  object.writers = pool_writers_[write.pool];
+  object.spec = ToJson(write.record);
+  const std::string token = incarnation_ + "/p" + std::to_string(++token_);
+  auto written = co_await PutSettled(context_, store_, std::string(object_kind::kPools),
+                                     std::move(object), token, kPoolSettle);
+  message::PoolCallEnded ended;
+  ended.pool = write.pool;
+  const auto* stored = std::get_if<StoredObject>(&written);
+  // A lost answer may be settled so late that another holder has written since: read again then.
+  const bool ours =
+      stored != nullptr && (stored->writers.empty() || stored->writers.front() == token);
+  if (ours) {
+    contact_.Heard(Now());
+    pool_writers_[write.pool] = stored->writers;
+    ended.result = message::PoolCallEnded::Result::kWritten;
+    ended.version = stored->version;
+  } else {
+    const auto* error = std::get_if<StoreError>(&written);
+    metrics_.Count({"rudderloom_pool_write_errors_total", "kind",
+                    error == nullptr ? "overtaken" : NameOf(error->kind)});
+    ended.result = message::PoolCallEnded::Result::kWriteFailed;
+  }
+  post_(std::move(ended));
+}
+
+Awaitable<void> ControlShell::Read(ReadPool read) {
+  auto got = co_await store_.Get(std::string(object_kind::kPools), read.pool);
+  if (auto* object = std::get_if<StoredObject>(&got)) {
+    if (auto record = PoolRecordFromJson(object->spec)) {
+      pool_writers_[read.pool] = object->writers;
+      post_(message::PoolSeen{read.pool, std::move(*record), object->version});
+      co_return;
+    }
+    LogLine("pool_record_unreadable", Severity::kError).With("pool", read.pool);
+  } else if (std::get<StoreError>(got).kind == StoreError::Kind::kNotFound) {
+    post_(message::PoolSeen{read.pool, PoolRecord(), ""});
+    co_return;
+  }
+  co_await Sleep(settings_.platform.backoff_least);
+  post_(message::PoolCallEnded{read.pool, message::PoolCallEnded::Result::kReadFailed, ""});
+}
+
+Awaitable<void> ControlShell::Send(Order order) {
+  const OrderOutcome outcome = co_await SendOnce(order);
+  metrics_.Count({"rudderloom_orders_total", "outcome", NameOf(outcome)});
+  LogLine("order_ended")
+      .With("kind", order.load ? "load" : "unload")
+      .With("unit", order.unit)
+      .With("endpoint", order.endpoint)
+      .With("epoch", order.epoch)
+      .With("sequence", order.sequence)
+      .With("outcome", NameOf(outcome));
+  post_(message::OrderEnded{std::move(order), outcome});
+}
+
+Awaitable<OrderOutcome> ControlShell::SendOnce(Order order) {
+  const std::string id =
+      order.pool + "/" + std::to_string(order.epoch) + "/" + std::to_string(order.sequence);
+  const json::object body{{"order", id},
+                          {"epoch", order.epoch},
+                          {"sequence", order.sequence},
+                          {"action", order.load ? "load" : "unload"},
+                          {"unit", order.unit},
+                          {"memory", order.memory}};
+  HttpRequest request =
+      MakeRequest(http::verb::post, order.address, "/orders", json::serialize(body));
+  CallTimes times;
+  times.first_byte = settings_.residency.order_time;
+  // The lease may have passed on while this order waited for its turn.
+  if (Now() >= order.valid_until) {
+    co_return OrderOutcome::kNotSent;
+  }
+  auto answer = co_await client_.Call(order.address, std::move(request), times, Reuse::kNever);
+  if (auto* failure = std::get_if<HttpFailure>(&answer)) {
+    co_return failure->may_have_left ? OrderOutcome::kUnknown : OrderOutcome::kNotSent;
+  }
+  co_return OutcomeOf(std::get<HttpResponse>(answer).result_int());
+}
+
+}  // namespace rudderloom
--- /dev/null
+++ b/src/rudderloom/control/control_state.cpp
@@ -0,0 +1,416 @@
+#include "rudderloom/control/control_state.hpp"
+
+#include <algorithm>  // for min, max
+#include <cmath>      // for exp
+#include <utility>    // for move
+
+namespace rudderloom {
+
+namespace {
+
+constexpr double kDemandSmoothingMs = 2'000.0;
+constexpr double kLeastDemand = 0.05;
+constexpr std::size_t kDigestsPerBeat = 24;
+
+std::string UnitName(const std::string& name, const std::string& version) {
+  return name + "@" + version;
+}
+
+}  // namespace
+
+ControlState::ControlState(Settings settings, std::string incarnation, std::string peers_address)
+    : settings_(std::move(settings)),
+      incarnation_(std::move(incarnation)),
+      peers_address_(std::move(peers_address)),
+      members_(settings_.name, settings_.membership) {}
+
+ControlEffects ControlState::Handle(const message::Any& any,
+                                    TimePoint now,
+                                    std::int64_t unix_seconds) {
+  ControlEffects effects;
+  std::visit([&](const auto& message) { On(message, now); }, any);
+  if (std::holds_alternative<message::Tick>(any)) {
+    for (auto& [pool, keeper] : keepers_) {
+      PoolEffects more = keeper.Tick(ViewOf(pool, now, unix_seconds), now);
+      std::move(more.begin(), more.end(), std::back_inserter(effects.pool));
+    }
+  }
+  if (dirty_) {
+    dirty_ = false;
+    effects.snapshot = MakeSnapshot(now);
+  }
+  return effects;
+}
+
+void ControlState::On(const message::ConfigurationSeen& seen, TimePoint) {
+  dirty_ = configuration_.Offer(seen.configuration) || dirty_;
+}
+
+void ControlState::On(const message::EndpointsListed& listed, TimePoint) {
+  endpoints_.Listed(listed.specs);
+  endpoints_listed_ = true;
+  dirty_ = true;
+}
+
+void ControlState::On(const message::EndpointPut& put, TimePoint) {
+  endpoints_.Put(put.spec);
+  dirty_ = true;
+}
+
+void ControlState::On(const message::EndpointRemoved& removed, TimePoint) {
+  endpoints_.Gone(removed.name);
+  dirty_ = true;
+}
+
+void ControlState::On(const message::NodesListed& listed, TimePoint) {
+  members_.Listed(listed.nodes);
+  nodes_listed_ = true;
+}
+
+void ControlState::On(const message::PoolSeen& seen, TimePoint now) {
+  KeeperOf(seen.pool).Seen(seen.record, seen.version, now);
+  dirty_ = true;
+}
+
+void ControlState::On(const message::PoolCallEnded& ended, TimePoint now) {
+  PoolKeeper& keeper = KeeperOf(ended.pool);
+  switch (ended.result) {
+    case message::PoolCallEnded::Result::kWritten:
+      keeper.Written(ended.version, now);
+      dirty_ = true;
+      break;
+    case message::PoolCallEnded::Result::kWriteFailed:
+      keeper.WriteFailed(now);
+      break;
+    case message::PoolCallEnded::Result::kReadFailed:
+      keeper.ReadFailed();
+      break;
+  }
+}
+
+void ControlState::On(const message::OrderEnded& ended, TimePoint now) {
+  KeeperOf(ended.order.pool).OrderEnded(ended.order, ended.outcome, now);
+}
+
+void ControlState::On(const message::EndpointPolled& polled, TimePoint now) {
+  const auto found = endpoints_.Endpoints().find(polled.name);
+  if (found == endpoints_.Endpoints().end() || found->second.spec.address != polled.address) {
+    return;  // the answer of a process that stood there before
+  }
+  const bool was_usable = EndpointTable::Usable(found->second);
+  const LoadReport before = found->second.report;
+  if (polled.report) {
+    endpoints_.Reported(polled.name, *polled.report, now);
+  } else {
+    endpoints_.PollFailed(polled.name);
+  }
+  const bool changed = was_usable != EndpointTable::Usable(found->second) ||
+                       before.resident != found->second.report.resident ||
+                       before.incarnation != found->second.report.incarnation;
+  dirty_ = dirty_ || changed;
+}
+
+void ControlState::On(const message::PeerHeard& heard, TimePoint now) {
+  members_.Heard(heard.state, now);
+  for (const NodeDigest& digest : heard.digests) {
+    members_.HeardOf(digest, now);
+  }
+  for (const std::string& leaving : heard.state.leaving) {
+    endpoints_.SaidLeaving(leaving);
+  }
+  dirty_ = true;  // what the others have in flight changed
+}
+
+void ControlState::On(const message::LeavingSaid& said, TimePoint) {
+  dirty_ = endpoints_.SaidLeaving(said.endpoint_and_incarnation) || dirty_;
+}
+
+void ControlState::On(const message::TrafficSampled& sampled, TimePoint) {
+  in_flight_ = sampled.in_flight;
+  demand_ = sampled.demand;
+}
+
+void ControlState::On(const message::Tick&, TimePoint now) {
+  SmoothDemand(now);
+  if (nodes_listed_) {
+    members_.Expire(now);
+  }
+  for (const auto& [name, state] : endpoints_.Endpoints()) {
+    if (state.spec.service.empty()) {
+      KeeperOf(state.spec.pool);
+    }
+  }
+}
+
+void ControlState::On(const message::StopAsked&, TimePoint) {
+  stopping_ = true;
+  for (auto& [pool, keeper] : keepers_) {
+    keeper.Stop();
+  }
+}
+
+PoolKeeper& ControlState::KeeperOf(const std::string& pool) {
+  const auto [found, is_new] =
+      keepers_.try_emplace(pool, settings_.name, incarnation_, pool, settings_.residency);
+  if (is_new && stopping_) {
+    found->second.Stop();
+  }
+  return found->second;
+}
+
+void ControlState::SmoothDemand(TimePoint now) {
+  const double passed = std::chrono::duration<double, std::milli>(now - smoothed_at_).count();
+  smoothed_at_ = now;
+  const double weight = 1.0 - std::exp(-passed / kDemandSmoothingMs);
+  std::map<std::string, double> present;
+  for (const auto& [name, count] : demand_) {
+    present[name] += count;
+  }
+  for (const Member* member : members_.Live(now)) {
+    for (const auto& [name, count] : member->state.demand) {
+      present[name] += count;
+    }
+  }
+  for (const auto& [name, count] : present) {
+    smooth_demand_.try_emplace(name, 0.0);
+  }
+  for (auto& [name, value] : smooth_demand_) {
+    const auto found = present.find(name);
+    value += weight * ((found == present.end() ? 0.0 : found->second) - value);
+  }
+  std::erase_if(smooth_demand_, [](const auto& entry) { return entry.second < kLeastDemand; });
+}
+
+std::vector<WantedUnit> ControlState::WantedIn(const std::string& pool,
+                                               std::int64_t unix_seconds) const {
+  const Catalog& catalog = configuration_.InForce()->catalog;
+  std::map<std::string, std::int64_t> event_copies;
+  for (const auto& [name, event] : catalog.events) {
+    const std::int64_t from = event.start - event.lead.count() / 1000;
+    const std::int64_t until = event.start + event.length.count() / 1000;
+    if (unix_seconds < from || unix_seconds >= until) {
+      continue;
+    }
+    for (const EventNeed& need : event.needs) {
+      event_copies[need.name] = std::max(event_copies[need.name], need.copies);
+    }
+  }
+  const auto demand_of = [&](const std::string& name) {
+    const auto found = smooth_demand_.find(name);
+    return found == smooth_demand_.end() ? 0.0 : found->second;
+  };
+  const auto copies_of = [&](const std::string& name, std::int64_t declared) {
+    const auto found = event_copies.find(name);
+    return found == event_copies.end() ? declared : std::max(declared, found->second);
+  };
+  std::vector<WantedUnit> wanted;
+  for (const auto& [name, model] : catalog.models) {
+    if (model.pool == pool) {
+      wanted.push_back({UnitName(name, model.version), name, "", model.memory,
+                        copies_of(name, model.copies), demand_of(name)});
+    }
+  }
+  for (const auto& [name, adapter] : catalog.adapters) {
+    const Model& model = catalog.models.at(adapter.model);
+    if (model.pool == pool) {
+      wanted.push_back({UnitName(name, adapter.version), name, UnitName(model.name, model.version),
+                        adapter.memory, copies_of(name, 1), demand_of(name)});
+    }
+  }
+  return wanted;
+}
+
+PoolView ControlState::ViewOf(const std::string& pool, TimePoint now, std::int64_t unix_seconds) {
+  PoolView view;
+  view.listed = endpoints_listed_;
+  view.wanted = WantedIn(pool, unix_seconds);
+  for (const auto& [name, state] : endpoints_.Endpoints()) {
+    if (state.spec.pool != pool || !state.spec.service.empty()) {
+      continue;
+    }
+    PoolEndpoint endpoint;
+    endpoint.name = name;
+    endpoint.address = state.spec.address;
+    endpoint.availability_zone = state.spec.availability_zone;
+    endpoint.memory = state.spec.memory;
+    endpoint.checks_fences = state.spec.checks_fences;
+    endpoint.usable = Routable(state);
+    endpoint.slots = state.spec.slots;
+    const auto here = in_flight_.find(name);
+    const double all = (here == in_flight_.end() ? 0 : here->second) + OthersInFlight(name, now);
+    endpoint.load = all / endpoint.slots;
+    endpoint.used = state.report.used;
+    endpoint.reported_at = state.reported_at;
+    endpoint.resident = state.report.resident;
+    view.endpoints.push_back(std::move(endpoint));
+  }
+  view.quiet = [this, pool, now](const std::string& incarnation, std::uint64_t epoch) {
+    if (!nodes_listed_) {
+      return false;
+    }
+    for (const auto& [name, member] : members_.Members()) {
+      if (member.state.incarnation != incarnation) {
+        continue;
+      }
+      const auto quiet = member.state.quiet_epochs.find(pool);
+      return members_.IsLive(member, now) && quiet != member.state.quiet_epochs.end() &&
+             quiet->second >= epoch;
+    }
+    return members_.Ended(incarnation);
+  };
+  return view;
+}
+
+std::uint32_t ControlState::OthersInFlight(const std::string& endpoint, TimePoint now) const {
+  std::uint32_t count = 0;
+  for (const Member* member : members_.Live(now)) {
+    const auto found = member->state.in_flight.find(endpoint);
+    count += found == member->state.in_flight.end() ? 0 : found->second;
+  }
+  return count;
+}
+
+bool ControlState::Routable(const EndpointState& state) const {
+  return EndpointTable::Usable(state) &&
+         !configuration_.InForce()->drained.contains(state.spec.name);
+}
+
+// True when the pool's holder is taking the unit away from this endpoint.
+bool ControlState::Withdrawn(const std::string& endpoint,
+                             const std::string& pool,
+                             const std::string& unit) const {
+  const auto keeper = keepers_.find(pool);
+  if (keeper == keepers_.end()) {
+    return false;
+  }
+  const auto& reservations = keeper->second.Stored().reservations;
+  const auto found = reservations.find({endpoint, unit});
+  return found != reservations.end() && (found->second.state == UnitState::kUnloading ||
+                                         found->second.state == UnitState::kLingering);
+}
+
+void ControlState::AddServing(Snapshot& snapshot,
+                              std::map<std::string, ServingSet>& sets,
+                              const std::string& name,
+                              const std::string& unit,
+                              const std::vector<std::uint32_t>& endpoints) const {
+  ServingSet set;
+  set.unit = unit;
+  set.endpoints = endpoints;
+  std::vector<std::string> names;
+  for (std::uint32_t position = 0; position < endpoints.size(); ++position) {
+    const EndpointView& endpoint = snapshot.endpoints[endpoints[position]];
+    names.push_back(endpoint.name);
+    if (endpoint.availability_zone == settings_.availability_zone) {
+      set.near.push_back(position);
+    }
+  }
+  const auto last = last_models_.find(name);
+  const bool same = last != last_models_.end() && last->second.endpoints == endpoints;
+  set.affinity = same ? last->second.affinity : BuildAffinity(names);
+  sets[name] = std::move(set);
+}
+
+// The endpoints that hold the declared version; while none does, those with any other version.
+void ControlState::AddUnit(Snapshot& snapshot,
+                           const std::string& name,
+                           const std::string& unit) const {
+  std::vector<std::uint32_t> declared;
+  std::map<std::string, std::vector<std::uint32_t>> others;
+  const std::string prefix = name + "@";
+  for (std::uint32_t i = 0; i < snapshot.endpoints.size(); ++i) {
+    const EndpointState& state = endpoints_.Endpoints().at(snapshot.endpoints[i].name);
+    const auto& resident = state.report.resident;
+    for (auto held = resident.lower_bound(prefix);
+         held != resident.end() && held->starts_with(prefix); ++held) {
+      if (Withdrawn(state.spec.name, state.spec.pool, *held)) {
+        continue;
+      }
+      (*held == unit ? declared : others[*held]).push_back(i);
+    }
+  }
+  if (declared.empty() && !others.empty()) {
+    const auto newest = std::prev(others.end());
+    AddServing(snapshot, snapshot.models, name, newest->first, newest->second);
+    return;
+  }
+  AddServing(snapshot, snapshot.models, name, unit, declared);
+}
+
+SnapshotPtr ControlState::MakeSnapshot(TimePoint now) {
+  auto snapshot = std::make_shared<Snapshot>();
+  snapshot->configuration = configuration_.InForce();
+  snapshot->live_nodes = static_cast<std::uint32_t>(members_.Live(now).size()) + 1;
+  snapshot->ready = endpoints_listed_ && snapshot->configuration->generation > 0;
+  std::map<std::string, std::vector<std::uint32_t>> by_service;
+  for (const auto& [name, state] : endpoints_.Endpoints()) {
+    if (!Routable(state)) {
+      continue;
+    }
+    EndpointView view;
+    view.id = state.id;
+    view.name = name;
+    view.address = state.spec.address;
+    view.incarnation = state.report.incarnation;
+    view.availability_zone = state.spec.availability_zone;
+    view.slots = state.spec.slots;
+    view.others_in_flight = OthersInFlight(name, now);
+    if (!state.spec.service.empty()) {
+      by_service[state.spec.service].push_back(
+          static_cast<std::uint32_t>(snapshot->endpoints.size()));
+    }
+    snapshot->endpoints.push_back(std::move(view));
+  }
+  const Catalog& catalog = snapshot->configuration->catalog;
+  for (const auto& [name, model] : catalog.models) {
+    AddUnit(*snapshot, name, UnitName(name, model.version));
+  }
+  for (const auto& [name, adapter] : catalog.adapters) {
+    AddUnit(*snapshot, name, UnitName(name, adapter.version));
+  }
+  for (const auto& [name, service] : catalog.services) {
+    AddServing(*snapshot, snapshot->services, name, "", by_service[name]);
+  }
+  last_models_ = snapshot->models;
+  return snapshot;
+}
+
+std::shared_ptr<const NodeReport> ControlState::Report(TimePoint now, bool next_round) {
+  auto report = std::make_shared<NodeReport>();
+  NodeState& self = report->self;
+  if (next_round) {
+    ++beat_;
+    report->targets = members_.NextTargets();
+    report->digests = members_.NextDigests(kDigestsPerBeat);
+  }
+  self.name = settings_.name;
+  self.incarnation = incarnation_;
+  self.peers_address = peers_address_;
+  self.availability_zone = settings_.availability_zone;
+  self.beat = beat_;
+  self.generation = configuration_.InForce()->generation;
+  self.stopping = stopping_;
+  self.leaving = endpoints_.Leaving();
+  self.in_flight = in_flight_;
+  self.demand = demand_;
+  report->released = true;
+  for (const auto& [pool, keeper] : keepers_) {
+    self.quiet_epochs[pool] = keeper.QuietEpoch();
+    report->pools[pool] = keeper.Stored();
+    report->released = report->released && keeper.Released();
+    if (keeper.Holds(now)) {
+      report->held_pools.push_back(pool);
+    }
+  }
+  for (const auto& [name, member] : members_.Members()) {
+    report->members.push_back(member);
+  }
+  for (const auto& [name, state] : endpoints_.Endpoints()) {
+    report->endpoints.push_back(state);
+  }
+  report->configuration = configuration_.InForce();
+  report->peers_known = !members_.Members().empty();
+  return report;
+}
+
+}  // namespace rudderloom
--- /dev/null
+++ b/src/rudderloom/http/client.cpp
@@ -0,0 +1,217 @@
+#include "rudderloom/http/client.hpp"
+
+#include <sys/socket.h>  // for recv, MSG_PEEK
+
+#include <array>      // for array
+#include <charconv>   // for from_chars
+#include <limits>     // for numeric_limits
+#include <optional>   // for optional
+#include <stdexcept>  // for invalid_argument
+
+#include "rudderloom/http/watchdog.hpp"  // for Watchdog
+
+namespace rudderloom {
+
+namespace {
+
+constexpr std::size_t kPieceBytes = 16 * 1024;
+constexpr std::size_t kIdlePerAddress = 64;
+
+bool StillOpen(tcp::socket& socket) {
+  char byte = 0;
+  const auto got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+}  // namespace
+
+tcp::endpoint ParseAddress(const std::string& address) {
+  const std::size_t colon = address.rfind(':');
+  if (colon == std::string::npos) {
+    throw std::invalid_argument("no port in address: " + address);
+  }
+  std::uint16_t port = 0;
+  const char* end = address.data() + address.size();
+  const auto parsed = std::from_chars(address.data() + colon + 1, end, port);
+  boost::system::error_code error;
+  const auto ip = asio::ip::make_address(address.substr(0, colon), error);
+  if (error || parsed.ec != std::errc() || parsed.ptr != end || port == 0) {
+    throw std::invalid_argument("not an IP number and port: " + address);
+  }
+  return {ip, port};
+}
+
+HttpRequest MakeRequest(http::verb verb,
+                        const std::string& address,
+                        const std::string& target,
+                        std::string body) {
+  HttpRequest request(verb, target, 11);
+  request.set(http::field::host, address);
+  if (!body.empty()) {
+    request.set(http::field::content_type, "application/json");
+  }
+  request.body() = std::move(body);
+  request.prepare_payload();
+  return request;
+}
+
+HttpStream::HttpStream(tcp::socket socket, CallTimes times)
+    : socket_(std::move(socket)), times_(times) {
+  parser_.body_limit(std::numeric_limits<std::uint64_t>::max());
+}
+
+HttpFailure HttpStream::FailureAfterSend(boost::system::error_code error, bool timed_out) const {
+  HttpFailure failure;
+  failure.may_have_left = true;
+  failure.timed_out = timed_out;
+  failure.message = timed_out ? "timed out" : error.message();
+  return failure;
+}
+
+Awaitable<std::variant<HttpStream::End, HttpFailure>> HttpStream::Start(
+    const HttpRequest& request) {
+  Watchdog watchdog(socket_, times_.first_byte);
+  const auto [write_error, written] = co_await http::async_write(socket_, request, kAsTuple);
+  if (write_error) {
+    HttpFailure failure = FailureAfterSend(write_error, watchdog.Expired());
+    failure.may_have_left = written > 0;
+    co_return failure;
+  }
+  const auto [error, size] = co_await http::async_read_header(socket_, buffer_, parser_, kAsTuple);
+  if (error) {
+    co_return FailureAfterSend(error, watchdog.Expired());
+  }
+  co_return End{};
+}
+
+unsigned HttpStream::Status() const {
+  return parser_.get().result_int();
+}
+
+std::string HttpStream::Header(std::string_view name) const {
+  const auto found = parser_.get().find(beast::string_view(name.data(), name.size()));
+  return found == parser_.get().end() ? std::string() : std::string(found->value());
+}
+
+HeaderList HttpStream::EndToEndHeaders() const {
+  HeaderList headers;
+  for (const auto& field : parser_.get()) {
+    const bool one_hop =
+        field.name() == http::field::connection || field.name() == http::field::keep_alive ||
+        field.name() == http::field::transfer_encoding ||
+        field.name() == http::field::content_length || field.name() == http::field::upgrade;
+    if (!one_hop) {
+      headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    }
+  }
+  return headers;
+}
+
+Awaitable<std::variant<std::string, HttpStream::End, HttpFailure>> HttpStream::ReadSome() {
+  std::array<char, kPieceBytes> piece;
+  while (!parser_.is_done()) {
+    parser_.get().body().data = piece.data();
+    parser_.get().body().size = piece.size();
+    Watchdog watchdog(socket_, times_.between);
+    const auto [error, size] = co_await http::async_read_some(socket_, buffer_, parser_, kAsTuple);
+    const std::size_t got = piece.size() - parser_.get().body().size;
+    if (got > 0) {
+      co_return std::string(piece.data(), got);
+    }
+    if (error && error != http::error::need_buffer) {
+      co_return FailureAfterSend(error, watchdog.Expired());
+    }
+  }
+  co_return End{};
+}
+
+bool HttpStream::Reusable() const {
+  return parser_.is_done() && parser_.get().keep_alive() && socket_.is_open();
+}
+
+std::optional<tcp::socket> HttpClient::TakeIdle(const std::string& address) {
+  auto& sockets = idle_[address];
+  while (!sockets.empty()) {
+    tcp::socket socket = std::move(sockets.back());
+    sockets.pop_back();
+    if (StillOpen(socket)) {
+      return socket;
+    }
+  }
+  return std::nullopt;
+}
+
+Awaitable<std::variant<std::unique_ptr<HttpStream>, HttpFailure>>
+HttpClient::Open(std::string address, HttpRequest request, CallTimes times, Reuse reuse) {
+  std::optional<tcp::socket> socket;
+  if (reuse == Reuse::kAllowed) {
+    socket = TakeIdle(address);
+  }
+  const bool reused = socket.has_value();
+  if (!socket) {
+    tcp::endpoint endpoint;
+    try {
+      endpoint = ParseAddress(address);
+    } catch (const std::invalid_argument& error) {
+      co_return HttpFailure{false, false, false, error.what()};
+    }
+    socket.emplace(context_);
+    Watchdog watchdog(*socket, times.connect);
+    const auto [error] = co_await socket->async_connect(endpoint, kAsTuple);
+    if (error) {
+      HttpFailure failure;
+      failure.timed_out = watchdog.Expired();
+      failure.message = "connect: " + error.message();
+      co_return failure;
+    }
+    boost::system::error_code ignored;
+    socket->set_option(tcp::no_delay(true), ignored);
+  }
+  auto stream = std::make_unique<HttpStream>(std::move(*socket), times);
+  auto started = co_await stream->Start(request);
+  if (auto* failure = std::get_if<HttpFailure>(&started)) {
+    failure->on_reused = reused;
+    co_return *failure;
+  }
+  co_return stream;
+}
+
+Awaitable<std::variant<HttpResponse, HttpFailure>> HttpClient::Call(std::string address,
+                                                                    HttpRequest request,
+                                                                    CallTimes times,
+                                                                    Reuse reuse) {
+  auto opened = co_await Open(address, std::move(request), times, reuse);
+  if (auto* failure = std::get_if<HttpFailure>(&opened)) {
+    co_return *failure;
+  }
+  auto stream = std::move(std::get<std::unique_ptr<HttpStream>>(opened));
+  HttpResponse response;
+  response.result(stream->Status());
+  for (const auto& [name, value] : stream->EndToEndHeaders()) {
+    response.insert(name, value);
+  }
+  while (true) {
+    auto piece = co_await stream->ReadSome();
+    if (auto* failure = std::get_if<HttpFailure>(&piece)) {
+      co_return *failure;
+    }
+    if (std::holds_alternative<HttpStream::End>(piece)) {
+      break;
+    }
+    response.body() += std::get<std::string>(piece);
+  }
+  Release(address, std::move(stream));
+  co_return response;
+}
+
+void HttpClient::Release(const std::string& address, std::unique_ptr<HttpStream> stream) {
+  if (!stream->Reusable()) {
+    return;
+  }
+  auto& sockets = idle_[address];
+  if (sockets.size() < kIdlePerAddress) {
+    sockets.push_back(stream->TakeSocket());
+  }
+}
+
+}  // namespace rudderloom
--- /dev/null
+++ b/src/rudderloom/http/server.cpp
@@ -0,0 +1,236 @@
+#include "rudderloom/http/server.hpp"
+
+#include <sys/socket.h>  // for recv, MSG_PEEK
+
+#include <optional>  // for optional
+#include <utility>   // for move
+
+#include "rudderloom/base/log_line.hpp"  // for LogLine
+#include "rudderloom/http/watchdog.hpp"  // for Watchdog
+
+namespace rudderloom {
+
+namespace {
+
+constexpr std::size_t kReadStep = 4096;
+constexpr Duration kStopPoll{50};
+
+ReadFailure FailureOf(boost::system::error_code error) {
+  if (error == http::error::header_limit) {
+    return ReadFailure::kHeaderTooLarge;
+  }
+  if (error == http::error::body_limit) {
+    return ReadFailure::kBodyTooLarge;
+  }
+  return ReadFailure::kMalformed;
+}
+
+bool IsProtocolError(boost::system::error_code error) {
+  return error.category() == make_error_code(http::error::bad_method).category() &&
+         error != http::error::end_of_stream && error != http::error::partial_message;
+}
+
+template <class Message>
+void AddHeaders(Message& message, const HeaderList& headers) {
+  for (const auto& [name, value] : headers) {
+    message.set(name, value);
+  }
+}
+
+}  // namespace
+
+HttpExchange::HttpExchange(tcp::socket& socket, HttpRequest request, const HttpLimits& limits)
+    : socket_(socket), request_(std::move(request)), limits_(limits) {}
+
+bool HttpExchange::KeepAlive() const {
+  return ended_ && !aborted_ && request_.keep_alive();
+}
+
+Awaitable<bool> HttpExchange::Send(Reply reply) {
+  HttpResponse response;
+  response.result(reply.status);
+  response.version(request_.version());
+  response.keep_alive(request_.keep_alive());
+  response.set(http::field::content_type, reply.content_type);
+  AddHeaders(response, reply.headers);
+  response.body() = std::move(reply.body);
+  response.prepare_payload();
+  started_ = true;
+  Watchdog watchdog(socket_, limits_.write_time);
+  const auto [error, size] = co_await http::async_write(socket_, response, kAsTuple);
+  too_slow_ = watchdog.Expired();
+  ended_ = !error;
+  co_return !error;
+}
+
+Awaitable<bool> HttpExchange::StartStream(unsigned status,
+                                          std::string content_type,
+                                          HeaderList headers) {
+  http::response<http::empty_body> response;
+  response.result(status);
+  response.version(request_.version());
+  response.keep_alive(request_.keep_alive());
+  response.set(http::field::content_type, content_type);
+  AddHeaders(response, headers);
+  response.chunked(true);
+  started_ = true;
+  http::response_serializer<http::empty_body> serializer(response);
+  Watchdog watchdog(socket_, limits_.write_time);
+  const auto [error, size] = co_await http::async_write_header(socket_, serializer, kAsTuple);
+  too_slow_ = watchdog.Expired();
+  co_return !error;
+}
+
+Awaitable<bool> HttpExchange::WriteChunk(std::string_view data) {
+  if (data.empty()) {
+    co_return true;
+  }
+  Watchdog watchdog(socket_, limits_.write_time);
+  const auto chunk = http::make_chunk(asio::buffer(data.data(), data.size()));
+  const auto [error, size] = co_await asio::async_write(socket_, chunk, kAsTuple);
+  too_slow_ = watchdog.Expired();
+  co_return !error;
+}
+
+Awaitable<bool> HttpExchange::EndStream() {
+  Watchdog watchdog(socket_, limits_.write_time);
+  const auto last = http::make_chunk_last();
+  const auto [error, size] = co_await asio::async_write(socket_, last, kAsTuple);
+  ended_ = !error;
+  co_return !error;
+}
+
+bool HttpExchange::PeerClosed() {
+  char byte = 0;
+  const auto got = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got == 0;
+}
+
+HttpServer::HttpServer(asio::io_context& context, HttpLimits limits, HttpHandlers handlers)
+    : context_(context), limits_(limits), handlers_(std::move(handlers)), acceptor_(context) {}
+
+std::uint16_t HttpServer::Listen(const std::string& ip, std::uint16_t port) {
+  const tcp::endpoint address(asio::ip::make_address(ip), port);
+  acceptor_.open(address.protocol());
+  acceptor_.set_option(asio::socket_base::reuse_address(true));
+  acceptor_.bind(address);
+  acceptor_.listen();
+  asio::co_spawn(
+      context_, [self = shared_from_this()] { return self->AcceptLoop(); }, asio::detached);
+  return acceptor_.local_endpoint().port();
+}
+
+void HttpServer::Stop() {
+  stopping_ = true;
+  boost::system::error_code ignored;
+  acceptor_.close(ignored);
+}
+
+Awaitable<void> HttpServer::AcceptLoop() {
+  while (!stopping_) {
+    auto [error, socket] = co_await acceptor_.async_accept(kAsTuple);
+    if (error == asio::error::operation_aborted || error == asio::error::bad_descriptor) {
+      co_return;
+    }
+    if (error) {
+      LogLine("accept_failed", Severity::kWarning).With("error", error.message());
+      asio::steady_timer pause(context_, kStopPoll);
+      co_await pause.async_wait(kAsTuple);
+      continue;
+    }
+    boost::system::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    auto owned = std::make_shared<tcp::socket>(std::move(socket));
+    asio::co_spawn(
+        context_, [self = shared_from_this(), owned] { return self->Serve(std::move(*owned)); },
+        asio::detached);
+  }
+}
+
+Awaitable<void> HttpServer::Serve(tcp::socket socket) {
+  ++connections_;
+  if (connections_ > limits_.connections) {
+    co_await Refuse(socket, ReadFailure::kTooManyConnections);
+  } else {
+    beast::flat_buffer buffer;
+    while (co_await ServeOne(socket, buffer)) {
+    }
+  }
+  --connections_;
+  boost::system::error_code ignored;
+  socket.shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+Awaitable<bool> HttpServer::ServeOne(tcp::socket& socket, beast::flat_buffer& buffer) {
+  // The first byte may take the idle time; in short waits, so that a stop is noticed.
+  const TimePoint idle_until = Now() + limits_.idle_time;
+  while (buffer.size() == 0) {
+    if (stopping_ || Now() >= idle_until) {
+      co_return false;
+    }
+    Watchdog watchdog(socket, kStopPoll * 4);
+    const auto [error, size] = co_await socket.async_read_some(buffer.prepare(kReadStep), kAsTuple);
+    if (error && !watchdog.Expired()) {
+      co_return false;
+    }
+    buffer.commit(size);
+  }
+  http::request_parser<http::string_body> parser;
+  parser.header_limit(limits_.header_bytes);
+  parser.body_limit(limits_.body_bytes);
+  std::optional<ReadFailure> failure;
+  {
+    Watchdog watchdog(socket, limits_.header_time);
+    const auto [error, size] = co_await http::async_read(socket, buffer, parser, kAsTuple);
+    if (error && watchdog.Expired()) {
+      failure = ReadFailure::kTooSlow;
+    } else if (error && !IsProtocolError(error)) {
+      co_return false;
+    } else if (error) {
+      failure = FailureOf(error);
+    }
+  }
+  if (failure) {
+    co_await Refuse(socket, *failure);
+    co_return false;
+  }
+  ++active_;
+  HttpRequest request = parser.release();
+  if (closing_) {
+    request.keep_alive(false);
+  }
+  HttpExchange exchange(socket, std::move(request), limits_);
+  try {
+    co_await handlers_.handle(exchange);
+  } catch (const std::exception& error) {
+    LogLine("handler_failed", Severity::kError).With("error", error.what());
+    exchange.Abort();
+  }
+  --active_;
+  if (exchange.TooSlow() && handlers_.slow_reader) {
+    handlers_.slow_reader();
+  }
+  co_return exchange.KeepAlive() && !stopping_;
+}
+
+Awaitable<void> HttpServer::Refuse(tcp::socket& socket, ReadFailure failure) {
+  HttpRequest request;
+  request.version(11);
+  request.keep_alive(false);
+  HttpExchange exchange(socket, std::move(request), limits_);
+  Reply reply = handlers_.read_failure(failure);
+  co_await exchange.Send(std::move(reply));
+  boost::system::error_code ignored;
+  socket.shutdown(tcp::socket::shutdown_send, ignored);
+  // Read what is still coming for a moment: closing at once would reset the answer away.
+  Watchdog watchdog(socket, Duration(500));
+  std::string sink(kReadStep, '\0');
+  while (!watchdog.Expired()) {
+    const auto [error, size] = co_await socket.async_read_some(asio::buffer(sink), kAsTuple);
+    if (error) {
+      co_return;
+    }
+  }
+}
+
+}  // namespace rudderloom
--- /dev/null
+++ b/src/rudderloom/membership/endpoint_table.cpp
@@ -0,0 +1,157 @@
+#include "rudderloom/membership/endpoint_table.hpp"
+
+#include "rudderloom/base/json_reader.hpp"  // for ParseJsonObject
+
+namespace rudderloom {
+
+namespace json = boost::json;
+
+namespace {
+
+// Polls in a row without an answer after which an endpoint counts as silent.
+constexpr std::uint32_t kSilentPolls = 3;
+
+std::string TextAt(const json::object& object, std::string_view key) {
+  const json::value* found = object.if_contains({key.data(), key.size()});
+  return found != nullptr && found->is_string() ? std::string(found->as_string()) : "";
+}
+
+std::uint64_t NumberAt(const json::object& object, std::string_view key) {
+  const json::value* found = object.if_contains({key.data(), key.size()});
+  if (found == nullptr || !found->is_number()) {
+    return 0;
+  }
+  json::error_code error;
+  const auto number = found->to_number<std::uint64_t>(error);
+  return error ? 0 : number;
+}
+
+bool FlagAt(const json::object& object, std::string_view key) {
+  const json::value* found = object.if_contains({key.data(), key.size()});
+  return found != nullptr && found->is_bool() && found->as_bool();
+}
+
+std::string Instance(const EndpointState& state) {
+  return state.spec.name + "#" + state.report.incarnation;
+}
+
+}  // namespace
+
+std::optional<EndpointSpec> EndpointFromJson(const std::string& name, const json::object& spec) {
+  EndpointSpec endpoint;
+  endpoint.name = name;
+  endpoint.address = TextAt(spec, "address");
+  endpoint.pool = TextAt(spec, "pool");
+  endpoint.availability_zone = TextAt(spec, "availabilityZone");
+  endpoint.service = TextAt(spec, "service");
+  endpoint.memory = NumberAt(spec, "memory");
+  endpoint.slots = static_cast<std::uint32_t>(std::max<std::uint64_t>(1, NumberAt(spec, "slots")));
+  endpoint.checks_fences = FlagAt(spec, "checksFences");
+  endpoint.leaving = TextAt(spec, "state") == "leaving";
+  if (endpoint.name.empty() || endpoint.address.empty() || endpoint.pool.empty()) {
+    return std::nullopt;
+  }
+  return endpoint;
+}
+
+std::optional<LoadReport> ReportFromJson(const std::string& text) {
+  const auto parsed = ParseJsonObject(text, "report");
+  const auto* object = std::get_if<json::object>(&parsed);
+  if (object == nullptr) {
+    return std::nullopt;
+  }
+  LoadReport report;
+  report.incarnation = TextAt(*object, "incarnation");
+  report.leaving = TextAt(*object, "state") == "leaving";
+  report.slots = static_cast<std::uint32_t>(NumberAt(*object, "slots"));
+  report.running = static_cast<std::uint32_t>(NumberAt(*object, "running"));
+  report.waiting = static_cast<std::uint32_t>(NumberAt(*object, "waiting"));
+  report.used = NumberAt(*object, "used");
+  const json::value* resident = object->if_contains("resident");
+  if (resident != nullptr && resident->is_array()) {
+    for (const json::value& unit : resident->as_array()) {
+      if (unit.is_string()) {
+        report.resident.emplace(unit.as_string());
+      }
+    }
+  }
+  return report;
+}
+
+void EndpointTable::Listed(const std::vector<EndpointSpec>& specs) {
+  std::set<std::string> names;
+  for (const EndpointSpec& spec : specs) {
+    names.insert(spec.name);
+    Put(spec);
+  }
+  std::erase_if(endpoints_, [&](const auto& entry) { return !names.contains(entry.first); });
+}
+
+void EndpointTable::Put(const EndpointSpec& spec) {
+  const auto [found, is_new] = endpoints_.try_emplace(spec.name);
+  EndpointState& state = found->second;
+  if (is_new) {
+    state.id = next_id_++;
+  }
+  if (state.spec.address != spec.address) {
+    // Another process under the same name: nothing known of the former holds.
+    state.report = {};
+    state.reported_at.reset();
+    state.failed_polls = 0;
+    state.leaving_said = false;
+  }
+  state.spec = spec;
+}
+
+void EndpointTable::Gone(const std::string& name) {
+  endpoints_.erase(name);
+}
+
+void EndpointTable::Reported(const std::string& name, const LoadReport& report, TimePoint now) {
+  const auto found = endpoints_.find(name);
+  if (found == endpoints_.end()) {
+    return;
+  }
+  EndpointState& state = found->second;
+  state.report = report;
+  state.reported_at = now;
+  state.failed_polls = 0;
+  if (report.leaving) {
+    leaving_.insert(Instance(state));
+  }
+  state.leaving_said = leaving_.contains(Instance(state));
+}
+
+void EndpointTable::PollFailed(const std::string& name) {
+  const auto found = endpoints_.find(name);
+  if (found != endpoints_.end()) {
+    ++found->second.failed_polls;
+  }
+}
+
+bool EndpointTable::SaidLeaving(const std::string& name_and_incarnation) {
+  if (!leaving_.insert(name_and_incarnation).second) {
+    return false;
+  }
+  for (auto& [name, state] : endpoints_) {
+    state.leaving_said = state.leaving_said || Instance(state) == name_and_incarnation;
+  }
+  return true;
+}
+
+std::vector<std::string> EndpointTable::Leaving() const {
+  std::vector<std::string> known;
+  for (const auto& [name, state] : endpoints_) {
+    if (state.leaving_said) {
+      known.push_back(Instance(state));
+    }
+  }
+  return known;
+}
+
+bool EndpointTable::Usable(const EndpointState& state) {
+  return !state.spec.leaving && !state.leaving_said && state.reported_at &&
+         state.failed_polls < kSilentPolls;
+}
+
+}  // namespace rudderloom
--- /dev/null
+++ b/src/rudderloom/peers/heartbeat_codec.cpp
@@ -0,0 +1,81 @@
+#include "peers/heartbeat_codec.hpp"
+
+namespace rudderloom {
+
+namespace {
+
+template <class Map>
+void WriteCounts(const Map& counts, capnp::List<rpc::Count>::Builder out) {
+  unsigned i = 0;
+  for (const auto& [name, count] : counts) {
+    out[i].setName(name);
+    out[i].setCount(count);
+    ++i;
+  }
+}
+
+template <class Map>
+Map ReadCounts(capnp::List<rpc::Count>::Reader in) {
+  Map counts;
+  for (const auto count : in) {
+    counts[count.getName().cStr()] = static_cast<typename Map::mapped_type>(count.getCount());
+  }
+  return counts;
+}
+
+unsigned Size(std::size_t size) {
+  return static_cast<unsigned>(size);
+}
+
+}  // namespace
+
+void Write(const NodeReport& report, rpc::Heartbeat::Builder out) {
+  const NodeState& self = report.self;
+  out.setName(self.name);
+  out.setIncarnation(self.incarnation);
+  out.setAddress(self.peers_address);
+  out.setAvailabilityZone(self.availability_zone);
+  out.setBeat(self.beat);
+  out.setGeneration(self.generation);
+  out.setStopping(self.stopping);
+  auto leaving = out.initLeaving(Size(self.leaving.size()));
+  for (unsigned i = 0; i < leaving.size(); ++i) {
+    leaving.set(i, self.leaving[i]);
+  }
+  WriteCounts(self.in_flight, out.initInFlight(Size(self.in_flight.size())));
+  WriteCounts(self.demand, out.initDemand(Size(self.demand.size())));
+  WriteCounts(self.quiet_epochs, out.initQuietEpochs(Size(self.quiet_epochs.size())));
+  auto digests = out.initDigests(Size(report.digests.size()));
+  for (unsigned i = 0; i < digests.size(); ++i) {
+    const NodeDigest& digest = report.digests[i];
+    digests[i].setName(digest.name);
+    digests[i].setIncarnation(digest.incarnation);
+    digests[i].setBeat(digest.beat);
+    digests[i].setGeneration(digest.generation);
+  }
+}
+
+message::PeerHeard Read(rpc::Heartbeat::Reader in) {
+  message::PeerHeard heard;
+  NodeState& state = heard.state;
+  state.name = in.getName().cStr();
+  state.incarnation = in.getIncarnation().cStr();
+  state.peers_address = in.getAddress().cStr();
+  state.availability_zone = in.getAvailabilityZone().cStr();
+  state.beat = in.getBeat();
+  state.generation = in.getGeneration();
+  state.stopping = in.getStopping();
+  for (const auto leaving : in.getLeaving()) {
+    state.leaving.emplace_back(leaving.cStr());
+  }
+  state.in_flight = ReadCounts<std::map<std::string, std::uint32_t>>(in.getInFlight());
+  state.demand = ReadCounts<std::map<std::string, std::uint32_t>>(in.getDemand());
+  state.quiet_epochs = ReadCounts<std::map<std::string, std::uint64_t>>(in.getQuietEpochs());
+  for (const auto digest : in.getDigests()) {
+    heard.digests.push_back({digest.getName().cStr(), digest.getIncarnation().cStr(),
+                             digest.getBeat(), digest.getGeneration()});
+  }
+  return heard;
+}
+
+}  // namespace rudderloom
--- /dev/null
+++ b/src/rudderloom/peers/node_server.cpp
@@ -0,0 +1,303 @@
+#include "rudderloom/peers/node_server.hpp"
+
+#include <capnp/ez-rpc.h>  // for EzRpcServer, EzRpcClient
+#include <kj/async-io.h>   // for AsyncIoProvider
+#include <kj/timer.h>      // for Timer
+#include <future>          // for promise
+#include <map>             // for map
+#include <mutex>           // for mutex
+#include <thread>          // for thread
+
+#include "node.capnp.h"                  // for rpc::Node
+#include "peers/heartbeat_codec.hpp"     // for Write, Read
+#include "peers/operator_codec.hpp"      // for Write, Read
+#include "rudderloom/base/log_line.hpp"  // for LogLine
+
+namespace rudderloom {
+
+namespace {
+
+constexpr std::size_t kWordBytes = 8;
+
+kj::Duration ToKj(Duration duration) {
+  return duration.count() * kj::MILLISECONDS;
+}
+
+}  // namespace
+
+// Shared by the owner and the event loop's thread.
+struct NodeServer::Impl {
+  Impl(const ListenerSettings& listens,
+       MembershipSettings settings,
+       Contact& heard,
+       Metrics& counts)
+      : listener(listens), membership(settings), contact(heard), metrics(counts) {}
+
+  std::shared_ptr<const NodeReport> Report() const {
+    const std::lock_guard lock(mutex);
+    return report;
+  }
+
+  ListenerSettings listener;
+  MembershipSettings membership;
+  Contact& contact;
+  Metrics& metrics;
+  NodeServerHooks hooks;
+  mutable std::mutex mutex;
+  std::shared_ptr<const NodeReport> report = std::make_shared<NodeReport>();
+  std::promise<unsigned> port;
+  std::promise<void> started;
+  bool hooked = false;  // Start was called
+  kj::Own<kj::CrossThreadPromiseFulfiller<void>> stop;
+  std::thread thread;
+};
+
+// Answers peers and operators; lives on the event loop's thread.
+class NodeService final : public rpc::Node::Server {
+ public:
+  using Report = std::function<std::shared_ptr<const NodeReport>()>;
+
+  NodeService(Report report,
+              const MembershipSettings& membership,
+              const NodeServerHooks& hooks,
+              Contact& contact,
+              Metrics& metrics)
+      : report_(std::move(report)),
+        membership_(membership),
+        hooks_(hooks),
+        contact_(contact),
+        metrics_(metrics) {}
+
+  kj::Promise<void> heartbeat(HeartbeatContext context) override {
+    const auto mine = context.getParams().getMine();
+    metrics_.Count({"rudderloom_control_bytes_total", "with", "peers"},
+                   mine.totalSize().wordCount * kWordBytes);
+    contact_.Heard(Now());
+    hooks_.post(Read(mine));
+    Write(*report_(), context.getResults().initYours());
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> configuration(ConfigurationContext context) override {
+    const auto report = report_();
+    if (report->configuration &&
+        report->configuration->generation > context.getParams().getNewerThan()) {
+      context.getResults().setJson(boost::json::serialize(ToJson(*report->configuration)));
+    }
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> change(ChangeContext context) override {
+    auto pair = kj::newPromiseAndCrossThreadFulfiller<void>();
+    // std::function must be copyable, so the fulfiller is shared, and the result beside it.
+    auto fulfiller =
+        std::make_shared<kj::Own<kj::CrossThreadPromiseFulfiller<void>>>(kj::mv(pair.fulfiller));
+    auto slot = std::make_shared<ChangeResult>();
+    hooks_.change(Read(context.getParams().getRequest()), [fulfiller, slot](ChangeResult result) {
+      *slot = std::move(result);
+      (*fulfiller)->fulfill();
+    });
+    return pair.promise.then(
+        [context, slot]() mutable { Write(*slot, context.getResults().initResult()); });
+  }
+
+  kj::Promise<void> get(GetContext context) override {
+    const auto report = report_();
+    if (!report->configuration) {
+      return kj::READY_NOW;
+    }
+    auto out = context.getResults().initConfiguration();
+    out.setGeneration(report->configuration->generation);
+    out.setAuthor(report->configuration->author);
+    out.setJson(boost::json::serialize(ToJson(*report->configuration)));
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> status(StatusContext context) override {
+    const auto report = report_();
+    if (report->configuration) {
+      Write(*report, membership_, context.getResults().initStatus());
+    }
+    return kj::READY_NOW;
+  }
+
+ private:
+  Report report_;
+  const MembershipSettings& membership_;
+  const NodeServerHooks& hooks_;
+  Contact& contact_;
+  Metrics& metrics_;
+};
+
+// Sends heartbeats to the members whose turn it is, and fetches newer configurations.
+class HeartbeatSender final : public kj::TaskSet::ErrorHandler {
+ public:
+  HeartbeatSender(NodeService::Report report,
+                  const MembershipSettings& membership,
+                  const NodeServerHooks& hooks,
+                  Contact& contact,
+                  Metrics& metrics,
+                  kj::Timer& timer)
+      : report_(std::move(report)),
+        membership_(membership),
+        hooks_(hooks),
+        contact_(contact),
+        metrics_(metrics),
+        timer_(timer),
+        tasks_(*this) {
+    tasks_.add(Loop());
+  }
+
+  void taskFailed(kj::Exception&& error) override {
+    LogLine("heartbeat_task_failed", Severity::kWarning)
+        .With("error", error.getDescription().cStr());
+  }
+
+ private:
+  kj::Promise<void> Loop() {
+    return timer_.afterDelay(ToKj(membership_.heartbeat)).then([this]() {
+      const auto report = report_();
+      contact_.SetPeersKnown(report->peers_known);
+      for (const Member& target : report->targets) {
+        tasks_.add(Beat(target.state.peers_address, report));
+      }
+      return Loop();
+    });
+  }
+
+  kj::Promise<void> Beat(const std::string& address, std::shared_ptr<const NodeReport> report) {
+    if (address.empty()) {
+      return kj::READY_NOW;
+    }
+    auto peer = ClientOf(address);
+    auto request = peer.heartbeatRequest();
+    Write(*report, request.initMine());
+    metrics_.Count({"rudderloom_control_bytes_total", "with", "peers"},
+                   request.totalSize().wordCount * kWordBytes);
+    const std::uint64_t mine = report->self.generation;
+    return timer_.timeoutAfter(ToKj(membership_.silent_after), request.send())
+        .then([this, peer, mine](auto&& response) mutable -> kj::Promise<void> {
+          const auto yours = response.getYours();
+          contact_.Heard(Now());
+          message::PeerHeard heard = Read(yours);
+          const std::uint64_t theirs = heard.state.generation;
+          hooks_.post(std::move(heard));
+          return theirs > mine ? Fetch(peer, mine) : kj::Promise<void>(kj::READY_NOW);
+        })
+        .catch_([this, address](kj::Exception&&) {
+          clients_.erase(address);
+          metrics_.Count({"rudderloom_heartbeats_failed_total"});
+        });
+  }
+
+  kj::Promise<void> Fetch(rpc::Peer::Client peer, std::uint64_t newer_than) {
+    auto request = peer.configurationRequest();
+    request.setNewerThan(newer_than);
+    return request.send().then([this](auto&& response) {
+      auto parsed = ParseJsonObject(response.getJson().cStr(), "/");
+      const auto* object = std::get_if<boost::json::object>(&parsed);
+      if (object == nullptr) {
+        return;
+      }
+      auto read = ConfigurationFromJson(*object);
+      if (auto* configuration = std::get_if<Configuration>(&read)) {
+        metrics_.Count({"rudderloom_configurations_from_peers_total"});
+        hooks_.post(message::ConfigurationSeen{
+            std::make_shared<const Configuration>(std::move(*configuration))});
+      }
+    });
+  }
+
+  rpc::Peer::Client ClientOf(const std::string& address) {
+    auto& client = clients_[address];
+    if (!client) {
+      client = std::make_unique<capnp::EzRpcClient>(address);
+    }
+    return client->getMain<rpc::Node>().castAs<rpc::Peer>();
+  }
+
+  NodeService::Report report_;
+  const MembershipSettings& membership_;
+  const NodeServerHooks& hooks_;
+  Contact& contact_;
+  Metrics& metrics_;
+  kj::Timer& timer_;
+  std::map<std::string, std::unique_ptr<capnp::EzRpcClient>> clients_;
+  kj::TaskSet tasks_;
+};
+
+namespace {
+
+// Body of the event loop's thread.
+template <class Impl>
+void RunLoop(const std::shared_ptr<Impl>& impl) {
+  const auto report = [impl] { return impl->Report(); };
+  auto service =
+      kj::heap<NodeService>(report, impl->membership, impl->hooks, impl->contact, impl->metrics);
+  capnp::EzRpcServer server(kj::mv(service), impl->listener.address, impl->listener.port);
+  auto& scope = server.getWaitScope();
+  auto stop = kj::newPromiseAndCrossThreadFulfiller<void>();
+  impl->stop = kj::mv(stop.fulfiller);
+  impl->port.set_value(server.getPort().wait(scope));
+  // Nothing is answered before the hooks are there.
+  impl->started.get_future().wait();
+  HeartbeatSender sender(report, impl->membership, impl->hooks, impl->contact, impl->metrics,
+                         server.getIoProvider().getTimer());
+  stop.promise.wait(scope);
+}
+
+}  // namespace
+
+NodeServer::NodeServer(const ListenerSettings& listener,
+                       MembershipSettings membership,
+                       Contact& contact,
+                       Metrics& metrics)
+    : impl_(std::make_shared<Impl>(listener, membership, contact, metrics)) {
+  auto port = impl_->port.get_future();
+  impl_->thread = std::thread([impl = impl_] {
+    try {
+      RunLoop(impl);
+    } catch (...) {
+      // Before the port was told, the owner hears of it; later there is nobody left to tell.
+      try {
+        impl->port.set_exception(std::current_exception());
+      } catch (const std::future_error&) {
+        LogLine("node_server_failed", Severity::kError);
+      }
+    }
+  });
+  try {
+    address_ = listener.address + ":" + std::to_string(port.get());
+  } catch (...) {
+    impl_->thread.join();
+    throw;
+  }
+}
+
+NodeServer::~NodeServer() {
+  Stop();
+}
+
+void NodeServer::Stop() {
+  if (!impl_->thread.joinable()) {
+    return;
+  }
+  if (!impl_->hooked) {
+    impl_->started.set_value();
+  }
+  impl_->stop->fulfill();
+  impl_->thread.join();
+}
+
+void NodeServer::Start(NodeServerHooks hooks) {
+  impl_->hooks = std::move(hooks);
+  impl_->hooked = true;
+  impl_->started.set_value();
+}
+
+void NodeServer::Reported(std::shared_ptr<const NodeReport> report) {
+  const std::lock_guard lock(impl_->mutex);
+  impl_->report = std::move(report);
+}
+
+}  // namespace rudderloom
--- /dev/null
+++ b/src/rudderloom/platform/object_store.cpp
@@ -0,0 +1,358 @@
+#include "rudderloom/platform/object_store.hpp"
+
+#include <algorithm>  // for find
+
+#include "rudderloom/http/client.hpp"  // for HttpClient
+
+namespace rudderloom {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::string_view kRoot = "/apis/rudderloom/v1/";
+constexpr std::string_view kWritersKey = "rudderloom/writers";
+constexpr std::size_t kWritersKept = 16;
+
+StoreError ErrorOf(const HttpResponse& response) {
+  using Kind = StoreError::Kind;
+  const std::string message = "status " + std::to_string(response.result_int());
+  switch (response.result_int()) {
+    case 404:
+      return {Kind::kNotFound, message};
+    case 409:
+      return {Kind::kConflict, message};
+    case 410:
+      return {Kind::kExpired, message};
+    case 429:
+      return {Kind::kThrottled, message};
+    case 400:
+    case 413:
+    case 422:
+      return {Kind::kRefused, message};
+    default:
+      // A 5xx may come from something before the platform as well as after the effect.
+      return {Kind::kUnknown, message};
+  }
+}
+
+std::string VersionOf(const json::object& metadata) {
+  const json::value* version = metadata.if_contains("resourceVersion");
+  return version != nullptr && version->is_string() ? std::string(version->as_string()) : "";
+}
+
+std::vector<std::string> SplitWriters(std::string_view text) {
+  std::vector<std::string> writers;
+  while (!text.empty()) {
+    const std::size_t comma = text.find(',');
+    writers.emplace_back(text.substr(0, comma));
+    text = comma == std::string_view::npos ? std::string_view() : text.substr(comma + 1);
+  }
+  return writers;
+}
+
+StoredObject ObjectOf(const json::value& value) {
+  StoredObject object;
+  if (!value.is_object()) {
+    return object;
+  }
+  const json::value* metadata = value.as_object().if_contains("metadata");
+  if (metadata != nullptr && metadata->is_object()) {
+    const json::object& members = metadata->as_object();
+    object.version = VersionOf(members);
+    if (const json::value* name = members.if_contains("name"); name && name->is_string()) {
+      object.name = std::string(name->as_string());
+    }
+    const json::value* notes = members.if_contains("annotations");
+    if (notes != nullptr && notes->is_object()) {
+      const json::value* writers = notes->as_object().if_contains(kWritersKey);
+      if (writers != nullptr && writers->is_string()) {
+        object.writers = SplitWriters(std::string_view(writers->as_string()));
+      }
+    }
+  }
+  const json::value* spec = value.as_object().if_contains("spec");
+  if (spec != nullptr && spec->is_object()) {
+    object.spec = spec->as_object();
+  }
+  return object;
+}
+
+std::string TextOf(const StoredObject& object) {
+  std::string writers;
+  for (const std::string& writer : object.writers) {
+    writers += (writers.empty() ? "" : ",") + writer;
+  }
+  json::object metadata{{"name", object.name}, {"annotations", {{kWritersKey, writers}}}};
+  if (!object.version.empty()) {
+    metadata["resourceVersion"] = object.version;
+  }
+  return json::serialize(json::object{{"metadata", metadata}, {"spec", object.spec}});
+}
+
+// Cuts the body of a watch into lines and turns each into an event.
+class WatchLines {
+ public:
+  void Feed(std::string_view piece, const std::function<void(WatchEvent)>& on_event) {
+    text_ += piece;
+    std::size_t start = 0;
+    for (std::size_t end = text_.find('\n'); end != std::string::npos;
+         end = text_.find('\n', start)) {
+      Emit(std::string_view(text_).substr(start, end - start), on_event);
+      start = end + 1;
+    }
+    text_.erase(0, start);
+  }
+
+ private:
+  static void Emit(std::string_view line, const std::function<void(WatchEvent)>& on_event) {
+    json::error_code error;
+    const json::value value = json::parse({line.data(), line.size()}, error);
+    if (error || !value.is_object()) {
+      return;
+    }
+    const json::value* type = value.as_object().if_contains("type");
+    const json::value* object = value.as_object().if_contains("object");
+    if (type == nullptr || object == nullptr || !type->is_string()) {
+      return;
+    }
+    WatchEvent event;
+    event.object = ObjectOf(*object);
+    if (type->as_string() == "DELETED") {
+      event.kind = WatchEvent::Kind::kGone;
+    } else if (type->as_string() != "BOOKMARK") {
+      event.kind = WatchEvent::Kind::kPut;
+    }
+    on_event(std::move(event));
+  }
+
+  std::string text_;
+};
+
+class HttpObjectStore : public ObjectStore {
+ public:
+  HttpObjectStore(asio::io_context& context,
+                  std::string address,
+                  Duration call_time,
+                  Duration watch_time,
+                  CallObserver observer)
+      : client_(context),
+        address_(std::move(address)),
+        watch_time_(watch_time),
+        observer_(std::move(observer)) {
+    times_.connect = call_time;
+    times_.first_byte = call_time;
+    times_.between = call_time;
+  }
+
+  Awaitable<std::variant<StoredObject, StoreError>> Get(std::string kind,
+                                                        std::string name) override {
+    auto answer = co_await Call("get", http::verb::get, kind, "/" + name, "");
+    if (auto* error = std::get_if<StoreError>(&answer)) {
+      co_return std::move(*error);
+    }
+    co_return ObjectOf(std::get<json::value>(answer));
+  }
+
+  Awaitable<std::variant<ObjectList, StoreError>> List(std::string kind) override {
+    auto answer = co_await Call("list", http::verb::get, kind, "", "");
+    if (auto* error = std::get_if<StoreError>(&answer)) {
+      co_return std::move(*error);
+    }
+    ObjectList list;
+    const json::value& value = std::get<json::value>(answer);
+    if (!value.is_object()) {
+      co_return StoreError{StoreError::Kind::kUnknown, "not a list"};
+    }
+    const json::value* items = value.as_object().if_contains("items");
+    if (items != nullptr && items->is_array()) {
+      for (const json::value& item : items->as_array()) {
+        list.objects.push_back(ObjectOf(item));
+      }
+    }
+    const json::value* metadata = value.as_object().if_contains("metadata");
+    if (metadata != nullptr && metadata->is_object()) {
+      list.version = VersionOf(metadata->as_object());
+    }
+    co_return list;
+  }
+
+  Awaitable<std::variant<StoredObject, StoreError>> Put(std::string kind,
+                                                        StoredObject object) override {
+    const bool create = object.version == kMustNotExist;
+    const std::string name = object.name;
+    auto answer = co_await Call(create ? "create" : "update", http::verb::put, kind, "/" + name,
+                                TextOf(object));
+    if (auto* error = std::get_if<StoreError>(&answer)) {
+      co_return std::move(*error);
+    }
+    co_return ObjectOf(std::get<json::value>(answer));
+  }
+
+  Awaitable<std::variant<std::monostate, StoreError>> Delete(std::string kind,
+                                                             std::string name) override {
+    auto answer = co_await Call("delete", http::verb::delete_, kind, "/" + name, "");
+    if (auto* error = std::get_if<StoreError>(&answer)) {
+      co_return std::move(*error);
+    }
+    co_return std::monostate{};
+  }
+
+  Awaitable<StoreError> Watch(std::string kind,
+                              std::string version,
+                              std::function<void(WatchEvent)> on_event) override {
+    const std::string target = std::string(kRoot) + kind +
+                               "?watch=1&allowWatchBookmarks=true&resourceVersion=" + version +
+                               "&timeoutSeconds=" + std::to_string(watch_time_.count() / 1000);
+    observer_("watch", kind, target.size());
+    HttpRequest request = MakeRequest(http::verb::get, address_, target);
+    CallTimes times = times_;
+    // Bookmarks come every few seconds, so a watch that is silent for long is dead.
+    times.between = watch_time_;
+    auto opened = co_await client_.Open(address_, std::move(request), times, Reuse::kNever);
+    if (auto* failure = std::get_if<HttpFailure>(&opened)) {
+      co_return StoreError{StoreError::Kind::kUnreachable, failure->message};
+    }
+    auto stream = std::move(std::get<std::unique_ptr<HttpStream>>(opened));
+    if (stream->Status() != 200) {
+      HttpResponse response;
+      response.result(stream->Status());
+      co_return ErrorOf(response);
+    }
+    WatchLines lines;
+    while (true) {
+      auto piece = co_await stream->ReadSome();
+      if (auto* failure = std::get_if<HttpFailure>(&piece)) {
+        co_return StoreError{StoreError::Kind::kUnreachable, failure->message};
+      }
+      if (std::holds_alternative<HttpStream::End>(piece)) {
+        co_return StoreError{StoreError::Kind::kUnreachable, ""};
+      }
+      const std::string& text = std::get<std::string>(piece);
+      observer_("watch_bytes", kind, text.size());
+      lines.Feed(text, on_event);
+    }
+  }
+
+ private:
+  Awaitable<std::variant<json::value, StoreError>> Call(std::string verb,
+                                                        http::verb method,
+                                                        std::string kind,
+                                                        std::string suffix,
+                                                        std::string body) {
+    const std::string target = std::string(kRoot) + kind + suffix;
+    const std::size_t sent = body.size();
+    HttpRequest request = MakeRequest(method, address_, target, std::move(body));
+    const Reuse reuse = method == http::verb::get ? Reuse::kAllowed : Reuse::kNever;
+    auto answer = co_await client_.Call(address_, std::move(request), times_, reuse);
+    if (auto* failure = std::get_if<HttpFailure>(&answer)) {
+      observer_(verb, kind, sent);
+      const bool unknown = failure->may_have_left;
+      co_return StoreError{unknown ? StoreError::Kind::kUnknown : StoreError::Kind::kUnreachable,
+                           failure->message};
+    }
+    const HttpResponse& response = std::get<HttpResponse>(answer);
+    observer_(verb, kind, sent + response.body().size());
+    if (response.result_int() >= 300) {
+      co_return ErrorOf(response);
+    }
+    json::error_code error;
+    json::value value = json::parse(response.body(), error);
+    if (error) {
+      co_return StoreError{StoreError::Kind::kUnknown, "answer is not JSON"};
+    }
+    co_return value;
+  }
+
+  HttpClient client_;
+  std::string address_;
+  CallTimes times_;
+  Duration watch_time_;
+  CallObserver observer_;
+};
+
+Awaitable<void> PauseFor(asio::io_context& context, Duration pause) {
+  asio::steady_timer timer(context, pause);
+  co_await timer.async_wait(kAsTuple);
+}
+
+}  // namespace
+
+bool StoredObject::WrittenBy(const std::string& token) const {
+  return std::find(writers.begin(), writers.end(), token) != writers.end();
+}
+
+std::string_view NameOf(StoreError::Kind kind) {
+  switch (kind) {
+    case StoreError::Kind::kConflict:
+      return "conflict";
+    case StoreError::Kind::kNotFound:
+      return "not_found";
+    case StoreError::Kind::kExpired:
+      return "expired";
+    case StoreError::Kind::kThrottled:
+      return "throttled";
+    case StoreError::Kind::kRefused:
+      return "refused";
+    case StoreError::Kind::kUnreachable:
+      return "unreachable";
+    case StoreError::Kind::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+std::unique_ptr<ObjectStore> MakeHttpObjectStore(asio::io_context& context,
+                                                 std::string address,
+                                                 Duration call_time,
+                                                 Duration watch_time,
+                                                 CallObserver observer) {
+  return std::make_unique<HttpObjectStore>(context, std::move(address), call_time, watch_time,
+                                           std::move(observer));
+}
+
+Awaitable<std::variant<StoredObject, StoreError>> PutSettled(asio::io_context& context,
+                                                             ObjectStore& store,
+                                                             std::string kind,
+                                                             StoredObject object,
+                                                             std::string token,
+                                                             SettleTimes times) {
+  using Kind = StoreError::Kind;
+  object.writers.insert(object.writers.begin(), token);
+  if (object.writers.size() > kWritersKept) {
+    object.writers.resize(kWritersKept);
+  }
+  const TimePoint until = Now() + times.limit;
+  bool in_doubt = false;
+  while (true) {
+    StoredObject attempt = object;
+    auto written = co_await store.Put(kind, std::move(attempt));
+    if (std::holds_alternative<StoredObject>(written)) {
+      co_return written;
+    }
+    StoreError error = std::get<StoreError>(written);
+    // A conflict after a lost answer may be with our own write: its token tells.
+    if (error.kind == Kind::kConflict && in_doubt) {
+      auto present = co_await store.Get(kind, object.name);
+      if (auto* found = std::get_if<StoredObject>(&present)) {
+        if (found->WrittenBy(token)) {
+          co_return *found;
+        }
+        co_return error;
+      }
+      error.kind = Kind::kUnknown;
+    }
+    in_doubt = in_doubt || error.kind == Kind::kUnknown;
+    const bool try_again = error.kind == Kind::kUnknown || error.kind == Kind::kThrottled ||
+                           error.kind == Kind::kUnreachable;
+    if (!try_again || Now() + times.pause >= until) {
+      if (in_doubt) {
+        error.kind = Kind::kUnknown;
+      }
+      co_return error;
+    }
+    co_await PauseFor(context, times.pause);
+  }
+}
+
+}  // namespace rudderloom
--- /dev/null
+++ b/tools/generate_schema.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Makes the committed Cap'n Proto code anew. Needs Debian's capnproto; the build does not.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+out=src/rudderloom/generated
+capnp compile -oc++:"$out" --src-prefix=schema schema/operator.capnp schema/peer.capnp schema/node.capnp
+for name in operator peer node; do
+  mv "$out/$name.capnp.c++" "$out/$name.capnp.cpp"
+done
