Demo of the whole path; a killed peer no longer takes its neighbours down

Cause: the demo's kill of one entry node ended the two others: terminate from kj, 'already shut down'. A backtrace under gdb showed EzRpcClient::getMain on a connection that had ended between two heartbeats; it throws from a destructor.

Ruled out: destroying the client inside its own callback (keeping it alive until the promise ended changed nothing).

Change: one capability per connection, asked for once; calls on a dead one just fail. Also a broken stream has its own time to go on (10 s), endpoints that don't answer are polled again after 0.1 s, and a load confirmed in the pool's record serves before the lagging report shows it.

--- a/include/rudderloom/base/json_reader.hpp
+++ b/include/rudderloom/base/json_reader.hpp
@@ -52,7 +52,7 @@
  public:
   ObjectReader(const boost::json::object& object, std::string path, JsonErrors& errors);
 
-  std::string String(std::string_view key, std::optional<std::string> fallback = {});
+  std::string String(std::string_view key, const std::optional<std::string>& fallback = {});
   std::int64_t Integer(std::string_view key,
                        std::int64_t least,
                        std::int64_t most,
--- a/include/rudderloom/callers/front.hpp
+++ b/include/rudderloom/callers/front.hpp
@@ -25,7 +25,7 @@
  public:
   Front(asio::io_context& context,
         const Settings& settings,
-        std::string incarnation,
+        const std::string& incarnation,
         ObjectStore& store,
         const Contact& contact,
         Metrics& metrics,
--- a/include/rudderloom/control/control_state.hpp
+++ b/include/rudderloom/control/control_state.hpp
@@ -71,9 +71,9 @@
   std::vector<WantedUnit> WantedIn(const std::string& pool, std::int64_t unix_seconds) const;
   std::uint32_t OthersInFlight(const std::string& endpoint, TimePoint now) const;
   bool Routable(const EndpointState& state) const;
-  bool Withdrawn(const std::string& endpoint,
-                 const std::string& pool,
-                 const std::string& unit) const;
+  std::optional<UnitState> StateOnRecord(const EndpointState& endpoint,
+                                         const std::string& unit) const;
+  bool Withdrawn(const EndpointState& endpoint, const std::string& unit) const;
   SnapshotPtr MakeSnapshot(TimePoint now);
   void AddServing(Snapshot& snapshot,
                   std::map<std::string, ServingSet>& sets,
--- a/include/rudderloom/settings/settings.hpp
+++ b/include/rudderloom/settings/settings.hpp
@@ -55,6 +55,7 @@
   Duration usual{30'000};
   Duration longest{600'000};
   Duration between_tokens{5'000};  ///< A stream silent for longer is taken as broken.
+  Duration resume{10'000};         ///< A broken stream has this long to go on elsewhere.
   Duration connect{500};
 };
 
--- a/src/load/sender.cpp
+++ b/src/load/sender.cpp
@@ -89,9 +89,11 @@
   for (outcome.tries = 1;; ++outcome.tries) {
     co_await SendOnce(asked, outcome);
     first = outcome.first + Between(started, Now()) - outcome.total;
+    // As SDKs do: a failure that shows is tried again, unless the call may not be repeated.
+    const bool repeatable = part.keyed || part.type != Part::Type::kService;
     const bool again = outcome.ending == Ending::kRefused ||
                        outcome.ending == Ending::kUnconnected ||
-                       (outcome.ending == Ending::kVisibleError && part.keyed);
+                       (outcome.ending == Ending::kVisibleError && repeatable);
     if (!again || outcome.tries >= part.tries) {
       break;
     }
--- a/src/rudderloom/base/json_reader.cpp
+++ b/src/rudderloom/base/json_reader.cpp
@@ -91,7 +91,7 @@
   errors_.push_back({path_ + "/" + std::string(key), std::move(message)});
 }
 
-std::string ObjectReader::String(std::string_view key, std::optional<std::string> fallback) {
+std::string ObjectReader::String(std::string_view key, const std::optional<std::string>& fallback) {
   const json::value* found = Find(key, !fallback);
   if (found == nullptr) {
     return fallback.value_or("");
--- a/src/rudderloom/callers/completion_call.cpp
+++ b/src/rudderloom/callers/completion_call.cpp
@@ -55,7 +55,7 @@
       DispatchAsk present = ask;
       if (started_) {
         // The deadline is for the first token; a broken stream has this long to go on.
-        present.deadline = Now() + shared_.settings.deadlines.between_tokens;
+        present.deadline = Now() + shared_.settings.deadlines.resume;
         state.deadline = present.deadline;
       }
       auto acquired = co_await shared_.dispatcher.Acquire(std::move(present));
--- a/src/rudderloom/callers/front.cpp
+++ b/src/rudderloom/callers/front.cpp
@@ -44,7 +44,7 @@
 
 Front::Front(asio::io_context& context,
              const Settings& settings,
-             std::string incarnation,
+             const std::string& incarnation,
              ObjectStore& store,
              const Contact& contact,
              Metrics& metrics,
--- a/src/rudderloom/control/control_shell.cpp
+++ b/src/rudderloom/control/control_shell.cpp
@@ -12,6 +12,7 @@
 constexpr Duration kTickEvery{100};
 constexpr Duration kPollLeast{500};
 constexpr Duration kPollTime{1'000};
+constexpr Duration kPollAgain{100};  // after a poll without an answer
 constexpr Duration kConfirmEvery{1'000};
 constexpr Duration kConfirmAfter{2'000};
 constexpr Duration kUnregisterTime{1'000};
@@ -315,6 +316,9 @@
       polled.report = LoadReport();
     }
   }
+  if (!polled.report) {
+    polled_at_[name] = Now() - kPollLeast + kPollAgain;
+  }
   post_(std::move(polled));
 }
 
--- a/src/rudderloom/control/control_state.cpp
+++ b/src/rudderloom/control/control_state.cpp
@@ -275,18 +275,22 @@
          !configuration_.InForce()->drained.contains(state.spec.name);
 }
 
-// True when the pool's holder is taking the unit away from this endpoint.
-bool ControlState::Withdrawn(const std::string& endpoint,
-                             const std::string& pool,
-                             const std::string& unit) const {
-  const auto keeper = keepers_.find(pool);
+// The state of a unit in the record of the endpoint's pool; empty when it isn't there.
+std::optional<UnitState> ControlState::StateOnRecord(const EndpointState& endpoint,
+                                                     const std::string& unit) const {
+  const auto keeper = keepers_.find(endpoint.spec.pool);
   if (keeper == keepers_.end()) {
-    return false;
+    return std::nullopt;
   }
   const auto& reservations = keeper->second.Stored().reservations;
-  const auto found = reservations.find({endpoint, unit});
-  return found != reservations.end() && (found->second.state == UnitState::kUnloading ||
-                                         found->second.state == UnitState::kLingering);
+  const auto found = reservations.find({endpoint.spec.name, unit});
+  return found == reservations.end() ? std::nullopt : std::optional(found->second.state);
+}
+
+// True when the pool's holder is taking the unit away from this endpoint.
+bool ControlState::Withdrawn(const EndpointState& endpoint, const std::string& unit) const {
+  const auto state = StateOnRecord(endpoint, unit);
+  return state == UnitState::kUnloading || state == UnitState::kLingering;
 }
 
 void ControlState::AddServing(Snapshot& snapshot,
@@ -316,6 +320,7 @@
                            const std::string& name,
                            const std::string& unit) const {
   std::vector<std::uint32_t> declared;
+  std::vector<std::uint32_t> recorded;
   std::map<std::string, std::vector<std::uint32_t>> others;
   const std::string prefix = name + "@";
   for (std::uint32_t i = 0; i < snapshot.endpoints.size(); ++i) {
@@ -323,11 +328,17 @@
     const auto& resident = state.report.resident;
     for (auto held = resident.lower_bound(prefix);
          held != resident.end() && held->starts_with(prefix); ++held) {
-      if (Withdrawn(state.spec.name, state.spec.pool, *held)) {
-        continue;
+      if (!Withdrawn(state, *held)) {
+        (*held == unit ? declared : others[*held]).push_back(i);
       }
-      (*held == unit ? declared : others[*held]).push_back(i);
     }
+    if (StateOnRecord(state, unit) == UnitState::kResident) {
+      recorded.push_back(i);
+    }
+  }
+  if (declared.empty()) {
+    // A load just confirmed to the pool's holder, which the lagging reports don't show yet.
+    declared = recorded;
   }
   if (declared.empty() && !others.empty()) {
     const auto newest = std::prev(others.end());
--- a/src/rudderloom/operators/configuration_change_test.cpp
+++ b/src/rudderloom/operators/configuration_change_test.cpp
@@ -17,7 +17,8 @@
 struct Operator {
   explicit Operator(FakePlatform& platform)
       : store(platform),
-        changer(context, store, [this](ConfigurationPtr accepted) { last = accepted; }) {}
+        changer(context, store, [this](ConfigurationPtr accepted) { last = std::move(accepted); }) {
+  }
 
   ChangeResult Drain(const std::string& endpoint,
                      std::uint64_t generation,
--- a/src/rudderloom/peers/node_server.cpp
+++ b/src/rudderloom/peers/node_server.cpp
@@ -165,11 +165,13 @@
     });
   }
 
-  kj::Promise<void> Beat(const std::string& address, std::shared_ptr<const NodeReport> report) {
+  kj::Promise<void> Beat(const std::string& address,
+                         const std::shared_ptr<const NodeReport>& report) {
     if (address.empty()) {
       return kj::READY_NOW;
     }
-    auto peer = ClientOf(address);
+    auto connection = ConnectionTo(address);
+    auto peer = connection->peer;
     auto request = peer.heartbeatRequest();
     Write(*report, request.initMine());
     metrics_.Count({"rudderloom_control_bytes_total", "with", "peers"},
@@ -185,9 +187,12 @@
           return theirs > mine ? Fetch(peer, mine) : kj::Promise<void>(kj::READY_NOW);
         })
         .catch_([this, address](kj::Exception&&) {
-          clients_.erase(address);
+          connections_.erase(address);
           metrics_.Count({"rudderloom_heartbeats_failed_total"});
-        });
+        })
+        // The connection must outlive every capability that came over it: a capability that is
+        // released after its connection throws from its destructor.
+        .attach(kj::mv(connection));
   }
 
   kj::Promise<void> Fetch(rpc::Peer::Client peer, std::uint64_t newer_than) {
@@ -208,12 +213,21 @@
     });
   }
 
-  rpc::Peer::Client ClientOf(const std::string& address) {
-    auto& client = clients_[address];
-    if (!client) {
-      client = std::make_unique<capnp::EzRpcClient>(address);
+  // A connection and the one capability asked for over it. Asking again over a connection that
+  // has ended in the meantime would throw from a destructor; calls on the capability just fail.
+  struct Connection {
+    explicit Connection(const std::string& address)
+        : client(address), peer(client.getMain<rpc::Node>().castAs<rpc::Peer>()) {}
+    capnp::EzRpcClient client;
+    rpc::Peer::Client peer;
+  };
+
+  std::shared_ptr<Connection> ConnectionTo(const std::string& address) {
+    auto& connection = connections_[address];
+    if (!connection) {
+      connection = std::make_shared<Connection>(address);
     }
-    return client->getMain<rpc::Node>().castAs<rpc::Peer>();
+    return connection;
   }
 
   NodeService::Report report_;
@@ -222,7 +236,7 @@
   Contact& contact_;
   Metrics& metrics_;
   kj::Timer& timer_;
-  std::map<std::string, std::unique_ptr<capnp::EzRpcClient>> clients_;
+  std::map<std::string, std::shared_ptr<Connection>> connections_;
   kj::TaskSet tasks_;
 };
 
--- a/src/rudderloom/residency/pool_keeper.cpp
+++ b/src/rudderloom/residency/pool_keeper.cpp
@@ -499,7 +499,7 @@
     }
     const auto endpoint =
         std::find_if(view.endpoints.begin(), view.endpoints.end(),
-                     [&](const PoolEndpoint& known) { return known.name == key.first; });
+                     [&name = key.first](const PoolEndpoint& known) { return known.name == name; });
     if (endpoint == view.endpoints.end()) {
       continue;
     }
--- a/src/rudderloom/routing/router_test.cpp
+++ b/src/rudderloom/routing/router_test.cpp
@@ -121,6 +121,7 @@
 
 TEST_CASE("an endpoint that goes moves only its own share of prefixes") {
   std::vector<std::string> names;
+  names.reserve(10);
   for (int i = 0; i < 10; ++i) {
     names.push_back("ep" + std::to_string(i));
   }
--- a/src/rudderloom/settings/settings.cpp
+++ b/src/rudderloom/settings/settings.cpp
@@ -74,6 +74,7 @@
   deadlines.usual = reader.Time("usual", deadlines.usual);
   deadlines.longest = reader.Time("longest", deadlines.longest);
   deadlines.between_tokens = reader.Time("between_tokens", deadlines.between_tokens);
+  deadlines.resume = reader.Time("resume", deadlines.resume);
   deadlines.connect = reader.Time("connect", deadlines.connect);
   if (deadlines.usual > deadlines.longest) {
     reader.Fail("usual", "is longer than \"longest\"");
--- a/src/standin/endpoint.cpp
+++ b/src/standin/endpoint.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>  // for min_element
 #include <map>        // for map
 #include <set>        // for set
+#include <tuple>      // for tie
 
 #include "standin/expected_answer.hpp"  // for ExpectedToken
 #include "standin/standin.hpp"          // for Frame
@@ -26,7 +27,10 @@
 struct Waiter {
   std::int64_t priority;
   std::uint64_t number;
-  auto operator<=>(const Waiter&) const = default;
+  bool operator<(const Waiter& other) const {
+    return std::tie(priority, number) < std::tie(other.priority, other.number);
+  }
+  bool operator==(const Waiter&) const = default;
 };
 
 // What one completion call asks for.
--- a/src/standin/standin.cpp
+++ b/src/standin/standin.cpp
@@ -96,7 +96,7 @@
 void Frame::Run(const Options& options,
                 std::function<Awaitable<void>(HttpExchange&)> handle,
                 std::function<json::object()> stats,
-                std::function<Awaitable<void>(std::string)> started,
+                const std::function<Awaitable<void>(std::string)>& started,
                 std::function<Awaitable<void>()> leaving) {
   HttpHandlers handlers;
   handlers.handle = [&](HttpExchange& exchange) -> Awaitable<void> {
--- a/src/standin/standin.hpp
+++ b/src/standin/standin.hpp
@@ -72,7 +72,7 @@
   void Run(const Options& options,
            std::function<Awaitable<void>(HttpExchange&)> handle,
            std::function<boost::json::object()> stats,
-           std::function<Awaitable<void>(std::string)> started,
+           const std::function<Awaitable<void>(std::string)>& started,
            std::function<Awaitable<void>()> leaving);
 };
 
--- /dev/null
+++ b/tools/demo.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Installs, builds and runs the whole path on loopback; exit status 0 only if every answer was whole.
+# --keep leaves it running and prints the addresses.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+tools/install.sh
+cmake -S . -B build -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo \
+  -DCMAKE_CXX_COMPILER_LAUNCHER=ccache >/dev/null
+cmake --build build | tail -n 1
+exec python3 tools/demo.py "$@"
