--- a/cmake/rudderloom_dependencies.cmake
+++ b/cmake/rudderloom_dependencies.cmake
@@ -1,6 +1,6 @@
 # Libraries from Debian's packages that the modules link against.
 find_package(Threads REQUIRED)
-find_package(Boost 1.81 REQUIRED COMPONENTS json)
+find_package(Boost 1.81 REQUIRED COMPONENTS json filesystem)
 find_library(CAF_LIBRARY caf_core REQUIRED)
 find_library(GLOG_LIBRARY glog REQUIRED)
 
--- a/include/rudderloom/claims/claim_keeper.hpp
+++ b/include/rudderloom/claims/claim_keeper.hpp
@@ -91,6 +91,7 @@
   Awaitable<bool> Read(Shard& shard);
   Awaitable<bool> Commit(Shard& shard);
   void AnswerTaken(Shard& shard);
+  static bool WantsNews(const Shard& shard);
   static const Claim* PendingEnd(const Shard& shard, const std::string& key);
   void GiveUpLate(Shard& shard, const std::string& why);
   static void Answer(Change& change, ClaimResult result);
--- a/include/rudderloom/control/control_state.hpp
+++ b/include/rudderloom/control/control_state.hpp
@@ -95,6 +95,8 @@
   std::map<std::string, double> smooth_demand_;     // over all nodes
   std::map<std::string, ServingSet> last_models_;   // to keep affinity tables that still hold
   TimePoint smoothed_at_;
+  std::vector<Member> targets_;      // of the present heartbeat round
+  std::vector<NodeDigest> digests_;  // to pass on with it
   std::uint64_t beat_ = 0;
   bool endpoints_listed_ = false;
   bool nodes_listed_ = false;
--- a/src/rudderloom/app/daemon.cpp
+++ b/src/rudderloom/app/daemon.cpp
@@ -89,12 +89,13 @@
     std::cout << "ready callers=" << callers << " peers=" << node_server_.Address() << std::endl;
     WaitForSignal();
     const bool clean = Stop();
-    node_server_.Stop();
-    actor_.reset();
+    // Whatever posts to the actor ends before the actor does.
     control_context_.stop();
     traffic_context_.stop();
     control.join();
     traffic.join();
+    node_server_.Stop();
+    actor_.reset();
     LogLine("stopped").With("node", settings_.name).With("clean", clean ? "yes" : "no");
     return clean ? 0 : 1;
   }
@@ -112,6 +113,10 @@
       metrics_.Set({"rudderloom_generation"},
                    static_cast<double>(snapshot->configuration->generation));
       metrics_.Set({"rudderloom_live_nodes"}, snapshot->live_nodes);
+      for (const auto& [name, set] : snapshot->models) {
+        metrics_.Set({"rudderloom_serving_endpoints", "model", name},
+                     static_cast<double>(set.endpoints.size()));
+      }
       front_.Use(std::move(snapshot));
     };
     sinks.report = [this](std::shared_ptr<const NodeReport> report) {
--- a/src/rudderloom/claims/claim_keeper.cpp
+++ b/src/rudderloom/claims/claim_keeper.cpp
@@ -110,7 +110,8 @@
   while (!shard.pending.empty()) {
     asio::steady_timer batch(context_, settings_.batch);
     co_await batch.async_wait(kAsTuple);
-    const bool done = (!shard.version.empty() || co_await Read(shard)) && co_await Commit(shard);
+    const bool known = !shard.version.empty() && !WantsNews(shard);
+    const bool done = (known || co_await Read(shard)) && co_await Commit(shard);
     failing_ = !done;
     if (done) {
       backoff.Reset();
@@ -150,6 +151,14 @@
   return nullptr;
 }
 
+// True when a key that is asked for was still running elsewhere when the shard was read last.
+bool ClaimKeeper::WantsNews(const Shard& shard) {
+  return std::any_of(shard.pending.begin(), shard.pending.end(), [&](const Change& change) {
+    const Claim* present = change.kind == ChangeKind::kTake ? shard.book.Find(change.key) : nullptr;
+    return present != nullptr && present->state == ClaimState::kClaimed;
+  });
+}
+
 // Answers claims whose key is taken already, by the book as last read or written.
 void ClaimKeeper::AnswerTaken(Shard& shard) {
   for (auto change = shard.pending.begin(); change != shard.pending.end();) {
--- a/src/rudderloom/claims/claim_keeper_test.cpp
+++ b/src/rudderloom/claims/claim_keeper_test.cpp
@@ -194,6 +194,23 @@
   fakes::ProvedCell("sent", "process killed", "a claim whose owner died");
 }
 
+TEST_CASE("a node that saw a call running looks again before it says so a second time") {
+  asio::io_context context;
+  FakePlatform platform;
+  Node one(platform, context, "one");
+  Node other(platform, context, "other");
+  auto granted = RunCoroutine(context, one.keeper.Take(Key("k"), "print", kLimit));
+  REQUIRE(Granted(granted));
+  RunCoroutine(context, other.keeper.Take(Key("k"), "print", kLimit));
+  Claim ended = std::get<ClaimGranted>(granted).claim;
+  ended.state = ClaimState::kEnded;
+  one.keeper.Finish(Key("k"), ended);
+  RunUntil(context, [&] { return one.keeper.Pending() == 0; });
+  const auto taken = RunCoroutine(context, other.keeper.Take(Key("k"), "print", kLimit));
+  REQUIRE(std::holds_alternative<ClaimTaken>(taken));
+  CHECK(std::get<ClaimTaken>(taken).claim.state == ClaimState::kEnded);
+}
+
 TEST_CASE("an ending that was lost on the way is recorded once the platform is back") {
   for (const auto fault :
        {WriteFault::kLostAfter, WriteFault::kLostBefore, WriteFault::kUnreachable}) {
--- a/src/rudderloom/control/control_actor.cpp
+++ b/src/rudderloom/control/control_actor.cpp
@@ -47,6 +47,7 @@
   ControlSinks sinks;
   Duration heartbeat;
   TimePoint reported_at;
+  std::uint64_t generation = 0;  // of the newest snapshot
 
   template <class Message>
   void Handle(const Message& message) {
@@ -55,14 +56,20 @@
     if (!effects.pool.empty()) {
       sinks.effects(std::move(effects.pool));
     }
+    bool changed = false;
     if (effects.snapshot) {
+      changed = effects.snapshot->configuration->generation != generation;
+      generation = effects.snapshot->configuration->generation;
       sinks.snapshot(std::move(effects.snapshot));
     }
-    if (now - reported_at >= heartbeat) {
+    const bool due = now - reported_at >= heartbeat;
+    if (due) {
       reported_at = now;
-      sinks.report(state.Report(now, true));
       sinks.cpu_seconds(ThreadCpuSeconds());
     }
+    if (due || changed) {
+      sinks.report(state.Report(now, due));
+    }
   }
 
   template <class Message>
@@ -118,7 +125,7 @@
   const Duration heartbeat = settings.membership.heartbeat;
   auto keeper = std::make_shared<Keeper>(
       Keeper{ControlState(std::move(settings), std::move(incarnation), std::move(peers_address)),
-             std::move(sinks), heartbeat, TimePoint()});
+             std::move(sinks), heartbeat, TimePoint(), 0});
   impl_ = std::make_unique<Impl>(std::move(keeper));
 }
 
--- a/src/rudderloom/control/control_state.cpp
+++ b/src/rudderloom/control/control_state.cpp
@@ -391,9 +391,11 @@
   NodeState& self = report->self;
   if (next_round) {
     ++beat_;
-    report->targets = members_.NextTargets();
-    report->digests = members_.NextDigests(kDigestsPerBeat);
+    targets_ = members_.NextTargets();
+    digests_ = members_.NextDigests(kDigestsPerBeat);
   }
+  report->targets = targets_;
+  report->digests = digests_;
   self.name = settings_.name;
   self.incarnation = incarnation_;
   self.peers_address = peers_address_;
