--- a/bench/simulation.cpp
+++ b/bench/simulation.cpp
@@ -299,7 +299,7 @@
   void Report() {
     for (auto& [model, count] : present_) {
       double& demand = demand_[static_cast<std::size_t>(model)];
-      demand += kSmoothing * (count - demand);
+      demand += kSmoothing * (static_cast<double>(count) - demand);
     }
     for (auto& node : nodes_) {
       node->snapshot = {};
--- a/bench/workload.cpp
+++ b/bench/workload.cpp
@@ -71,7 +71,8 @@
   // The event wants a few models that are rare otherwise, and these take most of it.
   const int special = std::max(3, size.models / 10);
   for (int i = 0; i < special; ++i) {
-    ModelSpec& model = load.models[static_cast<std::size_t>(size.models / 2 + i)];
+    ModelSpec& model =
+        load.models[static_cast<std::size_t>(size.models) / 2 + static_cast<std::size_t>(i)];
     model.event = capacity * (size.event_load - size.usual_load) / special;
     model.copies = static_cast<std::int64_t>(
         std::ceil(model.event * kMeanLengthMs / 1000.0 / load.slots * 1.3));
--- a/tests/process/caller_test.cpp
+++ b/tests/process/caller_test.cpp
@@ -306,19 +306,18 @@
   Served cluster;
   const std::string leaver = "ep1";
   cluster.Call(cluster.At(leaver).Address(), "/leave");
-  REQUIRE(cluster.Until(
-      [&] {
-        const auto [status, text] = cluster.Command(
-            {"status", "--daemon", cluster.At("n2").Address(1), "--output", "json"});
-        const json::value parsed = json::parse(text);
-        for (const auto& endpoint : parsed.at("endpoints").as_array()) {
-          if (endpoint.at("name").as_string() == leaver) {
-            return endpoint.at("state").as_string() == "leaving";
-          }
-        }
-        return false;
-      },
-      Duration(3'000)));
+  const auto knows = [&](const std::string& node) {
+    const auto [status, text] =
+        cluster.Command({"status", "--daemon", cluster.At(node).Address(1), "--output", "json"});
+    const json::value parsed = json::parse(text);
+    for (const auto& endpoint : parsed.at("endpoints").as_array()) {
+      if (endpoint.at("name").as_string() == leaver) {
+        return endpoint.at("state").as_string() == "leaving";
+      }
+    }
+    return false;
+  };
+  REQUIRE(cluster.Until([&] { return knows("n1") && knows("n2"); }, Duration(3'000)));
   const auto before = cluster.Stats(leaver).at("after_leaving").as_int64();
   for (int i = 0; i < 20; ++i) {
     CHECK(cluster.Complete(i % 2 == 0 ? "n1" : "n2", Prompt("m", 1, false)).status == 200);
