One place each for lenient JSON fields, the wall clock, pauses and reading an answer

Cause: reading as a newcomer showed TextAt and NumberAt three times, UnixSeconds three times, a pause in a coroutine three times, and the reading of a whole answer and the meaning of a failed exchange in both kinds of call.

--- a/include/rudderloom/base/clock.hpp
+++ b/include/rudderloom/base/clock.hpp
@@ -3,7 +3,8 @@
 #ifndef RUDDERLOOM_BASE_CLOCK_HPP
 #define RUDDERLOOM_BASE_CLOCK_HPP
 
-#include <chrono>  // for steady_clock, milliseconds
+#include <chrono>   // for steady_clock, milliseconds
+#include <cstdint>  // for int64_t
 
 namespace rudderloom {
 
@@ -21,6 +22,13 @@
   return std::chrono::steady_clock::now();
 }
 
+/// @brief Wall clock, in seconds since 1970 UTC, for what operators declare by the calendar.
+/// @ingroup base
+inline std::int64_t UnixSeconds() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::seconds>(now).count();
+}
+
 /// @brief Whole milliseconds from `from` to `to`; negative when `to` is earlier.
 /// @ingroup base
 inline Duration Between(TimePoint from, TimePoint to) {
--- a/include/rudderloom/callers/call_context.hpp
+++ b/include/rudderloom/callers/call_context.hpp
@@ -11,6 +11,7 @@
 #include "rudderloom/callers/request_info.hpp"   // for RequestInfo
 #include "rudderloom/claims/claim_keeper.hpp"    // for ClaimKeeper
 #include "rudderloom/http/client.hpp"            // for HttpClient
+#include "rudderloom/http/pause.hpp"             // for PauseFor
 #include "rudderloom/telemetry/metrics.hpp"      // for Metrics
 
 namespace rudderloom {
@@ -45,14 +46,18 @@
 /// @ingroup callers
 Refusal RefusalOf(const GiveUp& given_up, AttemptFailure failure);
 
-/// @brief Pauses a coroutine.
-/// @ingroup callers
-Awaitable<void> PauseFor(asio::io_context& context, Duration pause);
-
 /// @brief Heeds an endpoint's word that it is leaving; true when it said so.
 /// @ingroup callers
 bool HeedLeaving(CallContext& shared, const EndpointView& endpoint, const HttpStream& answer);
 
+/// @brief What a failed exchange means; `cut` says which kind a broken connection is.
+/// @ingroup callers
+AttemptFailure FailureOf(const HttpFailure& failure, AttemptFailure cut);
+
+/// @brief Reads the rest of an answer, up to the largest that is kept in memory.
+/// @ingroup callers
+Awaitable<std::variant<std::string, HttpFailure>> ReadWhole(HttpStream& answer);
+
 /// @brief Serves one `POST /v1/chat/completions` or `/v1/completions`.
 /// @ingroup callers
 Awaitable<void> ServeCompletion(CallContext& shared, HttpExchange& exchange, RequestInfo info);
--- a/include/rudderloom/control/control_shell.hpp
+++ b/include/rudderloom/control/control_shell.hpp
@@ -58,7 +58,6 @@
   void LogMove(const MoveDecided& move);
   void OfferConfiguration(const StoredObject& object);
   void WatchAll();
-  Awaitable<void> Sleep(Duration pause);
 
   asio::io_context& context_;
   Settings settings_;
--- /dev/null
+++ b/include/rudderloom/http/pause.hpp
@@ -0,0 +1,20 @@
+/// @file
+/// A pause within a coroutine.
+#ifndef RUDDERLOOM_HTTP_PAUSE_HPP
+#define RUDDERLOOM_HTTP_PAUSE_HPP
+
+#include "rudderloom/base/clock.hpp"  // for Duration
+#include "rudderloom/http/asio.hpp"   // for Awaitable
+
+namespace rudderloom {
+
+/// @brief Resumes after `pause`; other coroutines of the io_context go on in the meantime.
+/// @ingroup http
+inline Awaitable<void> PauseFor(asio::io_context& context, Duration pause) {
+  asio::steady_timer timer(context, pause);
+  co_await timer.async_wait(kAsTuple);
+}
+
+}  // namespace rudderloom
+
+#endif
--- a/src/rudderloom/callers/call_context.cpp
+++ b/src/rudderloom/callers/call_context.cpp
@@ -4,6 +4,10 @@
 
 namespace rudderloom {
 
+namespace {
+constexpr std::size_t kLargestAnswer = 16 * 1024 * 1024;
+}
+
 Awaitable<void> Refuse(CallContext& shared,
                        HttpExchange& exchange,
                        Refusal refusal,
@@ -56,9 +60,31 @@
   return refusal;
 }
 
-Awaitable<void> PauseFor(asio::io_context& context, Duration pause) {
-  asio::steady_timer timer(context, pause);
-  co_await timer.async_wait(kAsTuple);
+AttemptFailure FailureOf(const HttpFailure& failure, AttemptFailure cut) {
+  if (!failure.may_have_left) {
+    return AttemptFailure::kConnect;
+  }
+  return failure.timed_out ? AttemptFailure::kTimeout : cut;
+}
+
+Awaitable<std::variant<std::string, HttpFailure>> ReadWhole(HttpStream& answer) {
+  std::string text;
+  while (true) {
+    auto piece = co_await answer.ReadSome();
+    if (auto* failure = std::get_if<HttpFailure>(&piece)) {
+      co_return std::move(*failure);
+    }
+    if (std::holds_alternative<HttpStream::End>(piece)) {
+      co_return text;
+    }
+    text += std::get<std::string>(piece);
+    if (text.size() > kLargestAnswer) {
+      HttpFailure failure;
+      failure.may_have_left = true;
+      failure.message = "the answer is too large";
+      co_return failure;
+    }
+  }
 }
 
 bool HeedLeaving(CallContext& shared, const EndpointView& endpoint, const HttpStream& answer) {
--- a/src/rudderloom/callers/completion_call.cpp
+++ b/src/rudderloom/callers/completion_call.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-constexpr std::size_t kLargestAnswer = 16 * 1024 * 1024;
 constexpr std::string_view kEventStream = "text/event-stream";
 
 // How one attempt on an endpoint ended.
@@ -189,13 +188,6 @@
     co_return end;
   }
 
-  static AttemptFailure FailureOf(const HttpFailure& failure, AttemptFailure cut) {
-    if (!failure.may_have_left) {
-      return AttemptFailure::kConnect;
-    }
-    return failure.timed_out ? AttemptFailure::kTimeout : cut;
-  }
-
   // What an answer other than 200 means; empty when it is meant for the caller.
   static std::optional<AttemptFailure> RefusedBy(const HttpStream& answer, bool leaving) {
     switch (answer.Status()) {
@@ -227,26 +219,6 @@
     co_return co_await exchange_.Send(std::move(reply));
   }
 
-  static Awaitable<std::variant<std::string, HttpFailure>> ReadWhole(HttpStream& answer) {
-    std::string text;
-    while (true) {
-      auto piece = co_await answer.ReadSome();
-      if (auto* failure = std::get_if<HttpFailure>(&piece)) {
-        co_return std::move(*failure);
-      }
-      if (std::holds_alternative<HttpStream::End>(piece)) {
-        co_return text;
-      }
-      text += std::get<std::string>(piece);
-      if (text.size() > kLargestAnswer) {
-        HttpFailure failure;
-        failure.may_have_left = true;
-        failure.message = "the answer is too large";
-        co_return failure;
-      }
-    }
-  }
-
   Awaitable<void> PassWhole(HttpStream& answer, AttemptEnd& end) {
     Reply reply;
     reply.content_type = answer.Header("Content-Type");
--- a/src/rudderloom/callers/front.cpp
+++ b/src/rudderloom/callers/front.cpp
@@ -1,7 +1,6 @@
 #include "rudderloom/callers/front.hpp"
 
 #include <boost/json.hpp>  // for object
-#include <chrono>          // for system_clock
 
 namespace rudderloom {
 
@@ -16,11 +15,6 @@
   return std::hash<std::string>{}(incarnation);
 }
 
-std::int64_t UnixSeconds() {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<std::chrono::seconds>(now).count();
-}
-
 HttpLimits LimitsOf(const LimitSettings& settings) {
   HttpLimits limits;
   limits.header_bytes = static_cast<std::uint32_t>(settings.header);
--- a/src/rudderloom/callers/service_call.cpp
+++ b/src/rudderloom/callers/service_call.cpp
@@ -8,7 +8,6 @@
 namespace {
 
 constexpr std::string_view kPrefix = "/services/";
-constexpr std::size_t kLargestAnswer = 16 * 1024 * 1024;
 constexpr Duration kClaimTime{2'000};
 
 // Headers of the caller's request that concern only its own connection.
@@ -221,13 +220,6 @@
     co_return std::nullopt;
   }
 
-  static AttemptFailure FailureOf(const HttpFailure& failure, AttemptFailure cut) {
-    if (!failure.may_have_left) {
-      return AttemptFailure::kConnect;
-    }
-    return failure.timed_out ? AttemptFailure::kTimeout : cut;
-  }
-
   Awaitable<std::optional<HttpFailure>> ReadBody(HttpStream& answer, Reply& reply) {
     reply.content_type = answer.Header("Content-Type");
     for (const auto& [name, value] : answer.EndToEndHeaders()) {
@@ -236,22 +228,12 @@
       }
     }
     reply.headers.emplace_back(header::kRequestId, info_.request_id);
-    while (true) {
-      auto piece = co_await answer.ReadSome();
-      if (auto* failure = std::get_if<HttpFailure>(&piece)) {
-        co_return std::move(*failure);
-      }
-      if (std::holds_alternative<HttpStream::End>(piece)) {
-        co_return std::nullopt;
-      }
-      reply.body += std::get<std::string>(piece);
-      if (reply.body.size() > kLargestAnswer) {
-        HttpFailure failure;
-        failure.may_have_left = true;
-        failure.message = "the answer is too large";
-        co_return failure;
-      }
+    auto body = co_await ReadWhole(answer);
+    if (auto* failure = std::get_if<HttpFailure>(&body)) {
+      co_return std::move(*failure);
     }
+    reply.body = std::move(std::get<std::string>(body));
+    co_return std::nullopt;
   }
 
   void FinishClaim(const Reply& reply) {
--- a/src/rudderloom/claims/claim_book.cpp
+++ b/src/rudderloom/claims/claim_book.cpp
@@ -3,6 +3,8 @@
 #include <boost/uuid/detail/sha1.hpp>  // for sha1
 #include <cstdio>                      // for snprintf
 
+#include "rudderloom/base/json_fields.hpp"  // for TextAt
+
 namespace rudderloom {
 
 namespace json = boost::json;
@@ -37,16 +39,6 @@
   return kBytesPerClaim + claim.body.size() + claim.content_type.size();
 }
 
-std::string TextAt(const json::object& object, std::string_view key) {
-  const json::value* found = object.if_contains({key.data(), key.size()});
-  return found != nullptr && found->is_string() ? std::string(found->as_string()) : "";
-}
-
-std::int64_t NumberAt(const json::object& object, std::string_view key) {
-  const json::value* found = object.if_contains({key.data(), key.size()});
-  return found != nullptr && found->is_int64() ? found->as_int64() : 0;
-}
-
 Claim ClaimFromJson(const json::value& value) {
   Claim claim;
   claim.state = ClaimState::kUnknown;
@@ -62,7 +54,7 @@
   }
   claim.owner = TextAt(object, "owner");
   claim.fingerprint = TextAt(object, "fingerprint");
-  claim.claimed_at = NumberAt(object, "claimed_at");
+  claim.claimed_at = static_cast<std::int64_t>(NumberAt(object, "claimed_at"));
   claim.status = static_cast<unsigned>(NumberAt(object, "status"));
   claim.content_type = TextAt(object, "content_type");
   claim.body = TextAt(object, "body");
--- a/src/rudderloom/claims/claim_keeper.cpp
+++ b/src/rudderloom/claims/claim_keeper.cpp
@@ -1,7 +1,6 @@
 #include "rudderloom/claims/claim_keeper.hpp"
 
 #include <algorithm>  // for any_of
-#include <chrono>     // for system_clock
 
 #include "rudderloom/base/backoff.hpp"   // for Backoff
 #include "rudderloom/base/log_line.hpp"  // for LogLine
@@ -17,11 +16,6 @@
 constexpr Duration kSettleLimit{1'500};
 constexpr Duration kSettlePause{50};
 
-std::int64_t UnixSeconds() {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<std::chrono::seconds>(now).count();
-}
-
 }  // namespace
 
 ClaimKeeper::ClaimKeeper(asio::io_context& context,
--- a/src/rudderloom/control/control_actor.cpp
+++ b/src/rudderloom/control/control_actor.cpp
@@ -4,7 +4,6 @@
 #include <caf/actor_system_config.hpp>  // for actor_system_config
 #include <caf/event_based_actor.hpp>    // for event_based_actor
 #include <caf/send.hpp>                 // for anon_send
-#include <chrono>                       // for system_clock
 #include <ctime>                        // for clock_gettime
 
 // Messages stay inside one process, so they are never serialized.
@@ -36,11 +35,6 @@
   return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_nsec) * kNano;
 }
 
-std::int64_t UnixSeconds() {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<std::chrono::seconds>(now).count();
-}
-
 // What the actor keeps between messages.
 struct Keeper {
   ControlState state;
--- a/src/rudderloom/control/control_shell.cpp
+++ b/src/rudderloom/control/control_shell.cpp
@@ -1,7 +1,9 @@
 #include "rudderloom/control/control_shell.hpp"
 
-#include "rudderloom/base/backoff.hpp"   // for Backoff
-#include "rudderloom/base/log_line.hpp"  // for LogLine
+#include "rudderloom/base/backoff.hpp"      // for Backoff
+#include "rudderloom/base/json_fields.hpp"  // for TextAt
+#include "rudderloom/base/log_line.hpp"     // for LogLine
+#include "rudderloom/http/pause.hpp"        // for PauseFor
 
 namespace rudderloom {
 
@@ -18,11 +20,6 @@
 constexpr Duration kUnregisterTime{1'000};
 constexpr SettleTimes kPoolSettle{Duration(1'500), Duration(100)};
 
-std::string TextAt(const json::object& object, std::string_view key) {
-  const json::value* found = object.if_contains({key.data(), key.size()});
-  return found != nullptr && found->is_string() ? std::string(found->as_string()) : "";
-}
-
 NodeState NodeOf(const StoredObject& object) {
   NodeState node;
   node.name = object.name;
@@ -53,11 +50,6 @@
       client_(context),
       orders_(client_, settings_.residency.order_time, metrics) {}
 
-Awaitable<void> ControlShell::Sleep(Duration pause) {
-  asio::steady_timer timer(context_, pause);
-  co_await timer.async_wait(kAsTuple);
-}
-
 void ControlShell::Start() {
   asio::co_spawn(context_, TickLoop(), asio::detached);
   asio::co_spawn(context_, PollLoop(), asio::detached);
@@ -169,7 +161,7 @@
       auto listed = co_await store_.List(name);
       if (auto* error = std::get_if<StoreError>(&listed)) {
         metrics_.Count({"rudderloom_platform_errors_total", "kind", NameOf(error->kind)});
-        co_await Sleep(backoff.Next());
+        co_await PauseFor(context_, backoff.Next());
         continue;
       }
       contact_.Heard(Now());
@@ -195,7 +187,7 @@
       continue;
     }
     metrics_.Count({"rudderloom_platform_errors_total", "kind", NameOf(ended.kind)});
-    co_await Sleep(backoff.Next());
+    co_await PauseFor(context_, backoff.Next());
   }
 }
 
@@ -213,7 +205,7 @@
       LogLine("registered").With("node", settings_.name).With("address", peers_address_);
       co_return;
     }
-    co_await Sleep(backoff.Next());
+    co_await PauseFor(context_, backoff.Next());
   }
 }
 
@@ -225,21 +217,21 @@
     if (error == nullptr || error->kind == StoreError::Kind::kNotFound) {
       co_return;
     }
-    co_await Sleep(kTickEvery);
+    co_await PauseFor(context_, kTickEvery);
   }
 }
 
 Awaitable<void> ControlShell::TickLoop() {
   while (true) {
     post_(message::Tick{});
-    co_await Sleep(kTickEvery);
+    co_await PauseFor(context_, kTickEvery);
   }
 }
 
 // Alone with the platform, this node asks it often enough to notice a newer configuration.
 Awaitable<void> ControlShell::ConfirmLoop() {
   while (true) {
-    co_await Sleep(kConfirmEvery);
+    co_await PauseFor(context_, kConfirmEvery);
     if (contact_.Silence(Now()) < kConfirmAfter) {
       continue;
     }
@@ -261,7 +253,7 @@
 Awaitable<void> ControlShell::PollLoop() {
   const Duration between(1'000 / settings_.membership.polls_per_second);
   while (true) {
-    co_await Sleep(between);
+    co_await PauseFor(context_, between);
     if (!report_) {
       continue;
     }
@@ -375,7 +367,7 @@
     post_(message::PoolSeen{read.pool, PoolRecord(), ""});
     co_return;
   }
-  co_await Sleep(settings_.platform.backoff_least);
+  co_await PauseFor(context_, settings_.platform.backoff_least);
   post_(message::PoolCallEnded{read.pool, message::PoolCallEnded::Result::kReadFailed, ""});
 }
 
--- a/src/rudderloom/membership/endpoint_table.cpp
+++ b/src/rudderloom/membership/endpoint_table.cpp
@@ -1,5 +1,6 @@
 #include "rudderloom/membership/endpoint_table.hpp"
 
+#include "rudderloom/base/json_fields.hpp"  // for TextAt
 #include "rudderloom/base/json_reader.hpp"  // for ParseJsonObject
 
 namespace rudderloom {
@@ -11,26 +12,6 @@
 // Polls in a row without an answer after which an endpoint counts as silent.
 constexpr std::uint32_t kSilentPolls = 3;
 
-std::string TextAt(const json::object& object, std::string_view key) {
-  const json::value* found = object.if_contains({key.data(), key.size()});
-  return found != nullptr && found->is_string() ? std::string(found->as_string()) : "";
-}
-
-std::uint64_t NumberAt(const json::object& object, std::string_view key) {
-  const json::value* found = object.if_contains({key.data(), key.size()});
-  if (found == nullptr || !found->is_number()) {
-    return 0;
-  }
-  json::error_code error;
-  const auto number = found->to_number<std::uint64_t>(error);
-  return error ? 0 : number;
-}
-
-bool FlagAt(const json::object& object, std::string_view key) {
-  const json::value* found = object.if_contains({key.data(), key.size()});
-  return found != nullptr && found->is_bool() && found->as_bool();
-}
-
 std::string Instance(const EndpointState& state) {
   return state.spec.name + "#" + state.report.incarnation;
 }
--- a/src/rudderloom/platform/object_store.cpp
+++ b/src/rudderloom/platform/object_store.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>  // for find
 
 #include "rudderloom/http/client.hpp"  // for HttpClient
+#include "rudderloom/http/pause.hpp"   // for PauseFor
 
 namespace rudderloom {
 
@@ -271,11 +272,6 @@
   CallObserver observer_;
 };
 
-Awaitable<void> PauseFor(asio::io_context& context, Duration pause) {
-  asio::steady_timer timer(context, pause);
-  co_await timer.async_wait(kAsTuple);
-}
-
 }  // namespace
 
 bool StoredObject::WrittenBy(const std::string& token) const {
--- a/tests/process/caller_test.cpp
+++ b/tests/process/caller_test.cpp
@@ -36,7 +36,9 @@
       }));
     }
   }
-  Answer Complete(const std::string& node, const std::string& body, HeaderList headers = {}) {
+  Answer Complete(const std::string& node,
+                  const std::string& body,
+                  const HeaderList& headers = {}) {
     return Call(At(node).Address(), "/v1/completions", body, headers);
   }
   Answer Desk(const std::string& node, const std::string& call, HeaderList headers) {
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -42,7 +42,8 @@
   bench=$!
   echo "== tests under AddressSanitizer and UBSan"
   build build-asan address,undefined "-O1 -g"
-  ctest --test-dir build-asan -j "$jobs" --output-on-failure "${exclude[@]}"
+  # Sanitized processes are slow: fewer at once, as the bench runs beside them.
+  ctest --test-dir build-asan -j "$((jobs / 2))" --output-on-failure "${exclude[@]}"
   echo "== bench of the decisions"
   wait "$bench"
   cat build/bench.txt
