A request goes back to the only endpoint of its model after a failure, and waits while it can't be reached

A repeat was allowed and paid for, but the endpoint that had failed was excluded, so the request was refused.

Ruled out: the budget of repeats (no line says so), wrong counts of attempts.

Change: TriedEndpoints remembers how each endpoint failed. The reasons of refusals moved to a file of their own.

--- a/src/rudderloom/forwarding/attempt.cpp
+++ b/src/rudderloom/forwarding/attempt.cpp
@@ -141,6 +141,7 @@
     result.mark = endpoint_failed ? AttemptMark::kFailed : AttemptMark::kNeutral;
     if (guard_.Why() == Interruption::kSilent) {
       result.reason = "silent";
+      result.silent = true;
     }
     return result;
   }
--- a/src/rudderloom/forwarding/attempt.hpp
+++ b/src/rudderloom/forwarding/attempt.hpp
@@ -60,6 +60,7 @@
   AttemptOutcome outcome = AttemptOutcome::kFailed;
   std::string_view reason;  // for counters and logs
   unsigned status = 0;      // of the endpoint's answer, where there is one
+  bool silent = false;      // the endpoint was given up because nothing came from it
   AttemptMark mark = AttemptMark::kFailed;
   std::optional<Reply> reply;  // a failure that the client may be given as it is
 };
--- /dev/null
+++ b/src/rudderloom/forwarding/forward_refusal.cpp
@@ -0,0 +1,29 @@
+#include "forwarding/forward_refusal.hpp"
+
+namespace rudderloom {
+
+std::string_view NameOf(ForwardRefusal refusal) {
+  switch (refusal) {
+    case ForwardRefusal::kNoConfiguration:
+      return "no_configuration";
+    case ForwardRefusal::kNoRoute:
+      return "no_route";
+    case ForwardRefusal::kNoEndpoint:
+      return "no_endpoint";
+    case ForwardRefusal::kNotResident:
+      return "not_resident";
+    case ForwardRefusal::kStopping:
+      return "stopping";
+    case ForwardRefusal::kShed:
+      return "shed";
+    case ForwardRefusal::kConnect:
+      return "connect";
+    case ForwardRefusal::kBroken:
+      return "broken";
+    case ForwardRefusal::kTimeUp:
+      return "time_up";
+  }
+  return "unknown";
+}
+
+}  // namespace rudderloom
--- /dev/null
+++ b/src/rudderloom/forwarding/forward_refusal.hpp
@@ -0,0 +1,26 @@
+// Why a client's request gets no answer from an endpoint.
+#ifndef RUDDERLOOM_FORWARDING_FORWARD_REFUSAL_HPP
+#define RUDDERLOOM_FORWARDING_FORWARD_REFUSAL_HPP
+
+#include <string_view>  // for string_view
+
+namespace rudderloom {
+
+enum class ForwardRefusal {
+  kNoConfiguration,
+  kNoRoute,
+  kNoEndpoint,   // the service has none
+  kNotResident,  // no endpoint holds the model or adapter
+  kStopping,     // this node is about to stop
+  kShed,         // the last endpoint promised that it did not run the request
+  kConnect,      // the last endpoint could not be reached
+  kBroken,       // the last endpoint may have run the request and gave no whole answer
+  kTimeUp,       // the client's deadline or the route's timeout
+};
+
+// As it stands in counters, logs and the answer's body.
+std::string_view NameOf(ForwardRefusal refusal);
+
+}  // namespace rudderloom
+
+#endif
--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -4,6 +4,8 @@
 #include <utility>    // for move
 
 #include "forwarding/attempt.hpp"                // for RunAttempt
+#include "forwarding/forward_refusal.hpp"        // for ForwardRefusal
+#include "forwarding/tried_endpoints.hpp"        // for TriedEndpoints
 #include "rudderloom/base/log_line.hpp"          // for LogLine
 #include "rudderloom/forwarding/call_guard.hpp"  // for CallGuard
 
@@ -22,43 +24,6 @@
 constexpr double kSilenceGoals = 2.5;
 constexpr int kSilencePauses = 4;
 
-// Why a request gets no answer from an endpoint; the name stands in counters and logs.
-enum class Refusal {
-  kNoConfiguration,
-  kNoRoute,
-  kNoEndpoint,
-  kNotResident,
-  kStopping,
-  kShed,
-  kConnect,
-  kBroken,
-  kTimeUp,
-};
-
-std::string_view NameOf(Refusal refusal) {
-  switch (refusal) {
-    case Refusal::kNoConfiguration:
-      return "no_configuration";
-    case Refusal::kNoRoute:
-      return "no_route";
-    case Refusal::kNoEndpoint:
-      return "no_endpoint";
-    case Refusal::kNotResident:
-      return "not_resident";
-    case Refusal::kStopping:
-      return "stopping";
-    case Refusal::kShed:
-      return "shed";
-    case Refusal::kConnect:
-      return "connect";
-    case Refusal::kBroken:
-      return "broken";
-    case Refusal::kTimeUp:
-      return "time_up";
-  }
-  return "unknown";
-}
-
 // One request of a client, over all its attempts.
 class ForwardCall {
  public:
@@ -71,14 +36,14 @@
 
   Awaitable<void> Run() {
     if (!routes_) {
-      co_await Refuse(Refusal::kNoConfiguration);
+      co_await Refuse(ForwardRefusal::kNoConfiguration);
       co_return;
     }
     const auto target = exchange_.Request().target();
     const auto host = exchange_.Request()[http::field::host];
     route_ = routes_->Find({host.data(), host.size()}, {target.data(), target.size()});
     if (route_ == nullptr) {
-      co_await Refuse(Refusal::kNoRoute);
+      co_await Refuse(ForwardRefusal::kNoRoute);
       co_return;
     }
     service_ = ChooseService(*route_, state_.random());
@@ -116,7 +81,7 @@
   Awaitable<void> Attempts() {
     while (true) {
       const FleetViewPtr view = state_.views.Current();
-      const BalancerAsk ask{service_, terms_, excluded_};
+      const BalancerAsk ask{service_, terms_, tried_.Excluded()};
       auto chosen = state_.balancer.Choose(*view, ask, Now());
       if (auto* none = std::get_if<NoEndpoint>(&chosen)) {
         if (!co_await AwaitEndpoint(*none)) {
@@ -133,31 +98,47 @@
     }
   }
 
-  // No endpoint can take the request: waits for a change; false once it was answered.
+  bool MayWait() const {
+    const auto share = std::chrono::duration_cast<Duration>((time_up_ - arrived_) * kWaitShare);
+    return !terms_.model.empty() && !state_.stopping && Now() < arrived_ + share;
+  }
+
+  // No endpoint can take the request: goes back to one that failed it, or waits for a change; false
+  // once the request was answered.
   Awaitable<bool> AwaitEndpoint(NoEndpoint why) {
-    if (!excluded_.empty()) {
-      co_await Refuse(last_refusal_);
-      co_return false;
+    if (tried_.TakeFailed()) {
+      co_return true;
     }
-    const Refusal refusal = why == NoEndpoint::kNone ? Refusal::kNoEndpoint : Refusal::kNotResident;
-    const auto share = std::chrono::duration_cast<Duration>((time_up_ - arrived_) * kWaitShare);
-    const TimePoint wait_until = arrived_ + share;
-    if (terms_.model.empty() || state_.stopping || Now() >= wait_until) {
-      co_await Refuse(refusal);
+    if (!MayWait()) {
+      co_await Refuse(RefusalWithoutEndpoint(why));
       co_return false;
     }
+    co_await WaitForView();
+    tried_.TakeUnreachable();
+    co_return !co_await AnsweredInterruption();
+  }
+
+  ForwardRefusal RefusalWithoutEndpoint(NoEndpoint why) const {
+    if (!tried_.Excluded().empty()) {
+      return last_refusal_;
+    }
+    return why == NoEndpoint::kNone ? ForwardRefusal::kNoEndpoint : ForwardRefusal::kNotResident;
+  }
+
+  // Counts as demand meanwhile, so that the holder of the lease orders a load.
+  Awaitable<void> WaitForView() {
+    const auto share = std::chrono::duration_cast<Duration>((time_up_ - arrived_) * kWaitShare);
     const std::vector<UnitName> units = Units();
     for (const UnitName& unit : units) {
       ++state_.units[unit].waiting;
     }
     state_.on_missing();
     const TimePoint began = Now();
-    co_await state_.views.WaitForNext(guard_->WaitTimer(), wait_until);
+    co_await state_.views.WaitForNext(guard_->WaitTimer(), arrived_ + share);
     waited_ += Between(began, Now());
     for (const UnitName& unit : units) {
       --state_.units[unit].waiting;
     }
-    co_return !co_await AnsweredInterruption();
   }
 
   Awaitable<AttemptResult> Try(const EndpointRecord& endpoint, EndpointLoad added) {
@@ -205,7 +186,7 @@
     if (attempt_connecting_) {
       return true;
     }
-    std::set<std::string> excluded = excluded_;
+    std::set<std::string> excluded = tried_.Excluded();
     excluded.insert(attempt_instance_);
     const BalancerAsk ask{service_, terms_, excluded};
     const FleetViewPtr view = state_.views.Current();
@@ -229,9 +210,9 @@
       co_return false;
     }
     guard_->ForgetSilence();
-    excluded_.insert(endpoint.instance);
+    tried_.Add(endpoint.instance, HowItEnded(result));
     if (result.outcome == AttemptOutcome::kNotConnected) {
-      last_refusal_ = Refusal::kConnect;
+      last_refusal_ = ForwardRefusal::kConnect;
       if (++connect_failures_ < kMostConnectFailures) {
         co_return true;
       }
@@ -241,7 +222,7 @@
     ++attempts_;
     const bool not_run = result.outcome == AttemptOutcome::kNotRun;
     may_have_run_ = may_have_run_ || !not_run;
-    last_refusal_ = not_run ? Refusal::kShed : Refusal::kBroken;
+    last_refusal_ = not_run ? ForwardRefusal::kShed : ForwardRefusal::kBroken;
     if (MayRepeat(not_run)) {
       state_.metrics.Count({"rudderloom_retries_total", "reason", result.reason});
       co_return true;
@@ -255,6 +236,14 @@
     co_return false;
   }
 
+  static TriedEndpoints::End HowItEnded(const AttemptResult& result) {
+    if (result.outcome == AttemptOutcome::kNotConnected) {
+      return TriedEndpoints::End::kUnreachable;
+    }
+    const bool can_serve = result.outcome == AttemptOutcome::kFailed && !result.silent;
+    return can_serve ? TriedEndpoints::End::kFailed : TriedEndpoints::End::kRefused;
+  }
+
   bool MayRepeat(bool not_run) {
     const TimePoint now = Now();
     if (attempts_ >= route_->max_attempts || now + kLeastForRetry >= time_up_) {
@@ -285,31 +274,31 @@
       co_return true;
     }
     if (guard_->Why() == Interruption::kTimeUp) {
-      co_await Refuse(Refusal::kTimeUp);
+      co_await Refuse(ForwardRefusal::kTimeUp);
       co_return true;
     }
     co_return false;
   }
 
-  unsigned StatusOf(Refusal refusal) const {
-    if (refusal == Refusal::kNoRoute) {
+  unsigned StatusOf(ForwardRefusal refusal) const {
+    if (refusal == ForwardRefusal::kNoRoute) {
       return 404;
     }
-    if (refusal == Refusal::kTimeUp) {
+    if (refusal == ForwardRefusal::kTimeUp) {
       return 504;
     }
     // 503 promises that the request has not run.
     return may_have_run_ ? 502 : 503;
   }
 
-  std::optional<Duration> ComeBack(Refusal refusal, unsigned status) const {
+  std::optional<Duration> ComeBack(ForwardRefusal refusal, unsigned status) const {
     if (status != 503) {
       return std::nullopt;
     }
-    return refusal == Refusal::kNotResident ? kComeBackAfterLoad : kComeBackSoon;
+    return refusal == ForwardRefusal::kNotResident ? kComeBackAfterLoad : kComeBackSoon;
   }
 
-  Awaitable<void> Refuse(Refusal refusal) {
+  Awaitable<void> Refuse(ForwardRefusal refusal) {
     state_.metrics.Count({"rudderloom_refusals_total", "reason", NameOf(refusal)});
     const unsigned status = StatusOf(refusal);
     LogEnd("", NameOf(refusal), status);
@@ -381,7 +370,7 @@
   TimePoint time_up_;
   CallGuard* guard_ = nullptr;
   StreamState stream_;
-  std::set<std::string> excluded_;
+  TriedEndpoints tried_;
   Choice last_choice_;  // on which endpoint, and what was known of it
   Duration waited_{0};  // for an endpoint that holds the model
   std::uint32_t attempts_ = 0;
@@ -390,7 +379,7 @@
   std::string attempt_instance_;     // of the attempt under way
   bool attempt_connecting_ = false;  // it has sent nothing yet
   bool prepaid_ = false;             // the next repeat is paid for
-  Refusal last_refusal_ = Refusal::kNoEndpoint;
+  ForwardRefusal last_refusal_ = ForwardRefusal::kNoEndpoint;
 };
 
 }  // namespace
