--- a/include/rudderloom/fleet/endpoint_record.hpp
+++ b/include/rudderloom/fleet/endpoint_record.hpp
@@ -9,7 +9,8 @@
 #include <string>    // for string
 #include <vector>    // for vector
 
-#include "rudderloom/base/clock.hpp"  // for Duration
+#include "rudderloom/base/change_log.hpp"  // for ChangeLog
+#include "rudderloom/base/clock.hpp"       // for Duration
 
 namespace rudderloom {
 
@@ -49,6 +50,11 @@
   bool operator==(const EndpointRecord&) const = default;
 };
 
+/// @brief The platform's list, by instance, with the store's revision of each change.
+/// @ingroup fleet
+using EndpointLog = ChangeLog<EndpointRecord>;
+using EndpointChanges = Changes<EndpointRecord>;
+
 /// @brief What a model engine answers when it is asked for its load; some 100 ms old.
 /// @ingroup fleet
 struct EngineReport {
--- a/include/rudderloom/fleet/fleet_shell.hpp
+++ b/include/rudderloom/fleet/fleet_shell.hpp
@@ -4,6 +4,7 @@
 #define RUDDERLOOM_FLEET_FLEET_SHELL_HPP
 
 #include <functional>  // for function
+#include <memory>      // for shared_ptr
 #include <set>         // for set
 #include <string>      // for string
 
@@ -13,6 +14,7 @@
 #include "rudderloom/fleet/fleet_state.hpp"     // for FleetEffects
 #include "rudderloom/fleet/messages.hpp"        // for fleet_message::Any
 #include "rudderloom/http/client.hpp"           // for HttpClient
+#include "rudderloom/store/store_follower.hpp"  // for FollowPace
 #include "rudderloom/telemetry/metrics.hpp"     // for Metrics
 
 namespace rudderloom {
@@ -41,6 +43,8 @@
   Awaitable<void> ReadRoutes();
   Awaitable<void> FollowEndpoints();
   Awaitable<void> TickLoop();
+  // How often the store is asked for changes of the endpoints.
+  void Follow(EndpointFollowing following);
   Awaitable<void> ReadLease(LeaseRead how);
   Awaitable<void> WriteLease(LeaseWrite write);
   Awaitable<void> AskReport(ReportCall call);
@@ -58,6 +62,8 @@
   Metrics& metrics_;
   std::function<void(fleet_message::Any)> post_;
   HttpClient client_;
+  std::shared_ptr<FollowPace> routes_pace_;
+  std::shared_ptr<FollowPace> endpoints_pace_;
   std::set<std::string> failing_;  // kinds whose last call failed
 };
 
--- a/include/rudderloom/fleet/fleet_state.hpp
+++ b/include/rudderloom/fleet/fleet_state.hpp
@@ -3,31 +3,23 @@
 #ifndef RUDDERLOOM_FLEET_FLEET_STATE_HPP
 #define RUDDERLOOM_FLEET_FLEET_STATE_HPP
 
-#include <memory>    // for shared_ptr
-#include <optional>  // for optional
-#include <string>    // for string
-#include <vector>    // for vector
+#include <memory>       // for shared_ptr
+#include <optional>     // for optional
+#include <string>       // for string
+#include <string_view>  // for string_view
+#include <vector>       // for vector
 
 #include "rudderloom/fleet/endpoint_directory.hpp"    // for EndpointDirectory
+#include "rudderloom/fleet/endpoint_source.hpp"       // for EndpointSource
+#include "rudderloom/base/published.hpp"              // for Published
 #include "rudderloom/fleet/fleet_settings.hpp"        // for FleetSettings
 #include "rudderloom/fleet/fleet_view.hpp"            // for FleetViewPtr
+#include "rudderloom/fleet/holder_statement.hpp"      // for HolderStatement
 #include "rudderloom/fleet/messages.hpp"              // for fleet_message::Any
 #include "rudderloom/placement/placement_keeper.hpp"  // for PlacementKeeper
 
 namespace rudderloom {
 
-/// @brief From what the holder answers other nodes. Immutable once published.
-/// @ingroup fleet
-struct HolderStatement {
-  HolderDigest common;  ///< Without loads.
-  DemandBoard board;    ///< For the loads of all nodes but the one that asks.
-  TimePoint made_at;
-};
-
-/// @brief The digest for one node.
-/// @ingroup fleet
-HolderDigest DigestFor(const HolderStatement& statement, const std::string& node);
-
 /// @brief How the lease's object is to be read.
 /// @ingroup fleet
 enum class LeaseRead {
@@ -52,6 +44,7 @@
   std::optional<CountsToReport> counts;
   std::optional<std::string> holder;                 ///< Address, when it changed.
   std::shared_ptr<const HolderStatement> statement;  ///< Null when it did not change.
+  std::optional<EndpointFollowing> following;        ///< Of the endpoints, when it changed.
   bool read_routes = false;  ///< A peer has a newer configuration than this node's watch brought.
   bool released = false;     ///< After a stop was asked: no lease is held any more.
 };
@@ -66,7 +59,8 @@
 
  private:
   struct HeardDigest {
-    HolderDigest digest;
+    std::uint64_t epoch = 0;
+    LoadTable loads;
     TimePoint at;
   };
 
@@ -74,6 +68,7 @@
   void On(const fleet_message::EndpointsListed& listed, TimePoint now);
   void On(const fleet_message::EndpointPut& put, TimePoint now);
   void On(const fleet_message::EndpointGone& gone, TimePoint now);
+  void On(const fleet_message::EndpointsReached& reached, TimePoint now);
   void On(const fleet_message::LeaseSeen& seen, TimePoint now);
   void On(const fleet_message::LeaseUnread& unread, TimePoint now);
   void On(const fleet_message::LeaseWritten& written, TimePoint now);
@@ -87,14 +82,20 @@
 
   void MoveLease(FleetEffects& effects, TimePoint now);
   void MovePlacement(FleetEffects& effects, TimePoint now);
+  void PublishServing();
   void AnnounceOrders(FleetEffects& effects, TimePoint now);
   void ReportCounts(FleetEffects& effects);
+  void MoveFollowing(FleetEffects& effects, TimePoint now);
+  // `source` is who told, for the log.
+  void TakeRecord(const EndpointRecord& record, std::string_view source);
+  void TakeGone(const std::string& instance, std::string_view source, TimePoint now);
+  void TakeEndpoints(const EndpointChanges& changes, TimePoint now);
   // A peer has told which configuration it has in force.
   void PeerHasRoutes(std::uint64_t version, TimePoint now);
   void CatchUpRoutes(FleetEffects& effects, TimePoint now);
   std::uint64_t RoutesVersion() const;
   FleetViewPtr MakeView(TimePoint now) const;
-  std::shared_ptr<const HolderStatement> MakeStatement(TimePoint now) const;
+  std::shared_ptr<const HolderStatement> MakeStatement(TimePoint now);
   std::uint64_t ServingVersion() const;
   bool DigestFresh(TimePoint now) const;
   bool DoubtsHolder(TimePoint now) const;
@@ -104,6 +105,11 @@
   std::string incarnation_;
   RouteTableKeeper routes_;
   EndpointDirectory directory_;
+  Published<EndpointLog> endpoint_log_;
+  Published<ServingLog> serving_log_;  // made by this node while it holds the lease, else heard
+  std::uint64_t serving_epoch_ = 0;    // that this node last made the log under
+  EndpointSource source_;
+  EndpointFollowing following_ = EndpointFollowing::kStore;
   LeaseKeeper lease_;
   PlacementKeeper placement_;
   DemandBoard board_;
@@ -113,7 +119,6 @@
   std::optional<TimePoint> routes_behind_;  // since when a peer has a newer configuration
   std::string known_holder_;
   std::uint64_t held_epoch_ = 0;  // of the lease that placement works under
-  std::uint64_t published_serving_ = 0;
   std::uint32_t live_nodes_;
   TimePoint lease_read_at_;
   TimePoint planned_at_;
--- a/include/rudderloom/fleet/fleet_view.hpp
+++ b/include/rudderloom/fleet/fleet_view.hpp
@@ -3,33 +3,42 @@
 #ifndef RUDDERLOOM_FLEET_FLEET_VIEW_HPP
 #define RUDDERLOOM_FLEET_FLEET_VIEW_HPP
 
-#include <cstdint>  // for uint32_t
-#include <map>      // for map
-#include <memory>   // for shared_ptr
-#include <string>   // for string
-#include <vector>   // for vector
+#include <cstdint>      // for uint32_t
+#include <map>          // for map
+#include <memory>       // for shared_ptr
+#include <string>       // for string
+#include <string_view>  // for string_view
+#include <vector>       // for vector
 
 #include "rudderloom/fleet/endpoint_record.hpp"  // for EndpointRecord
 #include "rudderloom/routes/route_table.hpp"     // for RouteTablePtr
 
 namespace rudderloom {
 
+/// @brief Stands for an endpoint's instance where its load is told: a hash of the name, the same on
+/// all nodes. Two instances with one key would only blur each other's loads.
+/// @ingroup fleet
+using EndpointKey = std::uint32_t;
+EndpointKey KeyOf(std::string_view instance);
+
 /// @brief Requests that are running or waiting on an endpoint, as somebody last counted them.
 /// @ingroup fleet
 struct EndpointLoad {
   std::uint32_t requests = 0;
   std::uint64_t unread_tokens = 0;  ///< Of prompts whose answers have not begun.
-  std::uint64_t held_tokens = 0;    ///< Of all of these requests, in and out.
 
   EndpointLoad& operator+=(const EndpointLoad& other) {
     requests += other.requests;
     unread_tokens += other.unread_tokens;
-    held_tokens += other.held_tokens;
     return *this;
   }
   bool operator==(const EndpointLoad&) const = default;
 };
 
+/// @brief Loads by endpoint.
+/// @ingroup fleet
+using LoadTable = std::map<EndpointKey, EndpointLoad>;
+
 /// @brief One endpoint as traffic sees it.
 /// @ingroup fleet
 struct FleetEndpoint {
--- a/include/rudderloom/fleet/messages.hpp
+++ b/include/rudderloom/fleet/messages.hpp
@@ -27,6 +27,7 @@
 /// @ingroup fleet
 struct EndpointsListed {
   std::vector<EndpointRecord> records;
+  std::uint64_t revision = 0;  ///< Of the store.
 };
 
 /// @brief One endpoint's entry changed.
@@ -41,6 +42,12 @@
   std::string instance;
 };
 
+/// @brief All changes of entries up to this revision of the store have been told.
+/// @ingroup fleet
+struct EndpointsReached {
+  std::uint64_t revision = 0;
+};
+
 /// @brief The lease's object as read; an empty record when there is none.
 /// @ingroup fleet
 struct LeaseSeen {
@@ -105,6 +112,7 @@
                          EndpointsListed,
                          EndpointPut,
                          EndpointGone,
+                         EndpointsReached,
                          LeaseSeen,
                          LeaseUnread,
                          LeaseWritten,
--- a/include/rudderloom/forwarding/balancer.hpp
+++ b/include/rudderloom/forwarding/balancer.hpp
@@ -77,8 +77,8 @@
              AttemptMark mark,
              TimePoint now);
 
-  /// @brief This node's requests by instance.
-  std::map<std::string, EndpointLoad> Loads() const;
+  /// @brief This node's requests by endpoint.
+  LoadTable Loads() const;
 
   /// @brief Forgets endpoints that are no longer there.
   void Trim(const FleetView& view, TimePoint now);
--- a/include/rudderloom/peers/holder_link.hpp
+++ b/include/rudderloom/peers/holder_link.hpp
@@ -18,7 +18,7 @@
   /// @brief Another node reported its counts, while this one may hold the lease.
   std::function<void(NodeCounts)> on_counts;
   /// @brief The digest for a node that reported; must not block.
-  std::function<HolderDigest(const std::string& node)> digest_for;
+  std::function<HolderDigest(const NodeCounts& asking)> digest_for;
   /// @brief The holder answered this node's report.
   std::function<void(HolderDigest)> on_digest;
   /// @brief A report got no answer.
--- a/include/rudderloom/placement/demand.hpp
+++ b/include/rudderloom/placement/demand.hpp
@@ -39,10 +39,11 @@
 struct NodeCounts {
   std::string node;
   std::string incarnation;
-  std::map<std::string, EndpointLoad> loads;  ///< By instance.
+  LoadTable loads;
   std::map<UnitName, UnitCount> units;
-  std::uint64_t serving_seen = 0;    ///< Version of the holder's serving list that the node has.
+  std::uint64_t serving_seen = 0;    ///< Version up to which the node knows what is served.
   std::uint64_t routes_version = 0;  ///< Of the configuration in force at the node; 0 for none.
+  std::uint64_t endpoints_seen = 0;  ///< Version up to which the node knows the endpoints.
 };
 
 /// @brief Demand for one unit.
@@ -68,8 +69,8 @@
   UnitDemand Of(const UnitName& unit) const;
   const std::map<UnitName, UnitDemand>& Units() const { return units_; }
 
-  /// @brief Requests by instance over all nodes but `without`, from counts that are fresh.
-  std::map<std::string, EndpointLoad> Loads(const std::string& without, TimePoint now) const;
+  /// @brief Requests by endpoint over all nodes but `without`, from counts that are fresh.
+  LoadTable Loads(const std::string& without, TimePoint now) const;
 
   /// @brief Nodes whose counts are fresh.
   std::uint32_t Nodes(TimePoint now) const;
--- a/include/rudderloom/placement/placement_keeper.hpp
+++ b/include/rudderloom/placement/placement_keeper.hpp
@@ -75,7 +75,7 @@
   PlacementEffects Tick(const RouteTable& routes,
                         const std::map<std::string, KnownEndpoint>& endpoints,
                         const DemandBoard& demand,
-                        const std::map<std::string, EndpointLoad>& loads,
+                        const LoadTable& loads,
                         const HeldLease& lease,
                         TimePoint now);
 
@@ -129,14 +129,14 @@
   void Plan(const ServiceSpec& service,
             const std::vector<std::string>& instances,
             const DemandBoard& demand,
-            const std::map<std::string, EndpointLoad>& loads,
+            const LoadTable& loads,
             const HeldLease& lease,
             PlacementEffects& effects,
             TimePoint now);
   PlanEngine EngineView(const std::string& instance,
                         const Engine& engine,
                         const EngineSpec& spec,
-                        const std::map<std::string, EndpointLoad>& loads,
+                        const LoadTable& loads,
                         TimePoint now) const;
   // Sends an order; false while the endpoint may not be ordered yet.
   bool Send(const std::string& instance,
--- a/include/rudderloom/store/object_store.hpp
+++ b/include/rudderloom/store/object_store.hpp
@@ -93,6 +93,14 @@
     return List(std::move(kind));
   }
 
+  /// @brief A watch whose answer comes after this time also when there are no changes.
+  virtual Awaitable<StoreError> WatchFor(std::string kind,
+                                         std::string version,
+                                         Duration /*time*/,
+                                         std::function<void(WatchEvent)> on_event) {
+    return Watch(std::move(kind), std::move(version), std::move(on_event));
+  }
+
   /// @brief Writes one object; with a version only if that is the present one.
   virtual Awaitable<std::variant<StoredObject, StoreError>> Put(std::string kind,
                                                                 StoredObject object) = 0;
--- a/include/rudderloom/store/store_follower.hpp
+++ b/include/rudderloom/store/store_follower.hpp
@@ -4,6 +4,8 @@
 #define RUDDERLOOM_STORE_STORE_FOLLOWER_HPP
 
 #include <functional>  // for function
+#include <memory>      // for shared_ptr
+#include <optional>    // for optional
 #include <string>      // for string
 
 #include "rudderloom/base/backoff.hpp"        // for Backoff
@@ -11,13 +13,40 @@
 
 namespace rudderloom {
 
-/// @brief Which kind is followed, and how often the platform is asked.
+/// @brief How often the platform is asked. May be changed while a kind is followed, on the thread
+/// of its io_context.
+/// @ingroup store
+class FollowPace {
+ public:
+  explicit FollowPace(asio::io_context& context) : resumed_(context) {}
+
+  /// @brief Between two watches: changes that come together are read together.
+  Duration least_between{0};
+  /// @brief How long a watch lasts that has nothing to report; empty: the store's own time.
+  std::optional<Duration> watch_time;
+
+  /// @brief No call is made from the end of the present one until `Resume`.
+  void Pause() { paused_ = true; }
+
+  /// @brief Goes on, with a list, as changes may have been missed.
+  void Resume();
+
+  bool Paused() const { return paused_; }
+
+  /// @brief Ends when there is no pause.
+  Awaitable<void> WhilePaused();
+
+ private:
+  bool paused_ = false;
+  asio::steady_timer resumed_;
+};
+
+/// @brief Which kind is followed, and how.
 /// @ingroup store
 struct FollowOptions {
   std::string kind;
   Backoff backoff;  ///< Between calls that failed.
-  Duration least_between{
-      0};  ///< Between two watches: changes that come together are read together.
+  std::shared_ptr<FollowPace> pace;
 };
 
 /// @brief What a follower reports.
@@ -25,6 +54,8 @@
 struct FollowHooks {
   std::function<void(const ObjectList&)> on_list;
   std::function<void(const WatchEvent&)> on_event;  ///< Never a bookmark.
+  /// @brief A watch's answer was taken whole; it reaches up to this version.
+  std::function<void(const std::string& version)> on_reached = [](const std::string&) {};
   std::function<void(const StoreError&)> on_error;
 };
 
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -4,12 +4,11 @@
 using Cxx = import "/capnp/c++.capnp";
 $Cxx.namespace("rudderloom::rpc");
 
-# Requests on one endpoint.
+# Requests on one endpoint, in eight bytes: they are told often, by every node and to every node.
 struct EndpointLoad {
-  instance @0 :Text;
-  requests @1 :UInt32;
-  unreadTokens @2 :UInt64;
-  heldTokens @3 :UInt64;
+  endpoint @0 :UInt32;         # hash of its instance
+  requests @1 :UInt16;         # 65,535 for more
+  unreadTokenUnits @2 :UInt16;  # prompt tokens not yet read, in units of 64; 65,535 for more
 }
 
 # Requests for one model or adapter.
@@ -27,8 +26,9 @@
   incarnation @1 :Text;
   loads @2 :List(EndpointLoad);
   units @3 :List(UnitCount);
-  servingSeen @4 :UInt64;  # version of the serving list that the node has from this holder
+  servingSeen @4 :UInt64;  # version up to which the node knows what is served
   routesVersion @5 :UInt64;  # configuration in force at the node; 0 for none
+  endpointsSeen @6 :UInt64;  # the store's revision up to which the node knows the endpoints
 }
 
 struct ServedModel {
@@ -37,20 +37,48 @@
   adapters @2 :List(Text);
 }
 
+# One endpoint's entry in the platform's list.
+struct EndpointEntry {
+  instance @0 :Text;
+  service @1 :Text;
+  address @2 :Text;
+  availabilityZone @3 :Text;
+  slots @4 :UInt32;
+  leaving @5 :Bool;
+  ordersTaken @6 :UInt64;
+  models @7 :List(ServedModel);
+}
+
+# What changed in the list since a revision.
+struct EndpointChanges {
+  version @0 :UInt64;  # of the store; everything up to it is told or known
+  whole @1 :Bool;      # the entries are the whole list
+  entries @2 :List(EndpointEntry);
+  gone @3 :List(Text);  # instances
+}
+
 # What requests may be sent to one endpoint for.
 struct Serving {
   instance @0 :Text;
   models @1 :List(ServedModel);
 }
 
+struct ServingChanges {
+  version @0 :UInt64;  # everything up to it is told or known
+  whole @1 :Bool;      # the entries are all that there are
+  entries @2 :List(Serving);
+  gone @3 :List(Text);  # instances
+}
+
 struct Digest {
   holds @0 :Bool;            # false: the rest is empty
   epoch @1 :UInt64;
   nodes @2 :UInt32;          # whose counts are fresh, with the holder
   loads @3 :List(EndpointLoad);  # of all nodes but the one that asks
-  servingVersion @4 :UInt64;
-  serving @5 :List(Serving);     # empty when the node has this version
-  routesVersion @6 :UInt64;      # configuration in force at the holder; 0 for none
+  serving @4 :ServingChanges;    # that the asking node lacks
+  routesVersion @5 :UInt64;      # configuration in force at the holder; 0 for none
+  endpoints @6 :EndpointChanges; # that the asking node lacks
+  endpointsAgeMs @7 :Int64 = -1; # since the store confirmed the holder's list; below 0: never
 }
 
 interface PlacementHolder {
--- a/src/rudderloom/app/fleet_daemon.cpp
+++ b/src/rudderloom/app/fleet_daemon.cpp
@@ -114,11 +114,15 @@
     if (effects.holder) {
       link_.SetHolder(*effects.holder);
     }
+    if (effects.following) {
+      metrics_.Set({"rudderloom_endpoints_from_holder"},
+                   *effects.following == EndpointFollowing::kHolder ? 1.0 : 0.0);
+    }
     if (effects.counts) {
       link_.SetCounts(std::move(effects.counts->counts), effects.counts->at_once);
     }
     released_.store(effects.released);
-    if (effects.lease_read || effects.lease_write || effects.read_routes ||
+    if (effects.lease_read || effects.lease_write || effects.read_routes || effects.following ||
         !effects.placement.orders.empty() || !effects.placement.report_calls.empty()) {
       shell_.Execute(std::move(effects));
     }
@@ -129,13 +133,13 @@
     hooks.on_counts = [this](NodeCounts counts) {
       actor_->Post(fleet_message::PeerCounted{std::move(counts)});
     };
-    hooks.digest_for = [this](const std::string& node) {
+    hooks.digest_for = [this](const NodeCounts& asking) {
       std::shared_ptr<const HolderStatement> statement;
       {
         const std::lock_guard lock(statement_mutex_);
         statement = statement_;
       }
-      return statement ? DigestFor(*statement, node) : HolderDigest();
+      return statement ? DigestFor(*statement, asking, Now()) : HolderDigest();
     };
     hooks.on_digest = [this](HolderDigest digest) {
       actor_->Post(fleet_message::DigestHeard{std::move(digest)});
--- a/src/rudderloom/fleet/fleet_shell.cpp
+++ b/src/rudderloom/fleet/fleet_shell.cpp
@@ -1,8 +1,7 @@
 #include "rudderloom/fleet/fleet_shell.hpp"
 
-#include "rudderloom/base/log_line.hpp"         // for LogLine
-#include "rudderloom/http/pause.hpp"            // for PauseFor
-#include "rudderloom/store/store_follower.hpp"  // for FollowKind
+#include "rudderloom/base/log_line.hpp"  // for LogLine
+#include "rudderloom/http/pause.hpp"     // for PauseFor
 
 namespace rudderloom {
 
@@ -19,6 +18,12 @@
 constexpr Duration kBetweenConfigurations{250};
 // Part of the drain time within which an entry's change may wait to be read.
 constexpr double kEndpointPart = 0.4;
+// The same for the node on which the others rely; its watches are also over after this time.
+constexpr double kEndpointForOthersPart = 0.125;
+
+Duration PartOf(Duration whole, double part) {
+  return std::chrono::duration_cast<Duration>(whole * part);
+}
 
 }  // namespace
 
@@ -34,7 +39,12 @@
       store_(store),
       metrics_(metrics),
       post_(std::move(post)),
-      client_(context) {}
+      client_(context),
+      routes_pace_(std::make_shared<FollowPace>(context)),
+      endpoints_pace_(std::make_shared<FollowPace>(context)) {
+  routes_pace_->least_between = kBetweenConfigurations;
+  Follow(EndpointFollowing::kStore);
+}
 
 void FleetShell::Start() {
   asio::co_spawn(context_, FollowRoutes(), asio::detached);
@@ -87,7 +97,7 @@
     }
   };
   hooks.on_error = [this, kind](const StoreError& error) { Failed(kind, error); };
-  FollowOptions options{kind, MakeBackoff(kind), kBetweenConfigurations};
+  FollowOptions options{kind, MakeBackoff(kind), routes_pace_};
   co_await FollowKind(context_, store_, std::move(options), std::move(hooks));
 }
 
@@ -109,6 +119,7 @@
   hooks.on_list = [this, kind](const ObjectList& list) {
     Answered(kind);
     fleet_message::EndpointsListed listed;
+    listed.revision = formats_.read_revision(list.version);
     for (const StoredObject& object : list.objects) {
       if (auto record = formats_.read_endpoint(object)) {
         listed.records.push_back(std::move(*record));
@@ -124,9 +135,12 @@
       post_(fleet_message::EndpointPut{std::move(*record)});
     }
   };
+  hooks.on_reached = [this, kind](const std::string& version) {
+    Answered(kind);
+    post_(fleet_message::EndpointsReached{formats_.read_revision(version)});
+  };
   hooks.on_error = [this, kind](const StoreError& error) { Failed(kind, error); };
-  const auto between = std::chrono::duration_cast<Duration>(settings_.bounds.drain * kEndpointPart);
-  FollowOptions options{kind, MakeBackoff(kind), between};
+  FollowOptions options{kind, MakeBackoff(kind), endpoints_pace_};
   co_await FollowKind(context_, store_, std::move(options), std::move(hooks));
 }
 
@@ -138,6 +152,9 @@
     if (effects.lease_write) {
       asio::co_spawn(context_, WriteLease(std::move(*effects.lease_write)), asio::detached);
     }
+    if (effects.following) {
+      Follow(*effects.following);
+    }
     if (effects.read_routes) {
       asio::co_spawn(context_, ReadRoutes(), asio::detached);
     }
@@ -150,6 +167,22 @@
   });
 }
 
+void FleetShell::Follow(EndpointFollowing following) {
+  if (following == EndpointFollowing::kHolder) {
+    endpoints_pace_->Pause();
+    return;
+  }
+  const bool for_others = following == EndpointFollowing::kForOthers;
+  const Duration drain = settings_.bounds.drain;
+  endpoints_pace_->least_between =
+      PartOf(drain, for_others ? kEndpointForOthersPart : kEndpointPart);
+  endpoints_pace_->watch_time.reset();
+  if (for_others) {
+    endpoints_pace_->watch_time = endpoints_pace_->least_between;
+  }
+  endpoints_pace_->Resume();
+}
+
 Awaitable<void> FleetShell::ReadLease(LeaseRead how) {
   const std::string kind = formats_.lease_kind;
   if (how == LeaseRead::kMayBeStale) {
--- a/src/rudderloom/fleet/fleet_state.cpp
+++ b/src/rudderloom/fleet/fleet_state.cpp
@@ -10,6 +10,8 @@
 
 // Part of the drain time in which an endpoint without an entry may still be used.
 constexpr int kKeepGoneParts = 2;
+// Part of the drain time up to which the holder's list of endpoints may be old.
+constexpr double kSharedPart = 0.4;
 constexpr Duration kLeaseReadPause{150};
 // Others than the holder look at the lease this often, at the price of a stale read.
 constexpr Duration kLeaseLookEvery{1'000};
@@ -26,20 +28,29 @@
 // Nodes that share limits, until the holder has counted them.
 constexpr std::uint32_t kAssumedNodes = 12;
 
-}  // namespace
+Duration OldestShared(Duration drain) {
+  return std::chrono::duration_cast<Duration>(drain * kSharedPart);
+}
 
-HolderDigest DigestFor(const HolderStatement& statement, const std::string& node) {
-  HolderDigest digest = statement.common;
-  if (digest.holds) {
-    digest.loads = statement.board.Loads(node, statement.made_at);
+std::string_view NameOf(EndpointFollowing following) {
+  switch (following) {
+    case EndpointFollowing::kStore:
+      return "store";
+    case EndpointFollowing::kForOthers:
+      return "store_for_others";
+    case EndpointFollowing::kHolder:
+      return "holder";
   }
-  return digest;
+  return "unknown";
 }
 
+}  // namespace
+
 FleetState::FleetState(FleetSettings settings, std::string incarnation)
     : settings_(std::move(settings)),
       incarnation_(std::move(incarnation)),
       directory_(settings_.bounds.drain / kKeepGoneParts),
+      source_(OldestShared(settings_.bounds.drain)),
       lease_(settings_.listen.peers, incarnation_, settings_.bounds.lease),
       placement_(settings_.bounds.load_window,
                  settings_.bounds.load_overshoot,
@@ -53,6 +64,7 @@
   MovePlacement(effects, now);
   AnnounceOrders(effects, now);
   CatchUpRoutes(effects, now);
+  MoveFollowing(effects, now);
   ReportCounts(effects);
   if (changed_) {
     changed_ = false;
@@ -133,14 +145,27 @@
   const HeldLease lease{settings_.name, lease_.Epoch(), lease_.ValidUntil(), lease_.Announced()};
   effects.placement = placement_.Tick(*routes_.Current(), directory_.Endpoints(), board_,
                                       board_.Loads("", now), lease, now);
-  if (placement_.ServingVersion() != published_serving_) {
-    published_serving_ = placement_.ServingVersion();
-    changed_ = true;
-  }
+  PublishServing();
   live_nodes_ = std::max(1U, board_.Nodes(now));
   effects.statement = MakeStatement(now);
 }
 
+// Tells in the log what has changed in what requests may be sent for.
+void FleetState::PublishServing() {
+  const std::uint64_t version = ServingVersion();
+  if (serving_log_.Get().Version() == version) {
+    return;
+  }
+  if (serving_epoch_ == lease_.Epoch()) {
+    serving_log_.Change().Update(placement_.Serving(), version);
+  } else {
+    serving_epoch_ = lease_.Epoch();
+    serving_log_.Change() = ServingLog();
+    serving_log_.Change().Replace(placement_.Serving(), version);
+  }
+  changed_ = true;
+}
+
 std::uint64_t FleetState::RoutesVersion() const {
   return routes_.Current() ? routes_.Current()->Version() : 0;
 }
@@ -173,7 +198,8 @@
     return;
   }
   sampled_->routes_version = RoutesVersion();
-  sampled_->serving_seen = heard_ ? heard_->digest.serving_version : 0;
+  sampled_->endpoints_seen = endpoint_log_.Get().Version();
+  sampled_->serving_seen = serving_log_.Get().Version();
   effects.counts = CountsToReport{std::move(*sampled_), urgent_};
   sampled_.reset();
   urgent_ = false;
@@ -184,7 +210,7 @@
   return (lease_.Epoch() << kHalf) | (placement_.ServingVersion() & 0xffffffffU);
 }
 
-std::shared_ptr<const HolderStatement> FleetState::MakeStatement(TimePoint now) const {
+std::shared_ptr<const HolderStatement> FleetState::MakeStatement(TimePoint now) {
   auto statement = std::make_shared<HolderStatement>();
   statement->made_at = now;
   statement->common.holds = holds_;
@@ -193,10 +219,11 @@
   }
   statement->common.epoch = lease_.Epoch();
   statement->common.nodes = live_nodes_;
-  statement->common.serving_version = ServingVersion();
   statement->common.routes_version = RoutesVersion();
-  statement->common.serving = placement_.Serving();
   statement->board = board_;
+  statement->endpoints = endpoint_log_.Copy();
+  statement->serving = serving_log_.Copy();
+  statement->endpoints_confirmed_at = source_.ConfirmedAt();
   return statement;
 }
 
@@ -215,7 +242,53 @@
       .With("services", seen.routes->Services().size());
 }
 
+// Where the list of endpoints comes from from now on.
+void FleetState::MoveFollowing(FleetEffects& effects, TimePoint now) {
+  const EndpointFollowing following = source_.Choose(holds_, now);
+  if (following == following_) {
+    return;
+  }
+  following_ = following;
+  effects.following = following;
+  LogLine("endpoints_followed")
+      .With("source", NameOf(following))
+      .With("revision", endpoint_log_.Get().Version());
+}
+
+// What the holder told. A log that is already further knows better.
+void FleetState::TakeEndpoints(const EndpointChanges& changes, TimePoint now) {
+  if (!endpoints_known_ || !endpoint_log_.Change().Apply(changes)) {
+    return;
+  }
+  changed_ = true;
+  if (changes.whole) {
+    std::vector<EndpointRecord> records;
+    for (const auto& [instance, record] : changes.values) {
+      records.push_back(record);
+    }
+    directory_.Listed(records, now);
+    return;
+  }
+  for (const auto& [instance, record] : changes.values) {
+    TakeRecord(record, "holder");
+  }
+  for (const std::string& instance : changes.gone) {
+    TakeGone(instance, "holder", now);
+  }
+}
+
+void FleetState::On(const fleet_message::EndpointsReached& reached, TimePoint now) {
+  endpoint_log_.Change().Reached(reached.revision);
+  source_.Confirmed(now);
+}
+
 void FleetState::On(const fleet_message::EndpointsListed& listed, TimePoint now) {
+  std::map<std::string, EndpointRecord> by_instance;
+  for (const EndpointRecord& record : listed.records) {
+    by_instance.emplace(record.instance, record);
+  }
+  endpoint_log_.Change().Replace(by_instance, listed.revision);
+  source_.Confirmed(now);
   directory_.Listed(listed.records, now);
   endpoints_known_ = true;
   changed_ = true;
@@ -223,24 +296,35 @@
 }
 
 void FleetState::On(const fleet_message::EndpointPut& put, TimePoint) {
-  const auto found = directory_.Endpoints().find(put.record.instance);
+  TakeRecord(put.record, "store");
+  endpoint_log_.Change().Put(put.record.instance, put.record);
+}
+
+void FleetState::On(const fleet_message::EndpointGone& gone, TimePoint now) {
+  TakeGone(gone.instance, "store", now);
+  endpoint_log_.Change().Erase(gone.instance);
+}
+
+void FleetState::TakeRecord(const EndpointRecord& record, std::string_view source) {
+  const auto found = directory_.Endpoints().find(record.instance);
   const bool news =
-      found == directory_.Endpoints().end() || found->second.record.leaving != put.record.leaving;
-  directory_.Put(put.record);
+      found == directory_.Endpoints().end() || found->second.record.leaving != record.leaving;
+  directory_.Put(record);
   changed_ = true;
   if (news) {
     LogLine("endpoint_changed")
-        .With("endpoint", put.record.instance)
-        .With("service", put.record.service)
-        .With("address", put.record.address)
-        .With("leaving", put.record.leaving ? "yes" : "no");
+        .With("endpoint", record.instance)
+        .With("service", record.service)
+        .With("address", record.address)
+        .With("leaving", record.leaving ? "yes" : "no")
+        .With("source", source);
   }
 }
 
-void FleetState::On(const fleet_message::EndpointGone& gone, TimePoint now) {
-  directory_.Gone(gone.instance, now);
+void FleetState::TakeGone(const std::string& instance, std::string_view source, TimePoint now) {
+  directory_.Gone(instance, now);
   changed_ = true;
-  LogLine("endpoint_gone").With("endpoint", gone.instance);
+  LogLine("endpoint_gone").With("endpoint", instance).With("source", source);
 }
 
 void FleetState::On(const fleet_message::LeaseSeen& seen, TimePoint now) {
@@ -276,16 +360,16 @@
 
 void FleetState::On(const fleet_message::DigestHeard& heard, TimePoint now) {
   const HolderDigest& digest = heard.digest;
-  if (holds_ || !digest.holds || (heard_ && digest.epoch < heard_->digest.epoch)) {
+  if (holds_ || !digest.holds || (heard_ && digest.epoch < heard_->epoch)) {
     return;
   }
   PeerHasRoutes(digest.routes_version, now);
-  HolderDigest kept = digest;
-  // The list comes only when it is another one than this node has.
-  if (heard_ && heard_->digest.serving_version == digest.serving_version) {
-    kept.serving = std::move(heard_->digest.serving);
+  if (digest.endpoints_age) {
+    source_.Heard(*digest.endpoints_age, now);
+    TakeEndpoints(digest.endpoints, now);
   }
-  heard_ = HeardDigest{std::move(kept), now};
+  serving_log_.Change().Apply(digest.serving);
+  heard_ = HeardDigest{digest.epoch, digest.loads, now};
   live_nodes_ = std::max(1U, digest.nodes);
   changed_ = true;
 }
@@ -319,24 +403,22 @@
   view->routes = routes_.Current();
   view->endpoints_known = endpoints_known_;
   view->live_nodes = live_nodes_;
-  ServingList serving;
-  std::map<std::string, EndpointLoad> loads;
+  LoadTable loads;
   if (holds_) {
-    serving = placement_.Serving();
     loads = board_.Loads(settings_.name, now);
   } else if (DigestFresh(now)) {
-    serving = heard_->digest.serving;
-    loads = heard_->digest.loads;
+    loads = heard_->loads;
   }
+  const bool placed = holds_ || DigestFresh(now);
   for (const auto& [instance, known] : directory_.Endpoints()) {
     if (known.record.leaving) {
       continue;
     }
     FleetEndpoint endpoint{known.record, known.gone_at.has_value(), {}};
-    if (const auto served = serving.find(instance); served != serving.end()) {
-      endpoint.record.models = served->second;
+    if (const auto* served = placed ? serving_log_.Get().Find(instance) : nullptr) {
+      endpoint.record.models = *served;
     }
-    if (const auto load = loads.find(instance); load != loads.end()) {
+    if (const auto load = loads.find(KeyOf(instance)); load != loads.end()) {
       endpoint.others = load->second;
     }
     const auto index = static_cast<std::uint32_t>(view->endpoints.size());
--- a/src/rudderloom/fleet/fleet_state_test.cpp
+++ b/src/rudderloom/fleet/fleet_state_test.cpp
@@ -75,5 +75,80 @@
   CHECK(effects.placement.orders.empty());
 }
 
+EndpointRecord Endpoint(const std::string& instance, bool leaving = false) {
+  EndpointRecord record;
+  record.instance = instance;
+  record.service = "desk";
+  record.address = instance + ":1";
+  record.leaving = leaving;
+  return record;
+}
+
+HolderDigest DigestOf(std::uint64_t version, const std::vector<EndpointRecord>& records) {
+  HolderDigest digest;
+  digest.holds = true;
+  digest.epoch = 1;
+  digest.endpoints.version = version;
+  for (const EndpointRecord& record : records) {
+    digest.endpoints.values.emplace_back(record.instance, record);
+  }
+  digest.endpoints_age = Duration(100);
+  return digest;
+}
+
+// Ticks until `end`; the last change of how the endpoints are followed, if any.
+std::optional<EndpointFollowing> FollowingUntil(FleetState& state, int from, int end) {
+  std::optional<EndpointFollowing> following;
+  for (int ms = from; ms < end; ms += 50) {
+    const auto effects = state.Handle(fleet_message::Tick{}, At(ms));
+    following = effects.following ? effects.following : following;
+  }
+  return following;
+}
+
+TEST_CASE("a node takes the endpoints from the holder and asks the store when it falls silent") {
+  FleetState state(Settings("n2"), "x");
+  state.Handle(fleet_message::EndpointsListed{{Endpoint("e1"), Endpoint("e2")}, 10}, At(0));
+  std::optional<EndpointFollowing> following;
+  for (int ms = 0; ms < 2'000; ms += 250) {
+    const auto effects = state.Handle(fleet_message::DigestHeard{DigestOf(10, {})}, At(ms));
+    following = effects.following ? effects.following : following;
+  }
+  CHECK(following == EndpointFollowing::kHolder);
+  // What the holder tells is in force at once; what is older than the node's own list is not.
+  auto effects =
+      state.Handle(fleet_message::DigestHeard{DigestOf(12, {Endpoint("e1", true)})}, At(2'000));
+  REQUIRE(effects.view);
+  CHECK(effects.view->endpoints.size() == 1);
+  effects = state.Handle(fleet_message::DigestHeard{DigestOf(11, {Endpoint("e3")})}, At(2'100));
+  REQUIRE(effects.view);
+  CHECK(effects.view->endpoints.size() == 1);
+  CHECK(FollowingUntil(state, 2'100, 2'700) == std::nullopt);
+  CHECK(FollowingUntil(state, 2'700, 3'000) == EndpointFollowing::kStore);
+}
+
+TEST_CASE("the holder tells each node what it lacks, and how old that is") {
+  FleetState state(Settings("n1"), "x");
+  REQUIRE(TakeLease(state, 0));
+  state.Handle(fleet_message::EndpointsListed{{Endpoint("e1"), Endpoint("e2")}, 10}, At(1));
+  auto effects = state.Handle(fleet_message::LeaseWritten{"1"}, At(5));
+  REQUIRE(effects.statement);
+  CHECK(effects.following == EndpointFollowing::kForOthers);
+  NodeCounts asking;
+  asking.node = "n2";
+  CHECK(DigestFor(*effects.statement, asking, At(5)).endpoints.whole);
+  state.Handle(fleet_message::RoutesSeen{Routes(1)}, At(20));
+  state.Handle(fleet_message::EndpointPut{Endpoint("e2", true)}, At(100));
+  effects = state.Handle(fleet_message::EndpointsReached{14}, At(120));
+  REQUIRE(effects.statement);
+  asking.endpoints_seen = 10;
+  const HolderDigest digest = DigestFor(*effects.statement, asking, At(300));
+  CHECK_FALSE(digest.endpoints.whole);
+  REQUIRE(digest.endpoints.values.size() == 1);
+  CHECK(digest.endpoints.values.front().second.leaving);
+  CHECK(digest.endpoints.version == 14);
+  CHECK(digest.endpoints_age == Duration(180));
+}
+
 }  // namespace
 }  // namespace rudderloom
--- a/src/rudderloom/forwarding/balancer.cpp
+++ b/src/rudderloom/forwarding/balancer.cpp
@@ -141,7 +141,6 @@
   choice.added.requests = 1;
   if (engine) {
     choice.added.unread_tokens = UnreadTokens(chosen, ask.terms);
-    choice.added.held_tokens = ask.terms.tokens_in + ask.terms.tokens_out;
   }
   return choice;
 }
@@ -170,7 +169,6 @@
   Endpoint& endpoint = endpoints_[instance];
   endpoint.load.requests -= std::min(endpoint.load.requests, added.requests);
   endpoint.load.unread_tokens -= std::min(endpoint.load.unread_tokens, added.unread_tokens);
-  endpoint.load.held_tokens -= std::min(endpoint.load.held_tokens, added.held_tokens);
   if (mark == AttemptMark::kServed) {
     endpoint.failures = 0;
     endpoint.avoid_until = TimePoint();
@@ -181,11 +179,11 @@
   }
 }
 
-std::map<std::string, EndpointLoad> Balancer::Loads() const {
-  std::map<std::string, EndpointLoad> loads;
+LoadTable Balancer::Loads() const {
+  LoadTable loads;
   for (const auto& [instance, endpoint] : endpoints_) {
     if (endpoint.load.requests > 0) {
-      loads.emplace(instance, endpoint.load);
+      loads[KeyOf(instance)] += endpoint.load;
     }
   }
   return loads;
--- a/src/rudderloom/peers/fleet_codec.cpp
+++ b/src/rudderloom/peers/fleet_codec.cpp
@@ -1,27 +1,33 @@
 #include "peers/fleet_codec.hpp"
 
+#include <algorithm>  // for min
+#include <limits>     // for numeric_limits
+
 namespace rudderloom {
 
 namespace {
 
-using LoadMap = std::map<std::string, EndpointLoad>;
+constexpr std::uint64_t kTokenUnit = 64;
+
+std::uint16_t Clamped(std::uint64_t value) {
+  return static_cast<std::uint16_t>(
+      std::min<std::uint64_t>(value, std::numeric_limits<std::uint16_t>::max()));
+}
 
-void WriteLoads(const LoadMap& loads, capnp::List<rpc::EndpointLoad>::Builder out) {
+void WriteLoads(const LoadTable& loads, capnp::List<rpc::EndpointLoad>::Builder out) {
   unsigned index = 0;
-  for (const auto& [instance, load] : loads) {
+  for (const auto& [endpoint, load] : loads) {
     auto entry = out[index++];
-    entry.setInstance(instance);
-    entry.setRequests(load.requests);
-    entry.setUnreadTokens(load.unread_tokens);
-    entry.setHeldTokens(load.held_tokens);
+    entry.setEndpoint(endpoint);
+    entry.setRequests(Clamped(load.requests));
+    entry.setUnreadTokenUnits(Clamped((load.unread_tokens + kTokenUnit - 1) / kTokenUnit));
   }
 }
 
-LoadMap ReadLoads(capnp::List<rpc::EndpointLoad>::Reader in) {
-  LoadMap loads;
+LoadTable ReadLoads(capnp::List<rpc::EndpointLoad>::Reader in) {
+  LoadTable loads;
   for (const auto entry : in) {
-    loads[entry.getInstance().cStr()] = {entry.getRequests(), entry.getUnreadTokens(),
-                                         entry.getHeldTokens()};
+    loads[entry.getEndpoint()] = {entry.getRequests(), entry.getUnreadTokenUnits() * kTokenUnit};
   }
   return loads;
 }
@@ -51,6 +57,79 @@
   return models;
 }
 
+void WriteEndpoint(const EndpointRecord& record, rpc::EndpointEntry::Builder out) {
+  out.setInstance(record.instance);
+  out.setService(record.service);
+  out.setAddress(record.address);
+  out.setAvailabilityZone(record.availability_zone);
+  out.setSlots(record.slots);
+  out.setLeaving(record.leaving);
+  out.setOrdersTaken(record.orders_taken);
+  WriteModels(record.models, out.initModels(record.models.size()));
+}
+
+EndpointRecord ReadEndpoint(rpc::EndpointEntry::Reader in) {
+  EndpointRecord record;
+  record.instance = in.getInstance().cStr();
+  record.service = in.getService().cStr();
+  record.address = in.getAddress().cStr();
+  record.availability_zone = in.getAvailabilityZone().cStr();
+  record.slots = in.getSlots();
+  record.leaving = in.getLeaving();
+  record.orders_taken = in.getOrdersTaken();
+  record.models = ReadModels(in.getModels());
+  return record;
+}
+
+void WriteEntry(const std::pair<std::string, EndpointRecord>& entry,
+                rpc::EndpointEntry::Builder out) {
+  WriteEndpoint(entry.second, out);
+}
+
+void WriteEntry(const std::pair<std::string, std::vector<ResidentModel>>& entry,
+                rpc::Serving::Builder out) {
+  out.setInstance(entry.first);
+  WriteModels(entry.second, out.initModels(entry.second.size()));
+}
+
+std::pair<std::string, EndpointRecord> ReadEntry(rpc::EndpointEntry::Reader in) {
+  EndpointRecord record = ReadEndpoint(in);
+  std::string instance = record.instance;
+  return {std::move(instance), std::move(record)};
+}
+
+std::pair<std::string, std::vector<ResidentModel>> ReadEntry(rpc::Serving::Reader in) {
+  return {in.getInstance().cStr(), ReadModels(in.getModels())};
+}
+
+template <class Value, class Builder>
+void WriteChanges(const Changes<Value>& changes, Builder out) {
+  out.setVersion(changes.version);
+  out.setWhole(changes.whole);
+  auto entries = out.initEntries(changes.values.size());
+  for (unsigned i = 0; i < changes.values.size(); ++i) {
+    WriteEntry(changes.values[i], entries[i]);
+  }
+  auto gone = out.initGone(changes.gone.size());
+  for (unsigned i = 0; i < changes.gone.size(); ++i) {
+    gone.set(i, changes.gone[i]);
+  }
+}
+
+template <class Value, class Reader>
+Changes<Value> ReadChanges(Reader in) {
+  Changes<Value> changes;
+  changes.version = in.getVersion();
+  changes.whole = in.getWhole();
+  for (const auto entry : in.getEntries()) {
+    changes.values.push_back(ReadEntry(entry));
+  }
+  for (const auto instance : in.getGone()) {
+    changes.gone.emplace_back(instance.cStr());
+  }
+  return changes;
+}
+
 }  // namespace
 
 void Write(const NodeCounts& counts, rpc::NodeCounts::Builder out) {
@@ -58,6 +137,7 @@
   out.setIncarnation(counts.incarnation);
   out.setServingSeen(counts.serving_seen);
   out.setRoutesVersion(counts.routes_version);
+  out.setEndpointsSeen(counts.endpoints_seen);
   WriteLoads(counts.loads, out.initLoads(counts.loads.size()));
   auto units = out.initUnits(counts.units.size());
   unsigned index = 0;
@@ -78,6 +158,7 @@
   counts.incarnation = in.getIncarnation().cStr();
   counts.serving_seen = in.getServingSeen();
   counts.routes_version = in.getRoutesVersion();
+  counts.endpoints_seen = in.getEndpointsSeen();
   counts.loads = ReadLoads(in.getLoads());
   for (const auto entry : in.getUnits()) {
     const UnitName unit{entry.getService().cStr(), entry.getModel().cStr(),
@@ -87,22 +168,16 @@
   return counts;
 }
 
-void Write(const HolderDigest& digest, std::uint64_t serving_seen, rpc::Digest::Builder out) {
+void Write(const HolderDigest& digest, rpc::Digest::Builder out) {
   out.setHolds(digest.holds);
   out.setEpoch(digest.epoch);
   out.setNodes(digest.nodes);
-  out.setServingVersion(digest.serving_version);
   out.setRoutesVersion(digest.routes_version);
   WriteLoads(digest.loads, out.initLoads(digest.loads.size()));
-  if (digest.serving_version == serving_seen) {
-    return;
-  }
-  auto serving = out.initServing(digest.serving.size());
-  unsigned index = 0;
-  for (const auto& [instance, models] : digest.serving) {
-    auto entry = serving[index++];
-    entry.setInstance(instance);
-    WriteModels(models, entry.initModels(models.size()));
+  WriteChanges(digest.serving, out.initServing());
+  WriteChanges(digest.endpoints, out.initEndpoints());
+  if (digest.endpoints_age) {
+    out.setEndpointsAgeMs(digest.endpoints_age->count());
   }
 }
 
@@ -111,11 +186,12 @@
   digest.holds = in.getHolds();
   digest.epoch = in.getEpoch();
   digest.nodes = in.getNodes();
-  digest.loads = ReadLoads(in.getLoads());
-  digest.serving_version = in.getServingVersion();
   digest.routes_version = in.getRoutesVersion();
-  for (const auto entry : in.getServing()) {
-    digest.serving[entry.getInstance().cStr()] = ReadModels(entry.getModels());
+  digest.loads = ReadLoads(in.getLoads());
+  digest.serving = ReadChanges<std::vector<ResidentModel>>(in.getServing());
+  digest.endpoints = ReadChanges<EndpointRecord>(in.getEndpoints());
+  if (in.getEndpointsAgeMs() >= 0) {
+    digest.endpoints_age = Duration(in.getEndpointsAgeMs());
   }
   return digest;
 }
--- a/src/rudderloom/peers/fleet_codec.hpp
+++ b/src/rudderloom/peers/fleet_codec.hpp
@@ -11,8 +11,7 @@
 void Write(const NodeCounts& counts, rpc::NodeCounts::Builder out);
 NodeCounts Read(rpc::NodeCounts::Reader in);
 
-// Leaves the serving list out when the reader has it already.
-void Write(const HolderDigest& digest, std::uint64_t serving_seen, rpc::Digest::Builder out);
+void Write(const HolderDigest& digest, rpc::Digest::Builder out);
 HolderDigest Read(rpc::Digest::Reader in);
 
 }  // namespace rudderloom
--- a/src/rudderloom/peers/holder_link.cpp
+++ b/src/rudderloom/peers/holder_link.cpp
@@ -61,10 +61,9 @@
 
   kj::Promise<void> report(ReportContext context) override {
     NodeCounts counts = Read(context.getParams().getCounts());
-    const std::uint64_t seen = counts.serving_seen;
-    const HolderDigest digest = hooks_.digest_for(counts.node);
+    const HolderDigest digest = hooks_.digest_for(counts);
     hooks_.on_counts(std::move(counts));
-    Write(digest, digest.holds ? seen : 0, context.getResults().initDigest());
+    Write(digest, context.getResults().initDigest());
     return kj::READY_NOW;
   }
 
@@ -145,7 +144,14 @@
     auto request = holder.reportRequest();
     Write(counts, request.initCounts());
     return request.send()
-        .then([this](auto&& response) { impl_.hooks.on_digest(Read(response.getDigest())); })
+        .then([this, asked_at = Now()](auto&& response) {
+          HolderDigest digest = Read(response.getDigest());
+          if (digest.endpoints_age) {
+            // The answer may have been made right after the question was sent.
+            *digest.endpoints_age += Between(asked_at, Now());
+          }
+          impl_.hooks.on_digest(std::move(digest));
+        })
         .attach(kj::mv(connection));
   }
 
--- a/src/rudderloom/placement/demand.cpp
+++ b/src/rudderloom/placement/demand.cpp
@@ -56,15 +56,14 @@
   return found == units_.end() ? UnitDemand() : found->second;
 }
 
-std::map<std::string, EndpointLoad> DemandBoard::Loads(const std::string& without,
-                                                       TimePoint now) const {
-  std::map<std::string, EndpointLoad> loads;
+LoadTable DemandBoard::Loads(const std::string& without, TimePoint now) const {
+  LoadTable loads;
   for (const auto& [name, node] : nodes_) {
     if (name == without || now - node.heard_at > kFresh) {
       continue;
     }
-    for (const auto& [instance, load] : node.counts.loads) {
-      loads[instance] += load;
+    for (const auto& [endpoint, load] : node.counts.loads) {
+      loads[endpoint] += load;
     }
   }
   return loads;
--- a/src/rudderloom/placement/placement_keeper.cpp
+++ b/src/rudderloom/placement/placement_keeper.cpp
@@ -292,7 +292,7 @@
 PlanEngine PlacementKeeper::EngineView(const std::string& instance,
                                        const Engine& engine,
                                        const EngineSpec& spec,
-                                       const std::map<std::string, EndpointLoad>& loads,
+                                       const LoadTable& loads,
                                        TimePoint now) const {
   PlanEngine view;
   view.instance = instance;
@@ -332,7 +332,7 @@
   view.local_weights = engine.local_weights;
   view.takes_models = certain && !engine.swap && !engine.running;
   view.takes_adapters = certain;
-  const auto load = loads.find(instance);
+  const auto load = loads.find(KeyOf(instance));
   view.load = load == loads.end() ? EndpointLoad() : load->second;
   return view;
 }
@@ -346,7 +346,7 @@
 void PlacementKeeper::Plan(const ServiceSpec& service,
                            const std::vector<std::string>& instances,
                            const DemandBoard& demand,
-                           const std::map<std::string, EndpointLoad>& loads,
+                           const LoadTable& loads,
                            const HeldLease& lease,
                            PlacementEffects& effects,
                            TimePoint now) {
@@ -393,7 +393,7 @@
 PlacementEffects PlacementKeeper::Tick(const RouteTable& routes,
                                        const std::map<std::string, KnownEndpoint>& endpoints,
                                        const DemandBoard& demand,
-                                       const std::map<std::string, EndpointLoad>& loads,
+                                       const LoadTable& loads,
                                        const HeldLease& lease,
                                        TimePoint now) {
   PlacementEffects effects;
--- a/src/rudderloom/store/store_follower.cpp
+++ b/src/rudderloom/store/store_follower.cpp
@@ -4,6 +4,18 @@
 
 namespace rudderloom {
 
+void FollowPace::Resume() {
+  paused_ = false;
+  resumed_.cancel();
+}
+
+Awaitable<void> FollowPace::WhilePaused() {
+  while (paused_) {
+    resumed_.expires_at(TimePoint::max());
+    co_await resumed_.async_wait(kAsTuple);
+  }
+}
+
 namespace {
 
 class Follower {
@@ -13,6 +25,10 @@
 
   Awaitable<void> Run() {
     while (true) {
+      if (options_.pace->Paused()) {
+        co_await options_.pace->WhilePaused();
+        version_.clear();
+      }
       const bool fine = version_.empty() ? co_await List() : co_await Watch();
       if (!fine) {
         co_await PauseFor(context_, options_.backoff.Next());
@@ -36,13 +52,8 @@
 
   Awaitable<bool> Watch() {
     const TimePoint started = Now();
-    const StoreError ended =
-        co_await store_.Watch(options_.kind, version_, [this](const WatchEvent& event) {
-          version_ = event.object.version;
-          if (event.kind != WatchEvent::Kind::kBookmark) {
-            hooks_.on_event(event);
-          }
-        });
+    std::function<void(WatchEvent)> on_event = [this](const WatchEvent& event) { Take(event); };
+    const StoreError ended = co_await WatchOnce(std::move(on_event));
     if (!ended.message.empty()) {
       // A watch that goes on from before a cut may stay silent although its history is gone, so
       // whatever ended it, a list tells what is so.
@@ -52,12 +63,29 @@
     }
     options_.backoff.Reset();
     const Duration took = Between(started, Now());
-    if (took < options_.least_between) {
-      co_await PauseFor(context_, options_.least_between - took);
+    if (took < options_.pace->least_between) {
+      co_await PauseFor(context_, options_.pace->least_between - took);
     }
     co_return true;
   }
 
+  Awaitable<StoreError> WatchOnce(std::function<void(WatchEvent)> on_event) {
+    if (options_.pace->watch_time) {
+      return store_.WatchFor(options_.kind, version_, *options_.pace->watch_time,
+                             std::move(on_event));
+    }
+    return store_.Watch(options_.kind, version_, std::move(on_event));
+  }
+
+  void Take(const WatchEvent& event) {
+    version_ = event.object.version;
+    if (event.kind == WatchEvent::Kind::kBookmark) {
+      hooks_.on_reached(version_);
+    } else {
+      hooks_.on_event(event);
+    }
+  }
+
   asio::io_context& context_;
   ObjectStore& store_;
   FollowOptions options_;
--- a/tests/process/fleet_test.cpp
+++ b/tests/process/fleet_test.cpp
@@ -213,6 +213,48 @@
   }
 }
 
+// Calls to the store for the list of endpoints so far.
+double EndpointCalls(FleetCluster& cluster, const std::string& node) {
+  const std::string metrics = cluster.Metrics(node);
+  const std::string name = "rudderloom_platform_calls_total{call=\"GET servers\"} ";
+  const std::size_t at = metrics.find(name);
+  return at == std::string::npos ? 0.0 : std::stod(metrics.substr(at + name.size()));
+}
+
+TEST_CASE("nodes that rely on the holder's list learn of drains, also from a frozen holder's") {
+  FleetCluster cluster;
+  const std::vector<std::string> nodes{"a", "b", "c"};
+  StartAll(cluster, nodes);
+  cluster.StartPlain("d3");
+  const std::string holder = Holder(cluster, nodes);
+  const std::string other = holder == "a" ? "b" : "a";
+  const auto relies = [&] {
+    return cluster.Metrics(other).find("rudderloom_endpoints_from_holder 1") != std::string::npos;
+  };
+  REQUIRE(cluster.Until(relies, Duration(20'000)));
+  const auto send_for = [&](const std::string& prefix, int count) {
+    std::vector<FleetCall> calls;
+    calls.reserve(static_cast<std::size_t>(count));
+    for (int i = 0; i < count; ++i) {
+      calls.push_back({other, "/once/x", prefix + std::to_string(i), "", Duration(i * 50)});
+    }
+    for (const auto& [id, answer] : cluster.Burst(calls)) {
+      CHECK(answer.status == 200);
+    }
+  };
+  cluster.At("d1").Signal(SIGTERM);
+  send_for("drained", 60);
+  // The watch that was waiting when the node began to rely on the holder is over by now.
+  const double before = EndpointCalls(cluster, other);
+  send_for("quiet", 20);
+  CHECK(EndpointCalls(cluster, other) <= before + 1.0);
+  cluster.At(holder).Signal(SIGSTOP);
+  cluster.At("d2").Signal(SIGTERM);
+  send_for("frozen", 60);
+  CHECK(EndpointCalls(cluster, other) > before);
+  cluster.At(holder).Signal(SIGCONT);
+}
+
 TEST_CASE("a reload with settings that make no sense changes nothing") {
   FleetCluster cluster;
   StartAll(cluster, {"a"});
