A soak over the platform's interface, with loopback proxies; one engine's state is a module of its own

Change: tools/fleet_soak.py with three nodes, four engines and three services as separate processes, clients that keep their connections, and thirteen kinds of overlapping faults: kills, freezes, planned stops, reloads, drains, lost answers, cut streams, late orders, a store that is down, slow, forgetful or loses answers, and tools/loopback_proxy.py between every node and the store and before every endpoint (delay, silence, one way, reset). It checks TWICE, REFUSED, MIXED, LOST, CONFIG (never back within a life), ends of processes, statuses of planned stops, and that everything is served within 20 s after the faults. The stand-in may tell a proxy's address. EngineState holds what is known of one engine; no change of conduct.

--- a/include/rudderloom/placement/placement_keeper.hpp
+++ b/include/rudderloom/placement/placement_keeper.hpp
@@ -18,6 +18,7 @@
 #include "rudderloom/fleet/endpoint_directory.hpp"       // for KnownEndpoint
 #include "rudderloom/placement/demand.hpp"               // for DemandBoard
 #include "rudderloom/placement/digest.hpp"               // for ServingList
+#include "rudderloom/placement/engine_state.hpp"         // for EngineState
 #include "rudderloom/placement/lease_keeper.hpp"         // for FormerLease
 #include "rudderloom/placement/load_pacer.hpp"           // for LoadPacer
 #include "rudderloom/placement/order_announcements.hpp"  // for OrderAnnouncements
@@ -87,38 +88,6 @@
   std::uint64_t ServingVersion() const { return serving_version_; }
 
  private:
-  // One model is to make way for another.
-  struct Swap {
-    std::string victim;
-    std::string newcomer;
-  };
-
-  // How long a model's load takes, by where its weights come from.
-  struct LoadTimes {
-    Duration from_memory{1'000};
-    Duration from_disk{1'000};
-    Duration from_store{4'000};
-  };
-
-  struct Engine {
-    std::string address;
-    bool known = false;     // a report came since the lease was taken
-    bool doubtful = false;  // an order's fate is unknown, or the count of orders is
-    bool busy = false;
-    std::uint64_t orders_taken = 0;
-    std::vector<ResidentModel> models;
-    LocalWeights local_weights;
-    std::set<std::string> pending_adapters;
-    std::optional<PlacementOrder> flight;   // sent, no answer yet
-    TimePoint order_at;                     // when the last order was sent or answered
-    std::optional<PlacementOrder> running;  // accepted, its end not yet seen
-    std::optional<Swap> swap;
-    TimePoint swap_ready_at;  // when no request for the victim is on its way any more
-    TimePoint ask_at;         // when to ask for the next report
-    bool asking = false;
-    std::map<std::string, TimePoint> adapter_loaded;  // `model/adapter`: when
-  };
-
   void Follow(const std::map<std::string, KnownEndpoint>& endpoints, TimePoint now);
   void AskReports(PlacementEffects& effects, TimePoint now);
   void Advance(const ServiceSpec& service,
@@ -133,29 +102,22 @@
             const HeldLease& lease,
             PlacementEffects& effects,
             TimePoint now);
-  PlanEngine EngineView(const std::string& instance,
-                        const Engine& engine,
-                        const EngineSpec& spec,
-                        const LoadTable& loads,
-                        TimePoint now) const;
   // Sends an order; false while the endpoint may not be ordered yet.
   bool Send(const std::string& instance,
-            Engine& engine,
+            EngineState& engine,
             bool load,
             const std::string& model,
             const std::string& adapter,
             const HeldLease& lease,
             PlacementEffects& effects,
             TimePoint now);
-  Duration ExpectedLoadTime(const Engine& engine, const std::string& model) const;
-  void Carried(Engine& engine, const PlacementOrder& order);
   // Loads that swaps under way are yet to start.
   std::size_t PendingSwaps() const;
   void ServingChanged() { ++serving_version_; }
 
   LoadPacer pacer_;
   OrderAnnouncements announcements_;
-  std::map<std::string, Engine> engines_;
+  std::map<std::string, EngineState> engines_;
   std::map<std::string, LoadTimes> load_times_;  // by model
   std::uint64_t serving_version_ = 1;
 };
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -42,6 +42,7 @@
 if [ "${RUDDERLOOM_QUICK:-}" != 1 ]; then
   echo "== short soak: random faults over real processes"
   tools/soak.sh --seconds 20 --seed 1
+  python3 tools/fleet_soak.py --seconds 20 --seed 1
   # The bench takes one core for some minutes; its verdict is asked for at the end.
   build/bench/rudderloom_bench build/bench.json >build/bench.txt &
   bench=$!
