Where leaving endpoints must be known very soon every node watches the store itself

Change: EndpointSource shares no list that must be younger than 700 ms. Test: endpoints_test, failing before.

--- a/src/rudderloom/fleet/endpoint_source.cpp
+++ b/src/rudderloom/fleet/endpoint_source.cpp
@@ -6,6 +6,9 @@
 
 // The holder must have been fresh for so long before a node gives up its own watch.
 constexpr Duration kTrustAfter{1'500};
+// A list is some 600 ms old on the way through the holder: where it must be younger, nodes would go
+// to and fro between the holder and the store.
+constexpr Duration kLeastUseful{700};
 
 }  // namespace
 
@@ -26,6 +29,9 @@
 }
 
 EndpointFollowing EndpointSource::Choose(bool holds, TimePoint now) {
+  if (oldest_ < kLeastUseful) {
+    return EndpointFollowing::kStore;
+  }
   if (holds) {
     fresh_since_.reset();
     return EndpointFollowing::kForOthers;
--- a/src/rudderloom/fleet/endpoint_source_test.cpp
+++ b/src/rudderloom/fleet/endpoint_source_test.cpp
@@ -47,6 +47,13 @@
   CHECK(source.Choose(false, At(3'100)) == EndpointFollowing::kStore);
 }
 
+TEST_CASE("where leaving endpoints must be known very soon every node asks the store itself") {
+  EndpointSource source(Duration(400));
+  Hear(source, 0, 3'000);
+  CHECK(source.Choose(false, At(3'000)) == EndpointFollowing::kStore);
+  CHECK(source.Choose(true, At(3'000)) == EndpointFollowing::kStore);
+}
+
 TEST_CASE("the holder follows the store for the others, and starts anew when it is deposed") {
   EndpointSource source(kOldest);
   Hear(source, 0, 3'000);
