A new holder does not take nodes that have not reported to it yet for dead

Cause (found by reading): right after a takeover the holder's board knows only itself, so it told everybody that one node shares the extra of the retry budget; for some 250 to 600 ms each node could spend a third to a half of the whole extra in place of its part.

Ruled out: the same at the first start, where twelve nodes are assumed until the holder has counted.

Change: for two seconds after it took the lease a holder counts at least as many nodes as it last knew of.

Test, failing before (1 instead of 8): fleet_state_test, "a new holder does not take nodes that have not reported to it yet for dead".

--- a/include/rudderloom/fleet/fleet_state.hpp
+++ b/include/rudderloom/fleet/fleet_state.hpp
@@ -83,6 +83,7 @@
   void MoveLease(FleetEffects& effects, TimePoint now);
   void MovePlacement(FleetEffects& effects, TimePoint now);
   void PublishServing();
+  std::uint32_t CountNodes(TimePoint now) const;
   void AnnounceOrders(FleetEffects& effects, TimePoint now);
   void ReportCounts(FleetEffects& effects);
   void MoveFollowing(FleetEffects& effects, TimePoint now);
@@ -122,6 +123,7 @@
   std::uint32_t live_nodes_;
   TimePoint lease_read_at_;
   TimePoint planned_at_;
+  TimePoint held_since_;
   bool holds_ = false;
   bool lease_reading_ = false;
   bool stopping_ = false;
--- a/src/rudderloom/fleet/fleet_state.cpp
+++ b/src/rudderloom/fleet/fleet_state.cpp
@@ -27,6 +27,8 @@
 constexpr Duration kDigestFresh{2'000};
 // Nodes that share limits, until the holder has counted them.
 constexpr std::uint32_t kAssumedNodes = 12;
+// By then all nodes have found a new holder and reported to it.
+constexpr Duration kReportsComplete{2'000};
 
 Duration OldestShared(Duration drain) {
   return std::chrono::duration_cast<Duration>(drain * kSharedPart);
@@ -120,6 +122,7 @@
     }
     placement_.Reset(former, now);
     held_epoch_ = lease_.Epoch();
+    held_since_ = now;
   }
   effects.statement = MakeStatement(now);
   LogLine(holds ? "lease_taken" : "lease_lost").With("epoch", lease_.Epoch());
@@ -146,10 +149,16 @@
   effects.placement = placement_.Tick(*routes_.Current(), directory_.Endpoints(), board_,
                                       board_.Loads("", now), lease, now);
   PublishServing();
-  live_nodes_ = std::max(1U, board_.Nodes(now));
+  live_nodes_ = CountNodes(now);
   effects.statement = MakeStatement(now);
 }
 
+// Nodes that share limits. Those that have not reported to a new holder yet are not dead.
+std::uint32_t FleetState::CountNodes(TimePoint now) const {
+  const std::uint32_t reported = std::max(1U, board_.Nodes(now));
+  return now - held_since_ < kReportsComplete ? std::max(live_nodes_, reported) : reported;
+}
+
 // Tells in the log what has changed in what requests may be sent for.
 void FleetState::PublishServing() {
   const std::uint64_t version = ServingVersion();
--- a/src/rudderloom/fleet/fleet_state_test.cpp
+++ b/src/rudderloom/fleet/fleet_state_test.cpp
@@ -127,6 +127,24 @@
   CHECK(FollowingUntil(state, 2'700, 3'000) == EndpointFollowing::kStore);
 }
 
+TEST_CASE("a new holder does not take nodes that have not reported to it yet for dead") {
+  FleetState state(Settings("n2"), "x");
+  state.Handle(fleet_message::RoutesSeen{Routes(1)}, At(0));
+  state.Handle(fleet_message::EndpointsListed{{Endpoint("e1")}, 10}, At(0));
+  HolderDigest digest = DigestOf(10, {});
+  digest.nodes = 8;
+  state.Handle(fleet_message::DigestHeard{digest}, At(10));
+  REQUIRE(TakeLease(state, 100));
+  state.Handle(fleet_message::LeaseWritten{"1"}, At(110));
+  auto effects = state.Handle(fleet_message::Tick{}, At(200));
+  REQUIRE(effects.statement);
+  CHECK(effects.statement->common.nodes == 8);
+  // Later on, only those count that have reported.
+  effects = state.Handle(fleet_message::Tick{}, At(2'200));
+  REQUIRE(effects.statement);
+  CHECK(effects.statement->common.nodes == 1);
+}
+
 TEST_CASE("the holder tells each node what it lacks, and how old that is") {
   FleetState state(Settings("n1"), "x");
   REQUIRE(TakeLease(state, 0));
