--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Installs, builds and runs the whole path on loopback; exit status 0 only if every answer was whole.
+# Installs, builds and runs the whole path on loopback, first on the users' platform, then on our own
+# interface; exit status 0 only if every answer was whole.
 # --keep leaves it running and prints the addresses.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -7,4 +8,7 @@
 cmake -S . -B build -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo \
   -DCMAKE_CXX_COMPILER_LAUNCHER=ccache >/dev/null
 cmake --build build | tail -n 1
+echo "== on the users' platform"
+python3 tools/fleet_demo.py
+echo "== on our own interface"
 exec python3 tools/demo.py "$@"
--- /dev/null
+++ b/tools/fleet.py
@@ -0,0 +1,216 @@
+"""The users' platform in small with entry nodes before it, as plain processes on loopback."""
+import http.client
+import json
+import random
+import threading
+import time
+import urllib.error
+import urllib.request
+
+from cluster import Process
+from loopback_proxy import LoopbackProxy
+
+NODES, ENGINES, DESKS = 3, 4, 3
+MODELS = ("m", "n", "o", "p")
+EVENTS = 8
+STOP_SECONDS = 8
+
+
+def call(address, path, body=None, method=None, timeout=2):
+    data = None if body is None else json.dumps(body).encode()
+    request = urllib.request.Request(f"http://{address}{path}", data=data, method=method)
+    with urllib.request.urlopen(request, timeout=timeout) as answer:
+        return answer.read().decode()
+
+
+def whole_stream(request_id, model):
+    return "".join(f"id: {i}\ndata: {request_id} {model} {i}\n\n" for i in range(1, EVENTS + 1))
+
+
+class Fleet:
+    """The processes and their proxies."""
+
+    def __init__(self, folder, build):
+        self.folder = folder
+        self.daemon = str(build / "src/rudderloom/app/rudderloom")
+        self.standin = str(build / "platform/rudderloom_platform_standin")
+        self.processes = {}
+        self.proxies = {}
+        self.runs = {}      # request id: times it ran, on processes that are gone
+        self.starts = 0
+        self.version = 0
+        self.start("store", [self.standin, "store"])
+
+    def start(self, name, command):
+        self.starts += 1
+        process = Process(f"{name}-{self.starts}", command, self.folder)
+        self.processes[name] = process
+        return process
+
+    def start_endpoint(self, name, service, more):
+        proxy = LoopbackProxy()
+        instance = f"{name}-{self.starts}"
+        process = self.start(name, [self.standin, "engine" if service == "pool" else "service",
+                                    "--store", self.processes["store"].address, "--instance",
+                                    instance, "--service", service, "--advertise", proxy.address,
+                                    *more])
+        proxy.target = process.address
+        self.proxies[name] = proxy
+
+    def start_engine(self, name):
+        models = ",".join(random.Random(name).sample(MODELS, 2))
+        self.start_endpoint(name, "pool", ["--models", models, "--memory-mb", "300"])
+
+    def start_desk(self, name):
+        self.start_endpoint(name, "desk", ["--slots", "16"])
+
+    def start_node(self, name):
+        if name not in self.proxies:
+            self.proxies[name] = LoopbackProxy()
+            self.proxies[name].target = self.processes["store"].address
+        loopback = "127.0.0.1:0"
+        settings = {
+            "interface": "fleet",
+            "node": {"name": name, "availability_zone": "zone-a"},
+            "listen": {"callers": loopback, "readiness": loopback, "peers": loopback,
+                       "metrics": loopback},
+            "store": {"address": self.proxies[name].address, "call_time": "500ms"},
+            "bounds": {"lease": "900ms", "grace": f"{STOP_SECONDS}s"},
+        }
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(settings))
+        self.start(name, [self.daemon, "daemon", "--settings", str(path)])
+
+    def configure(self):
+        self.version += 1
+        route = {"host": "h.example", "timeout-ms": 5000, "latency-goal-ms": 500, "priority": 1,
+                 "max-attempts": 2, "is-sticky": False, "target-gap-ms": 400}
+        kinds = {"/stream/": ("stream", "pool"), "/once/": ("unsafe", "desk"),
+                 "/safe/": ("safe", "desk")}
+        if self.version > 1:
+            kinds["/added/"] = ("safe", "desk")
+        routes = [{**route, "name": "r" + prefix, "path-prefix": prefix, "route-kind": kind,
+                   "service": service, "resumable": kind == "stream"}
+                  for prefix, (kind, service) in kinds.items()]
+        models = [{"name": name, "weights-mb": 90.0, "load-time-s": 0.3, "disk-load-s": 0.1,
+                   "adapters": 2, "adapter-size-mb": 1.0} for name in MODELS]
+        engine = {"slots": 8, "kv-capacity": 100000, "weights-mb": 300.0, "adapter-slots": 4,
+                  "loads-per-s": 10.0, "models": models}
+        spec = {"version": self.version, "routes": routes, "limits": {},
+                "services": [{"name": "pool", "max-conns": 100, "engine": engine},
+                             {"name": "desk", "max-conns": 100}]}
+        body = {"metadata": {"name": "main"}, "spec": spec}
+        store = self.processes["store"].address
+        if self.version == 1:
+            call(store, "/objects/config", body, "POST")
+        else:
+            call(store, "/objects/config/main", body, "PUT")
+
+    def callers(self, node):
+        """Where a node takes requests."""
+        return self.processes[node].words[0].split("=")[1]
+
+    def stop_all(self):
+        for process in self.processes.values():
+            process.kill()
+
+    def count_runs(self, name):
+        """What an endpoint has run, before it is killed."""
+        try:
+            runs = json.loads(call(self.processes[name].address, "/stats"))["runs"]
+        except (OSError, urllib.error.URLError, ValueError):
+            return
+        for request_id, count in runs.items():
+            self.runs[request_id] = self.runs.get(request_id, 0) + count
+
+    def all_runs(self):
+        for name in list(self.proxies):
+            if name[0] in "ed":
+                self.count_runs(name)
+        return self.runs
+
+
+def start_fleet(folder, build):
+    """A fleet with everything running."""
+    fleet = Fleet(folder, build)
+    fleet.configure()
+    for i in range(ENGINES):
+        fleet.start_engine(f"e{i}")
+    for i in range(DESKS):
+        fleet.start_desk(f"d{i}")
+    for i in range(NODES):
+        fleet.start_node(f"n{i}")
+    return fleet
+
+
+def one_request(address, kind, model, request_id):
+    """One request on a connection of its own; gives its status and body, 0 for none."""
+    headers = {"Host": "h.example", "Request-Id": request_id, "Deadline-Ms": "3000"}
+    if model:
+        headers.update({"Model": model, "Token-Count": "10,40", "Prompt-Prefix": "ab:6,cd:4"})
+    request = urllib.request.Request(f"http://{address}/{kind}/x", data=b"body", headers=headers)
+    try:
+        with urllib.request.urlopen(request, timeout=4) as answer:
+            return answer.status, answer.read().decode()
+    except urllib.error.HTTPError as error:
+        return error.code, ""
+    except (OSError, http.client.HTTPException):
+        return 0, ""
+
+
+class Client(threading.Thread):
+    """One client that keeps its connection until the node is gone or closes it."""
+
+    def __init__(self, fleet, number, seed):
+        super().__init__(daemon=True)
+        self.fleet = fleet
+        self.number = number
+        self.random = random.Random(f"{seed}-{number}")
+        self.stopping = threading.Event()
+        self.results = []
+        self.connection = None
+        self.node = None
+
+    def run(self):
+        count = 0
+        while not self.stopping.wait(self.random.uniform(0.1, 0.35)):
+            self.one(f"c{self.number}-{count}")
+            count += 1
+
+    def connect(self):
+        self.node = f"n{self.random.randrange(NODES)}"
+        self.process = self.fleet.processes[self.node]
+        host, port = self.fleet.callers(self.node).split(":")
+        self.connection = http.client.HTTPConnection(host, int(port), timeout=12)
+
+    def one(self, request_id):
+        kind = self.random.choice(["once", "safe", "stream", "stream", "added"])
+        headers = {"Host": "h.example", "Request-Id": request_id, "Deadline-Ms": "5000"}
+        model = ""
+        if kind == "stream":
+            model = self.random.choice(MODELS) + self.random.choice(["", "/a1", "/a2"])
+            headers.update({"Model": model, "Token-Count": "10,40", "Prompt-Prefix": "ab:6,cd:4"})
+        result = {"id": request_id, "kind": kind, "model": model, "status": 0, "body": "",
+                  "whole": False}
+        try:
+            if self.connection is None:
+                self.connect()
+            result.update(node=self.node, life=self.process.name)
+            result["at"] = time.monotonic()
+            self.connection.request("POST", f"/{kind}/x", body=b"body", headers=headers)
+            answer = self.connection.getresponse()
+            result["status"] = answer.status
+            result["body"] = answer.read().decode()
+            result["whole"] = True
+            if answer.getheader("Connection", "").lower() == "close":
+                self.forget()
+        except (OSError, http.client.HTTPException) as error:
+            result["error"] = repr(error)
+            self.forget()
+        result["ended"] = time.monotonic()
+        self.results.append(result)
+
+    def forget(self):
+        if self.connection is not None:
+            self.connection.close()
+        self.connection = None
--- a/tools/fleet_soak.py
+++ b/tools/fleet_soak.py
@@ -10,196 +10,28 @@
 Exit status 0 when no promise was broken; the folder with all logs is kept otherwise.
 """
 import argparse
-import http.client
 import json
 import pathlib
 import random
 import shutil
 import signal
+import subprocess
 import sys
 import tempfile
-import threading
 import time
 import urllib.error
-import urllib.request
 
-from cluster import Process, ROOT
-from loopback_proxy import LoopbackProxy
+from cluster import ROOT
+from fleet import (DESKS, ENGINES, MODELS, NODES, STOP_SECONDS, Client, call, one_request,
+                   start_fleet, whole_stream)
 
-NODES, ENGINES, DESKS, CLIENTS = 3, 4, 3, 12
-MODELS = ("m", "n", "o", "p")
-EVENTS = 8
+CLIENTS = 12
 FAULT_EVERY = (0.2, 1.2)
 RECOVERY_SECONDS = 20
-STOP_SECONDS = 8
 # A request that was under way when its node was killed, as the client's clock sees it.
 KILL_SLACK = 0.3
 
 
-def call(address, path, body=None, method=None, timeout=2):
-    data = None if body is None else json.dumps(body).encode()
-    request = urllib.request.Request(f"http://{address}{path}", data=data, method=method)
-    with urllib.request.urlopen(request, timeout=timeout) as answer:
-        return answer.read().decode()
-
-
-def whole_stream(request_id, model):
-    return "".join(f"id: {i}\ndata: {request_id} {model} {i}\n\n" for i in range(1, EVENTS + 1))
-
-
-class Fleet:
-    """The processes and their proxies."""
-
-    def __init__(self, folder, build):
-        self.folder = folder
-        self.daemon = str(build / "src/rudderloom/app/rudderloom")
-        self.standin = str(build / "platform/rudderloom_platform_standin")
-        self.processes = {}
-        self.proxies = {}
-        self.runs = {}      # request id: times it ran, on processes that are gone
-        self.starts = 0
-        self.version = 0
-        self.start("store", [self.standin, "store"])
-
-    def start(self, name, command):
-        self.starts += 1
-        process = Process(f"{name}-{self.starts}", command, self.folder)
-        self.processes[name] = process
-        return process
-
-    def start_endpoint(self, name, service, more):
-        proxy = LoopbackProxy()
-        instance = f"{name}-{self.starts}"
-        process = self.start(name, [self.standin, "engine" if service == "pool" else "service",
-                                    "--store", self.processes["store"].address, "--instance",
-                                    instance, "--service", service, "--advertise", proxy.address,
-                                    *more])
-        proxy.target = process.address
-        self.proxies[name] = proxy
-
-    def start_engine(self, name):
-        models = ",".join(random.Random(name).sample(MODELS, 2))
-        self.start_endpoint(name, "pool", ["--models", models, "--memory-mb", "300"])
-
-    def start_desk(self, name):
-        self.start_endpoint(name, "desk", ["--slots", "16"])
-
-    def start_node(self, name):
-        if name not in self.proxies:
-            self.proxies[name] = LoopbackProxy()
-            self.proxies[name].target = self.processes["store"].address
-        loopback = "127.0.0.1:0"
-        settings = {
-            "interface": "fleet",
-            "node": {"name": name, "availability_zone": "zone-a"},
-            "listen": {"callers": loopback, "readiness": loopback, "peers": loopback,
-                       "metrics": loopback},
-            "store": {"address": self.proxies[name].address, "call_time": "500ms"},
-            "bounds": {"lease": "900ms", "grace": f"{STOP_SECONDS}s"},
-        }
-        path = self.folder / f"{name}.json"
-        path.write_text(json.dumps(settings))
-        self.start(name, [self.daemon, "daemon", "--settings", str(path)])
-
-    def configure(self):
-        self.version += 1
-        route = {"host": "h.example", "timeout-ms": 5000, "latency-goal-ms": 500, "priority": 1,
-                 "max-attempts": 2, "is-sticky": False, "target-gap-ms": 400}
-        kinds = {"/stream/": ("stream", "pool"), "/once/": ("unsafe", "desk"),
-                 "/safe/": ("safe", "desk")}
-        if self.version > 1:
-            kinds["/added/"] = ("safe", "desk")
-        routes = [{**route, "name": "r" + prefix, "path-prefix": prefix, "route-kind": kind,
-                   "service": service, "resumable": kind == "stream"}
-                  for prefix, (kind, service) in kinds.items()]
-        models = [{"name": name, "weights-mb": 90.0, "load-time-s": 0.3, "disk-load-s": 0.1,
-                   "adapters": 2, "adapter-size-mb": 1.0} for name in MODELS]
-        engine = {"slots": 8, "kv-capacity": 100000, "weights-mb": 300.0, "adapter-slots": 4,
-                  "loads-per-s": 10.0, "models": models}
-        spec = {"version": self.version, "routes": routes, "limits": {},
-                "services": [{"name": "pool", "max-conns": 100, "engine": engine},
-                             {"name": "desk", "max-conns": 100}]}
-        body = {"metadata": {"name": "main"}, "spec": spec}
-        store = self.processes["store"].address
-        if self.version == 1:
-            call(store, "/objects/config", body, "POST")
-        else:
-            call(store, "/objects/config/main", body, "PUT")
-
-    def count_runs(self, name):
-        """What an endpoint has run, before it is killed."""
-        try:
-            runs = json.loads(call(self.processes[name].address, "/stats"))["runs"]
-        except (OSError, urllib.error.URLError, ValueError):
-            return
-        for request_id, count in runs.items():
-            self.runs[request_id] = self.runs.get(request_id, 0) + count
-
-    def all_runs(self):
-        for name in list(self.proxies):
-            if name[0] in "ed":
-                self.count_runs(name)
-        return self.runs
-
-
-class Client(threading.Thread):
-    """One client that keeps its connection until the node is gone or closes it."""
-
-    def __init__(self, fleet, number, seed):
-        super().__init__(daemon=True)
-        self.fleet = fleet
-        self.number = number
-        self.random = random.Random(f"{seed}-{number}")
-        self.stopping = threading.Event()
-        self.results = []
-        self.connection = None
-        self.node = None
-
-    def run(self):
-        count = 0
-        while not self.stopping.wait(self.random.uniform(0.1, 0.35)):
-            self.one(f"c{self.number}-{count}")
-            count += 1
-
-    def connect(self):
-        self.node = f"n{self.random.randrange(NODES)}"
-        self.process = self.fleet.processes[self.node]
-        host, port = self.process.words[0].split("=")[1].split(":")
-        self.connection = http.client.HTTPConnection(host, int(port), timeout=12)
-
-    def one(self, request_id):
-        kind = self.random.choice(["once", "safe", "stream", "stream", "added"])
-        headers = {"Host": "h.example", "Request-Id": request_id, "Deadline-Ms": "5000"}
-        model = ""
-        if kind == "stream":
-            model = self.random.choice(MODELS) + self.random.choice(["", "/a1", "/a2"])
-            headers.update({"Model": model, "Token-Count": "10,40", "Prompt-Prefix": "ab:6,cd:4"})
-        result = {"id": request_id, "kind": kind, "model": model, "status": 0, "body": "",
-                  "whole": False}
-        try:
-            if self.connection is None:
-                self.connect()
-            result.update(node=self.node, life=self.process.name)
-            result["at"] = time.monotonic()
-            self.connection.request("POST", f"/{kind}/x", body=b"body", headers=headers)
-            answer = self.connection.getresponse()
-            result["status"] = answer.status
-            result["body"] = answer.read().decode()
-            result["whole"] = True
-            if answer.getheader("Connection", "").lower() == "close":
-                self.forget()
-        except (OSError, http.client.HTTPException) as error:
-            result["error"] = repr(error)
-            self.forget()
-        result["ended"] = time.monotonic()
-        self.results.append(result)
-
-    def forget(self):
-        if self.connection is not None:
-            self.connection.close()
-        self.connection = None
-
-
 class Chaos:
     """Draws one fault after the other from its seed; they overlap."""
 
@@ -345,7 +177,7 @@
             left = max(0.1, asked_at + STOP_SECONDS + 2 - time.monotonic())
             try:
                 status = process.child.wait(timeout=left)
-            except Exception:  # subprocess.TimeoutExpired
+            except subprocess.TimeoutExpired:
                 self.problems.append(f"{process.name} did not stop")
                 process.kill()
                 continue
@@ -392,32 +224,15 @@
     while missing and time.monotonic() < until:
         for node, kind, model in sorted(missing):
             count += 1
-            address = fleet.processes[node].words[0].split("=")[1]
-            request = urllib.request.Request(f"http://{address}/{kind}/x", data=b"body", headers={
-                "Host": "h.example", "Request-Id": f"after-{count}", "Deadline-Ms": "3000"})
-            if model:
-                request.add_header("Model", model)
-                request.add_header("Token-Count", "10,40")
-                request.add_header("Prompt-Prefix", "ab:6,cd:4")
-            try:
-                with urllib.request.urlopen(request, timeout=4) as answer:
-                    answer.read()
-                    missing.discard((node, kind, model))
-            except (OSError, http.client.HTTPException):
-                pass
+            status, _ = one_request(fleet.callers(node), kind, model, f"after-{count}")
+            if status == 200:
+                missing.discard((node, kind, model))
     return [f"RECOVER {node} does not serve {kind} {model}" for node, kind, model in missing]
 
 
 def soak(folder, build, seconds, seed):
-    fleet = Fleet(folder, build)
+    fleet = start_fleet(folder, build)
     fleet.log = open(folder / "faults.log", "w", buffering=1)
-    fleet.configure()
-    for i in range(ENGINES):
-        fleet.start_engine(f"e{i}")
-    for i in range(DESKS):
-        fleet.start_desk(f"d{i}")
-    for i in range(NODES):
-        fleet.start_node(f"n{i}")
     chaos = Chaos(fleet, seed)
     try:
         problems = recover(fleet)
@@ -443,8 +258,7 @@
         broken, results = judge(fleet, chaos, clients)
         return problems + broken, results, chaos.counts
     finally:
-        for process in fleet.processes.values():
-            process.kill()
+        fleet.stop_all()
         fleet.log.close()
 
 
