What a watch tells late never replaces what the holder told; the holder lists anew every 20 s

An answer that comes later than a newer digest put back an endpoint that was gone, or an older record, and a node that became the holder would have handed that on.

Ruled out: the order of events in one answer; an entry that went and came back within it counts as there.

Change: the answer of a watch is one message, EndpointsChanged, with the revision that it reaches, and passes through the same ChangeLog as the holder's changes: what reaches no further than what is known is dropped, a list that is older too. FollowPace may ask for a list after a time.

--- a/include/rudderloom/fleet/fleet_state.hpp
+++ b/include/rudderloom/fleet/fleet_state.hpp
@@ -66,9 +66,7 @@
 
   void On(const fleet_message::RoutesSeen& seen, TimePoint now);
   void On(const fleet_message::EndpointsListed& listed, TimePoint now);
-  void On(const fleet_message::EndpointPut& put, TimePoint now);
-  void On(const fleet_message::EndpointGone& gone, TimePoint now);
-  void On(const fleet_message::EndpointsReached& reached, TimePoint now);
+  void On(const fleet_message::EndpointsChanged& changed, TimePoint now);
   void On(const fleet_message::LeaseSeen& seen, TimePoint now);
   void On(const fleet_message::LeaseUnread& unread, TimePoint now);
   void On(const fleet_message::LeaseWritten& written, TimePoint now);
@@ -90,7 +88,8 @@
   // `source` is who told, for the log.
   void TakeRecord(const EndpointRecord& record, std::string_view source);
   void TakeGone(const std::string& instance, std::string_view source, TimePoint now);
-  void TakeEndpoints(const EndpointChanges& changes, TimePoint now);
+  void TakeEndpoints(const EndpointChanges& changes, std::string_view source, TimePoint now);
+  void TakeList(const std::vector<EndpointRecord>& records, std::string_view source, TimePoint now);
   // A peer has told which configuration it has in force.
   void PeerHasRoutes(std::uint64_t version, TimePoint now);
   void CatchUpRoutes(FleetEffects& effects, TimePoint now);
--- a/include/rudderloom/fleet/messages.hpp
+++ b/include/rudderloom/fleet/messages.hpp
@@ -30,22 +30,10 @@
   std::uint64_t revision = 0;  ///< Of the store.
 };
 
-/// @brief One endpoint's entry changed.
+/// @brief What a watch of the platform's list told: all changes up to a revision of the store.
 /// @ingroup fleet
-struct EndpointPut {
-  EndpointRecord record;
-};
-
-/// @brief One endpoint's entry went.
-/// @ingroup fleet
-struct EndpointGone {
-  std::string instance;
-};
-
-/// @brief All changes of entries up to this revision of the store have been told.
-/// @ingroup fleet
-struct EndpointsReached {
-  std::uint64_t revision = 0;
+struct EndpointsChanged {
+  EndpointChanges changes;
 };
 
 /// @brief The lease's object as read; an empty record when there is none.
@@ -110,9 +98,7 @@
 /// @ingroup fleet
 using Any = std::variant<RoutesSeen,
                          EndpointsListed,
-                         EndpointPut,
-                         EndpointGone,
-                         EndpointsReached,
+                         EndpointsChanged,
                          LeaseSeen,
                          LeaseUnread,
                          LeaseWritten,
--- a/include/rudderloom/store/store_follower.hpp
+++ b/include/rudderloom/store/store_follower.hpp
@@ -25,6 +25,9 @@
   /// @brief How long a watch lasts that has nothing to report; empty: the store's own time.
   std::optional<Duration> watch_time;
 
+  /// @brief After so long a list follows a watch, in case one has left something out; empty: never.
+  std::optional<Duration> list_every;
+
   /// @brief No call is made from the end of the present one until `Resume`.
   void Pause() { paused_ = true; }
 
--- a/src/rudderloom/fleet/fleet_shell.cpp
+++ b/src/rudderloom/fleet/fleet_shell.cpp
@@ -1,5 +1,8 @@
 #include "rudderloom/fleet/fleet_shell.hpp"
 
+#include <map>       // for map
+#include <optional>  // for optional
+
 #include "rudderloom/base/log_line.hpp"  // for LogLine
 #include "rudderloom/http/pause.hpp"     // for PauseFor
 
@@ -20,6 +23,8 @@
 constexpr double kEndpointPart = 0.4;
 // The same for the node on which the others rely; its watches are also over after this time.
 constexpr double kEndpointForOthersPart = 0.125;
+// On that node a list finds what a watch has left out.
+constexpr Duration kListForOthersEvery{20'000};
 
 Duration PartOf(Duration whole, double part) {
   return std::chrono::duration_cast<Duration>(whole * part);
@@ -127,17 +132,28 @@
     }
     post_(std::move(listed));
   };
-  hooks.on_event = [this, kind](const WatchEvent& event) {
-    Answered(kind);
-    if (event.kind == WatchEvent::Kind::kGone) {
-      post_(fleet_message::EndpointGone{event.object.name});
-    } else if (auto record = formats_.read_endpoint(event.object)) {
-      post_(fleet_message::EndpointPut{std::move(*record)});
+  // An entry that went and came back within one answer is there: the last change counts.
+  auto last_changes = std::make_shared<std::map<std::string, std::optional<EndpointRecord>>>();
+  hooks.on_event = [this, last_changes](const WatchEvent& event) {
+    const bool gone = event.kind == WatchEvent::Kind::kGone;
+    auto record = gone ? std::nullopt : formats_.read_endpoint(event.object);
+    if (gone || record) {
+      (*last_changes)[event.object.name] = std::move(record);
     }
   };
-  hooks.on_reached = [this, kind](const std::string& version) {
+  hooks.on_reached = [this, kind, last_changes](const std::string& version) {
     Answered(kind);
-    post_(fleet_message::EndpointsReached{formats_.read_revision(version)});
+    EndpointChanges changes;
+    changes.version = formats_.read_revision(version);
+    for (auto& [instance, record] : *last_changes) {
+      if (record) {
+        changes.values.emplace_back(instance, std::move(*record));
+      } else {
+        changes.gone.push_back(instance);
+      }
+    }
+    last_changes->clear();
+    post_(fleet_message::EndpointsChanged{std::move(changes)});
   };
   hooks.on_error = [this, kind](const StoreError& error) { Failed(kind, error); };
   FollowOptions options{kind, MakeBackoff(kind), endpoints_pace_};
@@ -177,8 +193,10 @@
   endpoints_pace_->least_between =
       PartOf(drain, for_others ? kEndpointForOthersPart : kEndpointPart);
   endpoints_pace_->watch_time.reset();
+  endpoints_pace_->list_every.reset();
   if (for_others) {
     endpoints_pace_->watch_time = endpoints_pace_->least_between;
+    endpoints_pace_->list_every = kListForOthersEvery;
   }
   endpoints_pace_->Resume();
 }
--- a/src/rudderloom/fleet/fleet_state.cpp
+++ b/src/rudderloom/fleet/fleet_state.cpp
@@ -27,6 +27,9 @@
 constexpr Duration kDigestFresh{2'000};
 // Nodes that share limits, until the holder has counted them.
 constexpr std::uint32_t kAssumedNodes = 12;
+// Who told of an endpoint, in the log.
+constexpr std::string_view kFromStore = "store";
+constexpr std::string_view kFromHolder = "holder";
 // By then all nodes have found a new holder and reported to it.
 constexpr Duration kReportsComplete{2'000};
 
@@ -264,54 +267,54 @@
       .With("revision", endpoint_log_.Get().Version());
 }
 
-// What the holder told. A log that is already further knows better.
-void FleetState::TakeEndpoints(const EndpointChanges& changes, TimePoint now) {
+// A log that is already further knows better than whoever told these changes.
+void FleetState::TakeEndpoints(const EndpointChanges& changes,
+                               std::string_view source,
+                               TimePoint now) {
   if (!endpoints_known_ || !endpoint_log_.Change().Apply(changes)) {
     return;
   }
-  changed_ = true;
   if (changes.whole) {
     std::vector<EndpointRecord> records;
     for (const auto& [instance, record] : changes.values) {
       records.push_back(record);
     }
-    directory_.Listed(records, now);
+    TakeList(records, source, now);
     return;
   }
   for (const auto& [instance, record] : changes.values) {
-    TakeRecord(record, "holder");
+    TakeRecord(record, source);
   }
   for (const std::string& instance : changes.gone) {
-    TakeGone(instance, "holder", now);
+    TakeGone(instance, source, now);
   }
 }
 
-void FleetState::On(const fleet_message::EndpointsReached& reached, TimePoint now) {
-  endpoint_log_.Change().Reached(reached.revision);
+void FleetState::TakeList(const std::vector<EndpointRecord>& records,
+                          std::string_view source,
+                          TimePoint now) {
+  directory_.Listed(records, now);
+  changed_ = true;
+  LogLine("endpoints_listed").With("count", records.size()).With("source", source);
+}
+
+void FleetState::On(const fleet_message::EndpointsChanged& changed, TimePoint now) {
   source_.Confirmed(now);
+  TakeEndpoints(changed.changes, kFromStore, now);
 }
 
 void FleetState::On(const fleet_message::EndpointsListed& listed, TimePoint now) {
+  source_.Confirmed(now);
+  if (listed.revision < endpoint_log_.Get().Version()) {
+    return;
+  }
   std::map<std::string, EndpointRecord> by_instance;
   for (const EndpointRecord& record : listed.records) {
     by_instance.emplace(record.instance, record);
   }
   endpoint_log_.Change().Replace(by_instance, listed.revision);
-  source_.Confirmed(now);
-  directory_.Listed(listed.records, now);
   endpoints_known_ = true;
-  changed_ = true;
-  LogLine("endpoints_listed").With("count", listed.records.size());
-}
-
-void FleetState::On(const fleet_message::EndpointPut& put, TimePoint) {
-  TakeRecord(put.record, "store");
-  endpoint_log_.Change().Put(put.record.instance, put.record);
-}
-
-void FleetState::On(const fleet_message::EndpointGone& gone, TimePoint now) {
-  TakeGone(gone.instance, "store", now);
-  endpoint_log_.Change().Erase(gone.instance);
+  TakeList(listed.records, kFromStore, now);
 }
 
 void FleetState::TakeRecord(const EndpointRecord& record, std::string_view source) {
@@ -375,7 +378,7 @@
   PeerHasRoutes(digest.routes_version, now);
   if (digest.endpoints_age) {
     source_.Heard(*digest.endpoints_age, now);
-    TakeEndpoints(digest.endpoints, now);
+    TakeEndpoints(digest.endpoints, kFromHolder, now);
   }
   serving_log_.Change().Apply(digest.serving);
   heard_ = HeardDigest{digest.epoch, digest.loads, now};
--- a/src/rudderloom/fleet/fleet_state_test.cpp
+++ b/src/rudderloom/fleet/fleet_state_test.cpp
@@ -127,6 +127,23 @@
   CHECK(FollowingUntil(state, 2'700, 3'000) == EndpointFollowing::kStore);
 }
 
+TEST_CASE("what the store told before the holder did changes nothing when it comes late") {
+  FleetState state(Settings("n2"), "x");
+  state.Handle(fleet_message::EndpointsListed{{Endpoint("e1"), Endpoint("e2")}, 10}, At(0));
+  HolderDigest digest = DigestOf(20, {});
+  digest.endpoints.gone = {"e1"};
+  state.Handle(fleet_message::DigestHeard{digest}, At(100));
+  EndpointChanges late;
+  late.version = 15;
+  late.values = {{"e1", Endpoint("e1")}};
+  state.Handle(fleet_message::EndpointsChanged{late}, At(200));
+  state.Handle(fleet_message::EndpointsListed{{Endpoint("e1"), Endpoint("e2")}, 16}, At(300));
+  // An endpoint that is listed no more is forgotten after half of the drain time.
+  const auto effects = state.Handle(fleet_message::Tick{}, At(1'500));
+  REQUIRE(effects.view);
+  CHECK(effects.view->endpoints.size() == 1);
+}
+
 TEST_CASE("a new holder does not take nodes that have not reported to it yet for dead") {
   FleetState state(Settings("n2"), "x");
   state.Handle(fleet_message::RoutesSeen{Routes(1)}, At(0));
@@ -156,8 +173,10 @@
   asking.node = "n2";
   CHECK(DigestFor(*effects.statement, asking, At(5)).endpoints.whole);
   state.Handle(fleet_message::RoutesSeen{Routes(1)}, At(20));
-  state.Handle(fleet_message::EndpointPut{Endpoint("e2", true)}, At(100));
-  effects = state.Handle(fleet_message::EndpointsReached{14}, At(120));
+  EndpointChanges changes;
+  changes.version = 14;
+  changes.values = {{"e2", Endpoint("e2", true)}};
+  effects = state.Handle(fleet_message::EndpointsChanged{changes}, At(120));
   REQUIRE(effects.statement);
   asking.endpoints_seen = 10;
   const HolderDigest digest = DigestFor(*effects.statement, asking, At(300));
--- a/src/rudderloom/store/store_follower.cpp
+++ b/src/rudderloom/store/store_follower.cpp
@@ -29,6 +29,9 @@
         co_await options_.pace->WhilePaused();
         version_.clear();
       }
+      if (options_.pace->list_every && Now() - listed_at_ >= *options_.pace->list_every) {
+        version_.clear();
+      }
       const bool fine = version_.empty() ? co_await List() : co_await Watch();
       if (!fine) {
         co_await PauseFor(context_, options_.backoff.Next());
@@ -45,6 +48,7 @@
     }
     const ObjectList& list = std::get<ObjectList>(listed);
     version_ = list.version;
+    listed_at_ = Now();
     hooks_.on_list(list);
     options_.backoff.Reset();
     co_return true;
@@ -91,6 +95,7 @@
   FollowOptions options_;
   FollowHooks hooks_;
   std::string version_;  // empty: a list is needed
+  TimePoint listed_at_;
 };
 
 }  // namespace
