--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -337,7 +337,9 @@
         .With("status", status)
         .With("ms", Between(arrived_, Now()).count());
     if (route_ != nullptr) {
-      line.With("route", route_->name).With("service", service_);
+      line.With("route", route_->name)
+          .With("service", service_)
+          .With("goal_ms", route_->goal.count());
     }
     if (routes_) {
       line.With("configuration", routes_->Version());
@@ -356,7 +358,8 @@
     }
     if (stream_.pace.first_at) {
       line.With("first_ms", Between(arrived_, *stream_.pace.first_at).count())
-          .With("pause_ms", stream_.pace.longest_pause.count());
+          .With("pause_ms", stream_.pace.longest_pause.count())
+          .With("pause_limit_ms", route_->longest_pause.count());
     }
   }
 
