A holder of many nodes plans at its ticks and adds their loads up once

Change: beyond 16 nodes reports are taken as they come and worked with at the next tick, plans pause for 10 ms a 16 nodes, 60 at most, and LoadSums adds the loads up once a statement; an answer takes one node's off.

Test: fleet_state_test, "a holder of many nodes works with all their counts at its next tick".

--- a/include/rudderloom/fleet/fleet_state.hpp
+++ b/include/rudderloom/fleet/fleet_state.hpp
@@ -80,6 +80,7 @@
 
   void MoveLease(FleetEffects& effects, TimePoint now);
   void MovePlacement(FleetEffects& effects, TimePoint now);
+  Duration PlanPause() const;
   void PublishServing();
   std::uint32_t CountNodes(TimePoint now) const;
   void AnnounceOrders(FleetEffects& effects, TimePoint now);
--- a/include/rudderloom/fleet/fleet_view.hpp
+++ b/include/rudderloom/fleet/fleet_view.hpp
@@ -3,6 +3,7 @@
 #ifndef RUDDERLOOM_FLEET_FLEET_VIEW_HPP
 #define RUDDERLOOM_FLEET_FLEET_VIEW_HPP
 
+#include <algorithm>    // for min
 #include <cstdint>      // for uint32_t
 #include <map>          // for map
 #include <memory>       // for shared_ptr
@@ -32,6 +33,11 @@
     unread_tokens += other.unread_tokens;
     return *this;
   }
+  EndpointLoad& operator-=(const EndpointLoad& other) {
+    requests -= std::min(requests, other.requests);
+    unread_tokens -= std::min(unread_tokens, other.unread_tokens);
+    return *this;
+  }
   bool operator==(const EndpointLoad&) const = default;
 };
 
--- a/include/rudderloom/fleet/holder_statement.hpp
+++ b/include/rudderloom/fleet/holder_statement.hpp
@@ -14,11 +14,10 @@
 /// @brief From what the holder answers other nodes. Immutable once published.
 /// @ingroup fleet
 struct HolderStatement {
-  HolderDigest common;  ///< Without what depends on the node that asks.
-  DemandBoard board;    ///< For the loads of all nodes but the one that asks.
-  TimePoint made_at;
-  std::shared_ptr<const ServingLog> serving;        ///< Null when the node holds no lease.
-  std::shared_ptr<const EndpointLog> endpoints;     ///< Null when the node holds no lease.
+  HolderDigest common;                           ///< Without what depends on the node that asks.
+  LoadSums loads;                                ///< For those of all nodes but the one that asks.
+  std::shared_ptr<const ServingLog> serving;     ///< Null when the node holds no lease.
+  std::shared_ptr<const EndpointLog> endpoints;  ///< Null when the node holds no lease.
   std::optional<TimePoint> endpoints_confirmed_at;  ///< By the store.
 };
 
--- a/include/rudderloom/placement/demand.hpp
+++ b/include/rudderloom/placement/demand.hpp
@@ -55,6 +55,16 @@
   TimePoint asked_at;         ///< When it was last asked for.
 };
 
+/// @brief Loads of all nodes together and of each, added up once for many readers.
+/// @ingroup placement
+struct LoadSums {
+  LoadTable all;
+  std::map<std::string, LoadTable> by_node;
+
+  /// @brief All but one node's.
+  LoadTable Without(const std::string& node) const;
+};
+
 /// @brief Adds up the nodes' counts. Pure; time is passed in.
 /// @ingroup placement
 class DemandBoard {
@@ -72,6 +82,9 @@
   /// @brief Requests by endpoint over all nodes but `without`, from counts that are fresh.
   LoadTable Loads(const std::string& without, TimePoint now) const;
 
+  /// @brief The same for each node, from counts that are fresh.
+  LoadSums Sums(TimePoint now) const;
+
   /// @brief Nodes whose counts are fresh.
   std::uint32_t Nodes(TimePoint now) const;
 
--- a/src/rudderloom/fleet/fleet_state.cpp
+++ b/src/rudderloom/fleet/fleet_state.cpp
@@ -22,8 +22,11 @@
 constexpr Duration kLeaseDoubtEvery{300};
 // A watch is given so long to bring a configuration that a peer has already.
 constexpr Duration kRoutesBehind{400};
-// Planning right after each message would cost more than it brings.
+// Planning right after each message would cost more than it brings: a plan, and a statement for the
+// other nodes, cost in proportion to the nodes, whose reports come as often as there are nodes.
 constexpr Duration kPlanPause{10};
+constexpr std::uint32_t kPlanPauseNodes = 16;
+constexpr Duration kPlanPauseMost{60};
 constexpr Duration kDigestFresh{2'000};
 // Nodes that share limits, until the holder has counted them.
 constexpr std::uint32_t kAssumedNodes = 12;
@@ -65,6 +68,10 @@
 FleetEffects FleetState::Handle(const fleet_message::Any& any, TimePoint now) {
   std::visit([&](const auto& message) { On(message, now); }, any);
   FleetEffects effects;
+  // Many nodes' counts come many times between two ticks: the next tick works with all of them.
+  if (std::holds_alternative<fleet_message::PeerCounted>(any) && live_nodes_ > kPlanPauseNodes) {
+    return effects;
+  }
   MoveLease(effects, now);
   MovePlacement(effects, now);
   AnnounceOrders(effects, now);
@@ -141,9 +148,13 @@
   effects.lease_write = lease_.NextWrite(now);
 }
 
+Duration FleetState::PlanPause() const {
+  return std::min(kPlanPauseMost, kPlanPause * std::max(1U, live_nodes_ / kPlanPauseNodes));
+}
+
 // Lets the holder plan and order; what it may order is bounded by the lease's time.
 void FleetState::MovePlacement(FleetEffects& effects, TimePoint now) {
-  if (!holds_ || !routes_.Current() || !endpoints_known_ || now - planned_at_ < kPlanPause) {
+  if (!holds_ || !routes_.Current() || !endpoints_known_ || now - planned_at_ < PlanPause()) {
     return;
   }
   planned_at_ = now;
@@ -224,7 +235,6 @@
 
 std::shared_ptr<const HolderStatement> FleetState::MakeStatement(TimePoint now) {
   auto statement = std::make_shared<HolderStatement>();
-  statement->made_at = now;
   statement->common.holds = holds_;
   if (!holds_) {
     return statement;
@@ -232,7 +242,7 @@
   statement->common.epoch = lease_.Epoch();
   statement->common.nodes = live_nodes_;
   statement->common.routes_version = RoutesVersion();
-  statement->board = board_;
+  statement->loads = board_.Sums(now);
   statement->endpoints = endpoint_log_.Copy();
   statement->serving = serving_log_.Copy();
   statement->endpoints_confirmed_at = source_.ConfirmedAt();
--- a/src/rudderloom/fleet/fleet_state_test.cpp
+++ b/src/rudderloom/fleet/fleet_state_test.cpp
@@ -162,6 +162,28 @@
   CHECK(effects.statement->common.nodes == 1);
 }
 
+TEST_CASE("a holder of many nodes works with all their counts at its next tick") {
+  FleetState state(Settings("n1"), "x");
+  state.Handle(fleet_message::RoutesSeen{Routes(1)}, At(0));
+  state.Handle(fleet_message::EndpointsListed{{Endpoint("e1")}, 10}, At(0));
+  HolderDigest digest = DigestOf(10, {});
+  digest.nodes = 80;
+  state.Handle(fleet_message::DigestHeard{digest}, At(10));
+  REQUIRE(TakeLease(state, 100));
+  state.Handle(fleet_message::LeaseWritten{"1"}, At(110));
+  NodeCounts counts;
+  counts.loads[KeyOf("e1")] = {2, 640};
+  for (int i = 0; i < 80; ++i) {
+    counts.node = "n" + std::to_string(i + 2);
+    const auto effects = state.Handle(fleet_message::PeerCounted{counts}, At(200 + i));
+    CHECK(effects.statement == nullptr);
+  }
+  const auto effects = state.Handle(fleet_message::Tick{}, At(300));
+  REQUIRE(effects.statement);
+  const HolderDigest told = DigestFor(*effects.statement, counts, At(300));
+  CHECK(told.loads.at(KeyOf("e1")) == EndpointLoad{158, 50'560});
+}
+
 TEST_CASE("the holder tells each node what it lacks, and how old that is") {
   FleetState state(Settings("n1"), "x");
   REQUIRE(TakeLease(state, 0));
--- a/src/rudderloom/fleet/holder_statement.cpp
+++ b/src/rudderloom/fleet/holder_statement.cpp
@@ -7,7 +7,7 @@
   if (!digest.holds) {
     return digest;
   }
-  digest.loads = statement.board.Loads(asking.node, statement.made_at);
+  digest.loads = statement.loads.Without(asking.node);
   digest.serving = statement.serving->Since(asking.serving_seen);
   if (statement.endpoints_confirmed_at) {
     digest.endpoints = statement.endpoints->Since(asking.endpoints_seen);
--- a/src/rudderloom/placement/demand.cpp
+++ b/src/rudderloom/placement/demand.cpp
@@ -69,6 +69,32 @@
   return loads;
 }
 
+LoadTable LoadSums::Without(const std::string& node) const {
+  LoadTable loads = all;
+  const auto own = by_node.find(node);
+  if (own == by_node.end()) {
+    return loads;
+  }
+  for (const auto& [endpoint, load] : own->second) {
+    loads[endpoint] -= load;
+  }
+  return loads;
+}
+
+LoadSums DemandBoard::Sums(TimePoint now) const {
+  LoadSums sums;
+  for (const auto& [name, node] : nodes_) {
+    if (now - node.heard_at > kFresh) {
+      continue;
+    }
+    for (const auto& [endpoint, load] : node.counts.loads) {
+      sums.all[endpoint] += load;
+    }
+    sums.by_node.emplace(name, node.counts.loads);
+  }
+  return sums;
+}
+
 std::uint32_t DemandBoard::Nodes(TimePoint now) const {
   std::uint32_t count = 0;
   for (const auto& [name, node] : nodes_) {
