--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -133,13 +133,17 @@
 def start_fleet(folder, build):
     """A fleet with everything running."""
     fleet = Fleet(folder, build)
-    fleet.configure()
-    for i in range(ENGINES):
-        fleet.start_engine(f"e{i}")
-    for i in range(DESKS):
-        fleet.start_desk(f"d{i}")
-    for i in range(NODES):
-        fleet.start_node(f"n{i}")
+    try:
+        fleet.configure()
+        for i in range(ENGINES):
+            fleet.start_engine(f"e{i}")
+        for i in range(DESKS):
+            fleet.start_desk(f"d{i}")
+        for i in range(NODES):
+            fleet.start_node(f"n{i}")
+    except Exception:
+        fleet.stop_all()
+        raise
     return fleet
 
 
