Standbys take over soon, a holder says when it can't renew, and one read of the configuration at a time

The counts of nodes tell time offered in place of tokens (not used yet). Tests: fleet_state_test, standbys; lease_keeper_test, a holder whose renewals do not come through.

--- a/include/rudderloom/fleet/fleet_shell.hpp
+++ b/include/rudderloom/fleet/fleet_shell.hpp
@@ -65,6 +65,7 @@
   std::shared_ptr<FollowPace> routes_pace_;
   std::shared_ptr<FollowPace> endpoints_pace_;
   std::set<std::string> failing_;  // kinds whose last call failed
+  bool reading_routes_ = false;    // beside the watch
 };
 
 }  // namespace rudderloom
--- a/include/rudderloom/fleet/fleet_state.hpp
+++ b/include/rudderloom/fleet/fleet_state.hpp
@@ -61,6 +61,8 @@
   struct HeardDigest {
     std::uint64_t epoch = 0;
     LoadTable loads;
+    bool standby = false;
+    bool renewals_fail = false;
     TimePoint at;
   };
 
@@ -99,7 +101,7 @@
   void ChangedForTraffic();
   bool ViewDue(TimePoint now) const;
   FleetViewPtr MakeView(TimePoint now) const;
-  std::shared_ptr<const HolderStatement> MakeStatement();
+  std::shared_ptr<const HolderStatement> MakeStatement(TimePoint now);
   std::uint64_t ServingVersion() const;
   bool DigestFresh(TimePoint now) const;
   bool DoubtsHolder(TimePoint now) const;
--- a/include/rudderloom/fleet/fleet_view.hpp
+++ b/include/rudderloom/fleet/fleet_view.hpp
@@ -26,15 +26,18 @@
 /// @ingroup fleet
 struct EndpointLoad {
   std::uint32_t requests = 0;
+  std::uint32_t deferred = 0;       ///< Of these, those that are to run after all others.
   std::uint64_t unread_tokens = 0;  ///< Of prompts whose answers have not begun.
 
   EndpointLoad& operator+=(const EndpointLoad& other) {
     requests += other.requests;
+    deferred += other.deferred;
     unread_tokens += other.unread_tokens;
     return *this;
   }
   EndpointLoad& operator-=(const EndpointLoad& other) {
     requests -= std::min(requests, other.requests);
+    deferred -= std::min(deferred, other.deferred);
     unread_tokens -= std::min(unread_tokens, other.unread_tokens);
     return *this;
   }
--- a/include/rudderloom/fleet/holder_statement.hpp
+++ b/include/rudderloom/fleet/holder_statement.hpp
@@ -19,6 +19,7 @@
   std::shared_ptr<const ServingLog> serving;     ///< Null when the node holds no lease.
   std::shared_ptr<const EndpointLog> endpoints;  ///< Null when the node holds no lease.
   std::optional<TimePoint> endpoints_confirmed_at;  ///< By the store.
+  std::set<std::string> standbys;                   ///< Nodes that are to take over first.
 };
 
 /// @brief The digest for the node that sent these counts.
--- a/include/rudderloom/placement/demand.hpp
+++ b/include/rudderloom/placement/demand.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>  // for uint32_t
 #include <map>      // for map
 #include <memory>   // for shared_ptr
+#include <set>      // for set
 #include <string>   // for string
 #include <tuple>    // for tie
 
@@ -31,7 +32,9 @@
 struct UnitCount {
   std::uint32_t running = 0;  ///< On an endpoint.
   std::uint32_t waiting = 0;  ///< No endpoint can take them now.
-  std::uint64_t tokens = 0;  ///< In prompts and answers of requests that came since the last count.
+  /// @brief How long requests that came since the last count would take at an endpoint, together;
+  /// also those that were refused.
+  Duration offered{0};
   bool operator==(const UnitCount&) const = default;
 };
 
@@ -45,6 +48,7 @@
   std::uint64_t serving_seen = 0;    ///< Version up to which the node knows what is served.
   std::uint64_t routes_version = 0;  ///< Of the configuration in force at the node; 0 for none.
   std::uint64_t endpoints_seen = 0;  ///< Version up to which the node knows the endpoints.
+  double processor_share = 1.0;      ///< Of one core, that the node may use.
 };
 
 /// @brief Demand for one unit.
@@ -83,6 +87,10 @@
   /// @brief Requests by endpoint over all nodes and of each, from counts that are fresh.
   LoadSums Sums(TimePoint now) const;
 
+  /// @brief The nodes that are to take over first: those with the most processor time of the ones
+  /// whose counts are fresh.
+  std::set<std::string> Standbys(const std::string& holder, TimePoint now) const;
+
   /// @brief Nodes whose counts are fresh.
   std::uint32_t Nodes(TimePoint now) const;
 
@@ -90,6 +98,7 @@
   struct Node {
     std::map<UnitName, UnitCount> units;
     std::shared_ptr<const LoadTable> loads;
+    double processor_share = 1.0;
     TimePoint heard_at;
   };
 
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -7,8 +7,9 @@
 # Requests on one endpoint, in eight bytes: they are told often, by every node and to every node.
 struct EndpointLoad {
   endpoint @0 :UInt32;         # hash of its instance
-  requests @1 :UInt16;         # 65,535 for more
-  unreadTokenUnits @2 :UInt16;  # prompt tokens not yet read, in units of 64; 65,535 for more
+  requests @1 :UInt8;          # 255 for more
+  deferred @2 :UInt8;          # of these, sent to run after all others; 255 for more
+  unreadTokenUnits @3 :UInt16;  # prompt tokens not yet read, in units of 64; 65,535 for more
 }
 
 # Requests for one model or adapter.
@@ -18,7 +19,7 @@
   adapter @2 :Text;  # empty for the model itself
   running @3 :UInt32;
   waiting @4 :UInt32;
-  tokens @5 :UInt64;
+  offeredMs @5 :UInt64;  # that requests which came since the last count would take at an endpoint
 }
 
 struct NodeCounts {
@@ -29,6 +30,7 @@
   servingSeen @4 :UInt64;  # version up to which the node knows what is served
   routesVersion @5 :UInt64;  # configuration in force at the node; 0 for none
   endpointsSeen @6 :UInt64;  # the store's revision up to which the node knows the endpoints
+  processorShare @7 :Float32 = 1.0;  # of one core, that the node may use
 }
 
 struct ServedModel {
@@ -79,6 +81,8 @@
   routesVersion @5 :UInt64;      # configuration in force at the holder; 0 for none
   endpoints @6 :EndpointChanges; # that the asking node lacks
   endpointsAgeMs @7 :Int64 = -1; # since the store confirmed the holder's list; below 0: never
+  standby @8 :Bool;              # the asking node is one of the first that take over
+  renewalsFail @9 :Bool;         # the holder can't renew its lease at present
 }
 
 interface PlacementHolder {
--- a/src/rudderloom/fleet/counts_inbox.cpp
+++ b/src/rudderloom/fleet/counts_inbox.cpp
@@ -10,7 +10,7 @@
   const auto [entry, is_new] = by_node_.try_emplace(counts.node);
   NodeCounts& kept = entry->second;
   for (const auto& [unit, count] : kept.units) {
-    counts.units[unit].tokens += count.tokens;
+    counts.units[unit].offered += count.offered;
   }
   kept = std::move(counts);
   return was_empty;
--- a/src/rudderloom/fleet/counts_inbox_test.cpp
+++ b/src/rudderloom/fleet/counts_inbox_test.cpp
@@ -7,10 +7,10 @@
 
 const UnitName kUnit{"pool", "m", ""};
 
-NodeCounts Counts(const std::string& node, std::uint32_t running, std::uint64_t tokens) {
+NodeCounts Counts(const std::string& node, std::uint32_t running, int offered_ms) {
   NodeCounts counts;
   counts.node = node;
-  counts.units[kUnit] = {running, 0, tokens};
+  counts.units[kUnit] = {running, 0, Duration(offered_ms)};
   return counts;
 }
 
@@ -24,8 +24,8 @@
   CHECK(told == 1);
   const std::vector<NodeCounts> taken = inbox.TakeAll();
   REQUIRE(taken.size() == 2);
-  CHECK(taken[0].units.at(kUnit) == UnitCount{500, 0, 5'000});
-  CHECK(taken[1].units.at(kUnit) == UnitCount{1'000, 0, 500});
+  CHECK(taken[0].units.at(kUnit) == UnitCount{500, 0, Duration(5'000)});
+  CHECK(taken[1].units.at(kUnit) == UnitCount{1'000, 0, Duration(500)});
   CHECK(inbox.TakeAll().empty());
   CHECK(inbox.Put(Counts("n1", 1, 1)));
 }
--- a/src/rudderloom/fleet/fleet_shell.cpp
+++ b/src/rudderloom/fleet/fleet_shell.cpp
@@ -109,6 +109,7 @@
 Awaitable<void> FleetShell::ReadRoutes() {
   const std::string kind = formats_.configuration_kind;
   auto listed = co_await store_.List(kind);
+  reading_routes_ = false;
   if (auto* error = std::get_if<StoreError>(&listed)) {
     Failed(kind, *error);
     co_return;
@@ -171,7 +172,10 @@
     if (effects.following) {
       Follow(*effects.following);
     }
-    if (effects.read_routes) {
+    // A large configuration takes a small node's link for longer than the pause between two wishes;
+    // several reads at once would end none of them.
+    if (effects.read_routes && !reading_routes_) {
+      reading_routes_ = true;
       asio::co_spawn(context_, ReadRoutes(), asio::detached);
     }
     for (ReportCall& call : effects.placement.report_calls) {
--- a/src/rudderloom/fleet/fleet_state.cpp
+++ b/src/rudderloom/fleet/fleet_state.cpp
@@ -91,14 +91,20 @@
   return effects;
 }
 
-// The holder has not answered lately: whether it still renews its lease is looked at more often.
+// The holder has not answered lately, or says that it can't renew its lease: whether it still does
+// is looked at more often.
 bool FleetState::DoubtsHolder(TimePoint now) const {
-  return !holds_ && heard_ && now - heard_->at >= kDoubtAfter;
+  return !holds_ && heard_ && (heard_->renewals_fail || now - heard_->at >= kDoubtAfter);
 }
 
-// All nodes together look about as often as a few would: each look has its price.
+// Each look has its price: a few standbys look often, and all other nodes together about as often as
+// a few would. Without standbys a fleet of 63 nodes took 5 s to find that its holder was cut off
+// from the store; the ceiling of loads then left its models 10 s behind the demand.
 Duration FleetState::LeaseLookPause(TimePoint now) const {
   const Duration pause = DoubtsHolder(now) ? kLeaseDoubtEvery : kLeaseLookEvery;
+  if (heard_ && heard_->standby) {
+    return pause;
+  }
   return pause * std::max(1U, live_nodes_ / kLookingNodes);
 }
 
@@ -140,7 +146,7 @@
     held_epoch_ = lease_.Epoch();
     held_since_ = now;
   }
-  effects.statement = MakeStatement();
+  effects.statement = MakeStatement(now);
   LogLine(holds ? "lease_taken" : "lease_lost").With("epoch", lease_.Epoch());
 }
 
@@ -180,7 +186,7 @@
                                       sums_.all, lease, now);
   PublishServing();
   live_nodes_ = CountNodes(now);
-  effects.statement = MakeStatement();
+  effects.statement = MakeStatement(now);
 }
 
 // Nodes that share limits. Those that have not reported to a new holder yet are not dead.
@@ -236,6 +242,7 @@
   if (!sampled_) {
     return;
   }
+  sampled_->processor_share = settings_.processor_share;
   sampled_->routes_version = RoutesVersion();
   sampled_->endpoints_seen = endpoint_log_.Get().Version();
   sampled_->serving_seen = serving_log_.Get().Version();
@@ -249,7 +256,7 @@
   return (lease_.Epoch() << kHalf) | (placement_.ServingVersion() & 0xffffffffU);
 }
 
-std::shared_ptr<const HolderStatement> FleetState::MakeStatement() {
+std::shared_ptr<const HolderStatement> FleetState::MakeStatement(TimePoint now) {
   auto statement = std::make_shared<HolderStatement>();
   statement->common.holds = holds_;
   if (!holds_) {
@@ -258,7 +265,9 @@
   statement->common.epoch = lease_.Epoch();
   statement->common.nodes = live_nodes_;
   statement->common.routes_version = RoutesVersion();
+  statement->common.renewals_fail = lease_.RenewalsFail(now);
   statement->loads = sums_;
+  statement->standbys = board_.Standbys(settings_.name, now);
   statement->endpoints = endpoint_log_.Copy();
   statement->serving = serving_log_.Copy();
   statement->endpoints_confirmed_at = source_.ConfirmedAt();
@@ -408,7 +417,7 @@
     TakeEndpoints(digest.endpoints, kFromHolder, now);
   }
   serving_log_.Change().Apply(digest.serving);
-  heard_ = HeardDigest{digest.epoch, digest.loads, now};
+  heard_ = HeardDigest{digest.epoch, digest.loads, digest.standby, digest.renewals_fail, now};
   live_nodes_ = std::max(1U, digest.nodes);
   changed_ = true;
 }
--- a/src/rudderloom/fleet/fleet_state_test.cpp
+++ b/src/rudderloom/fleet/fleet_state_test.cpp
@@ -162,6 +162,48 @@
   CHECK(effects.statement->common.nodes == 1);
 }
 
+// Stale reads of the lease within two seconds by a node of a fleet of 64.
+int LooksOf(bool standby, bool renewals_fail) {
+  FleetState state(Settings("n2"), "x");
+  state.Handle(fleet_message::LeaseSeen{LeaseRecord{"n1:1", "y", 1, 1, false, {}, {}}, "1", true},
+               At(0));
+  state.Handle(fleet_message::LeaseUnread{}, At(10));
+  int looks = 0;
+  for (int ms = 50; ms <= 2'000; ms += 50) {
+    HolderDigest digest;
+    digest.holds = true;
+    digest.epoch = 1;
+    digest.nodes = 64;
+    digest.standby = standby;
+    digest.renewals_fail = renewals_fail;
+    const auto effects = state.Handle(fleet_message::DigestHeard{digest}, At(ms));
+    if (effects.lease_read) {
+      ++looks;
+      state.Handle(fleet_message::LeaseUnread{}, At(ms));
+    }
+  }
+  return looks;
+}
+
+TEST_CASE("standbys look at the lease often, more so when its holder can't renew it") {
+  CHECK(LooksOf(false, false) <= 1);
+  CHECK(LooksOf(true, false) >= 2);
+  CHECK(LooksOf(true, true) >= 5);
+  CHECK(LooksOf(true, true) <= 8);
+}
+
+TEST_CASE("a holder names the nodes with the most processor time as standbys") {
+  DemandBoard board;
+  for (int i = 0; i < 10; ++i) {
+    NodeCounts counts;
+    counts.node = "n" + std::to_string(i);
+    counts.processor_share = i < 6 ? 0.12 : 0.5;
+    board.Counted(counts, At(0));
+  }
+  CHECK(board.Standbys("n7", At(100)) == std::set<std::string>{"n0", "n6", "n8", "n9"});
+  CHECK(board.Standbys("n7", At(10'000)).empty());
+}
+
 TEST_CASE("a holder of many nodes works with all their counts at its next tick") {
   FleetState state(Settings("n1"), "x");
   state.Handle(fleet_message::RoutesSeen{Routes(1)}, At(0));
@@ -172,7 +214,7 @@
   REQUIRE(TakeLease(state, 100));
   state.Handle(fleet_message::LeaseWritten{"1"}, At(110));
   NodeCounts counts;
-  counts.loads[KeyOf("e1")] = {2, 640};
+  counts.loads[KeyOf("e1")] = {2, 1, 640};
   for (int i = 0; i < 80; ++i) {
     counts.node = "n" + std::to_string(i + 2);
     const auto effects = state.Handle(fleet_message::PeerCounted{counts}, At(200 + i));
@@ -181,7 +223,7 @@
   const auto effects = state.Handle(fleet_message::Tick{}, At(300));
   REQUIRE(effects.statement);
   const HolderDigest told = DigestFor(*effects.statement, counts, At(300));
-  CHECK(told.loads.at(KeyOf("e1")) == EndpointLoad{158, 50'560});
+  CHECK(told.loads.at(KeyOf("e1")) == EndpointLoad{158, 79, 50'560});
 }
 
 TEST_CASE("the holder tells each node what it lacks, and how old that is") {
--- a/src/rudderloom/fleet/holder_statement.cpp
+++ b/src/rudderloom/fleet/holder_statement.cpp
@@ -8,6 +8,7 @@
     return digest;
   }
   digest.loads = statement.loads.Without(asking.node);
+  digest.standby = statement.standbys.contains(asking.node);
   digest.serving = statement.serving->Since(asking.serving_seen);
   if (statement.endpoints_confirmed_at) {
     digest.endpoints = statement.endpoints->Since(asking.endpoints_seen);
--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -73,7 +73,7 @@
 
   void CountDemand() {
     for (const UnitName& unit : Units()) {
-      state_.units[unit].tokens += terms_.tokens_in + terms_.tokens_out;
+      state_.units[unit].offered += Duration(1'000);
     }
   }
 
--- a/src/rudderloom/forwarding/front.cpp
+++ b/src/rudderloom/forwarding/front.cpp
@@ -130,7 +130,7 @@
     return entry.second.running == 0 && entry.second.waiting == 0;
   });
   for (auto& [unit, count] : state_.units) {
-    count.tokens = 0;
+    count.offered = Duration(0);
   }
   on_sample_(std::move(counts));
 }
--- a/src/rudderloom/peers/fleet_codec.cpp
+++ b/src/rudderloom/peers/fleet_codec.cpp
@@ -9,9 +9,9 @@
 
 constexpr std::uint64_t kTokenUnit = 64;
 
-std::uint16_t Clamped(std::uint64_t value) {
-  return static_cast<std::uint16_t>(
-      std::min<std::uint64_t>(value, std::numeric_limits<std::uint16_t>::max()));
+template <class Number>
+Number Clamped(std::uint64_t value) {
+  return static_cast<Number>(std::min<std::uint64_t>(value, std::numeric_limits<Number>::max()));
 }
 
 void WriteLoads(const LoadTable& loads, capnp::List<rpc::EndpointLoad>::Builder out) {
@@ -19,15 +19,18 @@
   for (const auto& [endpoint, load] : loads) {
     auto entry = out[index++];
     entry.setEndpoint(endpoint);
-    entry.setRequests(Clamped(load.requests));
-    entry.setUnreadTokenUnits(Clamped((load.unread_tokens + kTokenUnit - 1) / kTokenUnit));
+    entry.setRequests(Clamped<std::uint8_t>(load.requests));
+    entry.setDeferred(Clamped<std::uint8_t>(load.deferred));
+    entry.setUnreadTokenUnits(
+        Clamped<std::uint16_t>((load.unread_tokens + kTokenUnit - 1) / kTokenUnit));
   }
 }
 
 LoadTable ReadLoads(capnp::List<rpc::EndpointLoad>::Reader in) {
   LoadTable loads;
   for (const auto entry : in) {
-    loads[entry.getEndpoint()] = {entry.getRequests(), entry.getUnreadTokenUnits() * kTokenUnit};
+    loads[entry.getEndpoint()] = {entry.getRequests(), entry.getDeferred(),
+                                  entry.getUnreadTokenUnits() * kTokenUnit};
   }
   return loads;
 }
@@ -138,6 +141,7 @@
   out.setServingSeen(counts.serving_seen);
   out.setRoutesVersion(counts.routes_version);
   out.setEndpointsSeen(counts.endpoints_seen);
+  out.setProcessorShare(static_cast<float>(counts.processor_share));
   WriteLoads(counts.loads, out.initLoads(counts.loads.size()));
   auto units = out.initUnits(counts.units.size());
   unsigned index = 0;
@@ -148,7 +152,7 @@
     entry.setAdapter(unit.adapter);
     entry.setRunning(count.running);
     entry.setWaiting(count.waiting);
-    entry.setTokens(count.tokens);
+    entry.setOfferedMs(static_cast<std::uint64_t>(count.offered.count()));
   }
 }
 
@@ -159,11 +163,13 @@
   counts.serving_seen = in.getServingSeen();
   counts.routes_version = in.getRoutesVersion();
   counts.endpoints_seen = in.getEndpointsSeen();
+  counts.processor_share = in.getProcessorShare();
   counts.loads = ReadLoads(in.getLoads());
   for (const auto entry : in.getUnits()) {
     const UnitName unit{entry.getService().cStr(), entry.getModel().cStr(),
                         entry.getAdapter().cStr()};
-    counts.units[unit] = {entry.getRunning(), entry.getWaiting(), entry.getTokens()};
+    counts.units[unit] = {entry.getRunning(), entry.getWaiting(),
+                          Duration(static_cast<Duration::rep>(entry.getOfferedMs()))};
   }
   return counts;
 }
@@ -173,6 +179,8 @@
   out.setEpoch(digest.epoch);
   out.setNodes(digest.nodes);
   out.setRoutesVersion(digest.routes_version);
+  out.setStandby(digest.standby);
+  out.setRenewalsFail(digest.renewals_fail);
   WriteLoads(digest.loads, out.initLoads(digest.loads.size()));
   WriteChanges(digest.serving, out.initServing());
   WriteChanges(digest.endpoints, out.initEndpoints());
@@ -187,6 +195,8 @@
   digest.epoch = in.getEpoch();
   digest.nodes = in.getNodes();
   digest.routes_version = in.getRoutesVersion();
+  digest.standby = in.getStandby();
+  digest.renewals_fail = in.getRenewalsFail();
   digest.loads = ReadLoads(in.getLoads());
   digest.serving = ReadChanges<std::vector<ResidentModel>>(in.getServing());
   digest.endpoints = ReadChanges<EndpointRecord>(in.getEndpoints());
--- a/src/rudderloom/placement/demand.cpp
+++ b/src/rudderloom/placement/demand.cpp
@@ -1,7 +1,8 @@
 #include "rudderloom/placement/demand.hpp"
 
-#include <algorithm>  // for min
+#include <algorithm>  // for min, sort
 #include <cmath>      // for exp
+#include <vector>     // for vector
 
 namespace rudderloom {
 
@@ -11,13 +12,16 @@
 constexpr double kRiseSeconds = 0.4;
 constexpr double kFallSeconds = 3.0;
 constexpr Duration kForgetAfter{120'000};
+// Enough that some of them reach the store when it turns a third of the nodes away.
+constexpr std::size_t kStandbys = 4;
 
 }  // namespace
 
 void DemandBoard::Counted(const NodeCounts& counts, TimePoint now) {
-  nodes_[counts.node] = {counts.units, std::make_shared<const LoadTable>(counts.loads), now};
+  nodes_[counts.node] = {counts.units, std::make_shared<const LoadTable>(counts.loads),
+                         counts.processor_share, now};
   for (const auto& [unit, count] : counts.units) {
-    if (count.running + count.waiting > 0 || count.tokens > 0) {
+    if (count.running + count.waiting > 0 || count.offered > Duration(0)) {
       units_[unit].asked_at = now;
     }
   }
@@ -82,6 +86,21 @@
   return sums;
 }
 
+std::set<std::string> DemandBoard::Standbys(const std::string& holder, TimePoint now) const {
+  std::vector<std::pair<double, std::string>> candidates;
+  for (const auto& [name, node] : nodes_) {
+    if (name != holder && now - node.heard_at <= kFresh) {
+      candidates.emplace_back(-node.processor_share, name);
+    }
+  }
+  std::sort(candidates.begin(), candidates.end());
+  std::set<std::string> standbys;
+  for (std::size_t i = 0; i < std::min(kStandbys, candidates.size()); ++i) {
+    standbys.insert(candidates[i].second);
+  }
+  return standbys;
+}
+
 std::uint32_t DemandBoard::Nodes(TimePoint now) const {
   std::uint32_t count = 0;
   for (const auto& [name, node] : nodes_) {
--- a/src/rudderloom/placement/lease_keeper.cpp
+++ b/src/rudderloom/placement/lease_keeper.cpp
@@ -24,6 +24,8 @@
 // How much later than usual a renewal may come before its holder is given up.
 constexpr Duration kRenewalSlack{500};
 constexpr Duration kBetweenAnnouncements{30};
+// A renewal takes some milliseconds; after so long something is wrong with it.
+constexpr Duration kRenewalLate{250};
 
 bool IsOlder(const LeaseRecord& left, const LeaseRecord& right) {
   return std::tie(left.epoch, left.renewals) < std::tie(right.epoch, right.renewals);
@@ -165,6 +167,10 @@
   return now - write_started_at_ >= kBetweenAnnouncements && !CoversAll(record_.own, wanted_own_);
 }
 
+bool LeaseKeeper::RenewalsFail(TimePoint now) const {
+  return Holds(now) && now >= valid_until_ - valid_for_ + renew_every_ + kRenewalLate;
+}
+
 FormerLease LeaseKeeper::FormerOf(const LeaseRecord& record) const {
   FormerLease former;
   former.rest = bound_ + kMargin + (record.released ? Duration(0) : valid_for_);
--- a/src/rudderloom/placement/lease_keeper_test.cpp
+++ b/src/rudderloom/placement/lease_keeper_test.cpp
@@ -87,6 +87,24 @@
   CHECK(alone.Holds(At(ms)));
 }
 
+TEST_CASE("a holder whose renewals do not come through says so before its time is over") {
+  Store store;
+  LeaseKeeper holder("a:1", "x", kBound);
+  Step(holder, store, At(0));
+  CHECK_FALSE(holder.RenewalsFail(At(1'100)));
+  int failing = 0;
+  for (int ms = 1'000; ms < 2'500 && failing == 0; ms += 50) {
+    if (holder.NextWrite(At(ms))) {
+      holder.WriteFailed();
+    }
+    holder.Unread(At(ms));
+    failing = holder.RenewalsFail(At(ms)) ? ms : 0;
+  }
+  CHECK(failing > 0);
+  CHECK(failing <= 1'500);
+  CHECK(holder.Holds(At(failing)));
+}
+
 TEST_CASE("a dead holder's lease passes on soon; what it may have ordered rests for the bound") {
   Store store;
   LeaseKeeper first("a:1", "x", kBound);
--- a/src/rudderloom/placement/placement_keeper_test.cpp
+++ b/src/rudderloom/placement/placement_keeper_test.cpp
@@ -152,7 +152,7 @@
            std::uint32_t running,
            std::uint32_t waiting) {
     counts.node = "node";
-    counts.units[{"pool", model, adapter}] = {running, waiting, 1};
+    counts.units[{"pool", model, adapter}] = {running, waiting, Duration(1)};
   }
 
   std::mt19937_64 random;
--- a/src/rudderloom/placement/planner_test.cpp
+++ b/src/rudderloom/placement/planner_test.cpp
@@ -46,7 +46,7 @@
 
   // One node has counted this for some seconds.
   void Asked(const std::string& model, std::uint32_t running, std::uint32_t waiting) {
-    asked_[{kService, model, ""}] = {running, waiting, 0};
+    asked_[{kService, model, ""}] = {running, waiting, Duration(0)};
     NodeCounts counts;
     counts.node = "n1";
     counts.units = asked_;
