Requests wait for a first configuration, and what an endpoint denied is left out of the next choices

Ruled out: a slow start (started to listed: 20 ms; the large configuration's way over 10 Mbit/s: 0.3 s). Change: for 1.2 s after its start a node lets requests wait for a first configuration; Balancer leaves an endpoint out for what it denied, for 1.5 s; the holder's watch of the configuration lasts 1.5 s, so that it notices a silent connection, the others' 25 s. Conclusion: kept for what callers see after a restart; the worth of it is not shown.

--- a/include/rudderloom/forwarding/balancer.hpp
+++ b/include/rudderloom/forwarding/balancer.hpp
@@ -86,6 +86,10 @@
              AttemptMark mark,
              TimePoint now);
 
+  /// @brief The endpoint said that it does not hold what the request asks for: lists of what
+  /// endpoints hold may be a second old, most of all where no holder of the lease is known.
+  void NotResident(const std::string& instance, const RequestTerms& terms, TimePoint now);
+
   /// @brief This node's requests by endpoint.
   LoadTable Loads() const;
 
@@ -100,6 +104,7 @@
   struct Endpoint {
     EndpointLoad load;
     std::map<std::uint64_t, TimePoint> read_prompts;  // hash of a prompt's beginning: last used
+    std::map<std::string, TimePoint> absent_until;    // model/adapter: not asked for before
     std::uint32_t failures = 0;                       // in a row
     TimePoint avoid_until;
   };
--- a/include/rudderloom/forwarding/forwarder.hpp
+++ b/include/rudderloom/forwarding/forwarder.hpp
@@ -38,6 +38,8 @@
   LogQuota log_quota;
   std::mt19937_64 random;
   bool stopping = false;  ///< Requests that wait for an endpoint are refused.
+  /// @brief Until then a first configuration is likely to come, and requests wait for it.
+  TimePoint configured_by;
   /// @brief Called when a request finds no endpoint that holds what it asks for.
   std::function<void()> on_missing;
 };
--- a/src/rudderloom/fleet/counts_inbox.cpp
+++ b/src/rudderloom/fleet/counts_inbox.cpp
@@ -23,6 +23,7 @@
     taken.swap(by_node_);
   }
   std::vector<NodeCounts> all;
+  all.reserve(taken.size());
   for (auto& [node, counts] : taken) {
     all.push_back(std::move(counts));
   }
--- a/src/rudderloom/fleet/fleet_shell.cpp
+++ b/src/rudderloom/fleet/fleet_shell.cpp
@@ -16,8 +16,8 @@
 constexpr Duration kReportLimit{400};
 constexpr Duration kConnectLimit{300};
 constexpr Duration kBackoffLeast{100};
-// Calls that fail are priced too, and their number grows with the nodes. A configuration may take 3 s
-// from when the store is well again.
+// Calls that fail are priced too, and their number grows with the nodes. A configuration may take 3
+// s from when the store is well again.
 constexpr Duration kBackoffMost{1'600};
 // Changes that come within this time are read with one call; each call has its price.
 constexpr Duration kBetweenConfigurations{250};
@@ -25,9 +25,27 @@
 constexpr double kEndpointPart = 0.4;
 // The same for the node on which the others rely; its watches are also over after this time.
 constexpr double kEndpointForOthersPart = 0.125;
+// The node on which the others rely also finds a newer configuration soon, whatever becomes of its
+// watch: an open connection may go silent without an error. The others hear of it from that node,
+// so their watches may last long; each answer has its price, which grows with the nodes.
+constexpr Duration kRoutesWatchForOthers{1'500};
+constexpr Duration kRoutesWatchWithHolder{25'000};
 // On that node a list finds what a watch has left out.
 constexpr Duration kListForOthersEvery{20'000};
 
+// Empty: the store's own time.
+std::optional<Duration> RoutesWatchTime(EndpointFollowing following) {
+  switch (following) {
+    case EndpointFollowing::kStore:
+      return std::nullopt;
+    case EndpointFollowing::kForOthers:
+      return kRoutesWatchForOthers;
+    case EndpointFollowing::kHolder:
+      return kRoutesWatchWithHolder;
+  }
+  return std::nullopt;
+}
+
 Duration PartOf(Duration whole, double part) {
   return std::chrono::duration_cast<Duration>(whole * part);
 }
@@ -190,6 +208,7 @@
 }
 
 void FleetShell::Follow(EndpointFollowing following) {
+  routes_pace_->watch_time = RoutesWatchTime(following);
   if (following == EndpointFollowing::kHolder) {
     endpoints_pace_->Pause();
     return;
--- a/src/rudderloom/forwarding/attempt.cpp
+++ b/src/rudderloom/forwarding/attempt.cpp
@@ -208,7 +208,8 @@
       result.reason = terms_.wrong_instance ? "wrong_instance"
                       : terms_.not_resident ? "not_resident"
                                             : "shed";
-      result.mark = AttemptMark::kShed;
+      result.mark = terms_.not_resident ? AttemptMark::kNeutral : AttemptMark::kShed;
+      result.not_resident = terms_.not_resident;
       co_return result;
     }
     if (status_ >= kServerError || PromisesNotRun(status_)) {
--- a/src/rudderloom/forwarding/attempt.hpp
+++ b/src/rudderloom/forwarding/attempt.hpp
@@ -42,7 +42,7 @@
   const RequestTerms* terms = nullptr;
   const Route* route = nullptr;
   TimePoint time_up;
-  std::uint32_t urgency = 0;  // of a request for a model, as the endpoint sees it
+  std::uint32_t urgency = 0;              // of a request for a model, as the endpoint sees it
   std::optional<Duration> first_silence;  // before the answer begins; empty: no limit
   Duration later_silence{0};              // between two pieces of a stream that may be resumed
   StreamState* stream = nullptr;
@@ -59,9 +59,10 @@
 
 struct AttemptResult {
   AttemptOutcome outcome = AttemptOutcome::kFailed;
-  std::string_view reason;  // for counters and logs
-  unsigned status = 0;      // of the endpoint's answer, where there is one
-  bool silent = false;      // the endpoint was given up because nothing came from it
+  std::string_view reason;    // for counters and logs
+  unsigned status = 0;        // of the endpoint's answer, where there is one
+  bool not_resident = false;  // the endpoint said that it does not hold the model or adapter
+  bool silent = false;        // the endpoint was given up because nothing came from it
   AttemptMark mark = AttemptMark::kFailed;
   std::optional<Reply> reply;  // a failure that the client may be given as it is
 };
--- a/src/rudderloom/forwarding/balancer.cpp
+++ b/src/rudderloom/forwarding/balancer.cpp
@@ -22,6 +22,8 @@
 // Tokens that must be saved for a request to follow its prompt against the spread over endpoints:
 // about 25 ms of reading.
 constexpr double kWorthFollowing = 1'000.0;
+// An endpoint's entry is written each heartbeat, 1.2 s, and read a little later.
+constexpr Duration kAbsentFor{1'500};
 constexpr Duration kAvoidLeast{400};
 constexpr Duration kAvoidMost{5'000};
 constexpr std::uint32_t kMostDoublings = 4;
@@ -42,6 +44,10 @@
   return Mix(prompt ^ std::hash<std::string>{}(instance));
 }
 
+std::string UnitOf(const RequestTerms& terms) {
+  return terms.model + "/" + terms.adapter;
+}
+
 bool Holds(const EndpointRecord& record, const RequestTerms& terms) {
   if (terms.model.empty()) {
     return true;
@@ -92,6 +98,10 @@
       continue;
     }
     const Endpoint& own = endpoints_[record.instance];
+    const auto absent = own.absent_until.find(UnitOf(ask.terms));
+    if (absent != own.absent_until.end() && now < absent->second) {
+      continue;
+    }
     Candidate candidate;
     candidate.index = index;
     candidate.slots = record.slots;
@@ -275,6 +285,10 @@
   }
 }
 
+void Balancer::NotResident(const std::string& instance, const RequestTerms& terms, TimePoint now) {
+  endpoints_[instance].absent_until[UnitOf(terms)] = now + kAbsentFor;
+}
+
 LoadTable Balancer::Loads() const {
   LoadTable loads;
   for (const auto& [instance, endpoint] : endpoints_) {
@@ -294,6 +308,7 @@
     return !known.contains(entry.first) && entry.second.load.requests == 0;
   });
   for (auto& [instance, endpoint] : endpoints_) {
+    std::erase_if(endpoint.absent_until, [&](const auto& unit) { return unit.second <= now; });
     const bool many = endpoint.read_prompts.size() > kPromptsKept;
     const Duration kept = many ? kPromptsKeptFor / 6 : kPromptsKeptFor;
     std::erase_if(endpoint.read_prompts,
--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -39,6 +39,7 @@
         routes_(state.views.Current()->routes) {}
 
   Awaitable<void> Run() {
+    co_await AwaitConfiguration();
     if (!routes_) {
       co_await Refuse(ForwardRefusal::kNoConfiguration);
       co_return;
@@ -63,6 +64,23 @@
   }
 
  private:
+  // A process that has just started has its configuration in some 100 ms: requests that came to it
+  // meanwhile would come back later than that.
+  Awaitable<void> AwaitConfiguration() {
+    const TimePoint until =
+        std::min(state_.configured_by, arrived_ + terms_.deadline.value_or(kUsualDeadline));
+    if (routes_ || Now() >= until) {
+      co_return;
+    }
+    CallGuard guard(state_.context, until, [] { return true; });
+    exchange_.WatchPeer([&guard] { guard.ClientGone(); });
+    while (!routes_ && Now() < until && guard.Why() == Interruption::kNone && !state_.stopping) {
+      co_await state_.views.WaitForNext(guard.WaitTimer(), until);
+      routes_ = state_.views.Current()->routes;
+    }
+    exchange_.StopWatching();
+  }
+
   // The model that the request asks for and, where it names one, the adapter.
   std::vector<UnitName> Units() const {
     std::vector<UnitName> units;
@@ -212,6 +230,9 @@
       --state_.units[unit].running;
     }
     state_.balancer.Ended(endpoint.instance, added, result.mark, Now());
+    if (result.not_resident) {
+      state_.balancer.NotResident(endpoint.instance, terms_, Now());
+    }
     LearnTimes(endpoint, result, started);
     state_.metrics.Observe({"rudderloom_attempt_seconds", "service", service_},
                            std::chrono::duration<double>(Now() - started).count());
@@ -435,7 +456,7 @@
   HttpExchange& exchange_;
   const TimePoint arrived_;
   const RequestTerms terms_;
-  const RouteTablePtr routes_;
+  RouteTablePtr routes_;
   const Route* route_ = nullptr;
   std::string service_;
   TimePoint time_up_;
--- a/src/rudderloom/forwarding/forwarding_test.cpp
+++ b/src/rudderloom/forwarding/forwarding_test.cpp
@@ -176,6 +176,21 @@
   CHECK(choice.hold == Duration(800));
 }
 
+TEST_CASE(
+    "an endpoint that denied a model is left out for it, not for others, until lists are newer") {
+  FleetView view = MakeView(1);
+  view.endpoints[0].record.models.push_back({"other", 1, {}});
+  Balancer balancer("z", 1);
+  const std::set<std::string> none;
+  RequestTerms terms = Ask(1, 2);
+  balancer.NotResident("i0", terms, At(0));
+  CHECK(std::get<NoEndpoint>(balancer.Choose(view, {"s", terms, none}, At(1'000))) ==
+        NoEndpoint::kNotResident);
+  CHECK(std::holds_alternative<Choice>(balancer.Choose(view, {"s", terms, none}, At(2'000))));
+  terms.model = "other";
+  CHECK(std::holds_alternative<Choice>(balancer.Choose(view, {"s", terms, none}, At(100))));
+}
+
 TEST_CASE("only endpoints that hold the adapter are chosen, and failed ones are avoided") {
   const FleetView view = MakeView(3);
   Balancer balancer("z", 1);
--- a/src/rudderloom/forwarding/front.cpp
+++ b/src/rudderloom/forwarding/front.cpp
@@ -10,6 +10,8 @@
 constexpr Duration kTrimEvery{1'000};
 constexpr Duration kSampleEvery{200};
 constexpr Duration kSamplePause{15};
+// A configuration of 1,700 routes takes a node on a 10 Mbit/s link half a second to read.
+constexpr Duration kConfiguredWithin{1'200};
 
 // What a client is told about a request that could not be read.
 Reply ReadFailureReply(ReadFailure failure) {
@@ -75,6 +77,7 @@
              LogQuota(settings.log_lines_per_second),
              std::mt19937_64(std::hash<std::string>{}(settings.name)),
              false,
+             Now() + kConfiguredWithin,
              [this] {
                missing_ = true;
                sample_timer_.cancel();
--- a/src/rudderloom/forwarding/service_times.cpp
+++ b/src/rudderloom/forwarding/service_times.cpp
@@ -1,6 +1,7 @@
 #include "rudderloom/forwarding/service_times.hpp"
 
 #include <algorithm>  // for max
+#include <cmath>      // for llround
 
 namespace rudderloom {
 
@@ -17,7 +18,7 @@
 constexpr double kAssumedTokensPerMillisecond = 40.0;
 
 Duration Rounded(double milliseconds) {
-  return Duration(static_cast<Duration::rep>(milliseconds + 0.5));
+  return Duration(std::llround(milliseconds));
 }
 
 }  // namespace
