--- a/include/rudderloom/fleet/fleet_state.hpp
+++ b/include/rudderloom/fleet/fleet_state.hpp
@@ -3,11 +3,10 @@
 #ifndef RUDDERLOOM_FLEET_FLEET_STATE_HPP
 #define RUDDERLOOM_FLEET_FLEET_STATE_HPP
 
-#include <memory>       // for shared_ptr
-#include <optional>     // for optional
-#include <string>       // for string
-#include <string_view>  // for string_view
-#include <vector>       // for vector
+#include <memory>    // for shared_ptr
+#include <optional>  // for optional
+#include <string>    // for string
+#include <vector>    // for vector
 
 #include "rudderloom/fleet/endpoint_directory.hpp"    // for EndpointDirectory
 #include "rudderloom/fleet/endpoint_source.hpp"       // for EndpointSource
@@ -27,6 +26,13 @@
   kMayBeStale,  ///< Costs less, and may be seconds old.
 };
 
+/// @brief Who told of an endpoint.
+/// @ingroup fleet
+enum class EndpointTeller {
+  kStore,
+  kHolder,
+};
+
 /// @brief What this node tells the holder.
 /// @ingroup fleet
 struct CountsToReport {
@@ -88,11 +94,10 @@
   void AnnounceOrders(FleetEffects& effects, TimePoint now);
   void ReportCounts(FleetEffects& effects);
   void MoveFollowing(FleetEffects& effects, TimePoint now);
-  // `source` is who told, for the log.
-  void TakeRecord(const EndpointRecord& record, std::string_view source);
-  void TakeGone(const std::string& instance, std::string_view source, TimePoint now);
-  void TakeEndpoints(const EndpointChanges& changes, std::string_view source, TimePoint now);
-  void TakeList(const std::vector<EndpointRecord>& records, std::string_view source, TimePoint now);
+  void TakeRecord(const EndpointRecord& record, EndpointTeller teller);
+  void TakeGone(const std::string& instance, EndpointTeller teller, TimePoint now);
+  void TakeEndpoints(const EndpointChanges& changes, EndpointTeller teller, TimePoint now);
+  void TakeList(const std::vector<EndpointRecord>& records, EndpointTeller teller, TimePoint now);
   // A peer has told which configuration it has in force.
   void PeerHasRoutes(std::uint64_t version, TimePoint now);
   void CatchUpRoutes(FleetEffects& effects, TimePoint now);
--- a/include/rudderloom/forwarding/missing_units.hpp
+++ b/include/rudderloom/forwarding/missing_units.hpp
@@ -3,13 +3,21 @@
 #ifndef RUDDERLOOM_FORWARDING_MISSING_UNITS_HPP
 #define RUDDERLOOM_FORWARDING_MISSING_UNITS_HPP
 
-#include <map>  // for map
+#include <map>     // for map
+#include <string>  // for string
+#include <vector>  // for vector
 
+#include "rudderloom/forwarding/dialect.hpp"  // for RequestTerms
 #include "rudderloom/placement/demand.hpp"    // for UnitName
 #include "rudderloom/routes/route_table.hpp"  // for ServiceSpec
 
 namespace rudderloom {
 
+/// @brief The model that a request asks for and, where it names one, the adapter, which can't be
+/// there without its model.
+/// @ingroup forwarding
+std::vector<UnitName> RequestedUnits(const std::string& service, const RequestTerms& terms);
+
 /// @brief Tells when a missing model or adapter is likely to be there, so that a request waits only
 /// where waiting helps. Pure; time is passed in.
 /// @ingroup forwarding
--- /dev/null
+++ b/src/rudderloom/fleet/fleet_endpoints.cpp
@@ -0,0 +1,113 @@
+// What the control state believes of the endpoints, from the store or from the holder of the lease.
+#include "rudderloom/base/log_line.hpp"      // for LogLine
+#include "rudderloom/fleet/fleet_state.hpp"  // for FleetState
+
+namespace rudderloom {
+
+namespace {
+
+std::string_view NameOf(EndpointFollowing following) {
+  switch (following) {
+    case EndpointFollowing::kStore:
+      return "store";
+    case EndpointFollowing::kForOthers:
+      return "store_for_others";
+    case EndpointFollowing::kHolder:
+      return "holder";
+  }
+  return "unknown";
+}
+
+std::string_view NameOf(EndpointTeller teller) {
+  return teller == EndpointTeller::kStore ? "store" : "holder";
+}
+
+}  // namespace
+
+// Where the list of endpoints comes from from now on.
+void FleetState::MoveFollowing(FleetEffects& effects, TimePoint now) {
+  const EndpointFollowing following = source_.Choose(holds_, now);
+  if (following == following_) {
+    return;
+  }
+  following_ = following;
+  effects.following = following;
+  LogLine("endpoints_followed")
+      .With("source", NameOf(following))
+      .With("revision", endpoint_log_.Get().Version());
+}
+
+// A log that is already further knows better than whoever told these changes.
+void FleetState::TakeEndpoints(const EndpointChanges& changes,
+                               EndpointTeller teller,
+                               TimePoint now) {
+  if (!endpoints_known_ || !endpoint_log_.Change().Apply(changes)) {
+    return;
+  }
+  if (changes.whole) {
+    std::vector<EndpointRecord> records;
+    for (const auto& [instance, record] : changes.values) {
+      records.push_back(record);
+    }
+    TakeList(records, teller, now);
+    return;
+  }
+  for (const auto& [instance, record] : changes.values) {
+    TakeRecord(record, teller);
+  }
+  for (const std::string& instance : changes.gone) {
+    TakeGone(instance, teller, now);
+  }
+}
+
+void FleetState::TakeList(const std::vector<EndpointRecord>& records,
+                          EndpointTeller teller,
+                          TimePoint now) {
+  directory_.Listed(records, now);
+  ChangedForTraffic();
+  LogLine("endpoints_listed").With("count", records.size()).With("source", NameOf(teller));
+}
+
+void FleetState::On(const fleet_message::EndpointsChanged& changed, TimePoint now) {
+  source_.Confirmed(now);
+  TakeEndpoints(changed.changes, EndpointTeller::kStore, now);
+}
+
+void FleetState::On(const fleet_message::EndpointsListed& listed, TimePoint now) {
+  source_.Confirmed(now);
+  if (listed.revision < endpoint_log_.Get().Version()) {
+    return;
+  }
+  std::map<std::string, EndpointRecord> by_instance;
+  for (const EndpointRecord& record : listed.records) {
+    by_instance.emplace(record.instance, record);
+  }
+  endpoint_log_.Change().Replace(by_instance, listed.revision);
+  endpoints_known_ = true;
+  TakeList(listed.records, EndpointTeller::kStore, now);
+}
+
+void FleetState::TakeRecord(const EndpointRecord& record, EndpointTeller teller) {
+  const auto found = directory_.Endpoints().find(record.instance);
+  const bool news =
+      found == directory_.Endpoints().end() || found->second.record.leaving != record.leaving;
+  directory_.Put(record);
+  changed_ = true;
+  if (news) {
+    ChangedForTraffic();
+    LogLine("endpoint_changed")
+        .With("endpoint", record.instance)
+        .With("service", record.service)
+        .With("address", record.address)
+        .With("leaving", record.leaving ? "yes" : "no")
+        .With("source", NameOf(teller));
+  }
+}
+
+void FleetState::TakeGone(const std::string& instance, EndpointTeller teller, TimePoint now) {
+  directory_.Gone(instance, now);
+  ChangedForTraffic();
+  LogLine("endpoint_gone").With("endpoint", instance).With("source", NameOf(teller));
+}
+
+}  // namespace rudderloom
--- a/src/rudderloom/fleet/fleet_state.cpp
+++ b/src/rudderloom/fleet/fleet_state.cpp
@@ -31,9 +31,6 @@
 constexpr Duration kDigestFresh{2'000};
 // Nodes that share limits, until the holder has counted them.
 constexpr std::uint32_t kAssumedNodes = 12;
-// Who told of an endpoint, in the log.
-constexpr std::string_view kFromStore = "store";
-constexpr std::string_view kFromHolder = "holder";
 // By then all nodes have found a new holder and reported to it.
 constexpr Duration kReportsComplete{2'000};
 
@@ -41,18 +38,6 @@
   return std::chrono::duration_cast<Duration>(drain * kSharedPart);
 }
 
-std::string_view NameOf(EndpointFollowing following) {
-  switch (following) {
-    case EndpointFollowing::kStore:
-      return "store";
-    case EndpointFollowing::kForOthers:
-      return "store_for_others";
-    case EndpointFollowing::kHolder:
-      return "holder";
-  }
-  return "unknown";
-}
-
 }  // namespace
 
 FleetState::FleetState(FleetSettings settings, std::string incarnation)
@@ -289,92 +274,6 @@
       .With("services", seen.routes->Services().size());
 }
 
-// Where the list of endpoints comes from from now on.
-void FleetState::MoveFollowing(FleetEffects& effects, TimePoint now) {
-  const EndpointFollowing following = source_.Choose(holds_, now);
-  if (following == following_) {
-    return;
-  }
-  following_ = following;
-  effects.following = following;
-  LogLine("endpoints_followed")
-      .With("source", NameOf(following))
-      .With("revision", endpoint_log_.Get().Version());
-}
-
-// A log that is already further knows better than whoever told these changes.
-void FleetState::TakeEndpoints(const EndpointChanges& changes,
-                               std::string_view source,
-                               TimePoint now) {
-  if (!endpoints_known_ || !endpoint_log_.Change().Apply(changes)) {
-    return;
-  }
-  if (changes.whole) {
-    std::vector<EndpointRecord> records;
-    for (const auto& [instance, record] : changes.values) {
-      records.push_back(record);
-    }
-    TakeList(records, source, now);
-    return;
-  }
-  for (const auto& [instance, record] : changes.values) {
-    TakeRecord(record, source);
-  }
-  for (const std::string& instance : changes.gone) {
-    TakeGone(instance, source, now);
-  }
-}
-
-void FleetState::TakeList(const std::vector<EndpointRecord>& records,
-                          std::string_view source,
-                          TimePoint now) {
-  directory_.Listed(records, now);
-  ChangedForTraffic();
-  LogLine("endpoints_listed").With("count", records.size()).With("source", source);
-}
-
-void FleetState::On(const fleet_message::EndpointsChanged& changed, TimePoint now) {
-  source_.Confirmed(now);
-  TakeEndpoints(changed.changes, kFromStore, now);
-}
-
-void FleetState::On(const fleet_message::EndpointsListed& listed, TimePoint now) {
-  source_.Confirmed(now);
-  if (listed.revision < endpoint_log_.Get().Version()) {
-    return;
-  }
-  std::map<std::string, EndpointRecord> by_instance;
-  for (const EndpointRecord& record : listed.records) {
-    by_instance.emplace(record.instance, record);
-  }
-  endpoint_log_.Change().Replace(by_instance, listed.revision);
-  endpoints_known_ = true;
-  TakeList(listed.records, kFromStore, now);
-}
-
-void FleetState::TakeRecord(const EndpointRecord& record, std::string_view source) {
-  const auto found = directory_.Endpoints().find(record.instance);
-  const bool news =
-      found == directory_.Endpoints().end() || found->second.record.leaving != record.leaving;
-  directory_.Put(record);
-  changed_ = true;
-  if (news) {
-    ChangedForTraffic();
-    LogLine("endpoint_changed")
-        .With("endpoint", record.instance)
-        .With("service", record.service)
-        .With("address", record.address)
-        .With("leaving", record.leaving ? "yes" : "no")
-        .With("source", source);
-  }
-}
-
-void FleetState::TakeGone(const std::string& instance, std::string_view source, TimePoint now) {
-  directory_.Gone(instance, now);
-  ChangedForTraffic();
-  LogLine("endpoint_gone").With("endpoint", instance).With("source", source);
-}
-
 void FleetState::On(const fleet_message::LeaseSeen& seen, TimePoint now) {
   lease_reading_ = false;
   lease_.Seen(seen.record, seen.version, seen.fresh, now);
@@ -414,7 +313,7 @@
   PeerHasRoutes(digest.routes_version, now);
   if (digest.endpoints_age) {
     source_.Heard(*digest.endpoints_age, now);
-    TakeEndpoints(digest.endpoints, kFromHolder, now);
+    TakeEndpoints(digest.endpoints, EndpointTeller::kHolder, now);
   }
   serving_log_.Change().Apply(digest.serving);
   heard_ = HeardDigest{digest.epoch, digest.loads, digest.standby, digest.renewals_fail, now};
--- a/src/rudderloom/forwarding/forward_refusal.cpp
+++ b/src/rudderloom/forwarding/forward_refusal.cpp
@@ -28,4 +28,14 @@
   return "unknown";
 }
 
+unsigned StatusOf(ForwardRefusal refusal, bool may_have_run) {
+  if (refusal == ForwardRefusal::kNoRoute) {
+    return 404;
+  }
+  if (refusal == ForwardRefusal::kTimeUp) {
+    return 504;
+  }
+  return may_have_run ? 502 : 503;
+}
+
 }  // namespace rudderloom
--- a/src/rudderloom/forwarding/forward_refusal.hpp
+++ b/src/rudderloom/forwarding/forward_refusal.hpp
@@ -22,6 +22,9 @@
 // As it stands in counters, logs and the answer's body.
 std::string_view NameOf(ForwardRefusal refusal);
 
+// What the client is told; 503 promises that the request has not run.
+unsigned StatusOf(ForwardRefusal refusal, bool may_have_run);
+
 }  // namespace rudderloom
 
 #endif
--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -5,6 +5,7 @@
 
 #include "forwarding/attempt.hpp"                // for RunAttempt
 #include "forwarding/forward_refusal.hpp"        // for ForwardRefusal
+#include "forwarding/request_end.hpp"            // for LogRequestEnd
 #include "forwarding/tried_endpoints.hpp"        // for TriedEndpoints
 #include "rudderloom/base/log_line.hpp"          // for LogLine
 #include "rudderloom/forwarding/call_guard.hpp"  // for CallGuard
@@ -81,25 +82,13 @@
     exchange_.StopWatching();
   }
 
-  // The model that the request asks for and, where it names one, the adapter.
-  std::vector<UnitName> Units() const {
-    std::vector<UnitName> units;
-    if (!terms_.model.empty()) {
-      units.push_back({service_, terms_.model, ""});
-    }
-    if (!terms_.adapter.empty()) {
-      units.push_back({service_, terms_.model, terms_.adapter});
-    }
-    return units;
-  }
-
   // Counts how long the request would be at an endpoint. Requests that are refused count too: a
   // model under a burst would look idle otherwise.
   void CountDemand() {
     const ServiceTimes& times = state_.balancer.Times();
     const Duration known = times.HoldTime(service_, terms_.model, terms_.tokens_out) +
                            times.TypicalFirstEventTime(service_, terms_.model);
-    for (const UnitName& unit : Units()) {
+    for (const UnitName& unit : RequestedUnits(service_, terms_)) {
       state_.units[unit].offered += known > Duration(0) ? known : kAssumedHold;
     }
   }
@@ -117,7 +106,7 @@
         continue;
       }
       last_choice_ = std::get<Choice>(chosen);
-      for (const UnitName& unit : Units()) {
+      for (const UnitName& unit : RequestedUnits(service_, terms_)) {
         state_.missing.Found(unit);
       }
       admission_ = JudgeChoice();
@@ -152,7 +141,7 @@
       return Now();  // it is there; the way to it comes back at any moment
     }
     const ServiceSpec* service = routes_->Service(service_);
-    const std::vector<UnitName> units = Units();
+    const std::vector<UnitName> units = RequestedUnits(service_, terms_);
     // The adapter can't come before its model, and nobody knows here which of both is missing.
     return state_.missing.Missed(units.back(), service, Now());
   }
@@ -185,7 +174,7 @@
 
   // Counts as demand meanwhile, so that the holder of the lease orders a load.
   Awaitable<void> WaitForView() {
-    const std::vector<UnitName> units = Units();
+    const std::vector<UnitName> units = RequestedUnits(service_, terms_);
     for (const UnitName& unit : units) {
       ++state_.units[unit].waiting;
     }
@@ -221,7 +210,7 @@
     ask.on_sent = [this] { attempt_connecting_ = false; };
     attempt_instance_ = endpoint.instance;
     attempt_connecting_ = true;
-    const std::vector<UnitName> units = Units();
+    const std::vector<UnitName> units = RequestedUnits(service_, terms_);
     for (const UnitName& unit : units) {
       ++state_.units[unit].running;
     }
@@ -364,17 +353,6 @@
     co_return false;
   }
 
-  unsigned StatusOf(ForwardRefusal refusal) const {
-    if (refusal == ForwardRefusal::kNoRoute) {
-      return 404;
-    }
-    if (refusal == ForwardRefusal::kTimeUp) {
-      return 504;
-    }
-    // 503 promises that the request has not run.
-    return may_have_run_ ? 502 : 503;
-  }
-
   // When another try is likely to be served.
   std::optional<Duration> ComeBack(ForwardRefusal refusal, unsigned status) const {
     if (status != 503) {
@@ -387,7 +365,7 @@
 
   Awaitable<void> Refuse(ForwardRefusal refusal) {
     state_.metrics.Count({"rudderloom_refusals_total", "reason", NameOf(refusal)});
-    const unsigned status = StatusOf(refusal);
+    const unsigned status = StatusOf(refusal, may_have_run_);
     LogEnd("", NameOf(refusal), status);
     if (stream_.started) {
       // The client sees that the answer is cut off.
@@ -418,38 +396,14 @@
     if (!state_.log_quota.Allows(Now())) {
       return;
     }
-    LogLine line("request_ended");
-    line.With("request_id", terms_.id)
-        .With("outcome", outcome)
-        .With("status", status)
-        .With("ms", Between(arrived_, Now()).count());
-    if (route_ != nullptr) {
-      line.With("route", route_->name)
-          .With("service", service_)
-          .With("goal_ms", route_->goal.count());
-    }
-    if (routes_) {
-      line.With("configuration", routes_->Version());
-    }
-    if (!instance.empty()) {
-      line.With("endpoint", instance).With("attempts", attempts_ + 1);
-    }
-    if (!terms_.model.empty()) {
-      line.With("model", terms_.model)
-          .With("adapter", terms_.adapter)
-          .With("tokens_in", terms_.tokens_in)
-          .With("holding", last_choice_.holding)
-          .With("load", last_choice_.load.requests)
-          .With("unread_ahead", last_choice_.load.unread_tokens)
-          .With("deferred", admission_ == Admission::kDeferred ? "yes" : "no")
-          .With("forecast_ms", last_choice_.forecast.in_turn.count())
-          .With("waited_ms", waited_.count());
-    }
-    if (stream_.pace.first_at) {
-      line.With("first_ms", Between(arrived_, *stream_.pace.first_at).count())
-          .With("pause_ms", stream_.pace.longest_pause.count())
-          .With("pause_limit_ms", route_->longest_pause.count());
-    }
+    RequestEnd end{terms_, routes_, route_, service_, last_choice_, stream_.pace};
+    end.admission = admission_;
+    end.endpoint = instance;
+    end.outcome = outcome;
+    end.status = status;
+    end.attempts = attempts_ + 1;
+    end.waited = waited_;
+    LogRequestEnd(end, arrived_, Now());
   }
 
   ForwardingState& state_;
--- a/src/rudderloom/forwarding/missing_units.cpp
+++ b/src/rudderloom/forwarding/missing_units.cpp
@@ -23,6 +23,17 @@
 
 }  // namespace
 
+std::vector<UnitName> RequestedUnits(const std::string& service, const RequestTerms& terms) {
+  std::vector<UnitName> units;
+  if (!terms.model.empty()) {
+    units.push_back({service, terms.model, ""});
+  }
+  if (!terms.adapter.empty()) {
+    units.push_back({service, terms.model, terms.adapter});
+  }
+  return units;
+}
+
 TimePoint MissingUnits::Missed(const UnitName& unit, const ServiceSpec* service, TimePoint now) {
   Missing& missing = since_.try_emplace(unit, Missing{now, now}).first->second;
   missing.last_asked = now;
--- /dev/null
+++ b/src/rudderloom/forwarding/request_end.cpp
@@ -0,0 +1,50 @@
+#include "forwarding/request_end.hpp"
+
+#include "rudderloom/base/log_line.hpp"  // for LogLine
+
+namespace rudderloom {
+
+namespace {
+
+void AddModel(const RequestEnd& end, LogLine& line) {
+  line.With("model", end.terms.model)
+      .With("adapter", end.terms.adapter)
+      .With("tokens_in", end.terms.tokens_in)
+      .With("holding", end.choice.holding)
+      .With("load", end.choice.load.requests)
+      .With("unread_ahead", end.choice.load.unread_tokens)
+      .With("deferred", end.admission == Admission::kDeferred ? "yes" : "no")
+      .With("forecast_ms", end.choice.forecast.in_turn.count())
+      .With("waited_ms", end.waited.count());
+}
+
+}  // namespace
+
+void LogRequestEnd(const RequestEnd& end, TimePoint arrived, TimePoint now) {
+  LogLine line("request_ended");
+  line.With("request_id", end.terms.id)
+      .With("outcome", end.outcome)
+      .With("status", end.status)
+      .With("ms", Between(arrived, now).count());
+  if (end.route != nullptr) {
+    line.With("route", end.route->name)
+        .With("service", end.service)
+        .With("goal_ms", end.route->goal.count());
+  }
+  if (end.routes) {
+    line.With("configuration", end.routes->Version());
+  }
+  if (!end.endpoint.empty()) {
+    line.With("endpoint", end.endpoint).With("attempts", end.attempts);
+  }
+  if (!end.terms.model.empty()) {
+    AddModel(end, line);
+  }
+  if (end.pace.first_at) {
+    line.With("first_ms", Between(arrived, *end.pace.first_at).count())
+        .With("pause_ms", end.pace.longest_pause.count())
+        .With("pause_limit_ms", end.route->longest_pause.count());
+  }
+}
+
+}  // namespace rudderloom
--- /dev/null
+++ b/src/rudderloom/forwarding/request_end.hpp
@@ -0,0 +1,34 @@
+// The log line that tells how a request ended and what decided it.
+#ifndef RUDDERLOOM_FORWARDING_REQUEST_END_HPP
+#define RUDDERLOOM_FORWARDING_REQUEST_END_HPP
+
+#include <string>       // for string
+#include <string_view>  // for string_view
+
+#include "forwarding/attempt.hpp"              // for StreamPace
+#include "rudderloom/forwarding/balancer.hpp"  // for Choice
+#include "rudderloom/forwarding/dialect.hpp"   // for RequestTerms
+#include "rudderloom/routes/route_table.hpp"   // for Route
+
+namespace rudderloom {
+
+struct RequestEnd {
+  const RequestTerms& terms;
+  const RouteTablePtr& routes;  // null before the first configuration
+  const Route* route = nullptr;
+  const std::string& service;
+  const Choice& choice;  // the last one
+  const StreamPace& pace;
+  Admission admission = Admission::kInTurn;
+  std::string_view endpoint = {};  // that answered; empty for none
+  std::string_view outcome = {};
+  unsigned status = 0;
+  std::uint32_t attempts = 0;
+  Duration waited{0};  // for an endpoint that holds the model
+};
+
+void LogRequestEnd(const RequestEnd& end, TimePoint arrived, TimePoint now);
+
+}  // namespace rudderloom
+
+#endif
