A holder that decides too late gives the lease up, and nobody gives it up with an order under way

Cause: a holder was judged only by whether it renews. Short of processor time it renewed late, lost its own lease by that, and took it back before others were sure that they might have it. Overloaded nodes, and one that has just resigned, let all others go first. A planned stop waits for its orders too: they could reach an engine after the release that lets the next holder count its time.

--- a/include/rudderloom/fleet/fleet_state.hpp
+++ b/include/rudderloom/fleet/fleet_state.hpp
@@ -93,6 +93,9 @@
   void PublishServing();
   std::uint32_t CountNodes(TimePoint now) const;
   void LogLag(TimePoint now);
+  bool ShouldResign(TimePoint now) const;
+  void MoveResignation(TimePoint now);
+  Duration LeaseYield(TimePoint now) const;
   void AnnounceOrders(FleetEffects& effects, TimePoint now);
   void ReportCounts(FleetEffects& effects);
   void MoveFollowing(FleetEffects& effects, TimePoint now);
@@ -140,9 +143,11 @@
   TimePoint viewed_at_;
   TimePoint held_since_;
   TimePoint lag_logged_at_;
+  std::optional<TimePoint> resigned_at_;
   bool holds_ = false;
   bool lease_reading_ = false;
   bool stopping_ = false;
+  bool resigning_ = false;  // the lease is held, and given up once no order is under way
   bool endpoints_known_ = false;
   bool changed_ = false;       // since the last view
   bool changed_much_ = false;  // more than loads, which may wait a moment
--- a/include/rudderloom/placement/lease_keeper.hpp
+++ b/include/rudderloom/placement/lease_keeper.hpp
@@ -114,8 +114,11 @@
   /// @brief Gives the lease up with the next write and takes it no more.
   void Stop() { stopping_ = true; }
 
+  /// @brief Gives the lease up with the next write, if it is held. This process may take it again.
+  void HandOver() { handing_over_ = holding_; }
+
   /// @brief True while this process may send orders.
-  bool Holds(TimePoint now) const { return !stopping_ && holding_ && now < valid_until_; }
+  bool Holds(TimePoint now) const { return !GivesUp() && holding_ && now < valid_until_; }
 
   /// @brief True when this process holds the lease and has not been able to renew it in time: it
   /// may be cut off from the platform, and others should look.
@@ -129,11 +132,12 @@
   /// @brief The last known holder; empty when there is none.
   const std::string& HolderAddress() const { return record_.holder; }
 
-  /// @brief True after a stop once nothing is held any more.
+  /// @brief True after a stop or a handover once nothing is held any more.
   bool Released() const { return !holding_ && !writing_; }
 
  private:
   bool IsMine(const LeaseRecord& record) const;
+  bool GivesUp() const { return stopping_ || handing_over_; }
   // The lease is free, or its holder has not renewed it in time, as far as this node has seen.
   bool Suspects() const;
   // A fresh read has shown so as well.
@@ -160,6 +164,7 @@
   bool needs_read_ = true;
   bool holding_ = false;
   bool stopping_ = false;
+  bool handing_over_ = false;
   TimePoint valid_until_;
   FormerLease former_;
   OrderScopes wanted_own_;
--- a/include/rudderloom/placement/placement_keeper.hpp
+++ b/include/rudderloom/placement/placement_keeper.hpp
@@ -72,6 +72,9 @@
   /// @brief What came of an order.
   void OrderEnded(const PlacementOrder& order, PlacementOutcome outcome, TimePoint now);
 
+  /// @brief True while the outcome of an order is not known: it may yet reach its endpoint.
+  bool OrdersUnderWay() const { return orders_under_way_ > 0; }
+
   /// @brief Moves on; call often while the lease is held.
   PlacementEffects Tick(const RouteTable& routes,
                         const std::map<std::string, KnownEndpoint>& endpoints,
@@ -121,6 +124,7 @@
   std::map<std::string, EngineState> engines_;
   std::map<std::string, LoadTimes> load_times_;  // by model
   std::uint64_t serving_version_ = 1;
+  std::size_t orders_under_way_ = 0;  // also to endpoints that are gone by now
   TimePoint shortfalls_logged_at_;
 };
 
--- a/src/rudderloom/fleet/fleet_state.cpp
+++ b/src/rudderloom/fleet/fleet_state.cpp
@@ -24,6 +24,12 @@
 constexpr Duration kStandbyLookEvery{500};
 // Nodes that know of standbys let these go first for so long.
 constexpr Duration kYieldToStandbys{1'000};
+// Nodes that are too slow for the lease let all others go first.
+constexpr Duration kYieldOverloaded{2'000};
+constexpr Duration kRestAfterResigning{10'000};
+// Taking the lease over is more work than holding it: all engines' reports and all nodes' counts
+// come at once.
+constexpr Duration kHoldAtLeast{4'000};
 // A watch is given so long to bring a configuration that a peer has already.
 constexpr Duration kRoutesBehind{400};
 // Planning right after each message would cost more than it brings: a plan, a statement for the
@@ -103,8 +109,48 @@
   return pause * std::max(1U, live_nodes_ / kLookingNodes);
 }
 
+// A holder is judged by whether it renews, which a node does long after its other work is too late
+// to be of use. One that was slowed 8 times beside 85 nodes ordered nothing for up to 8 s at a
+// time, and took its own lapsed lease back before others were sure that they might have it.
+bool FleetState::ShouldResign(TimePoint now) const {
+  return holds_ && lag_.Overloaded() && now - held_since_ >= kHoldAtLeast &&
+         !board_.Standbys(settings_.name, now).empty();
+}
+
+// No order may reach an endpoint after the lease was given up: the next holder waits only as long
+// as an order may take that was sent in time.
+void FleetState::MoveResignation(TimePoint now) {
+  if (!resigning_ && ShouldResign(now)) {
+    resigning_ = true;
+    resigned_at_ = now;
+    LogLine("lease_resigned", Severity::kWarning)
+        .With("epoch", lease_.Epoch())
+        .With("mean_lag_ms", lag_.Mean().count());
+  }
+  if (placement_.OrdersUnderWay()) {
+    return;
+  }
+  if (stopping_) {
+    lease_.Stop();
+  }
+  if (resigning_) {
+    lease_.HandOver();
+  }
+}
+
+// How long others may take a free lease before this node does.
+Duration FleetState::LeaseYield(TimePoint now) const {
+  const bool rests = resigned_at_ && now - *resigned_at_ < kRestAfterResigning;
+  if (rests || lag_.Overloaded()) {
+    return kYieldOverloaded;
+  }
+  return heard_ && !heard_->standby ? kYieldToStandbys : Duration(0);
+}
+
 // Reads and writes the lease's object when it is time to.
 void FleetState::MoveLease(FleetEffects& effects, TimePoint now) {
+  MoveResignation(now);
+  lease_.YieldFor(LeaseYield(now));
   if (holds_) {
     // Every write names all that was ordered up to now.
     const OrderAnnouncements& announcements = placement_.Announcements();
@@ -126,7 +172,8 @@
     effects.holder = known_holder_;
     LogLine("holder_seen").With("holder", known_holder_).With("epoch", lease_.Epoch());
   }
-  const bool holds = lease_.Holds(now);
+  resigning_ = resigning_ && !lease_.Released();
+  const bool holds = lease_.Holds(now) && !resigning_ && !stopping_;
   if (holds == holds_) {
     return;
   }
@@ -331,7 +378,6 @@
     TakeEndpoints(digest.endpoints, EndpointTeller::kHolder, now);
   }
   serving_log_.Change().Apply(digest.serving);
-  lease_.YieldFor(digest.standby ? Duration(0) : kYieldToStandbys);
   heard_ = HeardDigest{digest.epoch, digest.loads, digest.standby, digest.renewals_fail, now};
   live_nodes_ = std::max(1U, digest.nodes);
   changed_ = true;
@@ -352,7 +398,6 @@
 
 void FleetState::On(const fleet_message::StopAsked&, TimePoint) {
   stopping_ = true;
-  lease_.Stop();
 }
 
 // A node that is short of processor time decides late on everything, which no other line shows.
--- a/src/rudderloom/fleet/holder_overload_test.cpp
+++ b/src/rudderloom/fleet/holder_overload_test.cpp
@@ -188,5 +188,77 @@
   CHECK(fleet.lease.record->epoch == 1);
 }
 
+RouteTablePtr RoutesWithEngine() {
+  ServiceSpec service;
+  service.name = "pool";
+  service.engine.emplace();
+  service.engine->slots = 8;
+  service.engine->memory_mb = 100;
+  service.engine->loads_per_second = 10.0;
+  service.engine->models.push_back({"m", 70, Duration(1'000), Duration(200), 5});
+  return std::make_shared<const RouteTable>(1, std::vector<Route>{},
+                                            std::vector<ServiceSpec>{service}, ClientLimits{});
+}
+
+// A holder beside one node, with an engine whose order is under way.
+struct OrderingHolder {
+  OrderingHolder() : state(Settings("n1"), "x") {
+    EndpointRecord record;
+    record.instance = "e1";
+    record.service = "pool";
+    record.address = "e1:1";
+    Take(fleet_message::RoutesSeen{RoutesWithEngine()}, 0);
+    Take(fleet_message::EndpointsListed{{record}, 1}, 0);
+    Take(fleet_message::LeaseSeen{std::nullopt, "0", true}, 0);
+    for (int ms = kTick; ms <= 5'000; ms += kTick) {
+      Tick(ms, 0);
+    }
+    Take(fleet_message::EngineReported{"e1", EngineReport()}, 5'010);
+    for (int ms = 5'050; ms <= 6'000; ms += kTick) {
+      Tick(ms, 0);
+    }
+  }
+
+  void Tick(int ms, int lag) {
+    NodeCounts counts;
+    counts.node = "n2";
+    Take(fleet_message::PeerCounted{counts}, ms);
+    Take(fleet_message::Tick{At(ms - lag)}, ms);
+  }
+
+  void Take(const fleet_message::Any& message, int ms) {
+    const FleetEffects effects = state.Handle(message, At(ms));
+    orders.insert(orders.end(), effects.placement.orders.begin(), effects.placement.orders.end());
+    if (effects.lease_write) {
+      released = released || effects.lease_write->record.released;
+      Take(fleet_message::LeaseWritten{std::to_string(++revision)}, ms);
+    }
+  }
+
+  FleetState state;
+  std::vector<PlacementOrder> orders;
+  int revision = 0;
+  bool released = false;
+};
+
+TEST_CASE("the lease is not given up while an order is under way") {
+  OrderingHolder holder;
+  REQUIRE(holder.orders.size() == 1);
+  SUBCASE("by a holder that is late") {
+    for (int ms = 6'050; ms <= 9'000; ms += kTick) {
+      holder.Tick(ms, 600);
+    }
+  }
+  SUBCASE("by a holder that stops") {
+    holder.Take(fleet_message::StopAsked{}, 6'050);
+    holder.Tick(6'100, 0);
+  }
+  CHECK_FALSE(holder.released);
+  // It sends no other order meanwhile.
+  CHECK(holder.orders.size() == 1);
+  holder.Take(fleet_message::OrderEnded{holder.orders[0], PlacementOutcome::kAccepted}, 9'010);
+  CHECK(holder.released);
+}
+
 }  // namespace
 }  // namespace rudderloom
--- a/src/rudderloom/placement/lease_keeper.cpp
+++ b/src/rudderloom/placement/lease_keeper.cpp
@@ -107,6 +107,7 @@
   record_ = record.value_or(LeaseRecord());
   holding_ = record && IsMine(*record) && !record->released;
   if (!holding_) {
+    handing_over_ = false;
     return;
   }
   // A write whose answer was lost took effect: its time counts from when it was begun.
@@ -163,7 +164,7 @@
 }
 
 bool LeaseKeeper::MustWrite(TimePoint now) const {
-  if (stopping_ || now >= valid_until_ - valid_for_ + renew_every_) {
+  if (GivesUp() || now >= valid_until_ - valid_for_ + renew_every_) {
     return true;
   }
   return now - write_started_at_ >= kBetweenAnnouncements && !CoversAll(record_.own, wanted_own_);
@@ -200,7 +201,7 @@
       return std::nullopt;
     }
     ++write.record.renewals;
-    write.record.released = stopping_;
+    write.record.released = GivesUp();
     write.record.own = wanted_own_;
     write.record.inherited = wanted_inherited_;
   } else {
@@ -232,6 +233,7 @@
   first_seen_ = now;
   writing_.reset();
   holding_ = !record_.released;
+  handing_over_ = handing_over_ && holding_;
   valid_until_ = write_starts_[record_.renewals] + valid_for_;
 }
 
--- a/src/rudderloom/placement/placement_keeper.cpp
+++ b/src/rudderloom/placement/placement_keeper.cpp
@@ -67,6 +67,7 @@
 void PlacementKeeper::OrderEnded(const PlacementOrder& order,
                                  PlacementOutcome outcome,
                                  TimePoint now) {
+  --orders_under_way_;
   const auto found = engines_.find(order.instance);
   if (found != engines_.end() &&
       found->second.OrderEnded(order, outcome, load_times_[order.model], now)) {
@@ -99,6 +100,7 @@
   order.token = lease.epoch;
   order.valid_until = lease.valid_until;
   engine.OrderSent(order, now);
+  ++orders_under_way_;
   if (from_store) {
     pacer_.Started(now);
   }
