Sight: why orders are not sent, and what a holder's answers to the other nodes weigh

Change: an order that waited until its lease's time was over has an outcome of its own (lapsed); order_unanswered tells the error; the holder logs each second how many nodes it answered and with how many bytes. Ruled out: dead endpoints alone (connects to them are refused at once, and these timed out).

--- a/include/rudderloom/placement/order.hpp
+++ b/include/rudderloom/placement/order.hpp
@@ -33,7 +33,8 @@
   kConflict,      ///< Another order is under way, or other orders came first.
   kFenced,        ///< A later holder has sent orders.
   kRefused,       ///< The order makes no sense, or another endpoint has the address.
-  kNotSent,       ///< No byte left this process.
+  kNotSent,       ///< No byte left this process: there was no way to the endpoint.
+  kLapsed,        ///< Not sent: the lease's time was over before its turn came.
   kUnknown,       ///< No answer: it may take effect now, seconds later, or never.
 };
 
--- a/src/rudderloom/fleet/fleet_shell.cpp
+++ b/src/rudderloom/fleet/fleet_shell.cpp
@@ -310,7 +310,7 @@
 Awaitable<PlacementOutcome> FleetShell::Exchange(const PlacementOrder& order) {
   // Also a process that was frozen on the way here sees that the lease may have passed on.
   if (Now() >= order.valid_until) {
-    co_return PlacementOutcome::kNotSent;
+    co_return PlacementOutcome::kLapsed;
   }
   CallTimes times;
   times.connect = kConnectLimit;
@@ -319,6 +319,10 @@
   HttpRequest request = formats_.write_order(order);
   auto answer = co_await client_.Call(order.address, std::move(request), times, Reuse::kNever);
   if (const auto* failure = std::get_if<HttpFailure>(&answer)) {
+    LogLine("order_unanswered")
+        .With("endpoint", order.instance)
+        .With("sent", failure->may_have_left ? "maybe" : "no")
+        .With("error", failure->message);
     co_return failure->may_have_left ? PlacementOutcome::kUnknown : PlacementOutcome::kNotSent;
   }
   co_return formats_.read_outcome(std::get<HttpResponse>(answer));
--- a/src/rudderloom/peers/holder_link.cpp
+++ b/src/rudderloom/peers/holder_link.cpp
@@ -54,6 +54,33 @@
 
 namespace {
 
+// Tells in the log what it costs this node's link to answer all others, which grows with the fleet.
+class AnswerLog {
+ public:
+  void Answered(std::size_t bytes) {
+    ++answers_;
+    bytes_ += bytes;
+    const TimePoint now = Now();
+    if (now - logged_at_ < kEvery) {
+      return;
+    }
+    LogLine("nodes_answered")
+        .With("answers", answers_)
+        .With("bytes", bytes_)
+        .With("ms", logged_at_ == TimePoint() ? 0 : Between(logged_at_, now).count());
+    logged_at_ = now;
+    answers_ = 0;
+    bytes_ = 0;
+  }
+
+ private:
+  static constexpr Duration kEvery{1'000};
+
+  std::size_t answers_ = 0;
+  std::size_t bytes_ = 0;
+  TimePoint logged_at_;
+};
+
 // Answers the reports of other nodes.
 class PlacementService final : public rpc::PlacementHolder::Server {
  public:
@@ -64,11 +91,15 @@
     const HolderDigest digest = hooks_.digest_for(counts);
     hooks_.on_counts(std::move(counts));
     Write(digest, context.getResults().initDigest());
+    if (digest.holds) {
+      log_.Answered(context.getResults().totalSize().wordCount * sizeof(capnp::word));
+    }
     return kj::READY_NOW;
   }
 
  private:
   const HolderLinkHooks& hooks_;
+  AnswerLog log_;
 };
 
 // Reports this node's counts to whoever holds the lease.
--- a/src/rudderloom/placement/engine_state.cpp
+++ b/src/rudderloom/placement/engine_state.cpp
@@ -167,6 +167,7 @@
       return changed;
     }
     case PlacementOutcome::kNotSent:
+    case PlacementOutcome::kLapsed:
     case PlacementOutcome::kRefused:
       known = false;
       ask_at = now + kAskAgain;
--- a/src/rudderloom/placement/order.cpp
+++ b/src/rudderloom/placement/order.cpp
@@ -18,6 +18,8 @@
       return "refused";
     case PlacementOutcome::kNotSent:
       return "not_sent";
+    case PlacementOutcome::kLapsed:
+      return "lapsed";
     case PlacementOutcome::kUnknown:
       return "unknown";
   }
