What a holder tells of changes goes in Cap'n Proto's packed encoding

Cause: in a fleet whose holder has 10 Mbit/s, its answers to 85 nodes filled its link while models moved: 5 to 13.6 Mbit/s by nodes_answered. Its orders could not connect within 300 ms, and nodes whose answer came too late asked for the same changes again. Change: the changes of served models and endpoints in a digest are packed. 548 to 294 bytes an engine (fleet_codec_test). Tests: fleet_codec_test; its bound on bytes fails on the code before (548). Not done: an entry of the platform whose models alone changed is told beside the change of what may be served, though only the holder needs it.

--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -72,17 +72,22 @@
   gone @3 :List(Text);  # instances
 }
 
+# What the asking node lacks.
+struct DigestChanges {
+  serving @0 :ServingChanges;
+  endpoints @1 :EndpointChanges;
+}
+
 struct Digest {
   holds @0 :Bool;            # false: the rest is empty
   epoch @1 :UInt64;
   nodes @2 :UInt32;          # whose counts are fresh, with the holder
   loads @3 :List(EndpointLoad);  # of all nodes but the one that asks
-  serving @4 :ServingChanges;    # that the asking node lacks
+  packedChanges @4 :Data;        # DigestChanges in Cap'n Proto's packed encoding
   routesVersion @5 :UInt64;      # configuration in force at the holder; 0 for none
-  endpoints @6 :EndpointChanges; # that the asking node lacks
-  endpointsAgeMs @7 :Int64 = -1; # since the store confirmed the holder's list; below 0: never
-  standby @8 :Bool;              # the asking node is one of the first that take over
-  renewalsFail @9 :Bool;         # the holder can't renew its lease at present
+  endpointsAgeMs @6 :Int64 = -1; # since the store confirmed the holder's list; below 0: never
+  standby @7 :Bool;              # the asking node is one of the first that take over
+  renewalsFail @8 :Bool;         # the holder can't renew its lease at present
 }
 
 interface PlacementHolder {
--- a/src/rudderloom/peers/fleet_codec.cpp
+++ b/src/rudderloom/peers/fleet_codec.cpp
@@ -1,7 +1,10 @@
 #include "peers/fleet_codec.hpp"
 
-#include <algorithm>  // for min
-#include <limits>     // for numeric_limits
+#include <capnp/message.h>           // for MallocMessageBuilder
+#include <capnp/serialize-packed.h>  // for writePackedMessage, PackedMessageReader
+#include <kj/io.h>                   // for VectorOutputStream, ArrayInputStream
+#include <algorithm>                 // for min
+#include <limits>                    // for numeric_limits
 
 namespace rudderloom {
 
@@ -133,6 +136,26 @@
   return changes;
 }
 
+// Names and lists of names are mostly pointers and padding, which packing takes out: without it the
+// changes took up to 13 Mbit/s of a holder's link beside 85 nodes.
+void WritePacked(const HolderDigest& digest, rpc::Digest::Builder out) {
+  capnp::MallocMessageBuilder message;
+  auto changes = message.initRoot<rpc::DigestChanges>();
+  WriteChanges(digest.serving, changes.initServing());
+  WriteChanges(digest.endpoints, changes.initEndpoints());
+  kj::VectorOutputStream packed;
+  capnp::writePackedMessage(packed, message);
+  out.setPackedChanges(packed.getArray());
+}
+
+void ReadPacked(rpc::Digest::Reader in, HolderDigest& digest) {
+  kj::ArrayInputStream packed(in.getPackedChanges());
+  capnp::PackedMessageReader message(packed);
+  const auto changes = message.getRoot<rpc::DigestChanges>();
+  digest.serving = ReadChanges<std::vector<ResidentModel>>(changes.getServing());
+  digest.endpoints = ReadChanges<EndpointRecord>(changes.getEndpoints());
+}
+
 }  // namespace
 
 void Write(const NodeCounts& counts, rpc::NodeCounts::Builder out) {
@@ -182,8 +205,7 @@
   out.setStandby(digest.standby);
   out.setRenewalsFail(digest.renewals_fail);
   WriteLoads(digest.loads, out.initLoads(digest.loads.size()));
-  WriteChanges(digest.serving, out.initServing());
-  WriteChanges(digest.endpoints, out.initEndpoints());
+  WritePacked(digest, out);
   if (digest.endpoints_age) {
     out.setEndpointsAgeMs(digest.endpoints_age->count());
   }
@@ -198,8 +220,9 @@
   digest.standby = in.getStandby();
   digest.renewals_fail = in.getRenewalsFail();
   digest.loads = ReadLoads(in.getLoads());
-  digest.serving = ReadChanges<std::vector<ResidentModel>>(in.getServing());
-  digest.endpoints = ReadChanges<EndpointRecord>(in.getEndpoints());
+  if (in.hasPackedChanges()) {
+    ReadPacked(in, digest);
+  }
   if (in.getEndpointsAgeMs() >= 0) {
     digest.endpoints_age = Duration(in.getEndpointsAgeMs());
   }
