An order without an answer is given up after 0.9 s, as soon as a report shows it was not taken

Cause of the known red fleet_process_test_7: not the wait of requests for overdue models, which only used up its margin. An order whose answer was lost kept its engine in doubt for 2.5 s, and patience is over by then: six idle or busy runs gave 19 to 21 of 40 answers whole. Ruled out: that waiting longer is safer. The order names the count that it expects, so one that comes late is refused once another was taken; and a report is at most 700 ms old, so one that is younger than that after the order and shows it not taken is right. Change: kGiveUpOrder 2.5 to 0.9 s. Tests: placement_test, an order without an answer is sent again.

--- a/src/rudderloom/placement/engine_state.cpp
+++ b/src/rudderloom/placement/engine_state.cpp
@@ -13,9 +13,10 @@
 constexpr Duration kAskAfterConflict{120};
 // Reports are some 100 ms old; one that shows fewer orders after this time is right.
 constexpr Duration kReportLag{700};
-// From then on an order without an answer counts as not taken; should it come yet, the count of
-// orders that it names keeps it from taking effect beside a later one.
-constexpr Duration kGiveUpOrder{2'500};
+// From then on an order without an answer counts as not taken if a report says so, which is by then
+// newer than the order. Should the order come yet, the count of orders that it names keeps it from
+// taking effect beside a later one, so nothing is gained by waiting longer.
+constexpr Duration kGiveUpOrder{900};
 constexpr Duration kAskIdle{5'000};
 constexpr Duration kAskSilent{800};
 // An adapter is used a moment after its load was accepted.
--- a/src/rudderloom/placement/placement_keeper_test.cpp
+++ b/src/rudderloom/placement/placement_keeper_test.cpp
@@ -186,6 +186,28 @@
   }
 }
 
+TEST_CASE(
+    "an order without an answer is sent again as soon as a report shows that it was not taken") {
+  World world(1, 1, 3);
+  PlacementKeeper keeper(Duration(5'000), 1.1, Duration(3'000));
+  keeper.Reset(FormerLease(), At(0));
+  world.Ask("m0", "", 1, 1);
+  world.Play(keeper, 0, 150, 100);
+  REQUIRE(world.orders == 1);
+  int again_at = 0;
+  for (int ms = 150; ms < 5'000 && again_at == 0; ms += 50) {
+    world.Play(keeper, ms, ms + 50, 0);
+    again_at = world.orders == 2 ? ms : 0;
+  }
+  // A report may be 700 ms old, and is asked for each 250 ms.
+  CHECK(again_at > 700);
+  CHECK(again_at < 1'500);
+  CHECK(world.Copies("m0") == 0);
+  world.Play(keeper, 5'000, 15'000, 0);
+  CHECK(world.Copies("m0") == 1);
+  CHECK(world.overcommitted == 0);
+}
+
 TEST_CASE("a model in demand gets copies from those that nobody asks for") {
   World world(4, 4, 2);
   PlacementKeeper keeper(Duration(5'000), 1.1, Duration(3'000));
--- a/tests/process/fleet_test.cpp
+++ b/tests/process/fleet_test.cpp
@@ -193,7 +193,7 @@
     CHECK((answer.status == 200 || answer.status == 503));
     whole += answer.body == WholeStream(call.id, call.model) ? 1 : 0;
   }
-  CHECK(whole >= 20);
+  CHECK(whole >= 26);
   // An engine that was given too much ends itself.
   CHECK(cluster.Stats("e1").contains("runs"));
   CHECK(cluster.Stats("e2").contains("runs"));
