One call on a silent kept connection finds out for all that rest; the soak lets open connections fall silent

Each call or request that then took one of several kept connections lost its whole time on it: four safe requests after six kept connections had gone silent ended 504 twice, and a client of the store failed once for each idle connection. Ruled out: TCP's own guards alone. They are set (3 s and 2.5 s) and find dead idle connections, but only after that time, and not where something between acknowledges for the far end. Change: a time-out on a kept connection, with not a byte come, drops the connections to that address on which nothing has come since it was sent. A time-out by TCP itself counts as one. tools/loopback_proxy.py hushes open connections; the fleet soak does so at the store and at endpoints, and at its end hushes all of them before a last configuration, which must be in force at every node in 5 s.

--- a/include/rudderloom/forwarding/endpoint_connection.hpp
+++ b/include/rudderloom/forwarding/endpoint_connection.hpp
@@ -97,12 +97,17 @@
            std::unique_ptr<EndpointConnection> connection,
            TimePoint now);
 
+  /// @brief Drops an endpoint's connections on which nothing has come since `moment`: connections
+  /// may go silent together, without a reset, and each would cost a request its time.
+  void DropSince(const std::string& instance, TimePoint moment);
+
   /// @brief Drops the connections of endpoints that are not in `instances`, and those that rest.
   void Trim(const std::vector<std::string>& instances, TimePoint now);
 
  private:
   struct Idle {
     std::unique_ptr<EndpointConnection> connection;
+    TimePoint used_at;
     TimePoint good_until;
   };
 
--- a/include/rudderloom/http/client.hpp
+++ b/include/rudderloom/http/client.hpp
@@ -102,10 +102,17 @@
   void Release(const std::string& address, std::unique_ptr<HttpStream> stream);
 
  private:
+  struct Idle {
+    tcp::socket socket;
+    TimePoint used_at;  ///< When an answer last came on it.
+  };
+
   std::optional<tcp::socket> TakeIdle(const std::string& address);
+  // Closes the connections on which nothing has come since `moment`.
+  void DropIdleSince(const std::string& address, TimePoint moment);
 
   asio::io_context& context_;
-  std::map<std::string, std::vector<tcp::socket>> idle_;
+  std::map<std::string, std::vector<Idle>> idle_;
 };
 
 /// @brief A request without or with a JSON body.
--- a/src/rudderloom/forwarding/attempt.cpp
+++ b/src/rudderloom/forwarding/attempt.cpp
@@ -66,6 +66,7 @@
       co_return std::move(*failure);
     }
     ask_.on_sent();
+    sent_at_ = Now();
     connection_->StartRequest(MakeRequest());
     ExpectWithin(ask_.first_silence);
     if (auto failure = co_await ReadOwnHead()) {
@@ -85,6 +86,7 @@
   Awaitable<std::optional<AttemptResult>> Connect() {
     connection_ = state_.pool.Take(ask_.endpoint.instance, Now());
     if (connection_) {
+      kept_ = true;
       guard_.Attach(connection_.get());
       co_return std::nullopt;
     }
@@ -146,12 +148,21 @@
     return result;
   }
 
+  // Not a word came on a kept connection: others that have rested since may be as silent.
+  void DoubtKeptConnections() {
+    const Interruption why = guard_.Why();
+    if (kept_ && (why == Interruption::kSilent || why == Interruption::kTimeUp)) {
+      state_.pool.DropSince(ask_.endpoint.instance, sent_at_);
+    }
+  }
+
   // Reads heads until the one that answers this request.
   Awaitable<std::optional<AttemptResult>> ReadOwnHead() {
     const bool head_only = exchange_.Request().method() == http::verb::head;
     while (true) {
       auto read = co_await connection_->ReadHead(head_only);
       if (std::holds_alternative<ConnectionFailure>(read)) {
+        DoubtKeptConnections();
         co_return Fail(AttemptOutcome::kFailed, "cut_before_answer");
       }
       status_ = connection_->Head().result_int();
@@ -325,6 +336,8 @@
   std::unique_ptr<EndpointConnection> connection_;
   unsigned status_ = 0;
   AnswerTerms terms_;
+  bool kept_ = false;  // the connection had carried another request
+  TimePoint sent_at_;
 };
 
 }  // namespace
--- a/src/rudderloom/forwarding/endpoint_connection.cpp
+++ b/src/rudderloom/forwarding/endpoint_connection.cpp
@@ -163,7 +163,14 @@
     return;
   }
   const TimePoint good_until = now + connection->KeptFor();
-  connections.push_back({std::move(connection), good_until});
+  connections.push_back({std::move(connection), now, good_until});
+}
+
+void ConnectionPool::DropSince(const std::string& instance, TimePoint moment) {
+  const auto found = idle_.find(instance);
+  if (found != idle_.end()) {
+    std::erase_if(found->second, [&](const Idle& idle) { return idle.used_at <= moment; });
+  }
 }
 
 void ConnectionPool::Trim(const std::vector<std::string>& instances, TimePoint now) {
--- a/src/rudderloom/http/client.cpp
+++ b/src/rudderloom/http/client.cpp
@@ -82,8 +82,8 @@
 HttpFailure HttpStream::FailureAfterSend(boost::system::error_code error, bool timed_out) const {
   HttpFailure failure;
   failure.may_have_left = true;
-  failure.timed_out = timed_out;
-  failure.message = timed_out ? "timed out" : error.message();
+  failure.timed_out = timed_out || error == asio::error::timed_out;
+  failure.message = failure.timed_out ? "timed out" : error.message();
   return failure;
 }
 
@@ -149,10 +149,10 @@
 }
 
 std::optional<tcp::socket> HttpClient::TakeIdle(const std::string& address) {
-  auto& sockets = idle_[address];
-  while (!sockets.empty()) {
-    tcp::socket socket = std::move(sockets.back());
-    sockets.pop_back();
+  auto& connections = idle_[address];
+  while (!connections.empty()) {
+    tcp::socket socket = std::move(connections.back().socket);
+    connections.pop_back();
     if (StillOpen(socket)) {
       return socket;
     }
@@ -160,6 +160,10 @@
   return std::nullopt;
 }
 
+void HttpClient::DropIdleSince(const std::string& address, TimePoint moment) {
+  std::erase_if(idle_[address], [&](const Idle& idle) { return idle.used_at <= moment; });
+}
+
 Awaitable<std::variant<std::unique_ptr<HttpStream>, HttpFailure>>
 HttpClient::Open(std::string address, HttpRequest request, CallTimes times, Reuse reuse) {
   std::optional<tcp::socket> socket;
@@ -188,9 +192,15 @@
     GuardAgainstSilence(*socket, kSilenceLimit);
   }
   auto stream = std::make_unique<HttpStream>(std::move(*socket), times);
+  const TimePoint started_at = Now();
   auto started = co_await stream->Start(request);
   if (auto* failure = std::get_if<HttpFailure>(&started)) {
     failure->on_reused = reused;
+    // Connections may go silent together, without a reset, while new ones work: each would cost
+    // another call its whole time.
+    if (reused && failure->timed_out) {
+      DropIdleSince(address, started_at);
+    }
     co_return *failure;
   }
   co_return stream;
@@ -228,9 +238,9 @@
   if (!stream->Reusable()) {
     return;
   }
-  auto& sockets = idle_[address];
-  if (sockets.size() < kIdlePerAddress) {
-    sockets.push_back(stream->TakeSocket());
+  auto& connections = idle_[address];
+  if (connections.size() < kIdlePerAddress) {
+    connections.push_back({stream->TakeSocket(), Now()});
   }
 }
 
--- a/tests/fakes/scripted_endpoint.hpp
+++ b/tests/fakes/scripted_endpoint.hpp
@@ -14,7 +14,10 @@
 // What a script answers with: bytes, pauses, and how the connection goes on.
 class EndpointAnswer {
  public:
-  explicit EndpointAnswer(tcp::socket& socket) : socket_(socket) {}
+  EndpointAnswer(tcp::socket& socket, int connection) : socket_(socket), connection_(connection) {}
+
+  // Number of the connection: 1 for the first that was accepted.
+  int Connection() const { return connection_; }
 
   Awaitable<void> Write(std::string bytes) {
     co_await asio::async_write(socket_, asio::buffer(bytes), kAsTuple);
@@ -50,6 +53,7 @@
 
  private:
   tcp::socket& socket_;
+  int connection_;
 };
 
 class ScriptedEndpoint {
@@ -85,11 +89,14 @@
       }
       ++state_->connections;
       auto owned = std::make_shared<tcp::socket>(std::move(socket));
-      asio::co_spawn(acceptor_.get_executor(), Serve(owned, state_), asio::detached);
+      asio::co_spawn(acceptor_.get_executor(), Serve(owned, state_, state_->connections),
+                     asio::detached);
     }
   }
 
-  static Awaitable<void> Serve(std::shared_ptr<tcp::socket> socket, std::shared_ptr<State> state) {
+  static Awaitable<void> Serve(std::shared_ptr<tcp::socket> socket,
+                               std::shared_ptr<State> state,
+                               int connection) {
     beast::flat_buffer buffer;
     while (socket->is_open()) {
       http::request_parser<http::string_body> parser;
@@ -100,7 +107,7 @@
       }
       const HttpRequest request = parser.release();
       state->requests.push_back(request);
-      EndpointAnswer answer(*socket);
+      EndpointAnswer answer(*socket, connection);
       co_await state->script(request, answer);
     }
   }
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -81,7 +81,8 @@
         path.write_text(json.dumps(settings))
         self.start(name, [self.daemon, "daemon", "--settings", str(path)])
 
-    def configure(self):
+    def configure(self, newest=None):
+        """A new version; `newest` is the prefix of a route that no earlier one has."""
         self.version += 1
         route = {"host": "h.example", "timeout-ms": 5000, "latency-goal-ms": 500, "priority": 1,
                  "max-attempts": 2, "is-sticky": False, "target-gap-ms": 400}
@@ -89,6 +90,8 @@
                  "/safe/": ("safe", "desk")}
         if self.version > 1:
             kinds["/added/"] = ("safe", "desk")
+        if newest:
+            kinds[newest] = ("safe", "desk")
         routes = [{**route, "name": "r" + prefix, "path-prefix": prefix, "route-kind": kind,
                    "service": service, "resumable": kind == "stream"}
                   for prefix, (kind, service) in kinds.items()]
--- a/tools/fleet_soak.py
+++ b/tools/fleet_soak.py
@@ -2,7 +2,8 @@
 """Entry nodes on the users' platform under random faults; checks the promises of our pages.
 
 Real programs as separate processes. Every node reaches the store, and everybody each endpoint,
-through a loopback proxy that delays, resets, silences or cuts one way; processes are killed, frozen,
+through a loopback proxy that delays, resets, silences, cuts one way or lets open connections fall
+silent for good; processes are killed, frozen,
 drained, stopped and reloaded by signals. The stand-ins lose answers, cut streams and carry orders
 out late. Clients keep their connections until the process is gone.
 
@@ -28,6 +29,8 @@
 CLIENTS = 12
 FAULT_EVERY = (0.2, 1.2)
 RECOVERY_SECONDS = 20
+# The bound of the nodes' settings is 3 s; a call on a silent connection costs half a second more.
+IN_FORCE_SECONDS = 5
 # A request that was under way when its node was killed, as the client's clock sees it.
 KILL_SLACK = 0.3
 
@@ -57,7 +60,7 @@
     def strike(self):
         faults = ["kill_node", "freeze_node", "stop_node", "reload_node", "kill_engine",
                   "drain_endpoint", "freeze_endpoint", "stand_in", "store_fault", "cut_store",
-                  "cut_endpoint", "reset_endpoint", "configure"]
+                  "cut_endpoint", "reset_endpoint", "hush_store", "hush_endpoint", "configure"]
         name = self.random.choice(faults)
         self.counts[name] = self.counts.get(name, 0) + 1
         self.fleet.log.write(f"{time.time():.3f} {name}\n")
@@ -166,6 +169,12 @@
     def reset_endpoint(self):
         self.fleet.proxies[self.endpoint()].reset_all()
 
+    def hush_store(self):
+        self.fleet.proxies[self.pick("n", NODES)].hush_open()
+
+    def hush_endpoint(self):
+        self.fleet.proxies[self.endpoint()].hush_open()
+
     def configure(self):
         try:
             self.fleet.configure()
@@ -230,6 +239,24 @@
     return [f"RECOVER {node} does not serve {kind} {model}" for node, kind, model in missing]
 
 
+def in_force(fleet):
+    """All open connections fall silent, then a configuration comes: it must be in force soon."""
+    for proxy in list(fleet.proxies.values()):
+        proxy.hush_open()
+    fleet.configure(newest=f"/v{fleet.version + 1}/")
+    until = time.monotonic() + IN_FORCE_SECONDS
+    missing = {f"n{i}" for i in range(NODES)}
+    count = 0
+    while missing and time.monotonic() < until:
+        for node in sorted(missing):
+            count += 1
+            status, _ = one_request(fleet.callers(node), f"v{fleet.version}", "", f"newest-{count}")
+            if status not in (0, 404):
+                missing.discard(node)
+    return [f"CONFIG {node} does not know version {fleet.version} after {IN_FORCE_SECONDS} s"
+            for node in sorted(missing)]
+
+
 def soak(folder, build, seconds, seed):
     fleet = start_fleet(folder, build)
     fleet.log = open(folder / "faults.log", "w", buffering=1)
@@ -250,6 +277,8 @@
         for client in clients:
             client.join(timeout=15)
         problems += recover(fleet)
+        problems += in_force(fleet)
+        problems += recover(fleet)
         chaos.check_stops()
         for i in range(NODES):
             status = fleet.processes[f"n{i}"].child.poll()
--- a/tools/loopback_proxy.py
+++ b/tools/loopback_proxy.py
@@ -12,7 +12,8 @@
 
     `mode` holds for all connections, old and new: "pass", "delay" (each piece waits for `delay`
     seconds), "silent" (nothing passes and new connections hang), "one_way" (nothing comes back).
-    What was held up passes on when the mode is "pass" again.
+    What was held up passes on when the mode is "pass" again. `hush_open` silences the connections
+    that are open now, for good and without a reset; new ones work.
     """
 
     def __init__(self):
@@ -20,6 +21,7 @@
         self.mode = "pass"
         self.delay = 0.0
         self.pairs = set()
+        self.hushed = set()
         self.lock = threading.Lock()
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=128)
         self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
@@ -37,6 +39,11 @@
                 except OSError:
                     pass
 
+    def hush_open(self):
+        """Nothing passes any more on the connections that are open now."""
+        with self.lock:
+            self.hushed |= self.pairs
+
     def close(self):
         self.listener.close()
         self.reset_all()
@@ -61,12 +68,13 @@
         pair = (caller, called)
         with self.lock:
             self.pairs.add(pair)
-        back = threading.Thread(target=self._pump, args=(called, caller, True), daemon=True)
+        back = threading.Thread(target=self._pump, args=(pair, called, caller, True), daemon=True)
         back.start()
-        self._pump(caller, called, False)
+        self._pump(pair, caller, called, False)
         back.join()
         with self.lock:
             self.pairs.discard(pair)
+            self.hushed.discard(pair)
         caller.close()
         called.close()
 
@@ -74,15 +82,18 @@
         while self.mode == "silent" or (back and self.mode == "one_way"):
             time.sleep(0.01)
 
-    def _pump(self, source, sink, back):
+    def _pump(self, pair, source, sink, back):
         try:
             while data := source.recv(CHUNK):
                 if self.mode == "delay":
                     time.sleep(self.delay)
                 self._await_passage(back)
-                sink.sendall(data)
+                if pair not in self.hushed:
+                    sink.sendall(data)
         except OSError:
             pass
+        if pair in self.hushed:
+            return  # also the end is not told
         try:
             sink.shutdown(socket.SHUT_WR)
         except OSError:
