The holder tells other nodes nothing of entries whose models alone changed

Cause: each order changes an engine's entry in the platform's list, and the holder handed the entry on to all nodes beside the change of what may be served, which is all that they use of it. Change: the log of entries that is told keeps no models. A node keeps what the holder last said to be served of an endpoint for when the holder falls silent, or a new one does not know the endpoint yet.

--- a/include/rudderloom/fleet/endpoint_directory.hpp
+++ b/include/rudderloom/fleet/endpoint_directory.hpp
@@ -35,6 +35,10 @@
   void Put(const EndpointRecord& record);
   void Gone(const std::string& instance, TimePoint now);
 
+  /// @brief The holder of the lease told what requests may be sent to an endpoint for. Kept for
+  /// when the holder falls silent.
+  void Serves(const std::string& instance, const std::vector<ResidentModel>& models);
+
   /// @brief Takes what an endpoint answered when it was asked; true when that is news.
   bool Reported(const std::string& instance, const EngineReport& report);
 
--- a/include/rudderloom/fleet/endpoint_record.hpp
+++ b/include/rudderloom/fleet/endpoint_record.hpp
@@ -47,10 +47,13 @@
   bool leaving = false;
   std::uint64_t orders_taken = 0;  ///< Grows with each order; forgotten at a restart.
   std::vector<ResidentModel> models;
+  bool tells_models = true;  ///< False: without `orders_taken` and `models`, which are told apart.
   bool operator==(const EndpointRecord&) const = default;
 };
 
-/// @brief The platform's list, by instance, with the store's revision of each change.
+/// @brief The platform's list, by instance, with the store's revision of each change. Its records
+/// don't tell models: these change with each order, and what requests may be sent for is told to
+/// all nodes by the holder of the lease anyway.
 /// @ingroup fleet
 using EndpointLog = ChangeLog<EndpointRecord>;
 using EndpointChanges = Changes<EndpointRecord>;
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -39,7 +39,7 @@
   adapters @2 :List(Text);
 }
 
-# One endpoint's entry in the platform's list.
+# One endpoint's entry in the platform's list, without what it holds: `Serving` tells that.
 struct EndpointEntry {
   instance @0 :Text;
   service @1 :Text;
@@ -47,8 +47,6 @@
   availabilityZone @3 :Text;
   slots @4 :UInt32;
   leaving @5 :Bool;
-  ordersTaken @6 :UInt64;
-  models @7 :List(ServedModel);
 }
 
 # What changed in the list since a revision.
--- a/src/rudderloom/fleet/endpoint_directory.cpp
+++ b/src/rudderloom/fleet/endpoint_directory.cpp
@@ -26,7 +26,7 @@
 void EndpointDirectory::Put(const EndpointRecord& record) {
   KnownEndpoint& known = endpoints_[record.instance];
   const bool was_leaving = known.record.leaving;
-  const bool older = record.orders_taken < known.record.orders_taken;
+  const bool older = !record.tells_models || record.orders_taken < known.record.orders_taken;
   std::vector<ResidentModel> models = std::move(known.record.models);
   const std::uint64_t orders_taken = known.record.orders_taken;
   known.record = record;
@@ -46,6 +46,14 @@
   }
 }
 
+void EndpointDirectory::Serves(const std::string& instance,
+                               const std::vector<ResidentModel>& models) {
+  const auto found = endpoints_.find(instance);
+  if (found != endpoints_.end()) {
+    found->second.record.models = models;
+  }
+}
+
 bool EndpointDirectory::Reported(const std::string& instance, const EngineReport& report) {
   const auto found = endpoints_.find(instance);
   if (found == endpoints_.end()) {
--- a/src/rudderloom/fleet/fleet_endpoints.cpp
+++ b/src/rudderloom/fleet/fleet_endpoints.cpp
@@ -22,6 +22,22 @@
   return teller == EndpointTeller::kStore ? "store" : "holder";
 }
 
+EndpointRecord WithoutModels(EndpointRecord record) {
+  record.tells_models = false;
+  record.orders_taken = 0;
+  record.models.clear();
+  return record;
+}
+
+// Each order changes an entry's models. Told to every other node beside the change of what may be
+// served, such entries made up a good part of the holder's answers while models moved.
+EndpointChanges WithoutModels(EndpointChanges changes) {
+  for (auto& [instance, record] : changes.values) {
+    record = WithoutModels(std::move(record));
+  }
+  return changes;
+}
+
 }  // namespace
 
 // Where the list of endpoints comes from from now on.
@@ -41,7 +57,7 @@
 void FleetState::TakeEndpoints(const EndpointChanges& changes,
                                EndpointTeller teller,
                                TimePoint now) {
-  if (!endpoints_known_ || !endpoint_log_.Change().Apply(changes)) {
+  if (!endpoints_known_ || !endpoint_log_.Change().Apply(WithoutModels(changes))) {
     return;
   }
   if (changes.whole) {
@@ -80,7 +96,7 @@
   }
   std::map<std::string, EndpointRecord> by_instance;
   for (const EndpointRecord& record : listed.records) {
-    by_instance.emplace(record.instance, record);
+    by_instance.emplace(record.instance, WithoutModels(record));
   }
   endpoint_log_.Change().Replace(by_instance, listed.revision);
   endpoints_known_ = true;
--- a/src/rudderloom/fleet/fleet_state.cpp
+++ b/src/rudderloom/fleet/fleet_state.cpp
@@ -377,7 +377,11 @@
     source_.Heard(*digest.endpoints_age, now);
     TakeEndpoints(digest.endpoints, EndpointTeller::kHolder, now);
   }
-  serving_log_.Change().Apply(digest.serving);
+  if (serving_log_.Change().Apply(digest.serving)) {
+    for (const auto& [instance, models] : digest.serving.values) {
+      directory_.Serves(instance, models);
+    }
+  }
   heard_ = HeardDigest{digest.epoch, digest.loads, digest.standby, digest.renewals_fail, now};
   live_nodes_ = std::max(1U, digest.nodes);
   changed_ = true;
--- a/src/rudderloom/fleet/fleet_state_test.cpp
+++ b/src/rudderloom/fleet/fleet_state_test.cpp
@@ -290,5 +290,57 @@
   CHECK(digest.endpoints_age == Duration(180));
 }
 
+EndpointRecord Holding(const std::string& instance, const std::string& model) {
+  EndpointRecord record = Endpoint(instance);
+  record.models = {{model, 1, {}}};
+  return record;
+}
+
+TEST_CASE("an entry of which only the models changed is not told to other nodes") {
+  FleetState state(Settings("n1"), "x");
+  REQUIRE(TakeLease(state, 0));
+  state.Handle(fleet_message::EndpointsListed{{Holding("e1", "m"), Holding("e2", "m")}, 10}, At(1));
+  state.Handle(fleet_message::LeaseWritten{"1"}, At(5));
+  state.Handle(fleet_message::RoutesSeen{Routes(1)}, At(20));
+  EndpointChanges changes;
+  changes.version = 14;
+  changes.values = {{"e1", Holding("e1", "n")}, {"e2", Endpoint("e2", true)}};
+  const auto effects = state.Handle(fleet_message::EndpointsChanged{changes}, At(120));
+  REQUIRE(effects.statement);
+  NodeCounts asking;
+  asking.node = "n2";
+  asking.endpoints_seen = 10;
+  const HolderDigest digest = DigestFor(*effects.statement, asking, At(300));
+  CHECK(digest.endpoints.version == 14);
+  REQUIRE(digest.endpoints.values.size() == 1);
+  CHECK(digest.endpoints.values.front().first == "e2");
+}
+
+TEST_CASE("what the holder last said to be served counts on when it falls silent") {
+  FleetState state(Settings("n2"), "x");
+  state.Handle(fleet_message::EndpointsListed{{Holding("e1", "m")}, 10}, At(0));
+  // A new version of the entry, as the holder tells it, says nothing of models.
+  EndpointRecord moved = Endpoint("e1");
+  moved.slots = 4;
+  moved.tells_models = false;
+  HolderDigest digest = DigestOf(12, {moved});
+  auto effects = state.Handle(fleet_message::DigestHeard{digest}, At(100));
+  REQUIRE(effects.view);
+  CHECK(effects.view->endpoints.front().record.slots == 4);
+  CHECK(FindModel(effects.view->endpoints.front().record.models, "m") != nullptr);
+  digest.serving.version = 5;
+  digest.serving.values = {{"e1", {{"n", 1, {}}}}};
+  effects = state.Handle(fleet_message::DigestHeard{digest}, At(200));
+  // A new holder that does not know the endpoint yet.
+  digest.epoch = 2;
+  digest.serving = ServingChanges();
+  digest.serving.version = 6;
+  digest.serving.whole = true;
+  effects = state.Handle(fleet_message::DigestHeard{digest}, At(300));
+  REQUIRE(effects.view);
+  CHECK(FindModel(effects.view->endpoints.front().record.models, "n") != nullptr);
+  CHECK(FindModel(effects.view->endpoints.front().record.models, "m") == nullptr);
+}
+
 }  // namespace
 }  // namespace rudderloom
--- a/src/rudderloom/peers/fleet_codec.cpp
+++ b/src/rudderloom/peers/fleet_codec.cpp
@@ -70,8 +70,6 @@
   out.setAvailabilityZone(record.availability_zone);
   out.setSlots(record.slots);
   out.setLeaving(record.leaving);
-  out.setOrdersTaken(record.orders_taken);
-  WriteModels(record.models, out.initModels(record.models.size()));
 }
 
 EndpointRecord ReadEndpoint(rpc::EndpointEntry::Reader in) {
@@ -82,8 +80,7 @@
   record.availability_zone = in.getAvailabilityZone().cStr();
   record.slots = in.getSlots();
   record.leaving = in.getLeaving();
-  record.orders_taken = in.getOrdersTaken();
-  record.models = ReadModels(in.getModels());
+  record.tells_models = false;
   return record;
 }
 
--- a/src/rudderloom/peers/fleet_codec_test.cpp
+++ b/src/rudderloom/peers/fleet_codec_test.cpp
@@ -25,10 +25,11 @@
     record.availability_zone = "surrey-c";
     record.slots = 32;
     record.leaving = i % 7 == 0;
-    record.models = {{"milo24" + number, 1, {"a1", "a12"}},
-                     {"bacu22" + number, 1, {}},
-                     {"tiny82" + number, 2, {"a3"}}};
-    digest.serving.values.emplace_back(record.instance, record.models);
+    record.tells_models = false;
+    const std::vector<ResidentModel> models{{"milo24" + number, 1, {"a1", "a12"}},
+                                            {"bacu22" + number, 1, {}},
+                                            {"tiny82" + number, 2, {"a3"}}};
+    digest.serving.values.emplace_back(record.instance, models);
     digest.endpoints.values.emplace_back(record.instance, record);
   }
   return digest;
@@ -64,7 +65,7 @@
   Write(DigestOf(kEngines), message.initRoot<rpc::Digest>());
   const std::size_t bytes = message.sizeInWords() * sizeof(capnp::word);
   MESSAGE("bytes an engine: ", bytes / kEngines);
-  CHECK(bytes / kEngines <= 400);
+  CHECK(bytes / kEngines <= 240);
 }
 
 }  // namespace
