An endpoint that won't go on with a broken stream is never answered for within that stream

Change: once events have been passed on, an answer that is no stream ends the attempt as failed, and the client's stream is cut visibly. Tests: platform_forwarding_test, 500, 504, 404 and a 200 that is no stream; the first three failed before.

--- a/src/rudderloom/forwarding/attempt.cpp
+++ b/src/rudderloom/forwarding/attempt.cpp
@@ -227,12 +227,18 @@
       result.outcome = AttemptOutcome::kFailed;
       result.reason = "endpoint_error";
       result.mark = AttemptMark::kFailed;
-      // Without the endpoint's promise such a status must not reach the client.
-      if (!PromisesNotRun(status_)) {
+      // Without the endpoint's promise such a status must not reach the client, and nothing but
+      // events may follow those that it has.
+      if (!PromisesNotRun(status_) && !ask_.stream->started) {
         result.reply = std::move(reply);
       }
       co_return result;
     }
+    if (ask_.stream->started) {
+      result.outcome = AttemptOutcome::kFailed;
+      result.reason = "stream_refused";
+      co_return result;
+    }
     ask_.on_begun();
     result.outcome = AttemptOutcome::kAnswered;
     result.mark = AttemptMark::kServed;
