--- a/src/rudderloom/placement/lease_keeper_test.cpp
+++ b/src/rudderloom/placement/lease_keeper_test.cpp
@@ -231,6 +231,25 @@
   CHECK(second.Former().rest >= kBound);
 }
 
+TEST_CASE(
+    "a lease that was handed over may be taken again by the same process, under a new epoch") {
+  Store store;
+  LeaseKeeper keeper("a:1", "x", kBound);
+  Step(keeper, store, At(0));
+  keeper.HandOver();
+  CHECK_FALSE(keeper.Holds(At(10)));
+  keeper.YieldFor(Duration(2'000));
+  Step(keeper, store, At(50));
+  CHECK(keeper.Released());
+  int ms = 100;
+  for (; ms < 6'000 && !keeper.Holds(At(ms)); ms += 50) {
+    Step(keeper, store, At(ms));
+  }
+  CHECK(keeper.Holds(At(ms)));
+  CHECK(ms >= 2'000);
+  CHECK(keeper.Epoch() == 2);
+}
+
 TEST_CASE("a write whose answer was lost counts from when it was begun") {
   Store store;
   LeaseKeeper keeper("a:1", "x", kBound);
@@ -259,8 +278,8 @@
 };
 
 TEST_CASE(
-    "of many nodes with lost answers, late writes and freezes, two never order one endpoint within "
-    "the bound") {
+    "of many nodes with lost answers, late writes, freezes and handovers, two never order one "
+    "endpoint within the bound") {
   constexpr int kNodes = 5;
   constexpr int kEndpoints = 6;
   int orders = 0;
@@ -313,6 +332,9 @@
             ++orders;
           }
           keeper.Announce(node.announcements.Own(now), node.announcements.Inherited(now));
+          if (random() % 100 == 0) {
+            keeper.HandOver();
+          }
         }
         if (keeper.NeedsRead() || random() % 8 != 0) {
           keeper.Seen(store.record, store.Version(), true, now);
