--- a/src/rudderloom/placement/lease_model_test.cpp
+++ b/src/rudderloom/placement/lease_model_test.cpp
@@ -171,24 +171,31 @@
     if (!write) {
       return;
     }
-    if (cut) {
-      node.lease.WriteFailed();
-    } else if (std::exchange(node.loses_answer, false)) {
-      store_.Put(*write);
-      node.lease.WriteFailed();
-    } else if (node.slow_answer && store_.Put(*write)) {
+    if (!cut && node.slow_answer && store_.Put(*write)) {
       node.slow_answer = false;
       node.awaited = SlowAnswer{step_ + 9, store_.Version()};
-    } else if (std::exchange(node.writes_late, false)) {
-      late_.push_back({step_ + 4, *write});
-      node.lease.WriteFailed();
-    } else if (store_.Put(*write)) {
+      return;
+    }
+    if (!cut && Send(node, *write)) {
       node.lease.Written(store_.Version(), now_);
     } else {
       node.lease.WriteFailed();
     }
   }
 
+  // True when the write takes effect and the node hears so.
+  bool Send(Node& node, const LeaseWrite& write) {
+    if (std::exchange(node.loses_answer, false)) {
+      store_.Put(write);
+      return false;
+    }
+    if (std::exchange(node.writes_late, false)) {
+      late_.push_back({step_ + 4, write});
+      return false;
+    }
+    return store_.Put(write);
+  }
+
   // A new holder takes its predecessor's announcements over before all else.
   void Adopt(Node& node) const {
     if (node.held_epoch != node.lease.Epoch()) {
