--- a/src/rudderloom/fleet/fleet_shell_test.cpp
+++ b/src/rudderloom/fleet/fleet_shell_test.cpp
@@ -50,7 +50,8 @@
   formats.lease_kind = "leases";
   formats.read_revision = [](const std::string&) { return 1; };
   Metrics metrics;
-  FleetShell shell(context, FleetSettings(), formats, store, metrics, [](fleet_message::Any) {});
+  FleetShell shell(context, FleetSettings(), formats, store, metrics,
+                   [](const fleet_message::Any&) {});
   shell.Start();
   context.run_for(std::chrono::milliseconds(100));  // the watches are under way
   FleetEffects effects;
