A plan for 240 engines costs 1.7 ms in place of 23; starts of nodes alike are spread

Cause: where all 295 nodes have 0.12 of a core, the holder's control thread was up to 1.6 s late: a plan took 23 ms of a core, 0.2 s there. Each further copy of a model was given out by a look at all models, and for each load that is planned all engines were weighed by looking their models up by name. The lease lapsed and was taken back, nothing was ordered for up to 15.3 s, CONFIG broke at the holder.

Ruled out: the holder's link (under 8 of 20 Mbit/s) and the number of nodes it answers (24 relays).

Change: a heap gives out copies, engines' models are resolved once a plan, adapters are looked for among the engines that hold the model. First fresh reads of the lease's object are spread over a second.

Test: copies as given out by looking at all models, on 400 models and 720 places.

--- a/include/rudderloom/fleet/fleet_state.hpp
+++ b/include/rudderloom/fleet/fleet_state.hpp
@@ -104,6 +104,7 @@
 
   void MoveLease(FleetEffects& effects, TimePoint now);
   std::optional<LeaseRead> LeaseReadDue(TimePoint now);
+  Duration FirstFreshRead() const;
   void MovePlacement(FleetEffects& effects, TimePoint now);
   Duration WorkPause() const;
   void PublishServing();
--- a/src/rudderloom/dissemination/configuration_log_test.cpp
+++ b/src/rudderloom/dissemination/configuration_log_test.cpp
@@ -39,6 +39,7 @@
 TEST_CASE("a node that has an earlier version is told only what changed") {
   ConfigurationLog log;
   std::vector<Route> routes;
+  routes.reserve(1'000);
   for (int i = 0; i < 1'000; ++i) {
     routes.push_back(MakeRoute("/" + std::to_string(i) + "/", "desk"));
   }
--- a/src/rudderloom/dissemination/roster_test.cpp
+++ b/src/rudderloom/dissemination/roster_test.cpp
@@ -27,6 +27,7 @@
 // Six zones of 49 nodes, three of them with half a core, as they report before anybody relays.
 std::vector<ReportingNode> LargeFleet() {
   std::vector<ReportingNode> nodes;
+  nodes.reserve(294);
   for (int i = 0; i < 294; ++i) {
     nodes.push_back(MakeNode(i, i % 6, i < 18 ? 0.5 : 0.12));
   }
@@ -35,6 +36,7 @@
 
 TEST_CASE("a small fleet needs no relays") {
   std::vector<ReportingNode> nodes;
+  nodes.reserve(24);
   for (int i = 0; i < 24; ++i) {
     nodes.push_back(MakeNode(i, i % 3));
   }
@@ -135,6 +137,7 @@
 
 TEST_CASE("the nodes with the most processor time take over first") {
   std::vector<ReportingNode> nodes;
+  nodes.reserve(10);
   for (int i = 0; i < 10; ++i) {
     nodes.push_back(MakeNode(i, 0, i < 6 ? 0.12 : 0.5));
   }
--- a/src/rudderloom/fleet/fleet_lease.cpp
+++ b/src/rudderloom/fleet/fleet_lease.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>  // for max
 
 #include "rudderloom/base/log_line.hpp"      // for LogLine
+#include "rudderloom/base/spread.hpp"        // for SpreadOf
 #include "rudderloom/fleet/fleet_state.hpp"  // for FleetState
 
 namespace rudderloom {
@@ -16,6 +17,9 @@
 // 0.12 of a core waits 1.2 s, by which nodes with more have taken the lease and a stale read shows
 // it.
 constexpr int kStaleFirstYields = 4;
+// Nodes with the same processor time begin to read freshly over this time: in a fleet of 295 alike,
+// all of them tried to create the object.
+constexpr Duration kStartSpread{1'000};
 // Others than the holder look at the lease this often, at the price of a stale read.
 constexpr Duration kLeaseLookEvery{1'000};
 // So many nodes look at the lease at the full rate; more of them share it.
@@ -100,6 +104,11 @@
   return heard_ && !heard_->digest.standby ? kYieldToStandbys : Duration(0);
 }
 
+Duration FleetState::FirstFreshRead() const {
+  const auto spread = std::chrono::duration_cast<Duration>(SpreadOf(settings_.name) * kStartSpread);
+  return kStaleFirstYields * YieldTime(settings_.processor_share) + spread;
+}
+
 // At a start of the whole fleet all nodes would read the object freshly, try to create it and read
 // it once more: 295 nodes made 880 calls. Most of them learn from a stale read, at a tenth of the
 // price, who holds the lease: those with little processor time ask for more only when by then
--- a/src/rudderloom/fleet/fleet_state.cpp
+++ b/src/rudderloom/fleet/fleet_state.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>  // for max
 
 #include "rudderloom/base/log_line.hpp"  // for LogLine
+#include "rudderloom/base/spread.hpp"    // for SpreadOf
 
 namespace rudderloom {
 
@@ -34,12 +35,6 @@
   return std::chrono::duration_cast<Duration>(bound * kSharedPart);
 }
 
-// From 0 to 1, another one at each node.
-double SpreadOf(const std::string& name) {
-  constexpr std::size_t kSteps = 1'000;
-  return static_cast<double>(std::hash<std::string>{}(name) % kSteps) / kSteps;
-}
-
 SourceChoice MakeSource(const FleetSettings& settings, Duration bound) {
   const StartKind start = settings.first_start ? StartKind::kFirst : StartKind::kRestart;
   return {OldestShared(bound), start, SpreadOf(settings.name)};
--- a/src/rudderloom/placement/planner.cpp
+++ b/src/rudderloom/placement/planner.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>  // for count_if, max, min, sort
 #include <cmath>      // for exp
 #include <limits>     // for numeric_limits
+#include <queue>      // for priority_queue
 
 namespace rudderloom {
 
@@ -42,6 +43,13 @@
   double PressurePerCopy() const { return demand.pressure / std::max(1U, copies); }
 };
 
+// An engine with the models that it holds or will hold, found once: for each load that is planned
+// all engines are weighed.
+struct Candidate {
+  PlanEngine* engine = nullptr;
+  std::vector<ModelState*> held;  // those that the service has
+};
+
 class Planner {
  public:
   explicit Planner(PlacementInput input) : input_(std::move(input)) {}
@@ -77,11 +85,15 @@
       state.demand = input_.demand.Of({input_.service, model.name, ""});
       state.asked_for = state.demand.waiting > 0 || state.demand.pressure > kNoPressure;
     }
-    for (const PlanEngine& engine : input_.engines) {
+    for (PlanEngine& engine : input_.engines) {
+      Candidate& candidate = candidates_.emplace_back();
+      candidate.engine = &engine;
       for (const auto& [name, adapters] : engine.models) {
         const auto found = models_.find(name);
         if (found != models_.end()) {
           ++found->second.copies;
+          candidate.held.push_back(&found->second);
+          holders_[name].push_back(&engine);
         }
       }
     }
@@ -112,12 +124,10 @@
   }
 
   // What the demand for an endpoint's models would ask of it, without `leaving`.
-  double Crowding(const PlanEngine& engine, const std::string& leaving) const {
+  static double Crowding(const Candidate& candidate, const ModelState* leaving) {
     double crowding = 0.0;
-    for (const auto& [name, adapters] : engine.models) {
-      const auto model = models_.find(name);
-      const bool stays = name != leaving && model != models_.end();
-      crowding += stays ? model->second.PressurePerCopy() : 0.0;
+    for (const ModelState* model : candidate.held) {
+      crowding += model != leaving ? model->PressurePerCopy() : 0.0;
     }
     return crowding;
   }
@@ -187,34 +197,37 @@
   bool LoadIntoRoom(const std::string& name) {
     ModelState& model = models_[name];
     const std::uint64_t needed = model.spec->memory_mb + AdapterReserve();
-    PlanEngine* best = nullptr;
+    Candidate* best = nullptr;
     double best_cost = std::numeric_limits<double>::max();
-    for (PlanEngine& engine : input_.engines) {
+    for (Candidate& candidate : candidates_) {
+      const PlanEngine& engine = *candidate.engine;
       const bool fits =
-          engine.takes_models && !engine.models.contains(name) && Free(engine) >= needed;
+          engine.takes_models && Free(engine) >= needed && !engine.models.contains(name);
       if (!fits) {
         continue;
       }
-      const double cost = Crowding(engine, "") + StoreCost(engine, name);
+      const double cost = Crowding(candidate, nullptr) + StoreCost(engine, name);
       if (cost < best_cost) {
         best_cost = cost;
-        best = &engine;
+        best = &candidate;
       }
     }
     if (best == nullptr) {
       return false;
     }
-    plan_.models.push_back(
-        {best->instance, name, std::nullopt, model.asked_for, !best->local_weights.Has(name)});
+    plan_.models.push_back({best->engine->instance, name, std::nullopt, model.asked_for,
+                            !best->engine->local_weights.Has(name)});
     Taken(*best, name);
     return true;
   }
 
-  void Taken(PlanEngine& engine, const std::string& newcomer) {
-    engine.takes_models = false;
-    engine.takes_adapters = false;
-    engine.models[newcomer];
-    ++models_[newcomer].copies;
+  void Taken(Candidate& candidate, const std::string& newcomer) {
+    candidate.engine->takes_models = false;
+    candidate.engine->takes_adapters = false;
+    candidate.engine->models[newcomer];
+    ModelState& model = models_[newcomer];
+    candidate.held.push_back(&model);
+    ++model.copies;
   }
 
   // True when a copy of `victim` may make way for `newcomer`.
@@ -237,39 +250,38 @@
 
   void Swap(const std::string& name) {
     ModelState& newcomer = models_[name];
-    PlanEngine* best = nullptr;
-    std::string best_victim;
+    const std::uint64_t needed = newcomer.spec->memory_mb + AdapterReserve();
+    Candidate* best = nullptr;
+    ModelState* best_victim = nullptr;
     double best_cost = std::numeric_limits<double>::max();
-    for (PlanEngine& engine : input_.engines) {
+    for (Candidate& candidate : candidates_) {
+      const PlanEngine& engine = *candidate.engine;
       if (!engine.takes_models || engine.models.contains(name)) {
         continue;
       }
-      for (const auto& [victim_name, adapters] : engine.models) {
-        const auto victim = models_.find(victim_name);
-        if (victim == models_.end() || !MayGo(victim->second, newcomer)) {
-          continue;
-        }
-        const std::uint64_t free = Free(engine) + victim->second.spec->memory_mb;
-        if (free < newcomer.spec->memory_mb + AdapterReserve()) {
+      for (ModelState* victim : candidate.held) {
+        if (!MayGo(*victim, newcomer) || Free(engine) + victim->spec->memory_mb < needed) {
           continue;
         }
-        const double last = victim->second.copies < 2 ? 1'000'000.0 : 0.0;
-        const double cost = victim->second.PressurePerCopy() + Crowding(engine, victim_name) +
-                            last + StoreCost(engine, name);
+        const double last = victim->copies < 2 ? 1'000'000.0 : 0.0;
+        const double cost = victim->PressurePerCopy() + Crowding(candidate, victim) + last +
+                            StoreCost(engine, name);
         if (cost < best_cost) {
           best_cost = cost;
-          best = &engine;
-          best_victim = victim_name;
+          best = &candidate;
+          best_victim = victim;
         }
       }
     }
     if (best == nullptr) {
       return;
     }
-    plan_.models.push_back(
-        {best->instance, name, best_victim, newcomer.asked_for, !best->local_weights.Has(name)});
-    --models_[best_victim].copies;
-    best->models.erase(best_victim);
+    const std::string& victim_name = best_victim->spec->name;
+    plan_.models.push_back({best->engine->instance, name, victim_name, newcomer.asked_for,
+                            !best->engine->local_weights.Has(name)});
+    --best_victim->copies;
+    best->engine->models.erase(victim_name);
+    std::erase(best->held, best_victim);
     Taken(*best, name);
   }
 
@@ -293,10 +305,15 @@
   }
 
   void PlanAdapter(const UnitName& unit, const UnitDemand& demand) {
+    // Engines that hold the model at the plan's start: others can't take its adapters yet.
+    const auto holders = holders_.find(unit.model);
+    if (holders == holders_.end()) {
+      return;
+    }
     std::uint32_t copies = 0;
-    for (const PlanEngine& engine : input_.engines) {
-      const auto model = engine.models.find(unit.model);
-      copies += model != engine.models.end() && model->second.contains(unit.adapter) ? 1 : 0;
+    for (const PlanEngine* engine : holders->second) {
+      const auto model = engine->models.find(unit.model);
+      copies += model != engine->models.end() && model->second.contains(unit.adapter) ? 1 : 0;
     }
     const bool missing = copies == 0;
     if (!missing && demand.pressure / copies < kWorthAdapterCopy) {
@@ -309,7 +326,8 @@
     PlanEngine* best = nullptr;
     AdapterStep best_step;
     double best_cost = std::numeric_limits<double>::max();
-    for (PlanEngine& engine : input_.engines) {
+    for (PlanEngine* holder : holders->second) {
+      PlanEngine& engine = *holder;
       const auto model = engine.models.find(unit.model);
       if (!engine.takes_adapters || model == engine.models.end() ||
           !engine.resident.contains(unit.model) || model->second.contains(unit.adapter)) {
@@ -364,34 +382,49 @@
 
   PlacementInput input_;
   std::map<std::string, ModelState> models_;
+  std::vector<Candidate> candidates_;
+  std::map<std::string, std::vector<PlanEngine*>> holders_;  // of each model, at the plan's start
   PlacementPlan plan_;
 };
 
 }  // namespace
 
+// Each further copy goes to the model that is pressed most per copy. A heap finds it, and engines'
+// models are looked up once: a plan for 240 engines and 399 models takes 1.7 ms of a core, 23 ms
+// with a look at all models for each copy and at their names for each engine, which on a holder
+// with 0.12 of a core left 0.2 s between two decisions.
 std::map<std::string, std::uint32_t> WantedCopies(const std::map<std::string, double>& pressures,
                                                   std::uint32_t places,
                                                   std::uint32_t engines) {
+  struct Candidate {
+    double share = 0.0;  // of the model's pressure, for each copy
+    const std::string* name = nullptr;
+    double pressure = 0.0;
+    std::uint32_t* wanted = nullptr;
+  };
+  // Of models that are pressed alike the first by name comes first.
+  const auto later = [](const Candidate& left, const Candidate& right) {
+    return left.share != right.share ? left.share < right.share : *left.name > *right.name;
+  };
+  std::priority_queue<Candidate, std::vector<Candidate>, decltype(later)> candidates(later);
   std::map<std::string, std::uint32_t> wanted;
+  const auto offer = [&](Candidate candidate) {
+    candidate.share = candidate.pressure / *candidate.wanted;
+    if (candidate.share > kWorthCopy && *candidate.wanted < engines) {
+      candidates.push(candidate);
+    }
+  };
   for (const auto& [name, pressure] : pressures) {
-    wanted[name] = 1;
+    std::uint32_t& copies = wanted[name];
+    copies = 1;
+    offer({0.0, &name, pressure, &copies});
   }
   std::uint32_t left = places - std::min(places, static_cast<std::uint32_t>(pressures.size()));
-  while (left > 0) {
-    std::string best;
-    double best_share = kWorthCopy;
-    for (const auto& [name, pressure] : pressures) {
-      const double share = pressure / wanted[name];
-      if (share > best_share && wanted[name] < engines) {
-        best_share = share;
-        best = name;
-      }
-    }
-    if (best.empty()) {
-      break;
-    }
-    ++wanted[best];
-    --left;
+  for (; left > 0 && !candidates.empty(); --left) {
+    const Candidate best = candidates.top();
+    candidates.pop();
+    ++*best.wanted;
+    offer(best);
   }
   return wanted;
 }
--- a/src/rudderloom/placement/planner_test.cpp
+++ b/src/rudderloom/placement/planner_test.cpp
@@ -1,6 +1,8 @@
 #include "rudderloom/placement/planner.hpp"
 
 #include <doctest/doctest.h>  // for TEST_CASE
+#include <map>                // for map
+#include <random>             // for mt19937
 #include <functional>         // for function
 
 #include "rudderloom/placement/load_pacer.hpp"  // for LoadPacer
@@ -213,5 +215,51 @@
   CHECK(asked_for > in_case);
 }
 
+// Copies given out one by one to the model that is pressed most per copy, by looking at all of
+// them.
+std::map<std::string, std::uint32_t> WantedByLooking(const std::map<std::string, double>& pressures,
+                                                     std::uint32_t places,
+                                                     std::uint32_t engines) {
+  constexpr double kWorthCopy = 1.5;
+  std::map<std::string, std::uint32_t> wanted;
+  for (const auto& [name, pressure] : pressures) {
+    wanted[name] = 1;
+  }
+  for (auto given = pressures.size(); given < places; ++given) {
+    const std::string* best = nullptr;
+    double best_share = kWorthCopy;
+    for (const auto& [name, pressure] : pressures) {
+      const double share = pressure / wanted[name];
+      if (share > best_share && wanted[name] < engines) {
+        best_share = share;
+        best = &name;
+      }
+    }
+    if (best == nullptr) {
+      break;
+    }
+    ++wanted[*best];
+  }
+  return wanted;
+}
+
+// Load: 400 models on 240 engines with three places each, a few models pressed far more than
+// others, many alike, most not at all.
+TEST_CASE("copies are given to the most pressed models, however many models and places there are") {
+  std::mt19937 random(5);
+  for (int round = 0; round < 30; ++round) {
+    std::map<std::string, double> pressures;
+    const int models = round < 3 ? 400 : 1 + static_cast<int>(random() % 30);
+    for (int i = 0; i < models; ++i) {
+      const auto kind = random() % 4;
+      const double busy = static_cast<double>(random() % 900) / 7.0;
+      pressures["m" + std::to_string(i)] = kind == 0 ? busy : kind == 1 ? 12.0 : 0.0;
+    }
+    const std::uint32_t places = round < 3 ? 720 : random() % 60;
+    const std::uint32_t engines = round < 3 ? 240 : 1 + random() % 9;
+    CHECK(WantedCopies(pressures, places, engines) == WantedByLooking(pressures, places, engines));
+  }
+}
+
 }  // namespace
 }  // namespace rudderloom
