Relays tell a holder with little processor time less often; first starts are spread

Its control thread was in time, but a list of the configuration took it 3 s while it answered 24 relays ten times a second: its other threads were starved. And the spread of first fresh reads was not in force: the condition that was to use it had been left as it was, so all 295 nodes still tried to create the lease's object.

Change: the holder's word tells relays how long to pause, 100 ms at half a core, 240 ms at 0.12.

--- a/include/rudderloom/dissemination/digest.hpp
+++ b/include/rudderloom/dissemination/digest.hpp
@@ -28,6 +28,7 @@
   LoadTable loads;          ///< Of all nodes but the one that asked and those it stands for.
   std::string relay;        ///< Address to report to from now on; empty: to whoever answered.
   bool is_relay = false;    ///< The asking node is to hand the word on to nodes that ask it.
+  Duration relay_pause{0};  ///< Between two reports of a relay, as the holder's processor bears it.
   bool standby = false;     ///< The asking node is one of the first that take over.
   std::vector<std::string> standby_addresses;  ///< Of all of these.
   bool renewals_fail = false;                  ///< The holder can't renew its lease at present.
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -177,6 +177,7 @@
   standbyAddresses @13 :List(Text);
   tellsConfiguration @14 :Bool;
   configurationAgeMs @15 :Int64 = -1;  # since the store confirmed it; below 0: never
+  relayPauseMs @16 :UInt32;  # between two reports of a relay, as the holder's processor bears it
 }
 
 interface PlacementHolder {
--- a/src/rudderloom/fleet/fleet_dissemination_test.cpp
+++ b/src/rudderloom/fleet/fleet_dissemination_test.cpp
@@ -107,6 +107,19 @@
   }
 }
 
+TEST_CASE("a holder with little processor time is told less often") {
+  FleetWorldOptions options = Large();
+  options.large_in_zone = 0;
+  FleetWorld world(options);
+  world.Play(10'000);
+  const auto holder = world.Holder();
+  REQUIRE(holder);
+  MESSAGE("reports to the holder a second ", world.ReportsTo(*holder));
+  CHECK(world.ReportsTo(*holder) <= 80);
+  world.Configure(5);
+  CHECK(SpreadTime(world, 5) <= 2'000);
+}
+
 TEST_CASE("changes are known everywhere in time, and cost no call for each node") {
   FleetWorld world(Large());
   world.Play(8'000);
--- a/src/rudderloom/fleet/fleet_lease.cpp
+++ b/src/rudderloom/fleet/fleet_lease.cpp
@@ -17,8 +17,8 @@
 // 0.12 of a core waits 1.2 s, by which nodes with more have taken the lease and a stale read shows
 // it.
 constexpr int kStaleFirstYields = 4;
-// Nodes with the same processor time begin to read freshly over this time: in a fleet of 295 alike,
-// all of them tried to create the object.
+// At the first start of the whole system nodes with the same processor time begin to read freshly
+// over this time: in a fleet of 295 alike, all of them tried to create the object.
 constexpr Duration kStartSpread{1'000};
 // Others than the holder look at the lease this often, at the price of a stale read.
 constexpr Duration kLeaseLookEvery{1'000};
@@ -104,9 +104,13 @@
   return heard_ && !heard_->digest.standby ? kYieldToStandbys : Duration(0);
 }
 
+// After a restart clients may be waiting for what only a holder can order: no time is lost then.
 Duration FleetState::FirstFreshRead() const {
-  const auto spread = std::chrono::duration_cast<Duration>(SpreadOf(settings_.name) * kStartSpread);
-  return kStaleFirstYields * YieldTime(settings_.processor_share) + spread;
+  const Duration yields = kStaleFirstYields * YieldTime(settings_.processor_share);
+  if (!settings_.first_start) {
+    return yields;
+  }
+  return yields + std::chrono::duration_cast<Duration>(SpreadOf(settings_.name) * kStartSpread);
 }
 
 // At a start of the whole fleet all nodes would read the object freshly, try to create it and read
@@ -117,8 +121,7 @@
   if (lease_reading_) {
     return std::nullopt;
   }
-  if (!lease_.Known() &&
-      now - started_at_ < kStaleFirstYields * YieldTime(settings_.processor_share)) {
+  if (!lease_.Known() && now - started_at_ < FirstFreshRead()) {
     return now - lease_read_at_ >= kLeaseFirstLooks ? std::optional(LeaseRead::kMayBeStale)
                                                     : std::nullopt;
   }
--- a/src/rudderloom/fleet/fleet_word.cpp
+++ b/src/rudderloom/fleet/fleet_word.cpp
@@ -1,5 +1,6 @@
 // What this node hears of the holder's word, tells it, and hands on to nodes that report to it.
-#include <utility>  // for exchange
+#include <algorithm>  // for clamp, max
+#include <utility>    // for exchange
 
 #include "rudderloom/base/log_line.hpp"      // for LogLine
 #include "rudderloom/fleet/fleet_state.hpp"  // for FleetState
@@ -11,19 +12,28 @@
 // Between two reports of a node. Loads that other nodes put on endpoints are so old at least.
 constexpr Duration kReportEvery{240};
 // A relay's report stands between its members and the holder, and comes as often as two of them
-// would have to for the way through it to take no longer than a direct one.
+// would have to for the way through it to take no longer than a direct one. To answer some 20
+// relays ten times a second takes a holder with 0.12 of a core half of its time: it is told less
+// often, at the most as seldom as by a node that reports directly.
 constexpr Duration kRelayReportEvery{100};
+constexpr double kRelayReportOfOneCore = 40.0;  // milliseconds
 // Also when requests wait, or the holder has named a relay.
 constexpr Duration kReportPause{20};
 // After a report that got no answer of use, to whomever: while nobody holds the lease, nodes ask
 // their way round without wearing each other out.
 constexpr Duration kReportAgain{150};
-// So long a new holder answers without lists: by then most nodes that don't hear a relay have
-// reported, and it can tell them which relay to hear.
-constexpr Duration kRosterAfter{150};
+// So long a new holder of a fleet that may be large answers without lists: by then nodes that hear
+// no relay have found it (they look each 250 ms at a start) and reported, and it can tell them
+// which relay to hear. Too soon, it would take the fleet for a small one.
+constexpr Duration kRosterAfter{400};
 // Longer than a takeover of the lease takes. A relay whose word is older hands it on no more.
 constexpr Duration kOldestHandedOn{3'000};
 
+Duration RelayPause(double processor_share) {
+  const Duration pause(static_cast<Duration::rep>(kRelayReportOfOneCore / processor_share));
+  return std::clamp(pause, kRelayReportEvery, kReportEvery);
+}
+
 }  // namespace
 
 // Tells the holder this node's counts, and others what there is to tell.
@@ -102,7 +112,7 @@
   if (sent_on_ || urgent_ || (relays && group_.Waiting())) {
     return kReportPause;
   }
-  return relays ? kRelayReportEvery : kReportEvery;
+  return relays ? heard_->digest.relay_pause : kReportEvery;
 }
 
 void FleetState::ReportCounts(FleetEffects& effects, TimePoint now) {
@@ -200,6 +210,7 @@
   statement->made_at = now;
   common.nodes = live_nodes_;
   common.renewals_fail = lease_.RenewalsFail(now);
+  common.relay_pause = RelayPause(settings_.processor_share);
   statement->loads = sums_;
   // Until it is known who relays, nobody is told lists, nor that any are not told.
   common.tells_configuration = !roster_ || roster_->HasRelays();
@@ -241,7 +252,8 @@
 
 // Some time after the lease was taken, when nodes have reported; true when they were chosen.
 bool FleetState::ChooseRelays(TimePoint now) {
-  if (now - held_since_ < kRosterAfter) {
+  const bool known_small = heard_ && !heard_->digest.tells_configuration;
+  if (!known_small && now - held_since_ < kRosterAfter) {
     return false;
   }
   auto roster = std::make_shared<Roster>(settings_.group_size);
--- a/src/rudderloom/peers/fleet_codec.cpp
+++ b/src/rudderloom/peers/fleet_codec.cpp
@@ -204,6 +204,7 @@
   out.setNodes(digest.nodes);
   out.setRelay(digest.relay);
   out.setIsRelay(digest.is_relay);
+  out.setRelayPauseMs(static_cast<std::uint32_t>(digest.relay_pause.count()));
   out.setRoutesVersion(digest.routes_version);
   out.setStandby(digest.standby);
   WriteTexts(digest.standby_addresses, out.initStandbyAddresses(digest.standby_addresses.size()));
@@ -228,6 +229,7 @@
   digest.nodes = in.getNodes();
   digest.relay = in.getRelay().cStr();
   digest.is_relay = in.getIsRelay();
+  digest.relay_pause = Duration(in.getRelayPauseMs());
   digest.routes_version = in.getRoutesVersion();
   digest.standby = in.getStandby();
   digest.standby_addresses = ReadTexts(in.getStandbyAddresses());
--- a/src/rudderloom/peers/fleet_codec_test.cpp
+++ b/src/rudderloom/peers/fleet_codec_test.cpp
@@ -95,11 +95,13 @@
   told.tells_configuration = true;
   told.configuration = from.Since(to.Version());
   told.configuration_age = Duration(70);
+  told.relay_pause = Duration(160);
   capnp::MallocMessageBuilder message;
   Write(told, message.initRoot<rpc::Digest>());
   const HolderDigest heard = Read(message.getRoot<rpc::Digest>().asReader());
   CHECK(heard.configuration_age == told.configuration_age);
   CHECK(heard.tells_configuration);
+  CHECK(heard.relay_pause == told.relay_pause);
   CHECK(to.Apply(heard.configuration));
   return message.sizeInWords() * sizeof(capnp::word);
 }
