--- a/src/rudderloom/fleet/fleet_word.cpp
+++ b/src/rudderloom/fleet/fleet_word.cpp
@@ -12,9 +12,9 @@
 // Between two reports of a node. Loads that other nodes put on endpoints are so old at least.
 constexpr Duration kReportEvery{240};
 // A relay's report stands between its members and the holder, and comes as often as two of them
-// would have to for the way through it to take no longer than a direct one. To answer some 20
-// relays ten times a second takes a holder with 0.12 of a core half of its time: it is told less
-// often, at the most as seldom as by a node that reports directly.
+// would have to for the way through it to take no longer than a direct one. While a holder with
+// 0.12 of a core answered some 20 relays ten times a second, a list of the configuration took it
+// 3 s: such a one is told less often, at the most as seldom as by a node that reports directly.
 constexpr Duration kRelayReportEvery{100};
 constexpr double kRelayReportOfOneCore = 40.0;  // milliseconds
 // Also when requests wait, or the holder has named a relay.
