--- a/include/rudderloom/dissemination/digest.hpp
+++ b/include/rudderloom/dissemination/digest.hpp
@@ -15,6 +15,12 @@
 
 namespace rudderloom {
 
+/// @brief A word that is older is neither handed on nor heeded. A takeover of the lease takes about
+/// 2 s, in which relays have no newer one and are as good as the holder; after that they have lost
+/// touch with a holder that may be well.
+/// @ingroup dissemination
+constexpr Duration kOldestWord{3'000};
+
 /// @brief The holder's word, as one node hears it.
 /// @ingroup dissemination
 struct HolderDigest {
@@ -44,6 +50,10 @@
   std::optional<Duration> configuration_age;
 };
 
+/// @brief Makes a digest, and what it tells, as old as it is after a time on its way.
+/// @ingroup dissemination
+void MakeOlder(HolderDigest& digest, Duration on_its_way);
+
 }  // namespace rudderloom
 
 #endif
--- a/src/rudderloom/dissemination/statement.cpp
+++ b/src/rudderloom/dissemination/statement.cpp
@@ -36,6 +36,16 @@
 
 }  // namespace
 
+void MakeOlder(HolderDigest& digest, Duration on_its_way) {
+  digest.age += on_its_way;
+  if (digest.endpoints_age) {
+    *digest.endpoints_age += on_its_way;
+  }
+  if (digest.configuration_age) {
+    *digest.configuration_age += on_its_way;
+  }
+}
+
 HolderDigest DigestFor(const Statement& statement, const NodeCounts& asking, TimePoint now) {
   if (!statement.common.holds || Refuses(statement, asking)) {
     return OnlyHolder(statement);
--- a/src/rudderloom/dissemination/upstream.cpp
+++ b/src/rudderloom/dissemination/upstream.cpp
@@ -4,9 +4,6 @@
 
 namespace {
 
-// A takeover of the lease takes about 2 s, in which relays have no newer word and are as good as
-// the holder. A relay whose word is older than that has lost touch with a holder that may be well.
-constexpr Duration kOldestWord{3'000};
 // What ails a relay lasts for seconds.
 constexpr Duration kAvoidFor{10'000};
 
--- a/src/rudderloom/fleet/fleet_word.cpp
+++ b/src/rudderloom/fleet/fleet_word.cpp
@@ -26,8 +26,6 @@
 // no relay have found it (they look each 250 ms at a start) and reported, and it can tell them
 // which relay to hear. Too soon, it would take the fleet for a small one.
 constexpr Duration kRosterAfter{400};
-// Longer than a takeover of the lease takes. A relay whose word is older hands it on no more.
-constexpr Duration kOldestHandedOn{3'000};
 
 Duration RelayPause(double processor_share) {
   const Duration pause(static_cast<Duration::rep>(kRelayReportOfOneCore / processor_share));
@@ -62,7 +60,7 @@
 
 // The holder has named this node a relay, or others report to it as one.
 bool FleetState::Relays(TimePoint now) const {
-  return !holds_ && heard_ && now - heard_->made_at < kOldestHandedOn &&
+  return !holds_ && heard_ && now - heard_->made_at < kOldestWord &&
          (heard_->digest.is_relay || group_.HasMembers(now));
 }
 
--- a/src/rudderloom/peers/holder_link.cpp
+++ b/src/rudderloom/peers/holder_link.cpp
@@ -58,17 +58,6 @@
 
 namespace {
 
-// Makes the digest as old as it is after a time on its way.
-void Aged(HolderDigest& digest, Duration on_its_way) {
-  digest.age += on_its_way;
-  if (digest.endpoints_age) {
-    *digest.endpoints_age += on_its_way;
-  }
-  if (digest.configuration_age) {
-    *digest.configuration_age += on_its_way;
-  }
-}
-
 // Tells in the log what it costs this node's link to answer all others, which grows with the fleet.
 class AnswerLog {
  public:
@@ -200,7 +189,7 @@
         .then([this, address, asked_at = Now()](auto&& response) {
           HolderDigest digest = Read(response.getDigest());
           // The answer may have been made right after the question was sent.
-          Aged(digest, Between(asked_at, Now()));
+          MakeOlder(digest, Between(asked_at, Now()));
           impl_.hooks.on_digest(std::move(digest), address);
         })
         .attach(kj::mv(connection));
--- a/tests/fakes/fleet_world.cpp
+++ b/tests/fakes/fleet_world.cpp
@@ -232,13 +232,7 @@
   if (to->statement) {
     digest = DigestFor(*to->statement, report.counts, Time());
   }
-  digest.age += Duration(kPeerAnswers);
-  if (digest.endpoints_age) {
-    *digest.endpoints_age += Duration(kPeerAnswers);
-  }
-  if (digest.configuration_age) {
-    *digest.configuration_age += Duration(kPeerAnswers);
-  }
+  MakeOlder(digest, Duration(kPeerAnswers));
   to->heard_reports_at.push_back(now_);
   AfterIn(*to, 0, [this, to, report] { Tell(*to, fleet_message::PeerCounted{report.counts}); });
   AfterIn(node, kPeerAnswers, [this, &node, report, digest] {
