--- a/include/rudderloom/dissemination/configuration_log.hpp
+++ b/include/rudderloom/dissemination/configuration_log.hpp
@@ -18,6 +18,8 @@
   std::uint64_t since = 0;    ///< Of the one that they are applied to; 0: to any, they are whole.
   Changes<Route> routes;
   Changes<ServiceSpec> services;
+  Changes<Customer> customers;
+  bool need_keys = false;  ///< On every route that isn't public.
   ClientLimits limits;
 };
 
@@ -51,6 +53,7 @@
   RouteTablePtr current_;
   ChangeLog<Route> routes_;
   ChangeLog<ServiceSpec> services_;
+  ChangeLog<Customer> customers_;
   std::deque<std::uint64_t> versions_;  // that were in force here, newest last
 };
 
--- a/include/rudderloom/dissemination/digest.hpp
+++ b/include/rudderloom/dissemination/digest.hpp
@@ -12,6 +12,7 @@
 #include "rudderloom/fleet/endpoint_record.hpp"            // for EndpointChanges
 #include "rudderloom/fleet/fleet_view.hpp"                 // for LoadTable
 #include "rudderloom/placement/serving.hpp"                // for ServingChanges
+#include "rudderloom/quota/spending.hpp"                   // for BalanceTable
 
 namespace rudderloom {
 
@@ -48,6 +49,10 @@
   ConfigurationChanges configuration;  ///< That the asking node lacks.
   /// @brief Since the store confirmed the configuration.
   std::optional<Duration> configuration_age;
+  /// @brief What customers may still spend, when the holder made its word: to a node that takes the
+  /// lease over first all of them, to others those that its report names.
+  BalanceTable balances;
+  std::uint64_t report_counted = 0;  ///< The asking node's last report that these take in.
 };
 
 /// @brief Makes a digest, and what it tells, as old as it is after a time on its way.
--- a/include/rudderloom/dissemination/statement.hpp
+++ b/include/rudderloom/dissemination/statement.hpp
@@ -3,8 +3,10 @@
 #ifndef RUDDERLOOM_DISSEMINATION_STATEMENT_HPP
 #define RUDDERLOOM_DISSEMINATION_STATEMENT_HPP
 
+#include <map>       // for map
 #include <memory>    // for shared_ptr
 #include <optional>  // for optional
+#include <string>    // for string
 
 #include "rudderloom/dissemination/digest.hpp"  // for HolderDigest
 #include "rudderloom/dissemination/roster.hpp"  // for Roster
@@ -23,6 +25,7 @@
   std::shared_ptr<const ConfigurationLog> configuration;  ///< Null: not told.
   std::optional<TimePoint> endpoints_confirmed_at;        ///< By the store.
   std::optional<TimePoint> configuration_confirmed_at;    ///< By the store.
+  std::map<std::string, std::uint64_t> reports_counted;   ///< By node: see `SpendingLog`.
   std::shared_ptr<const Roster> roster;                   ///< Null at a relay.
   /// @brief Most nodes that are answered with more than a refusal; empty: any number.
   std::optional<std::uint32_t> most_members;
--- a/include/rudderloom/fleet/fleet_settings.hpp
+++ b/include/rudderloom/fleet/fleet_settings.hpp
@@ -9,6 +9,7 @@
 #include <variant>      // for variant
 
 #include "rudderloom/base/json_reader.hpp"  // for JsonErrors
+#include "rudderloom/quota/spending.hpp"    // for QuotaBounds
 
 namespace rudderloom {
 
@@ -34,6 +35,7 @@
   double retry_extra = 50.0;      ///< Beyond, over all nodes, within the window.
   Duration retry_window{10'000};  ///< Sliding.
   Duration configuration{2'000};  ///< A configuration is in force everywhere within this.
+  QuotaBounds quota;              ///< How far customers may go over their limits.
 };
 
 /// @brief The whole settings file.
--- a/include/rudderloom/fleet/fleet_state.hpp
+++ b/include/rudderloom/fleet/fleet_state.hpp
@@ -21,6 +21,8 @@
 #include "rudderloom/fleet/fleet_view.hpp"                 // for FleetViewPtr
 #include "rudderloom/fleet/messages.hpp"                   // for fleet_message::Any
 #include "rudderloom/placement/placement_keeper.hpp"       // for PlacementKeeper
+#include "rudderloom/quota/quota_ledger.hpp"               // for QuotaLedger
+#include "rudderloom/quota/spending_log.hpp"               // for SpendingLog
 
 namespace rudderloom {
 
@@ -108,6 +110,10 @@
   void MovePlacement(FleetEffects& effects, TimePoint now);
   Duration WorkPause() const;
   void PublishServing();
+  void TellSpending(NodeCounts& counts, TimePoint now);
+  void BeginBalances(TimePoint now);
+  void MoveBalances(TimePoint now);
+  void TakeBalances(BalanceTable balances, TimePoint made_at);
   std::uint32_t CountNodes(TimePoint now) const;
   void LogLag(TimePoint now);
   bool ShouldResign(TimePoint now) const;
@@ -164,6 +170,9 @@
   PlacementKeeper placement_;
   DemandBoard board_;
   LoadSums sums_;  // of the board, as of the last plan
+  SpendingLog spending_;
+  QuotaLedger ledger_;
+  QuotaWordPtr quota_word_;  // the newest that this node made or heard
   std::optional<HeardWord> heard_;
   std::uint64_t newest_routes_ = 0;         // that any peer has told of
   std::optional<TimePoint> routes_behind_;  // since when a peer has a newer configuration
--- a/include/rudderloom/fleet/fleet_view.hpp
+++ b/include/rudderloom/fleet/fleet_view.hpp
@@ -12,6 +12,7 @@
 #include <vector>       // for vector
 
 #include "rudderloom/fleet/endpoint_record.hpp"  // for EndpointRecord
+#include "rudderloom/quota/spending.hpp"         // for QuotaWordPtr
 #include "rudderloom/routes/route_table.hpp"     // for RouteTablePtr
 
 namespace rudderloom {
@@ -64,6 +65,7 @@
   std::map<std::string, std::vector<std::uint32_t>, std::less<>> by_service;  ///< Indices.
   std::uint32_t live_nodes = 1;  ///< Entry nodes that share limits, with this one.
   bool endpoints_known = false;  ///< The platform's list has been read.
+  QuotaWordPtr quota;            ///< What customers may spend; null before the first word.
 };
 
 /// @brief A view that nobody changes any more.
--- a/include/rudderloom/fleet/messages.hpp
+++ b/include/rudderloom/fleet/messages.hpp
@@ -70,13 +70,15 @@
 /// @ingroup fleet
 struct DigestHeard {
   HolderDigest digest;
-  std::string from;  ///< Address of the node that answered.
+  std::string from;                 ///< Address of the node that answered.
+  std::uint64_t report_number = 0;  ///< Of the counts.
 };
 
 /// @brief A node did not answer this node's counts.
 /// @ingroup fleet
 struct ReportFailed {
-  std::string to;  ///< Its address.
+  std::string to;                   ///< Its address.
+  std::uint64_t report_number = 0;  ///< Of the counts.
 };
 
 /// @brief The store has just confirmed the configuration in force here.
--- a/include/rudderloom/forwarding/admission.hpp
+++ b/include/rudderloom/forwarding/admission.hpp
@@ -42,10 +42,12 @@
 Admission Admit(const StartForecast& forecast, const Route& route, Duration spent);
 
 /// @brief The urgency to hand to the endpoint, 0 first.
+/// @param priority The caller's rank; 0 is first.
 /// @param hold How long the request holds its place.
 /// @ingroup forwarding
 std::uint32_t UrgencyOf(Admission admission,
                         const Route& route,
+                        std::uint32_t priority,
                         const StartForecast& forecast,
                         Duration hold,
                         Duration spent);
--- a/include/rudderloom/forwarding/dialect.hpp
+++ b/include/rudderloom/forwarding/dialect.hpp
@@ -9,8 +9,9 @@
 #include <string>    // for string
 #include <vector>    // for vector
 
-#include "rudderloom/base/clock.hpp"  // for Duration
-#include "rudderloom/http/asio.hpp"   // for HttpRequest
+#include "rudderloom/base/clock.hpp"            // for Duration
+#include "rudderloom/customers/key_digest.hpp"  // for KeyDigest
+#include "rudderloom/http/asio.hpp"             // for HttpRequest
 
 namespace rudderloom {
 
@@ -29,8 +30,18 @@
   std::string model;                 ///< Empty for a plain service.
   std::string adapter;               ///< Of the model; empty for none.
   std::uint64_t tokens_in = 0;
-  std::uint64_t tokens_out = 0;  ///< At most, or the client's guess where it gives one.
+  std::uint64_t tokens_out = 0;   ///< At most, or the client's guess where it gives one.
+  bool names_tokens = false;      ///< The request says how many tokens it takes.
+  std::uint64_t most_tokens = 0;  ///< Of the prompt and of the answer at most, where it says so.
   std::vector<PromptPart> prompt;
+  std::optional<KeyDigest> key;  ///< That the caller shows; empty for none, or for several.
+};
+
+/// @brief What an endpoint is told of the caller.
+/// @ingroup forwarding
+struct CallerTerms {
+  bool checked = false;  ///< The node knows customers: what the caller says of itself is left out.
+  std::string customer;  ///< Empty: the endpoint is told none.
 };
 
 /// @brief What this node adds to a request that it sends to an endpoint.
@@ -41,6 +52,7 @@
   std::optional<std::uint32_t> urgency;        ///< 0 is the most urgent.
   std::optional<std::string> after_event;      ///< Goes on after this event of a stream.
   std::optional<std::string> weights_version;  ///< Endpoints with other weights refuse.
+  CallerTerms caller;
 };
 
 /// @brief What an endpoint's answer says.
--- a/include/rudderloom/forwarding/forwarder.hpp
+++ b/include/rudderloom/forwarding/forwarder.hpp
@@ -13,8 +13,9 @@
 #include "rudderloom/forwarding/missing_units.hpp"        // for MissingUnits
 #include "rudderloom/forwarding/retry_allowance.hpp"      // for RetryAllowance
 #include "rudderloom/forwarding/view_source.hpp"          // for ViewSource
-#include "rudderloom/placement/demand.hpp"                // for UnitCount
 #include "rudderloom/http/server.hpp"                     // for HttpExchange
+#include "rudderloom/placement/demand.hpp"                // for UnitCount
+#include "rudderloom/quota/quota_account.hpp"             // for QuotaAccount
 #include "rudderloom/telemetry/metrics.hpp"               // for Metrics
 
 namespace rudderloom {
@@ -31,6 +32,7 @@
   Metrics& metrics;
   Balancer balancer;
   RetryAllowance retries;
+  QuotaAccount quota;
   ViewSource views;
   ConnectionPool pool;
   UnitCounts units;
--- a/include/rudderloom/peers/holder_link.hpp
+++ b/include/rudderloom/peers/holder_link.hpp
@@ -20,10 +20,10 @@
   std::function<void(NodeCounts)> on_counts;
   /// @brief The digest for a node that reported; must not block.
   std::function<HolderDigest(const NodeCounts& asking)> digest_for;
-  /// @brief The node at `from` answered this node's report.
-  std::function<void(HolderDigest, const std::string& from)> on_digest;
+  /// @brief The node at `from` answered this node's report of a number.
+  std::function<void(HolderDigest, const std::string& from, std::uint64_t number)> on_digest;
   /// @brief A report to the node at `to` got no answer.
-  std::function<void(const std::string& to, const std::string& error)> on_failure;
+  std::function<void(const std::string& to, std::uint64_t number)> on_failure;
 };
 
 /// @brief Runs Cap'n Proto's event loop on a thread of its own.
--- a/include/rudderloom/placement/demand.hpp
+++ b/include/rudderloom/placement/demand.hpp
@@ -13,6 +13,7 @@
 
 #include "rudderloom/base/clock.hpp"        // for TimePoint
 #include "rudderloom/fleet/fleet_view.hpp"  // for EndpointLoad
+#include "rudderloom/quota/spending.hpp"    // for SpendingTable
 
 namespace rudderloom {
 
@@ -54,12 +55,14 @@
   std::string availability_zone;
   std::uint32_t stands_for = 1;             ///< Nodes whose counts these are, itself included.
   std::vector<std::string> avoided_relays;  ///< Addresses that gave it no answer of use lately.
+  std::uint64_t report_number = 0;  ///< Rises with each report of a process; see `SpendingLog`.
+  SpendingTable spending;           ///< Since the last report.
 };
 
-/// @brief Adds what was offered to a node by its earlier counts to its newer ones, which are told
-/// in their place.
+/// @brief Adds what was offered to a node and spent at it by its earlier counts to its newer ones,
+/// which are told in their place.
 /// @ingroup placement
-void AddOffered(const NodeCounts& earlier, NodeCounts& newer);
+void AddUntold(const NodeCounts& earlier, NodeCounts& newer);
 
 /// @brief True while counts that were heard at `heard_at` are taken to be so still.
 /// @ingroup placement
--- a/include/rudderloom/routes/route_table.hpp
+++ b/include/rudderloom/routes/route_table.hpp
@@ -11,7 +11,8 @@
 #include <string_view>  // for string_view
 #include <vector>       // for vector
 
-#include "rudderloom/base/clock.hpp"  // for Duration
+#include "rudderloom/base/clock.hpp"          // for Duration
+#include "rudderloom/customers/customer.hpp"  // for CustomerTable
 
 namespace rudderloom {
 
@@ -45,6 +46,7 @@
   std::uint32_t priority = 0;     ///< 0 is the most urgent.
   std::uint32_t max_attempts = 1;
   bool resumable = false;
+  bool is_public = false;  ///< Callers need no key.
   std::vector<ServiceShare> shares;
 
   /// @brief True when a request of this route may be sent again after it may have run.
@@ -100,6 +102,13 @@
   bool operator==(const ClientLimits&) const = default;
 };
 
+/// @brief Who may call.
+/// @ingroup routes
+struct Callers {
+  bool need_keys = false;  ///< On every route that isn't public.
+  std::vector<Customer> customers;
+};
+
 /// @brief One configuration, whole. Immutable once it is in force.
 /// @ingroup routes
 class RouteTable {
@@ -107,7 +116,8 @@
   RouteTable(std::uint64_t version,
              std::vector<Route> routes,
              std::vector<ServiceSpec> services,
-             ClientLimits limits);
+             ClientLimits limits,
+             Callers callers = {});
 
   /// @brief The route of this host with the longest prefix of the path; null when there is none.
   /// @param host May carry a port, which is ignored; letter case is ignored too.
@@ -122,12 +132,18 @@
   const std::map<std::string, ServiceSpec, std::less<>>& Services() const { return services_; }
   const ClientLimits& Limits() const { return limits_; }
 
+  /// @brief True when callers of routes that aren't public need a key.
+  bool NeedsKeys() const { return needs_keys_; }
+  const CustomerTable& Customers() const { return customers_; }
+
  private:
   std::uint64_t version_;
   std::vector<Route> routes_;
   std::map<std::string, ServiceSpec, std::less<>> services_;
   std::map<std::string, std::size_t, std::less<>> by_host_and_prefix_;
   ClientLimits limits_;
+  bool needs_keys_ = false;
+  CustomerTable customers_;
 };
 
 /// @brief The configuration in force; null before the first is known.
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -23,6 +23,22 @@
   offeredMs @5 :UInt64;  # that requests which came since the last count would take at an endpoint
 }
 
+# Tokens or requests of one customer that were run, told once; and at how many nodes it asks.
+struct CustomerSpending {
+  customer @0 :UInt32;  # hash of its name
+  nodes @1 :UInt32;     # at which it has asked lately
+  spent @2 :Int64;      # since the last report; below 0 where more was given back
+  asked @3 :UInt64;     # since the last report, also what was refused
+}
+
+# What a customer may still spend, over all nodes, when the holder made its word.
+struct CustomerBalance {
+  customer @0 :UInt32;         # hash of its name
+  nodes @1 :UInt32;            # at which it has asked lately
+  level @2 :Int64;             # below 0: spent ahead
+  askedPerSecond @3 :UInt64;   # over all nodes
+}
+
 struct NodeCounts {
   node @0 :Text;
   incarnation @1 :Text;
@@ -36,6 +52,8 @@
   availabilityZone @9 :Text;
   standsFor @10 :UInt32 = 1;  # nodes whose counts these are, itself included
   avoidedRelays @11 :List(Text);  # addresses that gave it no answer of use lately
+  reportNumber @12 :UInt64;       # rises with each report of a process
+  spending @13 :List(CustomerSpending);
 }
 
 struct ServedModel {
@@ -52,6 +70,7 @@
   availabilityZone @3 :Text;
   slots @4 :UInt32;
   leaving @5 :Bool;
+  born @6 :UInt64;  # start of the process, by its own clock, in milliseconds; 0 where it tells none
 }
 
 # What changed in the list since a revision.
@@ -94,6 +113,7 @@
   maxAttempts @9 :UInt32;
   resumable @10 :Bool;
   shares @11 :List(ServiceShare);
+  isPublic @12 :Bool;  # callers need no key
 }
 
 enum RouteKind {
@@ -141,6 +161,24 @@
   gone @3 :List(Text);  # names
 }
 
+# A customer, with digests of its callers' keys.
+struct CustomerEntry {
+  name @0 :Text;
+  keys @1 :List(Data);
+  priority @2 :Int64 = -1;  # below 0: the route's holds
+  countsTokens @3 :Bool;    # else requests
+  perSecond @4 :UInt64;     # 0: no limit
+  burst @5 :UInt64;
+  plainTokens @6 :UInt64;  # of a request that names none
+}
+
+struct CustomerChanges {
+  version @0 :UInt64;  # of the configuration
+  whole @1 :Bool;      # the entries are all that there are
+  entries @2 :List(CustomerEntry);
+  gone @3 :List(Text);  # names
+}
+
 # What leads from one configuration to a newer one.
 struct ConfigurationChanges {
   version @0 :UInt64;  # of the newer one; 0: nothing is told
@@ -151,6 +189,8 @@
   bodyBytes @5 :UInt64;
   headerMs @6 :UInt32;
   idleMs @7 :UInt32;
+  customers @8 :CustomerChanges;
+  needKeys @9 :Bool;  # on every route that isn't public
 }
 
 # What the asking node lacks.
@@ -178,6 +218,8 @@
   tellsConfiguration @14 :Bool;
   configurationAgeMs @15 :Int64 = -1;  # since the store confirmed it; below 0: never
   relayPauseMs @16 :UInt32;  # between two reports of a relay, as the holder's processor bears it
+  balances @17 :List(CustomerBalance);  # of customers that the asking node's report names
+  reportCounted @18 :UInt64;  # the asking node's last report that the balances take in; 0 for none
 }
 
 interface PlacementHolder {
--- a/src/rudderloom/app/fleet_daemon.cpp
+++ b/src/rudderloom/app/fleet_daemon.cpp
@@ -142,12 +142,12 @@
       }
       return statement ? DigestFor(*statement, asking, Now()) : HolderDigest();
     };
-    hooks.on_digest = [this](HolderDigest digest, const std::string& from) {
-      actor_->Post(fleet_message::DigestHeard{std::move(digest), from});
+    hooks.on_digest = [this](HolderDigest digest, const std::string& from, std::uint64_t number) {
+      actor_->Post(fleet_message::DigestHeard{std::move(digest), from, number});
     };
-    hooks.on_failure = [this](const std::string& to, const std::string&) {
+    hooks.on_failure = [this](const std::string& to, std::uint64_t number) {
       metrics_.Count({"rudderloom_holder_reports_failed_total"});
-      actor_->Post(fleet_message::ReportFailed{to});
+      actor_->Post(fleet_message::ReportFailed{to, number});
     };
     return hooks;
   }
--- /dev/null
+++ b/src/rudderloom/customers/customer_test.cpp
@@ -0,0 +1,51 @@
+#include "rudderloom/customers/customer.hpp"
+
+#include <doctest/doctest.h>  // for TEST_CASE
+
+namespace rudderloom {
+namespace {
+
+Customer MakeCustomer(const std::string& name, const std::vector<std::string>& keys) {
+  Customer customer;
+  customer.name = name;
+  for (const std::string& key : keys) {
+    customer.keys.push_back(DigestOf(key));
+  }
+  return customer;
+}
+
+TEST_CASE("a key leads to the customer that holds it, and to nobody once it is taken away") {
+  const CustomerTable before({MakeCustomer("a", {"k1", "k2"}), MakeCustomer("b", {"k3"})});
+  CHECK(before.Find(DigestOf("k2"))->name == "a");
+  CHECK(before.Find(DigestOf("k3"))->name == "b");
+  CHECK(before.Find(DigestOf("K3")) == nullptr);
+  CHECK(before.Find(DigestOf("")) == nullptr);
+  const CustomerTable after({MakeCustomer("a", {"k1"}), MakeCustomer("b", {"k3"})});
+  CHECK(after.Find(DigestOf("k2")) == nullptr);
+}
+
+TEST_CASE("a key that was passed on belongs to its new holder alone") {
+  const CustomerTable table({MakeCustomer("a", {"k1"}), MakeCustomer("b", {"k2"})});
+  const CustomerTable later({MakeCustomer("a", {}), MakeCustomer("b", {"k2", "k1"})});
+  CHECK(table.Find(DigestOf("k1"))->name == "a");
+  CHECK(later.Find(DigestOf("k1"))->name == "b");
+}
+
+TEST_CASE("a digest comes back from its bytes, and its short name shows no key") {
+  const KeyDigest digest = DigestOf("asnmgkcuyj8pjbvk9m68");
+  CHECK(KeyDigestFrom(BytesOf(digest)) == digest);
+  CHECK_FALSE(KeyDigestFrom("short"));
+  CHECK(ShortName(digest).size() == 8);
+  CHECK(ShortName(digest) != ShortName(DigestOf("asnmgkcuyj8pjbvk9m69")));
+}
+
+TEST_CASE("only customers with a rate have a limit") {
+  Customer limited = MakeCustomer("a", {"k1"});
+  limited.quota = {QuotaUnit::kTokens, 1'000, 500, 200};
+  const CustomerTable table({limited, MakeCustomer("b", {"k2"})});
+  CHECK(table.Limits().size() == 1);
+  CHECK(table.Limits().at(CustomerKeyOf("a")).burst == 500);
+}
+
+}  // namespace
+}  // namespace rudderloom
--- a/src/rudderloom/dissemination/configuration_log.cpp
+++ b/src/rudderloom/dissemination/configuration_log.cpp
@@ -24,6 +24,14 @@
   return {table.Services().begin(), table.Services().end()};
 }
 
+std::map<std::string, Customer> CustomersByName(const RouteTable& table) {
+  std::map<std::string, Customer> customers;
+  for (const Customer& customer : table.Customers().All()) {
+    customers.emplace(customer.name, customer);
+  }
+  return customers;
+}
+
 }  // namespace
 
 bool ConfigurationLog::Offer(RouteTablePtr table) {
@@ -34,9 +42,11 @@
   if (current_) {
     routes_.Update(RoutesByKey(*table), version);
     services_.Update(ServicesByName(*table), version);
+    customers_.Update(CustomersByName(*table), version);
   } else {
     routes_.Replace(RoutesByKey(*table), version);
     services_.Replace(ServicesByName(*table), version);
+    customers_.Replace(CustomersByName(*table), version);
   }
   current_ = std::move(table);
   Remember(version);
@@ -52,8 +62,10 @@
   }
   routes_.Apply(changes.routes);
   services_.Apply(changes.services);
+  customers_.Apply(changes.customers);
   current_ = std::make_shared<const RouteTable>(changes.version, routes_.Values(),
-                                                services_.Values(), changes.limits);
+                                                services_.Values(), changes.limits,
+                                                Callers{changes.need_keys, customers_.Values()});
   Remember(changes.version);
   return true;
 }
@@ -70,8 +82,10 @@
   changes.version = Version();
   changes.routes = routes_.Since(from);
   changes.services = services_.Since(from);
+  changes.customers = customers_.Since(from);
+  changes.need_keys = current_->NeedsKeys();
   changes.limits = current_->Limits();
-  const bool whole = changes.routes.whole && changes.services.whole;
+  const bool whole = changes.routes.whole && changes.services.whole && changes.customers.whole;
   changes.since = whole ? 0 : from;
   return changes;
 }
--- a/src/rudderloom/dissemination/statement.cpp
+++ b/src/rudderloom/dissemination/statement.cpp
@@ -27,6 +27,17 @@
   return changes.routes.values.size() + models / kModelsOfOneRoute;
 }
 
+// What a node's own requests, and those of nodes that it stands for, need to know.
+BalanceTable BalancesFor(const BalanceTable& all, const NodeCounts& asking) {
+  BalanceTable balances;
+  for (const auto& [customer, spending] : asking.spending) {
+    if (const auto found = all.find(customer); found != all.end()) {
+      balances.insert(*found);
+    }
+  }
+  return balances;
+}
+
 HolderDigest OnlyHolder(const Statement& statement) {
   HolderDigest digest;
   digest.holder = statement.common.holder;
@@ -58,8 +69,16 @@
     digest.standby = statement.roster->IsStandby(asking.node);
   }
   if (!digest.relay.empty()) {
+    digest.balances.clear();
     return digest;
   }
+  if (!digest.standby) {
+    digest.balances = BalancesFor(statement.common.balances, asking);
+  }
+  if (const auto counted = statement.reports_counted.find(asking.node);
+      counted != statement.reports_counted.end()) {
+    digest.report_counted = counted->second;
+  }
   digest.loads = statement.loads.Without(asking.node);
   if (statement.serving) {
     digest.serving = statement.serving->Since(asking.serving_seen);
--- a/src/rudderloom/fleet/fleet_settings.cpp
+++ b/src/rudderloom/fleet/fleet_settings.cpp
@@ -14,6 +14,7 @@
 constexpr std::int64_t kLeastGroup = 2;
 constexpr std::int64_t kMostGroup = 1'000;
 constexpr double kMostRetries = 1'000'000.0;
+constexpr double kMostQuotaSlack = 1e12;
 constexpr double kLeastProcessorShare = 0.001;
 constexpr double kMostProcessorShare = 1'024.0;
 
@@ -56,6 +57,9 @@
   bounds.retry_extra = reader.Number("retry_extra", 0.0, kMostRetries, bounds.retry_extra);
   bounds.retry_window = reader.Time("retry_window", bounds.retry_window);
   bounds.configuration = reader.Time("configuration", bounds.configuration);
+  bounds.quota.window = reader.Time("quota_window", bounds.quota.window);
+  bounds.quota.overshoot = reader.Number("quota_overshoot", 0.0, 1.0, bounds.quota.overshoot);
+  bounds.quota.slack = reader.Number("quota_slack", 0.0, kMostQuotaSlack, bounds.quota.slack);
 }
 
 void ReadStore(ObjectReader& reader, FleetSettings& settings) {
--- a/src/rudderloom/fleet/fleet_state.cpp
+++ b/src/rudderloom/fleet/fleet_state.cpp
@@ -35,6 +35,12 @@
   return std::chrono::duration_cast<Duration>(bound * kSharedPart);
 }
 
+// Numbers of an earlier life of the process are told apart from this one's.
+std::uint64_t FirstReportNumber(const std::string& incarnation) {
+  constexpr unsigned kRoomForReports = 31;
+  return (std::hash<std::string>{}(incarnation) << kRoomForReports) + 1;
+}
+
 SourceChoice MakeSource(const FleetSettings& settings, Duration bound) {
   const StartKind start = settings.first_start ? StartKind::kFirst : StartKind::kRestart;
   return {OldestShared(bound), start, SpreadOf(settings.name)};
@@ -62,6 +68,8 @@
       placement_(settings_.bounds.load_window,
                  settings_.bounds.load_overshoot,
                  settings_.bounds.lease),
+      spending_(FirstReportNumber(incarnation_)),
+      ledger_(settings_.bounds.quota),
       live_nodes_(kAssumedNodes) {}
 
 FleetEffects FleetState::Handle(const fleet_message::Any& any, TimePoint now) {
@@ -117,6 +125,7 @@
   effects.placement = placement_.Tick(*routes_.Get().Current(), directory_.Endpoints(), board_,
                                       sums_.all, lease, now);
   PublishServing();
+  MoveBalances(now);
   live_nodes_ = CountNodes(now);
   ChooseRelays(now);
   effects.statement = MakeStatement(now);
@@ -198,6 +207,7 @@
 void FleetState::On(const fleet_message::NodeSampled& sampled, TimePoint now) {
   board_.Counted(sampled.counts, now);
   group_.CountedSelf(sampled.counts);
+  spending_.CountedSelf(sampled.counts.spending);
   for (const auto& [unit, count] : sampled.counts.units) {
     urgent_ = urgent_ || count.waiting > 0;
   }
@@ -206,6 +216,8 @@
 void FleetState::On(const fleet_message::PeerCounted& counted, TimePoint now) {
   board_.Counted(counted.counts, now);
   group_.Counted(counted.counts, now);
+  spending_.Counted(counted.counts.node, counted.counts.report_number, counted.counts.spending,
+                    now);
   PeerHasRoutes(counted.counts.routes_version, now);
 }
 
@@ -260,6 +272,7 @@
   view->routes = routes_.Get().Current();
   view->endpoints_known = endpoints_known_;
   view->live_nodes = live_nodes_;
+  view->quota = quota_word_;
   const LoadTable loads = OtherLoads(now);
   const bool placed = holds_ || WordFresh(now);
   for (const auto& [instance, known] : directory_.Endpoints()) {
--- a/src/rudderloom/fleet/fleet_word.cpp
+++ b/src/rudderloom/fleet/fleet_word.cpp
@@ -126,6 +126,7 @@
   counts.endpoints_seen = endpoint_log_.Get().Version();
   counts.serving_seen = serving_log_.Get().Version();
   counts.avoided_relays = upstream_.AvoidedRelays(now);
+  TellSpending(counts, now);
   effects.report = CountsToReport{to, std::move(counts)};
   reported_at_ = now;
   urgent_ = false;
@@ -134,11 +135,13 @@
 
 void FleetState::On(const fleet_message::ReportFailed& failed, TimePoint now) {
   unanswered_ = true;
+  spending_.Failed(failed.report_number);
   upstream_.Failed(failed.to, now);
 }
 
 void FleetState::On(const fleet_message::DigestHeard& heard, TimePoint now) {
   const HolderDigest& digest = heard.digest;
+  spending_.Arrived(heard.report_number);
   const std::string before = upstream_.Address();
   const bool counts = upstream_.Answered(heard.from, digest, now);
   if (upstream_.Address() != before) {
@@ -190,6 +193,8 @@
     }
   }
   heard_ = HeardWord{digest, now - digest.age};
+  spending_.Confirmed(digest.report_counted);
+  TakeBalances(digest.balances, heard_->made_at);
   heard_->digest.serving = {};
   heard_->digest.endpoints = {};
   heard_->digest.configuration = {};
@@ -206,6 +211,8 @@
     return statement;
   }
   statement->made_at = now;
+  common.balances = quota_word_ ? quota_word_->balances : BalanceTable();
+  statement->reports_counted = spending_.ReportsCounted();
   common.nodes = live_nodes_;
   common.renewals_fail = lease_.RenewalsFail(now);
   common.relay_pause = RelayPause(settings_.processor_share);
@@ -231,6 +238,7 @@
   for (const auto& [endpoint, load] : heard_->digest.loads) {
     statement->loads.all[endpoint] += load;
   }
+  statement->reports_counted = spending_.ReportsCounted();
   statement->most_members = MostMembers(settings_.group_size);
   TellKnown(*statement);
   return statement;
--- a/src/rudderloom/forwarding/admission.cpp
+++ b/src/rudderloom/forwarding/admission.cpp
@@ -30,6 +30,7 @@
 
 std::uint32_t UrgencyOf(Admission admission,
                         const Route& route,
+                        std::uint32_t priority,
                         const StartForecast& forecast,
                         Duration hold,
                         Duration spent) {
@@ -38,7 +39,7 @@
   }
   // It would still be in time after one more request has held the place.
   const bool can_wait = spent + forecast.in_turn + hold <= route.goal;
-  return std::min(kLastInTurn, kPerPriority * route.priority + (can_wait ? 1 : 0));
+  return std::min(kLastInTurn, kPerPriority * priority + (can_wait ? 1 : 0));
 }
 
 }  // namespace rudderloom
--- a/src/rudderloom/forwarding/admission_test.cpp
+++ b/src/rudderloom/forwarding/admission_test.cpp
@@ -37,12 +37,16 @@
   Route route = MakeRoute();
   const StartForecast soon{Duration(100), Duration(100)};
   const Duration hold(1'500);
-  const std::uint32_t usual = UrgencyOf(Admission::kInTurn, route, soon, hold, Duration(0));
+  const std::uint32_t usual =
+      UrgencyOf(Admission::kInTurn, route, route.priority, soon, hold, Duration(0));
   route.goal = Duration(5'000);
-  const std::uint32_t patient = UrgencyOf(Admission::kInTurn, route, soon, hold, Duration(0));
+  const std::uint32_t patient =
+      UrgencyOf(Admission::kInTurn, route, route.priority, soon, hold, Duration(0));
   route.priority = 0;
-  const std::uint32_t first = UrgencyOf(Admission::kInTurn, route, soon, hold, Duration(0));
-  const std::uint32_t last = UrgencyOf(Admission::kDeferred, route, soon, hold, Duration(0));
+  const std::uint32_t first =
+      UrgencyOf(Admission::kInTurn, route, route.priority, soon, hold, Duration(0));
+  const std::uint32_t last =
+      UrgencyOf(Admission::kDeferred, route, route.priority, soon, hold, Duration(0));
   CHECK(first < usual);
   CHECK(usual < patient);
   CHECK(patient < last);
--- a/src/rudderloom/forwarding/attempt.cpp
+++ b/src/rudderloom/forwarding/attempt.cpp
@@ -117,6 +117,7 @@
     }
     SendTerms terms;
     terms.instance = ask_.endpoint.instance;
+    terms.caller = ask_.caller;
     terms.time_left = Between(Now(), ask_.time_up) - kEndpointHeadStart;
     if (!ask_.terms->model.empty()) {
       terms.urgency = ask_.urgency;
--- a/src/rudderloom/forwarding/attempt.hpp
+++ b/src/rudderloom/forwarding/attempt.hpp
@@ -42,6 +42,7 @@
   const RequestTerms* terms = nullptr;
   const Route* route = nullptr;
   TimePoint time_up;
+  CallerTerms caller;
   std::uint32_t urgency = 0;              // of a request for a model, as the endpoint sees it
   std::optional<Duration> first_silence;  // before the answer begins; empty: no limit
   Duration later_silence{0};              // between two pieces of a stream that may be resumed
--- a/src/rudderloom/forwarding/forward_refusal.cpp
+++ b/src/rudderloom/forwarding/forward_refusal.cpp
@@ -8,6 +8,10 @@
       return "no_configuration";
     case ForwardRefusal::kNoRoute:
       return "no_route";
+    case ForwardRefusal::kUnknownKey:
+      return "unknown_key";
+    case ForwardRefusal::kOverQuota:
+      return "over_quota";
     case ForwardRefusal::kNoEndpoint:
       return "no_endpoint";
     case ForwardRefusal::kNotResident:
@@ -32,6 +36,12 @@
   if (refusal == ForwardRefusal::kNoRoute) {
     return 404;
   }
+  if (refusal == ForwardRefusal::kUnknownKey) {
+    return 401;
+  }
+  if (refusal == ForwardRefusal::kOverQuota) {
+    return 429;
+  }
   if (refusal == ForwardRefusal::kTimeUp) {
     return 504;
   }
--- a/src/rudderloom/forwarding/forward_refusal.hpp
+++ b/src/rudderloom/forwarding/forward_refusal.hpp
@@ -9,7 +9,9 @@
 enum class ForwardRefusal {
   kNoConfiguration,
   kNoRoute,
-  kNoEndpoint,   // the service has none
+  kUnknownKey,  // the route asks for a customer's key, and the caller shows none that anybody holds
+  kOverQuota,   // the customer has asked for more than its limit
+  kNoEndpoint,  // the service has none
   kNotResident,  // no endpoint holds the model or adapter
   kOverloaded,   // its client would have left before an answer began
   kStopping,     // this node is about to stop
--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -5,6 +5,7 @@
 
 #include "forwarding/attempt.hpp"                // for RunAttempt
 #include "forwarding/forward_refusal.hpp"        // for ForwardRefusal
+#include "forwarding/quota_grant.hpp"            // for QuotaGrant
 #include "forwarding/request_end.hpp"            // for LogRequestEnd, LogFailedAttempt
 #include "forwarding/request_samples.hpp"        // for LearnTimes, OfferedTime
 #include "forwarding/tried_endpoints.hpp"        // for TriedEndpoints
@@ -23,6 +24,8 @@
 constexpr std::uint32_t kMostConnectFailures = 4;
 constexpr double kSilenceGoals = 2.5;
 constexpr int kSilencePauses = 4;
+constexpr unsigned kTooManyRequests = 429;
+constexpr unsigned kUnavailable = 503;
 
 // One request of a client, over all its attempts.
 class ForwardCall {
@@ -32,7 +35,8 @@
         exchange_(exchange),
         arrived_(Now()),
         terms_(state.dialect.ReadRequest(exchange.Request())),
-        routes_(state.views.Current()->routes) {}
+        routes_(state.views.Current()->routes),
+        grant_(state.quota) {}
 
   Awaitable<void> Run() {
     co_await AwaitConfiguration();
@@ -40,11 +44,8 @@
       co_await Refuse(ForwardRefusal::kNoConfiguration);
       co_return;
     }
-    const auto target = exchange_.Request().target();
-    const auto host = exchange_.Request()[http::field::host];
-    route_ = routes_->Find({host.data(), host.size()}, {target.data(), target.size()});
-    if (route_ == nullptr) {
-      co_await Refuse(ForwardRefusal::kNoRoute);
+    if (const auto refusal = Check()) {
+      co_await Refuse(*refusal);
       co_return;
     }
     service_ = ChooseService(*route_, state_.random());
@@ -77,6 +78,37 @@
     exchange_.StopWatching();
   }
 
+  // What a request must pass before it is sent anywhere: its route, its caller's key, and its
+  // customer's limit.
+  std::optional<ForwardRefusal> Check() {
+    const auto target = exchange_.Request().target();
+    const auto host = exchange_.Request()[http::field::host];
+    route_ = routes_->Find({host.data(), host.size()}, {target.data(), target.size()});
+    if (route_ == nullptr) {
+      return ForwardRefusal::kNoRoute;
+    }
+    caller_ = IdentifyCaller(*routes_, *route_, terms_.key);
+    if (caller_.standing == CallerStanding::kUnknown) {
+      return ForwardRefusal::kUnknownKey;
+    }
+    if (caller_.customer == nullptr) {
+      return std::nullopt;
+    }
+    const auto wait = grant_.Take(*caller_.customer, terms_, arrived_);
+    if (!wait) {
+      return std::nullopt;
+    }
+    come_back_ = *wait;
+    state_.metrics.Count({"rudderloom_over_quota_total", "customer", caller_.customer->name});
+    return ForwardRefusal::kOverQuota;
+  }
+
+  // A request that waited may find its caller's key taken away.
+  bool KeyTakenAway(const FleetView& view) const {
+    return caller_.customer != nullptr && view.routes && view.routes != routes_ &&
+           IdentifyCaller(*view.routes, *route_, terms_.key).standing == CallerStanding::kUnknown;
+  }
+
   // Counts how long the request would be at an endpoint. Requests that are refused count too: a
   // model under a burst would look idle otherwise.
   void CountDemand() {
@@ -90,6 +122,10 @@
   Awaitable<void> Attempts() {
     while (true) {
       const FleetViewPtr view = state_.views.Current();
+      if (attempts_ == 0 && KeyTakenAway(*view)) {
+        co_await Refuse(ForwardRefusal::kUnknownKey);
+        co_return;
+      }
       const BalancerAsk ask{service_, terms_, tried_.Excluded()};
       auto chosen = state_.balancer.Choose(*view, ask, Now());
       if (auto* none = std::get_if<NoEndpoint>(&chosen)) {
@@ -182,8 +218,9 @@
     ask.terms = &terms_;
     ask.route = route_;
     ask.time_up = time_up_;
-    ask.urgency = UrgencyOf(admission_, *route_, last_choice_.forecast, last_choice_.hold,
-                            Between(arrived_, started));
+    ask.caller = CallerForEndpoint();
+    ask.urgency = UrgencyOf(admission_, *route_, PriorityOf(caller_, *route_),
+                            last_choice_.forecast, last_choice_.hold, Between(arrived_, started));
     if (admission_ == Admission::kDeferred) {
       // It is read when a place is free for it, after the others' prompts.
       added.deferred = added.requests;
@@ -219,6 +256,15 @@
     co_return result;
   }
 
+  CallerTerms CallerForEndpoint() const {
+    CallerTerms terms;
+    terms.checked = routes_->NeedsKeys();
+    if (caller_.customer != nullptr) {
+      terms.customer = caller_.customer->name;
+    }
+    return terms;
+  }
+
   // Only what may run again is taken away from a silent endpoint.
   std::optional<Duration> FirstSilence() const {
     if (!route_->Repeatable() || attempts_ + 1 >= route_->max_attempts) {
@@ -247,6 +293,9 @@
 
   // Decides after an attempt; true when another one is to be made.
   Awaitable<bool> Another(const EndpointRecord& endpoint, const AttemptResult& result) {
+    if (result.outcome == AttemptOutcome::kAnswered || result.outcome == AttemptOutcome::kFailed) {
+      grant_.MayHaveRun();
+    }
     if (result.outcome == AttemptOutcome::kAnswered) {
       LogEnd(endpoint.instance, "answered", result.status);
       co_return false;
@@ -324,7 +373,8 @@
 
   // When another try is likely to be served.
   std::optional<Duration> ComeBack(ForwardRefusal refusal, unsigned status) const {
-    if (status != 503) {
+    const bool not_run = status == kUnavailable || status == kTooManyRequests;
+    if (!not_run) {
       return std::nullopt;
     }
     const Duration wish =
@@ -354,6 +404,7 @@
     }
     RequestEnd end{terms_, routes_, route_, service_, last_choice_, stream_.pace};
     end.admission = admission_;
+    end.customer = caller_.customer != nullptr ? caller_.customer->name : std::string_view();
     end.endpoint = instance;
     end.outcome = outcome;
     end.status = status;
@@ -368,6 +419,8 @@
   const RequestTerms terms_;
   RouteTablePtr routes_;
   const Route* route_ = nullptr;
+  Caller caller_;
+  QuotaGrant grant_;
   std::string service_;
   TimePoint time_up_;
   CallGuard* guard_ = nullptr;
--- a/src/rudderloom/forwarding/front.cpp
+++ b/src/rudderloom/forwarding/front.cpp
@@ -70,6 +70,7 @@
              Balancer(settings.availability_zone, std::hash<std::string>{}(settings.name)),
              RetryAllowance({settings.bounds.retry_ratio, settings.bounds.retry_extra,
                              settings.bounds.retry_window}),
+             QuotaAccount(settings.bounds.quota),
              {},
              {},
              {},
@@ -130,6 +131,7 @@
   counts.node = settings_.name;
   counts.loads = state_.balancer.Loads();
   counts.units = state_.units;
+  counts.spending = state_.quota.Take(Now());
   std::erase_if(state_.units, [](const auto& entry) {
     return entry.second.running == 0 && entry.second.waiting == 0;
   });
@@ -143,6 +145,7 @@
   if (view->routes) {
     server_->SetLimits(LimitsOf(view->routes->Limits()));
   }
+  state_.quota.Heard(view->quota, Now());
   state_.views.Use(std::move(view));
 }
 
--- a/src/rudderloom/forwarding/request_end.cpp
+++ b/src/rudderloom/forwarding/request_end.cpp
@@ -41,6 +41,9 @@
         .With("service", end.service)
         .With("goal_ms", end.route->goal.count());
   }
+  if (!end.customer.empty()) {
+    line.With("customer", end.customer);
+  }
   if (end.routes) {
     line.With("configuration", end.routes->Version());
   }
--- a/src/rudderloom/forwarding/request_end.hpp
+++ b/src/rudderloom/forwarding/request_end.hpp
@@ -20,6 +20,7 @@
   const Choice& choice;  // the last one
   const StreamPace& pace;
   Admission admission = Admission::kInTurn;
+  std::string_view customer = {};  // empty for none
   std::string_view endpoint = {};  // that answered; empty for none
   std::string_view outcome = {};
   unsigned status = 0;
--- a/src/rudderloom/peers/configuration_codec.cpp
+++ b/src/rudderloom/peers/configuration_codec.cpp
@@ -56,6 +56,7 @@
   out.setPriority(route.priority);
   out.setMaxAttempts(route.max_attempts);
   out.setResumable(route.resumable);
+  out.setIsPublic(route.is_public);
   WriteShares(route.shares, out.initShares(route.shares.size()));
 }
 
@@ -72,6 +73,7 @@
   route.priority = in.getPriority();
   route.max_attempts = in.getMaxAttempts();
   route.resumable = in.getResumable();
+  route.is_public = in.getIsPublic();
   for (const auto share : in.getShares()) {
     route.shares.push_back({share.getService().cStr(), share.getWeight()});
   }
@@ -143,6 +145,42 @@
   return {service.name, std::move(service)};
 }
 
+void WriteCustomer(const std::pair<std::string, Customer>& entry, rpc::CustomerEntry::Builder out) {
+  const Customer& customer = entry.second;
+  out.setName(customer.name);
+  auto keys = out.initKeys(customer.keys.size());
+  for (unsigned i = 0; i < customer.keys.size(); ++i) {
+    const auto& bytes = customer.keys[i].bytes;
+    keys.set(i, capnp::Data::Reader(bytes.data(), bytes.size()));
+  }
+  if (customer.priority) {
+    out.setPriority(*customer.priority);
+  }
+  out.setCountsTokens(customer.quota.unit == QuotaUnit::kTokens);
+  out.setPerSecond(customer.quota.per_second);
+  out.setBurst(customer.quota.burst);
+  out.setPlainTokens(customer.quota.plain_tokens);
+}
+
+std::pair<std::string, Customer> ReadCustomer(rpc::CustomerEntry::Reader in) {
+  Customer customer;
+  customer.name = in.getName().cStr();
+  for (const auto key : in.getKeys()) {
+    const auto chars = key.asChars();
+    if (const auto digest = KeyDigestFrom({chars.begin(), chars.size()})) {
+      customer.keys.push_back(*digest);
+    }
+  }
+  if (in.getPriority() >= 0) {
+    customer.priority = static_cast<std::uint32_t>(in.getPriority());
+  }
+  customer.quota.unit = in.getCountsTokens() ? QuotaUnit::kTokens : QuotaUnit::kRequests;
+  customer.quota.per_second = in.getPerSecond();
+  customer.quota.burst = in.getBurst();
+  customer.quota.plain_tokens = in.getPlainTokens();
+  return {customer.name, std::move(customer)};
+}
+
 }  // namespace
 
 void Write(const ConfigurationChanges& changes, rpc::ConfigurationChanges::Builder out) {
@@ -150,6 +188,8 @@
   out.setSince(changes.since);
   WriteChanges(changes.routes, out.initRoutes(), WriteRoute);
   WriteChanges(changes.services, out.initServices(), WriteService);
+  WriteChanges(changes.customers, out.initCustomers(), WriteCustomer);
+  out.setNeedKeys(changes.need_keys);
   out.setHeaderBytes(changes.limits.header_bytes);
   out.setBodyBytes(changes.limits.body_bytes);
   out.setHeaderMs(Milliseconds(changes.limits.header_time));
@@ -162,6 +202,8 @@
   changes.since = in.getSince();
   changes.routes = ReadChanges<Route>(in.getRoutes(), ReadRoute);
   changes.services = ReadChanges<ServiceSpec>(in.getServices(), ReadService);
+  changes.customers = ReadChanges<Customer>(in.getCustomers(), ReadCustomer);
+  changes.need_keys = in.getNeedKeys();
   changes.limits.header_bytes = in.getHeaderBytes();
   changes.limits.body_bytes = in.getBodyBytes();
   changes.limits.header_time = Duration(in.getHeaderMs());
--- a/src/rudderloom/peers/fleet_codec.cpp
+++ b/src/rudderloom/peers/fleet_codec.cpp
@@ -144,6 +144,44 @@
   digest.configuration = Read(changes.getConfiguration());
 }
 
+void WriteSpending(const SpendingTable& table, capnp::List<rpc::CustomerSpending>::Builder out) {
+  unsigned index = 0;
+  for (const auto& [customer, spending] : table) {
+    auto entry = out[index++];
+    entry.setCustomer(customer);
+    entry.setNodes(spending.nodes);
+    entry.setSpent(spending.spent);
+    entry.setAsked(spending.asked);
+  }
+}
+
+SpendingTable ReadSpending(capnp::List<rpc::CustomerSpending>::Reader in) {
+  SpendingTable table;
+  for (const auto entry : in) {
+    table[entry.getCustomer()] = {entry.getSpent(), entry.getAsked(), entry.getNodes()};
+  }
+  return table;
+}
+
+void WriteBalances(const BalanceTable& balances, capnp::List<rpc::CustomerBalance>::Builder out) {
+  unsigned index = 0;
+  for (const auto& [customer, balance] : balances) {
+    auto entry = out[index++];
+    entry.setCustomer(customer);
+    entry.setNodes(balance.nodes);
+    entry.setLevel(balance.level);
+    entry.setAskedPerSecond(balance.asked_per_second);
+  }
+}
+
+BalanceTable ReadBalances(capnp::List<rpc::CustomerBalance>::Reader in) {
+  BalanceTable balances;
+  for (const auto entry : in) {
+    balances[entry.getCustomer()] = {entry.getLevel(), entry.getNodes(), entry.getAskedPerSecond()};
+  }
+  return balances;
+}
+
 }  // namespace
 
 void Write(const NodeCounts& counts, rpc::NodeCounts::Builder out) {
@@ -158,6 +196,8 @@
   out.setStandsFor(counts.stands_for);
   WriteTexts(counts.avoided_relays, out.initAvoidedRelays(counts.avoided_relays.size()));
   WriteLoads(counts.loads, out.initLoads(counts.loads.size()));
+  out.setReportNumber(counts.report_number);
+  WriteSpending(counts.spending, out.initSpending(counts.spending.size()));
   auto units = out.initUnits(counts.units.size());
   unsigned index = 0;
   for (const auto& [unit, count] : counts.units) {
@@ -184,6 +224,8 @@
   counts.stands_for = in.getStandsFor();
   counts.avoided_relays = ReadTexts(in.getAvoidedRelays());
   counts.loads = ReadLoads(in.getLoads());
+  counts.report_number = in.getReportNumber();
+  counts.spending = ReadSpending(in.getSpending());
   for (const auto entry : in.getUnits()) {
     const UnitName unit{entry.getService().cStr(), entry.getModel().cStr(),
                         entry.getAdapter().cStr()};
@@ -211,6 +253,8 @@
   out.setRenewalsFail(digest.renewals_fail);
   out.setTellsConfiguration(digest.tells_configuration);
   WriteLoads(digest.loads, out.initLoads(digest.loads.size()));
+  WriteBalances(digest.balances, out.initBalances(digest.balances.size()));
+  out.setReportCounted(digest.report_counted);
   WritePacked(digest, out);
   if (digest.endpoints_age) {
     out.setEndpointsAgeMs(digest.endpoints_age->count());
@@ -236,6 +280,8 @@
   digest.renewals_fail = in.getRenewalsFail();
   digest.tells_configuration = in.getTellsConfiguration();
   digest.loads = ReadLoads(in.getLoads());
+  digest.balances = ReadBalances(in.getBalances());
+  digest.report_counted = in.getReportCounted();
   if (in.hasPackedChanges()) {
     ReadPacked(in, digest);
   }
--- a/src/rudderloom/peers/fleet_codec_test.cpp
+++ b/src/rudderloom/peers/fleet_codec_test.cpp
@@ -85,7 +85,16 @@
   limits.body_bytes = 70'000;
   limits.header_time = Duration(4'000);
   limits.idle_time = Duration(30'000);
-  return std::make_shared<const RouteTable>(version, routes, std::vector{pool, desk}, limits);
+  Customer limited;
+  limited.name = "member-a";
+  limited.keys = {rudderloom::DigestOf("key-1"), rudderloom::DigestOf("key-2")};
+  limited.priority = 3;
+  limited.quota = {QuotaUnit::kTokens, 626'220, 626'220, 200};
+  Customer open;
+  open.name = "member-b";
+  open.keys = {rudderloom::DigestOf("key-3")};
+  return std::make_shared<const RouteTable>(version, routes, std::vector{pool, desk}, limits,
+                                            Callers{true, {limited, open}});
 }
 
 // Bytes of a digest with what a node lacks that has configuration `seen`; that node takes it.
@@ -120,7 +129,12 @@
   for (const auto& [name, service] : holder.Current()->Services()) {
     services.push_back(service);
   }
-  holder.Offer(std::make_shared<const RouteTable>(8, routes, services, ClientLimits{}));
+  CHECK(node.Current()->NeedsKeys());
+  CHECK(node.Current()->Customers().All() == holder.Current()->Customers().All());
+  std::vector<Customer> customers = holder.Current()->Customers().All();
+  customers[0].keys.pop_back();
+  holder.Offer(std::make_shared<const RouteTable>(8, routes, services, ClientLimits{},
+                                                  Callers{true, customers}));
   const std::size_t changes = Tell(holder, node);
   MESSAGE("bytes: whole ", whole, ", ten changed routes ", changes);
   CHECK(whole / kRoutes <= 150);
@@ -129,6 +143,8 @@
   CHECK(node.Current()->Routes().size() == kRoutes);
   CHECK(node.Current()->Services() == holder.Current()->Services());
   CHECK(node.Current()->Limits() == ClientLimits{});
+  CHECK(node.Current()->Customers().All() == customers);
+  CHECK(node.Current()->Customers().Find(rudderloom::DigestOf("key-2")) == nullptr);
   for (const Route& route : holder.Current()->Routes()) {
     const Route* found = node.Current()->Find(route.host, route.prefix);
     REQUIRE(found != nullptr);
--- a/src/rudderloom/peers/holder_link.cpp
+++ b/src/rudderloom/peers/holder_link.cpp
@@ -159,10 +159,10 @@
   kj::Promise<void> Report(const std::string& address, const NodeCounts& counts) {
     return timer_.timeoutAfter(ToKj(impl_.answer_limit), ConnectAndReport(address, counts))
         .then([this]() { Ended(); },
-              [this, address](kj::Exception&& error) {
+              [this, address, number = counts.report_number](kj::Exception&&) {
                 connection_.reset();
                 Ended();
-                impl_.hooks.on_failure(address, error.getDescription().cStr());
+                impl_.hooks.on_failure(address, number);
               });
   }
 
@@ -186,11 +186,11 @@
     auto request = holder.reportRequest();
     Write(counts, request.initCounts());
     return request.send()
-        .then([this, address, asked_at = Now()](auto&& response) {
+        .then([this, address, number = counts.report_number, asked_at = Now()](auto&& response) {
           HolderDigest digest = Read(response.getDigest());
           // The answer may have been made right after the question was sent.
           MakeOlder(digest, Between(asked_at, Now()));
-          impl_.hooks.on_digest(std::move(digest), address);
+          impl_.hooks.on_digest(std::move(digest), address, number);
         })
         .attach(kj::mv(connection));
   }
@@ -256,7 +256,7 @@
 void HolderLink::Report(const std::string& to, NodeCounts counts) {
   const std::lock_guard lock(impl_->mutex);
   if (impl_->next) {
-    AddOffered(impl_->next->counts, counts);
+    AddUntold(impl_->next->counts, counts);
   }
   impl_->next = OutgoingReport{to, std::move(counts)};
   impl_->Wake();
--- a/src/rudderloom/placement/demand.cpp
+++ b/src/rudderloom/placement/demand.cpp
@@ -22,10 +22,11 @@
 
 }  // namespace
 
-void AddOffered(const NodeCounts& earlier, NodeCounts& newer) {
+void AddUntold(const NodeCounts& earlier, NodeCounts& newer) {
   for (const auto& [unit, count] : earlier.units) {
     newer.units[unit].offered += count.offered;
   }
+  AddUntold(earlier.spending, newer.spending);
 }
 
 bool CountsFresh(TimePoint heard_at, TimePoint now) {
--- /dev/null
+++ b/src/rudderloom/quota/quota_account.cpp
@@ -0,0 +1,128 @@
+#include "rudderloom/quota/quota_account.hpp"
+
+#include <algorithm>  // for clamp, max, min
+#include <cmath>      // for ceil
+#include <utility>    // for move
+
+namespace rudderloom {
+
+namespace {
+
+// A customer's callers come by so many nodes at the most, as far as a node assumes that has heard
+// nothing: 250 callers and 16 customers make some 16, and a fleet's start brings them all at once.
+constexpr double kUntoldNodes = 64.0;
+// Of a told balance, half goes to all nodes alike, so that a new caller finds something, and half
+// by what each is asked for.
+constexpr double kAlikePart = 0.5;
+constexpr double kMillisecondsPerSecond = 1'000.0;
+
+}  // namespace
+
+double QuotaAccount::Most(const Account& account) const {
+  return account.share * static_cast<double>(MostAhead(account.limit, bounds_));
+}
+
+// Lets the rate flow in.
+void QuotaAccount::Move(Account& account, TimePoint now) const {
+  const double seconds = std::chrono::duration<double>(now - account.moved_at).count();
+  const auto rate = static_cast<double>(account.limit.per_second);
+  account.balance = std::min(Most(account), account.balance + account.share * rate * seconds);
+  account.moved_at = now;
+}
+
+QuotaAccount::Account& QuotaAccount::Open(CustomerKey customer,
+                                          const QuotaLimit& limit,
+                                          TimePoint now) {
+  const auto [found, is_new] = accounts_.try_emplace(customer);
+  Account& account = found->second;
+  if (!is_new && account.limit == limit) {
+    return account;
+  }
+  account.limit = limit;
+  if (is_new) {
+    account.moved_at = now;
+    account.share = 1.0 / kUntoldNodes;
+    // The holder names customers that ask somewhere: the others' balance is whole.
+    account.balance = word_ ? Most(account) : 0.0;
+    TakeWord(customer, account, now);
+  }
+  return account;
+}
+
+std::optional<Duration> QuotaAccount::Spend(CustomerKey customer,
+                                            const QuotaLimit& limit,
+                                            std::uint64_t amount,
+                                            TimePoint now) {
+  Account& account = Open(customer, limit, now);
+  Move(account, now);
+  account.asked.Add(amount, now);
+  account.asked_at = now;
+  account.untold.asked += amount;
+  if (account.balance < 0.0) {
+    const double per_second = account.share * static_cast<double>(limit.per_second);
+    const double wait = -account.balance / std::max(1.0, per_second) * kMillisecondsPerSecond;
+    return Duration(static_cast<Duration::rep>(std::ceil(wait)));
+  }
+  account.balance -= static_cast<double>(amount);
+  account.total += static_cast<std::int64_t>(amount);
+  account.untold.spent += static_cast<std::int64_t>(amount);
+  return std::nullopt;
+}
+
+void QuotaAccount::GiveBack(CustomerKey customer, std::uint64_t amount) {
+  const auto found = accounts_.find(customer);
+  if (found == accounts_.end()) {
+    return;
+  }
+  Account& account = found->second;
+  account.balance += static_cast<double>(amount);
+  account.total -= static_cast<std::int64_t>(amount);
+  account.untold.spent -= static_cast<std::int64_t>(amount);
+}
+
+void QuotaAccount::TakeWord(CustomerKey customer, Account& account, TimePoint now) const {
+  const auto found = word_ ? word_->balances.find(customer) : BalanceTable::const_iterator();
+  if (!word_ || found == word_->balances.end()) {
+    return;
+  }
+  const CustomerBalance& told = found->second;
+  const double asked_here = account.asked.PerSecond(now);
+  const double asked = std::max(asked_here, static_cast<double>(told.asked_per_second));
+  const double part = asked > 0.0 ? asked_here / asked : 0.0;
+  account.share = kAlikePart / std::max(1U, told.nodes) + (1.0 - kAlikePart) * part;
+  const auto counted = word_->counted.find(customer);
+  const std::int64_t own = counted == word_->counted.end() ? 0 : counted->second;
+  const double age = std::chrono::duration<double>(now - word_->made_at).count();
+  const double level = static_cast<double>(told.level) +
+                       static_cast<double>(account.limit.per_second) * std::max(0.0, age);
+  account.balance =
+      std::min(Most(account), account.share * level) - static_cast<double>(account.total - own);
+  account.moved_at = now;
+  account.told = true;
+}
+
+void QuotaAccount::Heard(QuotaWordPtr word, TimePoint now) {
+  if (word == word_) {
+    return;
+  }
+  word_ = std::move(word);
+  for (auto& [customer, account] : accounts_) {
+    TakeWord(customer, account, now);
+  }
+}
+
+SpendingTable QuotaAccount::Take(TimePoint now) {
+  SpendingTable table;
+  for (auto& [customer, account] : accounts_) {
+    const bool asks = now - account.asked_at < kAsksFor;
+    if (!asks && account.untold == Spending()) {
+      continue;
+    }
+    account.untold.nodes = asks ? 1 : 0;
+    table.emplace(customer, account.untold);
+    account.untold = Spending();
+  }
+  return table;
+}
+
+}  // namespace rudderloom
--- /dev/null
+++ b/src/rudderloom/quota/quota_ledger.cpp
@@ -0,0 +1,71 @@
+#include "rudderloom/quota/quota_ledger.hpp"
+
+#include <algorithm>  // for clamp, max
+
+namespace rudderloom {
+
+void QuotaLedger::Begin(const FormerBalances& former, UnknownBalance unknown, TimePoint now) {
+  former_ = former;
+  unknown_ = unknown;
+  begun_at_ = now;
+  entries_.clear();
+}
+
+QuotaLedger::Entry& QuotaLedger::Open(CustomerKey customer,
+                                      const QuotaLimit& limit,
+                                      TimePoint now) {
+  const auto [found, is_new] = entries_.try_emplace(customer);
+  Entry& entry = found->second;
+  if (!is_new) {
+    return entry;
+  }
+  if (const auto known = former_.balances.find(customer); known != former_.balances.end()) {
+    entry.level = static_cast<double>(known->second.level);
+    entry.moved_at = former_.made_at;
+  } else if (unknown_ == UnknownBalance::kWhole) {
+    entry.level = static_cast<double>(MostAhead(limit, bounds_));
+    entry.moved_at = now;
+  } else {
+    entry.moved_at = begun_at_;
+  }
+  return entry;
+}
+
+// What was spent more than a window ago can't be too much any more.
+void QuotaLedger::Refill(Entry& entry, const QuotaLimit& limit, TimePoint now) const {
+  const auto rate = static_cast<double>(limit.per_second);
+  const double seconds = std::chrono::duration<double>(now - entry.moved_at).count();
+  const double least = -rate * std::chrono::duration<double>(bounds_.window).count();
+  const auto most = static_cast<double>(MostAhead(limit, bounds_));
+  entry.level = std::clamp(entry.level + rate * std::max(0.0, seconds), least, most);
+  entry.moved_at = now;
+}
+
+void QuotaLedger::Move(const SpendingTable& told, const QuotaLimits& limits, TimePoint now) {
+  std::erase_if(entries_, [&](const auto& entry) { return !limits.contains(entry.first); });
+  for (const auto& [customer, spending] : told) {
+    if (const auto limit = limits.find(customer); limit != limits.end()) {
+      Open(customer, limit->second, now);
+    }
+  }
+  for (auto& [customer, entry] : entries_) {
+    Refill(entry, limits.at(customer), now);
+    const auto found = told.find(customer);
+    entry.nodes = found == told.end() ? 0 : found->second.nodes;
+    if (found != told.end()) {
+      entry.level -= static_cast<double>(found->second.spent);
+      entry.asked.Add(found->second.asked, now);
+    }
+  }
+}
+
+BalanceTable QuotaLedger::Balances(TimePoint now) const {
+  BalanceTable balances;
+  for (const auto& [customer, entry] : entries_) {
+    balances[customer] = {static_cast<std::int64_t>(entry.level), entry.nodes,
+                          static_cast<std::uint64_t>(entry.asked.PerSecond(now))};
+  }
+  return balances;
+}
+
+}  // namespace rudderloom
--- /dev/null
+++ b/src/rudderloom/quota/quota_model_test.cpp
@@ -0,0 +1,275 @@
+// All schedules of two faults over a small fleet whose callers send as much as they are let: what
+// runs within any window stays inside the bound. Drives the classes that the product runs.
+#include <doctest/doctest.h>  // for TEST_CASE
+#include <algorithm>          // for max
+#include <array>              // for array
+#include <deque>              // for deque
+#include <optional>           // for optional
+#include <vector>             // for vector
+
+#include "rudderloom/quota/quota_account.hpp"
+#include "rudderloom/quota/quota_ledger.hpp"
+#include "rudderloom/quota/spending_log.hpp"
+
+namespace rudderloom {
+namespace {
+
+constexpr CustomerKey kCustomer = 7;
+constexpr std::uint64_t kRequest = 300;
+constexpr int kNodes = 3;
+constexpr int kStepMs = 250;
+constexpr int kSteps = 48;
+constexpr int kFirstFault = 4;
+constexpr int kLastFault = 36;
+constexpr int kWindowSteps = 8'000 / kStepMs;
+// Steps without a holder after one is gone.
+constexpr int kTakeover = 8;
+
+enum class FaultKind {
+  kReportLost,  // of the node
+  kAnswerLost,  // of the node: its report arrived
+  kSilent,      // the node hears and tells nothing for eight steps
+  kKilled,      // the node starts again and knows nothing
+  kHolderGone,  // the next node takes over from what it has heard
+  kAllKilled,
+};
+
+struct Fault {
+  int step = 0;
+  int node = 0;
+  FaultKind kind = FaultKind::kReportLost;
+};
+
+// Which of two limits holds.
+struct Setup {
+  QuotaLimit limit;
+  QuotaBounds bounds;
+  double BoundOfWindow() const {
+    const double allowed =
+        static_cast<double>(limit.per_second) * 8.0 + static_cast<double>(limit.burst);
+    return allowed * (1.0 + bounds.overshoot) + bounds.slack;
+  }
+};
+
+const Setup kSetup{{QuotaUnit::kTokens, 1'000, 1'000, 1}, {Duration(8'000), 0.1, 4'000.0}};
+
+class Model {
+ public:
+  Model() {
+    for (int i = 0; i < kNodes; ++i) {
+      Start(i);
+    }
+    Begin(0, UnknownBalance::kWhole);
+  }
+
+  // Most that ran within a window.
+  std::uint64_t Play(const std::vector<Fault>& faults) {
+    std::uint64_t most = 0;
+    std::deque<std::uint64_t> window;
+    std::uint64_t sum = 0;
+    for (step_ = 0; step_ < kSteps; ++step_) {
+      for (const Fault& fault : faults) {
+        if (fault.step == step_) {
+          Strike(fault);
+        }
+      }
+      window.push_back(Spend());
+      sum += window.back();
+      if (window.size() > static_cast<std::size_t>(kWindowSteps)) {
+        sum -= window.front();
+        window.pop_front();
+      }
+      most = std::max(most, sum);
+      Report(faults);
+      MoveHolder();
+    }
+    return most;
+  }
+
+ private:
+  struct Node {
+    std::optional<QuotaAccount> account;
+    std::optional<SpendingLog> log;
+    QuotaWordPtr word;
+    int silent_until = 0;
+  };
+
+  TimePoint Now() const { return TimePoint(std::chrono::hours(1)) + Duration(step_ * kStepMs); }
+
+  void Start(int node) {
+    nodes_[static_cast<std::size_t>(node)] = Node();
+    nodes_[static_cast<std::size_t>(node)].account.emplace(kSetup.bounds);
+    nodes_[static_cast<std::size_t>(node)].log.emplace(1'000 * ++lives_);
+  }
+
+  void Begin(int node, UnknownBalance unknown) {
+    holder_ = node;
+    const QuotaWordPtr& word = nodes_[static_cast<std::size_t>(node)].word;
+    FormerBalances former;
+    if (word) {
+      former = {word->balances, word->made_at};
+    }
+    ledger_.emplace(kSetup.bounds);
+    ledger_->Begin(former, unknown, Now());
+    published_.reset();
+  }
+
+  void Strike(const Fault& fault) {
+    switch (fault.kind) {
+      case FaultKind::kSilent:
+        nodes_[static_cast<std::size_t>(fault.node)].silent_until = step_ + kTakeover;
+        break;
+      case FaultKind::kKilled:
+        Start(fault.node);
+        if (fault.node == holder_) {
+          Lose();
+        }
+        break;
+      case FaultKind::kHolderGone:
+        if (holder_ >= 0) {
+          Start(holder_);
+          Lose();
+        }
+        break;
+      case FaultKind::kAllKilled:
+        for (int i = 0; i < kNodes; ++i) {
+          Start(i);
+        }
+        Lose();
+        break;
+      case FaultKind::kReportLost:
+      case FaultKind::kAnswerLost:
+        break;
+    }
+  }
+
+  void Lose() {
+    next_holder_ = holder_ >= 0 ? (holder_ + 1) % kNodes : next_holder_;
+    holder_ = -1;
+    taken_at_ = step_ + kTakeover;
+  }
+
+  std::uint64_t Spend() {
+    std::uint64_t spent = 0;
+    for (Node& node : nodes_) {
+      while (!node.account->Spend(kCustomer, kSetup.limit, kRequest, Now())) {
+        spent += kRequest;
+      }
+    }
+    return spent;
+  }
+
+  bool Silent(int node) const {
+    return nodes_[static_cast<std::size_t>(node)].silent_until > step_;
+  }
+
+  bool Has(const std::vector<Fault>& faults, int node, FaultKind kind) const {
+    return std::any_of(faults.begin(), faults.end(), [&](const Fault& fault) {
+      return fault.step == step_ && fault.node == node && fault.kind == kind;
+    });
+  }
+
+  void Report(const std::vector<Fault>& faults) {
+    for (int i = 0; i < kNodes; ++i) {
+      Node& node = nodes_[static_cast<std::size_t>(i)];
+      node.log->CountedSelf(node.account->Take(Now()));
+      if (i == holder_) {
+        continue;
+      }
+      const SpendingReport report = node.log->Take(Now());
+      const bool lost =
+          holder_ < 0 || Silent(i) || Silent(holder_) || Has(faults, i, FaultKind::kReportLost);
+      if (lost) {
+        node.log->Failed(report.number);
+        continue;
+      }
+      SpendingLog& holder = *nodes_[static_cast<std::size_t>(holder_)].log;
+      const auto counted = holder.ReportsCounted();
+      holder.Counted(std::to_string(i), report.number, report.table, Now());
+      if (Has(faults, i, FaultKind::kAnswerLost)) {
+        node.log->Failed(report.number);
+        continue;
+      }
+      node.log->Arrived(report.number);
+      if (const auto found = counted.find(std::to_string(i)); found != counted.end()) {
+        node.log->Confirmed(found->second);
+      }
+      if (published_) {
+        Hear(node, *published_);
+      }
+    }
+  }
+
+  void Hear(Node& node, const QuotaWord& published) {
+    auto word = std::make_shared<QuotaWord>(published);
+    word->counted = node.log->OwnCounted();
+    node.word = word;
+    node.account->Heard(word, Now());
+  }
+
+  // The holder hears reports some steps after they were made: it answers with its last word.
+  void MoveHolder() {
+    if (holder_ < 0) {
+      if (step_ >= taken_at_) {
+        Begin(next_holder_, UnknownBalance::kEmpty);
+      }
+      return;
+    }
+    Node& node = nodes_[static_cast<std::size_t>(holder_)];
+    const SpendingReport report = node.log->Take(Now());
+    ledger_->Move(report.table, {{kCustomer, kSetup.limit}}, Now());
+    node.log->Arrived(report.number);
+    node.log->Confirmed(report.number);
+    published_ = QuotaWord{Now(), ledger_->Balances(Now()), {}};
+    Hear(node, *published_);
+  }
+
+  std::array<Node, kNodes> nodes_;
+  std::optional<QuotaLedger> ledger_;
+  std::optional<QuotaWord> published_;
+  int holder_ = 0;
+  int next_holder_ = 1;
+  int taken_at_ = 0;
+  int step_ = 0;
+  std::uint64_t lives_ = 0;
+};
+
+std::vector<Fault> AllFaults(int every) {
+  std::vector<Fault> faults;
+  for (int step = kFirstFault; step < kLastFault; step += every) {
+    for (int node = 0; node < kNodes; ++node) {
+      for (const FaultKind kind : {FaultKind::kReportLost, FaultKind::kAnswerLost,
+                                   FaultKind::kSilent, FaultKind::kKilled}) {
+        faults.push_back({step, node, kind});
+      }
+    }
+    faults.push_back({step, 0, FaultKind::kHolderGone});
+    faults.push_back({step, 0, FaultKind::kAllKilled});
+  }
+  return faults;
+}
+
+TEST_CASE("a customer that sends all it can gets its rate, and no more than the bound") {
+  const auto most = static_cast<double>(Model().Play({}));
+  MESSAGE("most in a window: ", most, " of ", kSetup.BoundOfWindow());
+  CHECK(most <= kSetup.BoundOfWindow());
+  CHECK(most >= 8'000.0);
+}
+
+TEST_CASE("no schedule of two faults lets more run than the bound") {
+  const std::vector<Fault> faults = AllFaults(1);
+  std::uint64_t most = 0;
+  std::size_t schedules = 0;
+  for (std::size_t i = 0; i < faults.size(); ++i) {
+    for (std::size_t j = i; j < faults.size(); ++j) {
+      const std::uint64_t ran = Model().Play({faults[i], faults[j]});
+      most = std::max(most, ran);
+      ++schedules;
+    }
+  }
+  MESSAGE("schedules: ", schedules, ", most in a window: ", most, " of ", kSetup.BoundOfWindow());
+  CHECK(static_cast<double>(most) <= kSetup.BoundOfWindow());
+}
+
+}  // namespace
+}  // namespace rudderloom
--- /dev/null
+++ b/src/rudderloom/quota/spending_log.cpp
@@ -0,0 +1,108 @@
+#include "rudderloom/quota/spending_log.hpp"
+
+#include <algorithm>  // for max
+#include <utility>    // for move, exchange
+
+namespace rudderloom {
+
+namespace {
+
+// A member that has not reported for so long asks by another way, or is gone.
+constexpr Duration kMemberFresh{2'000};
+// What arrived somewhere and was not confirmed within this time went by a node whose word comes no
+// longer: it is in the balance by now, or was lost with that node.
+constexpr Duration kSettledAfter{3'000};
+
+}  // namespace
+
+void SpendingLog::CountedSelf(const SpendingTable& own) {
+  AddUntold(own, pending_);
+  for (const auto& [customer, spending] : own) {
+    pending_own_[customer] += spending.spent;
+  }
+  own_asking_ = own;
+}
+
+void SpendingLog::Counted(const std::string& node,
+                          std::uint64_t number,
+                          const SpendingTable& told,
+                          TimePoint now) {
+  AddUntold(told, pending_);
+  pending_reports_[node] = number;
+  members_[node] = {told, now};
+}
+
+SpendingReport SpendingLog::Take(TimePoint now) {
+  SettleOld(now);
+  std::erase_if(members_,
+                [&](const auto& member) { return now - member.second.heard_at > kMemberFresh; });
+  SpendingReport report;
+  report.number = next_number_++;
+  report.table = std::exchange(pending_, {});
+  for (auto& [customer, spending] : report.table) {
+    spending.nodes = 0;
+  }
+  const auto count_nodes = [&](const SpendingTable& asking) {
+    for (const auto& [customer, spending] : asking) {
+      report.table[customer].nodes += spending.nodes;
+    }
+  };
+  count_nodes(own_asking_);
+  for (const auto& [node, member] : members_) {
+    count_nodes(member.asking);
+  }
+  sent_.push_back({report.number, now, false, report.table, std::exchange(pending_own_, {}),
+                   std::exchange(pending_reports_, {})});
+  return report;
+}
+
+void SpendingLog::Arrived(std::uint64_t number) {
+  for (Sent& sent : sent_) {
+    sent.arrived = sent.arrived || sent.number <= number;
+  }
+}
+
+void SpendingLog::Failed(std::uint64_t number) {
+  std::erase_if(sent_, [&](const Sent& sent) {
+    if (sent.arrived || sent.number > number) {
+      return false;
+    }
+    AddUntold(sent.table, pending_);
+    for (const auto& [customer, spent] : sent.own) {
+      pending_own_[customer] += spent;
+    }
+    for (const auto& [node, report] : sent.reports) {
+      std::uint64_t& pending = pending_reports_[node];
+      pending = std::max(pending, report);
+    }
+    return true;
+  });
+}
+
+void SpendingLog::Confirmed(std::uint64_t number) {
+  // A number of another life of this node is none of its reports.
+  const bool known = std::any_of(sent_.begin(), sent_.end(),
+                                 [&](const Sent& sent) { return sent.number == number; });
+  while (known && !sent_.empty() && sent_.front().number <= number) {
+    Settle(sent_.front());
+    sent_.pop_front();
+  }
+}
+
+void SpendingLog::Settle(const Sent& sent) {
+  for (const auto& [customer, spent] : sent.own) {
+    own_counted_[customer] += spent;
+  }
+  for (const auto& [node, report] : sent.reports) {
+    reports_counted_[node] = report;
+  }
+}
+
+void SpendingLog::SettleOld(TimePoint now) {
+  while (!sent_.empty() && sent_.front().arrived && now - sent_.front().taken_at > kSettledAfter) {
+    Settle(sent_.front());
+    sent_.pop_front();
+  }
+}
+
+}  // namespace rudderloom
--- a/src/rudderloom/routes/route_table.cpp
+++ b/src/rudderloom/routes/route_table.cpp
@@ -33,8 +33,13 @@
 RouteTable::RouteTable(std::uint64_t version,
                        std::vector<Route> routes,
                        std::vector<ServiceSpec> services,
-                       ClientLimits limits)
-    : version_(version), routes_(std::move(routes)), limits_(limits) {
+                       ClientLimits limits,
+                       Callers callers)
+    : version_(version),
+      routes_(std::move(routes)),
+      limits_(limits),
+      needs_keys_(callers.need_keys),
+      customers_(std::move(callers.customers)) {
   for (ServiceSpec& service : services) {
     services_.emplace(service.name, std::move(service));
   }
--- a/tests/fakes/fleet_world.cpp
+++ b/tests/fakes/fleet_world.cpp
@@ -171,7 +171,7 @@
   }
   if (effects.report) {
     if (node.waiting_report) {
-      AddOffered(node.waiting_report->counts, effects.report->counts);
+      AddUntold(node.waiting_report->counts, effects.report->counts);
     }
     node.waiting_report = std::move(effects.report);
     Report(node);
@@ -224,7 +224,7 @@
   if (silent || !to->state) {
     AfterIn(node, silent ? kPeerTimeOut : kPeerAnswers, [this, &node, report] {
       ReportEnded(node);
-      Tell(node, fleet_message::ReportFailed{report.to});
+      Tell(node, fleet_message::ReportFailed{report.to, report.counts.report_number});
     });
     return;
   }
@@ -237,7 +237,7 @@
   AfterIn(*to, 0, [this, to, report] { Tell(*to, fleet_message::PeerCounted{report.counts}); });
   AfterIn(node, kPeerAnswers, [this, &node, report, digest] {
     ReportEnded(node);
-    Tell(node, fleet_message::DigestHeard{digest, report.to});
+    Tell(node, fleet_message::DigestHeard{digest, report.to, report.counts.report_number});
   });
 }
 
--- a/tools/install.sh
+++ b/tools/install.sh
@@ -4,7 +4,7 @@
 packages=(
   g++ cmake ninja-build ccache curl python3
   libcaf-dev libcapnp-dev libboost1.81-dev libboost-json1.81-dev libboost-filesystem1.81-dev
-  libgoogle-glog-dev libcxxopts-dev doctest-dev librapidcheck-dev libbenchmark-dev
+  libgoogle-glog-dev libcxxopts-dev libsodium-dev doctest-dev librapidcheck-dev libbenchmark-dev
   clang-format clang-tidy
 )
 missing=()
