The holder of the lease grants requests that are larger than their node's share

Change: a quarter of each balance is spent by shares as before; a request that is more than its node's share is asked for, on a connection of its own, and taken off the balance at once. The answer takes some 5 ms. A holder that is silent for 150 ms, or can't say, leaves the node to its shares.

--- a/include/rudderloom/dissemination/statement.hpp
+++ b/include/rudderloom/dissemination/statement.hpp
@@ -11,6 +11,7 @@
 #include "rudderloom/dissemination/digest.hpp"  // for HolderDigest
 #include "rudderloom/dissemination/roster.hpp"  // for Roster
 #include "rudderloom/placement/demand.hpp"      // for LoadSums
+#include "rudderloom/quota/grant_book.hpp"      // for GrantBasis
 
 namespace rudderloom {
 
@@ -26,6 +27,7 @@
   std::optional<TimePoint> endpoints_confirmed_at;        ///< By the store.
   std::optional<TimePoint> configuration_confirmed_at;    ///< By the store.
   std::map<std::string, std::uint64_t> reports_counted;   ///< By node: see `SpendingLog`.
+  std::shared_ptr<const GrantBasis> grants;               ///< Null: this node can't say.
   std::shared_ptr<const Roster> roster;                   ///< Null at a relay.
   /// @brief Most nodes that are answered with more than a refusal; empty: any number.
   std::optional<std::uint32_t> most_members;
--- a/include/rudderloom/fleet/fleet_state.hpp
+++ b/include/rudderloom/fleet/fleet_state.hpp
@@ -98,6 +98,7 @@
   void On(const fleet_message::PeerCounted& counted, TimePoint now);
   void On(const fleet_message::DigestHeard& heard, TimePoint now);
   void On(const fleet_message::ReportFailed& failed, TimePoint now);
+  void On(const fleet_message::RequestGranted& granted, TimePoint now);
   void On(const fleet_message::RoutesConfirmed& confirmed, TimePoint now);
   void On(const fleet_message::EngineReported& reported, TimePoint now);
   void On(const fleet_message::OrderEnded& ended, TimePoint now);
@@ -113,6 +114,7 @@
   void TellSpending(NodeCounts& counts, TimePoint now);
   void BeginBalances(TimePoint now);
   void MoveBalances(TimePoint now);
+  std::shared_ptr<const GrantBasis> MakeGrantBasis() const;
   void TakeBalances(BalanceTable balances, TimePoint made_at);
   std::uint32_t CountNodes(TimePoint now) const;
   void LogLag(TimePoint now);
@@ -172,7 +174,8 @@
   LoadSums sums_;  // of the board, as of the last plan
   SpendingLog spending_;
   QuotaLedger ledger_;
-  QuotaWordPtr quota_word_;  // the newest that this node made or heard
+  std::uint64_t grants_counted_ = 0;  // the last grant that the ledger takes in
+  QuotaWordPtr quota_word_;           // the newest that this node made or heard
   std::optional<HeardWord> heard_;
   std::uint64_t newest_routes_ = 0;         // that any peer has told of
   std::optional<TimePoint> routes_behind_;  // since when a peer has a newer configuration
--- a/include/rudderloom/fleet/messages.hpp
+++ b/include/rudderloom/fleet/messages.hpp
@@ -13,6 +13,7 @@
 #include "rudderloom/placement/demand.hpp"        // for NodeCounts
 #include "rudderloom/placement/lease_keeper.hpp"  // for LeaseRecord
 #include "rudderloom/placement/order.hpp"         // for PlacementOrder
+#include "rudderloom/quota/grant_book.hpp"        // for Grant
 #include "rudderloom/routes/route_table.hpp"      // for RouteTablePtr
 
 namespace rudderloom::fleet_message {
@@ -81,6 +82,12 @@
   std::uint64_t report_number = 0;  ///< Of the counts.
 };
 
+/// @brief This node, as the holder of the lease, let a customer's request run at another node.
+/// @ingroup fleet
+struct RequestGranted {
+  Grant grant;
+};
+
 /// @brief The store has just confirmed the configuration in force here.
 /// @ingroup fleet
 struct RoutesConfirmed {};
@@ -121,6 +128,7 @@
                          PeerCounted,
                          DigestHeard,
                          ReportFailed,
+                         RequestGranted,
                          RoutesConfirmed,
                          EngineReported,
                          OrderEnded,
--- a/include/rudderloom/forwarding/forwarder.hpp
+++ b/include/rudderloom/forwarding/forwarder.hpp
@@ -3,9 +3,11 @@
 #ifndef RUDDERLOOM_FORWARDING_FORWARDER_HPP
 #define RUDDERLOOM_FORWARDING_FORWARDER_HPP
 
-#include <map>     // for map
-#include <memory>  // for unique_ptr
-#include <string>  // for string
+#include <functional>  // for function
+#include <map>         // for map
+#include <memory>      // for unique_ptr
+#include <optional>    // for optional
+#include <string>      // for string
 
 #include "rudderloom/base/log_quota.hpp"                  // for LogQuota
 #include "rudderloom/forwarding/balancer.hpp"             // for Balancer
@@ -24,6 +26,13 @@
 /// @ingroup forwarding
 using UnitCounts = std::map<UnitName, UnitCount>;
 
+/// @brief Asks the node at an address, which holds the lease, whether a request may run. The
+/// callback may be called on any thread, with nothing when no answer came.
+/// @ingroup forwarding
+using AskHolder = std::function<void(const std::string& holder,
+                                     const SpendAsk& ask,
+                                     std::function<void(std::optional<SpendAnswer>)> done)>;
+
 /// @brief What every request of this node shares. Owned by the traffic thread.
 /// @ingroup forwarding
 struct ForwardingState {
@@ -44,6 +53,7 @@
   TimePoint configured_by;
   /// @brief Called when a request finds no endpoint that holds what it asks for.
   std::function<void()> on_missing;
+  AskHolder ask_holder;
 };
 
 /// @brief Answers one request. The exchange always has its answer, or is aborted, afterwards.
--- a/include/rudderloom/forwarding/front.hpp
+++ b/include/rudderloom/forwarding/front.hpp
@@ -18,7 +18,8 @@
              const FleetSettings& settings,
              const Dialect& dialect,
              Metrics& metrics,
-             std::function<void(NodeCounts)> on_sample);
+             std::function<void(NodeCounts)> on_sample,
+             AskHolder ask_holder);
 
   /// @brief Begins to listen; gives the addresses taken. Nothing is ready before a configuration
   /// and the endpoints are known.
--- a/include/rudderloom/peers/holder_link.hpp
+++ b/include/rudderloom/peers/holder_link.hpp
@@ -6,10 +6,12 @@
 
 #include <functional>  // for function
 #include <memory>      // for shared_ptr
+#include <optional>    // for optional
 #include <string>      // for string
 
 #include "rudderloom/dissemination/digest.hpp"  // for HolderDigest
 #include "rudderloom/placement/demand.hpp"      // for NodeCounts
+#include "rudderloom/quota/grant_book.hpp"      // for SpendAsk
 
 namespace rudderloom {
 
@@ -22,10 +24,16 @@
   std::function<HolderDigest(const NodeCounts& asking)> digest_for;
   /// @brief The node at `from` answered this node's report of a number.
   std::function<void(HolderDigest, const std::string& from, std::uint64_t number)> on_digest;
+  /// @brief Another node asks this one whether a request may run; must not block.
+  std::function<SpendAnswer(const SpendAsk&)> on_spend;
   /// @brief A report to the node at `to` got no answer.
   std::function<void(const std::string& to, std::uint64_t number)> on_failure;
 };
 
+/// @brief Takes the holder's answer, or nothing when none came; called on the link's thread.
+/// @ingroup peers
+using SpendCallback = std::function<void(std::optional<SpendAnswer>)>;
+
 /// @brief Runs Cap'n Proto's event loop on a thread of its own.
 /// @ingroup peers
 class HolderLink {
@@ -47,6 +55,10 @@
   /// newest counts wait for its end. May be called from any thread.
   void Report(const std::string& to, NodeCounts counts);
 
+  /// @brief Asks the node at this address whether a request may run. `done` is called once, unless
+  /// the link is stopped before. May be called from any thread.
+  void Ask(const std::string& holder, const SpendAsk& ask, SpendCallback done);
+
   /// @brief Ends the event loop; no hook is called after this.
   void Stop();
 
--- a/include/rudderloom/quota/quota_account.hpp
+++ b/include/rudderloom/quota/quota_account.hpp
@@ -3,39 +3,66 @@
 #ifndef RUDDERLOOM_QUOTA_QUOTA_ACCOUNT_HPP
 #define RUDDERLOOM_QUOTA_QUOTA_ACCOUNT_HPP
 
-#include <map>       // for map
-#include <optional>  // for optional
+#include <map>  // for map
 
-#include "rudderloom/quota/spending.hpp"  // for QuotaWordPtr
+#include "rudderloom/quota/grant_book.hpp"  // for kSharedPart
+#include "rudderloom/quota/spending.hpp"    // for QuotaWordPtr
 
 namespace rudderloom {
 
+/// @brief What becomes of a request as far as its customer's limit goes.
+/// @ingroup quota
+enum class QuotaVerdict {
+  kGranted,
+  kRefused,
+  kAsk,  ///< It is more than this node's share: the holder of the lease can tell.
+};
+
+/// @brief A verdict, and with a refusal how long until a request is likely to be let run.
+/// @ingroup quota
+struct QuotaDecision {
+  QuotaVerdict verdict = QuotaVerdict::kGranted;
+  Duration wait{0};
+};
+
+/// @brief Whether the holder can be asked.
+/// @ingroup quota
+enum class HolderReach {
+  kReachable,
+  kUnreachable,  ///< Not known, silent, or it could not say.
+};
+
 /// @brief Decides at a node which requests of a customer are inside its limit. Pure; time is passed
 /// in.
 ///
 /// A request is larger than a node's equal share of a second: with 60 nodes that share is 0.5 to 10
 /// thousand tokens, a prompt some 9 thousand, and a customer's callers come by a few of the nodes.
-/// So a node spends from the balance that the holder tells, of which it takes a share by the number
-/// of nodes where the customer asks and by how much of that it asks here. The shares of all nodes
-/// make up the balance, and each node takes off what the balance does not take in yet. A request
-/// may run while anything is left, and what it takes beyond is owed: all nodes together are ahead
-/// by one request of each at the most.
+/// /// So the holder grants most requests one by one. Only a part of the balance that it tells is
+/// spent without asking: of that a node takes a share by the number of nodes where the customer
+/// asks and by how much of that it asks here, and takes off what the balance does not take in yet.
 ///
-/// Between words, and when they stay away, a node's share of the customer's rate flows in. A node
-/// that has heard nothing of a customer yet takes a small fixed share.
+/// Where the holder can't be asked a node goes by its share of the customer's rate. A request may
+/// run while anything is left, and what it takes beyond is owed: all nodes together are ahead by
+/// one request of each at the most. One that has heard nothing of a customer yet takes a small
+/// fixed share.
 /// @ingroup quota
 class QuotaAccount {
  public:
   explicit QuotaAccount(const QuotaBounds& bounds) : bounds_(bounds) {}
 
-  /// @brief A request comes.
-  /// @return Nothing when it may run; else how long until this node is likely to let one run.
-  std::optional<Duration> Spend(CustomerKey customer,
-                                const QuotaLimit& limit,
-                                std::uint64_t amount,
-                                TimePoint now);
+  /// @brief A request comes. Told once, before anything is decided about it.
+  void Asked(CustomerKey customer, const QuotaLimit& limit, std::uint64_t amount, TimePoint now);
+
+  /// @brief Decides about it, and takes off what it grants.
+  QuotaDecision Decide(CustomerKey customer,
+                       std::uint64_t amount,
+                       HolderReach reach,
+                       TimePoint now);
+
+  /// @brief The holder refused a request: for a moment the next ones are refused without asking.
+  void RefusedByHolder(CustomerKey customer, Duration wait, TimePoint now);
 
-  /// @brief A request that might run was refused after all.
+  /// @brief A request that this node or the holder let run was refused after all.
   void GiveBack(CustomerKey customer, std::uint64_t amount);
 
   /// @brief Takes a newer word, or the same one again.
@@ -47,18 +74,20 @@
  private:
   struct Account {
     QuotaLimit limit;
-    double share = 0.0;    // of the customer's rate and balance
-    double balance = 0.0;  // this node's part
-    bool told = false;     // by a word
+    double share = 0.0;       // of the customer's rate and balance
+    double balance = 0.0;     // this node's part
+    TimePoint refused_until;  // by the holder
     TimePoint moved_at;
     TimePoint asked_at;
     FadingRate asked;
-    std::int64_t total = 0;  // spent since the start of the process
+    std::int64_t total = 0;  // spent without asking, since the start of the process
     Spending untold;
   };
 
   Account& Open(CustomerKey customer, const QuotaLimit& limit, TimePoint now);
+  bool WordFresh(TimePoint now) const;
   double Most(const Account& account) const;
+  double Inflow(const Account& account, TimePoint now) const;
   void Move(Account& account, TimePoint now) const;
   void TakeWord(CustomerKey customer, Account& account, TimePoint now) const;
 
--- a/include/rudderloom/quota/quota_ledger.hpp
+++ b/include/rudderloom/quota/quota_ledger.hpp
@@ -40,6 +40,9 @@
   /// @brief Takes what nodes told, and lets rates flow in up to now.
   void Move(const SpendingTable& told, const QuotaLimits& limits, TimePoint now);
 
+  /// @brief The holder let a request run that a node asked for.
+  void Granted(CustomerKey customer, std::uint64_t amount);
+
   BalanceTable Balances(TimePoint now) const;
 
  private:
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -222,6 +222,14 @@
   reportCounted @18 :UInt64;  # the asking node's last report that the balances take in; 0 for none
 }
 
+enum SpendVerdict {
+  cantSay @0;  # the node decides by itself
+  granted @1;
+  refused @2;
+}
+
 interface PlacementHolder {
   report @0 (counts :NodeCounts) -> (digest :Digest);
+  # May a customer's request of this amount run? `waitMs`: until one may, when it is refused.
+  spend @1 (customer :UInt32, amount :UInt64) -> (verdict :SpendVerdict, waitMs :UInt32);
 }
--- a/src/rudderloom/app/fleet_daemon.cpp
+++ b/src/rudderloom/app/fleet_daemon.cpp
@@ -39,18 +39,23 @@
         dialect_(platform::MakeDialect()),
         control_work_(asio::make_work_guard(control_context_)),
         traffic_work_(asio::make_work_guard(traffic_context_)),
+        grants_(settings.bounds.quota),
         store_(platform::MakeStore(control_context_,
                                    settings.store_address,
                                    settings.store_call_time,
                                    settings.store_watch_time,
                                    CountCalls())),
-        front_(traffic_context_,
-               settings_,
-               *dialect_,
-               metrics_,
-               [this](NodeCounts counts) {
-                 actor_->Post(fleet_message::NodeSampled{std::move(counts)});
-               }),
+        front_(
+            traffic_context_,
+            settings_,
+            *dialect_,
+            metrics_,
+            [this](NodeCounts counts) {
+              actor_->Post(fleet_message::NodeSampled{std::move(counts)});
+            },
+            [this](const std::string& holder, const SpendAsk& ask, SpendCallback done) {
+              AskHolder(holder, ask, std::move(done));
+            }),
         shell_(control_context_,
                settings_,
                platform::MakeFormats(),
@@ -145,6 +150,7 @@
     hooks.on_digest = [this](HolderDigest digest, const std::string& from, std::uint64_t number) {
       actor_->Post(fleet_message::DigestHeard{std::move(digest), from, number});
     };
+    hooks.on_spend = [this](const SpendAsk& ask) { return AnswerAsk(ask); };
     hooks.on_failure = [this](const std::string& to, std::uint64_t number) {
       metrics_.Count({"rudderloom_holder_reports_failed_total"});
       actor_->Post(fleet_message::ReportFailed{to, number});
@@ -152,6 +158,28 @@
     return hooks;
   }
 
+  void AskHolder(const std::string& holder, const SpendAsk& ask, SpendCallback done) {
+    if (holder == settings_.listen.peers) {
+      done(AnswerAsk(ask));
+    } else {
+      link_.Ask(holder, ask, std::move(done));
+    }
+  }
+
+  // Whether a request may run, at this node or at another one, if this one holds the lease.
+  SpendAnswer AnswerAsk(const SpendAsk& ask) {
+    const std::lock_guard lock(statement_mutex_);
+    if (!statement_ || !statement_->grants) {
+      return {};
+    }
+    const SpendAnswer answer = grants_.Ask(ask, *statement_->grants, Now());
+    if (answer.verdict == SpendVerdict::kGranted) {
+      actor_->Post(fleet_message::RequestGranted{grants_.Last()});
+    }
+    metrics_.Count({"rudderloom_quota_asks_total", "verdict", NameOf(answer.verdict)});
+    return answer;
+  }
+
   CallObserver CountCalls() {
     return [this](std::string_view verb, std::string_view kind, std::size_t bytes) {
       const std::string call = std::string(verb) + " " + std::string(kind);
@@ -239,6 +267,7 @@
   asio::executor_work_guard<asio::io_context::executor_type> traffic_work_;
   std::mutex statement_mutex_;
   std::shared_ptr<const Statement> statement_;
+  GrantBook grants_;  // guarded by the same mutex
   std::atomic<bool> released_{false};
   std::unique_ptr<FleetActor> actor_;
   CallTally tally_;  // used on the control context's thread
--- a/src/rudderloom/fleet/fleet_quota.cpp
+++ b/src/rudderloom/fleet/fleet_quota.cpp
@@ -32,6 +32,25 @@
   TakeBalances(ledger_.Balances(now), now);
 }
 
+void FleetState::On(const fleet_message::RequestGranted& granted, TimePoint) {
+  ledger_.Granted(granted.grant.ask.customer, granted.grant.ask.amount);
+  grants_counted_ = granted.grant.number;
+}
+
+// From what this node, as the holder, lets other nodes' requests run until its next statement.
+std::shared_ptr<const GrantBasis> FleetState::MakeGrantBasis() const {
+  if (!holds_ || !quota_word_ || RoutesVersion() == 0) {
+    return nullptr;
+  }
+  auto basis = std::make_shared<GrantBasis>();
+  basis->made_at = quota_word_->made_at;
+  basis->valid_until = lease_.ValidUntil();
+  basis->balances = quota_word_->balances;
+  basis->limits = routes_.Get().Current()->Customers().Limits();
+  basis->counted = grants_counted_;
+  return basis;
+}
+
 // Hands balances to this node's traffic.
 void FleetState::TakeBalances(BalanceTable balances, TimePoint made_at) {
   if (balances.empty() && (!quota_word_ || quota_word_->balances.empty())) {
--- a/src/rudderloom/fleet/fleet_state.cpp
+++ b/src/rudderloom/fleet/fleet_state.cpp
@@ -77,7 +77,9 @@
   std::visit([&](const auto& message) { On(message, now); }, any);
   FleetEffects effects;
   // Many nodes' counts come many times between two ticks: the next tick works with all of them.
-  if (std::holds_alternative<fleet_message::PeerCounted>(any) && live_nodes_ > kWorkPauseNodes) {
+  const bool counted = std::holds_alternative<fleet_message::PeerCounted>(any);
+  const bool granted = std::holds_alternative<fleet_message::RequestGranted>(any);
+  if ((counted && live_nodes_ > kWorkPauseNodes) || granted) {
     return effects;
   }
   MoveLease(effects, now);
@@ -273,6 +275,7 @@
   view->endpoints_known = endpoints_known_;
   view->live_nodes = live_nodes_;
   view->quota = quota_word_;
+  view->quota_holder = holds_ ? settings_.listen.peers : upstream_.Holder();
   const LoadTable loads = OtherLoads(now);
   const bool placed = holds_ || WordFresh(now);
   for (const auto& [instance, known] : directory_.Endpoints()) {
--- a/src/rudderloom/fleet/fleet_word.cpp
+++ b/src/rudderloom/fleet/fleet_word.cpp
@@ -213,6 +213,7 @@
   statement->made_at = now;
   common.balances = quota_word_ ? quota_word_->balances : BalanceTable();
   statement->reports_counted = spending_.ReportsCounted();
+  statement->grants = MakeGrantBasis();
   common.nodes = live_nodes_;
   common.renewals_fail = lease_.RenewalsFail(now);
   common.relay_pause = RelayPause(settings_.processor_share);
--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -10,6 +10,7 @@
 #include "forwarding/request_samples.hpp"        // for LearnTimes, OfferedTime
 #include "forwarding/tried_endpoints.hpp"        // for TriedEndpoints
 #include "rudderloom/forwarding/call_guard.hpp"  // for CallGuard
+#include "rudderloom/routes/caller.hpp"          // for IdentifyCaller
 
 namespace rudderloom {
 
@@ -36,7 +37,7 @@
         arrived_(Now()),
         terms_(state.dialect.ReadRequest(exchange.Request())),
         routes_(state.views.Current()->routes),
-        grant_(state.quota) {}
+        grant_(state) {}
 
   Awaitable<void> Run() {
     co_await AwaitConfiguration();
@@ -44,7 +45,8 @@
       co_await Refuse(ForwardRefusal::kNoConfiguration);
       co_return;
     }
-    if (const auto refusal = Check()) {
+    const auto refusal = co_await Check();
+    if (refusal) {
       co_await Refuse(*refusal);
       co_return;
     }
@@ -80,27 +82,27 @@
 
   // What a request must pass before it is sent anywhere: its route, its caller's key, and its
   // customer's limit.
-  std::optional<ForwardRefusal> Check() {
+  Awaitable<std::optional<ForwardRefusal>> Check() {
     const auto target = exchange_.Request().target();
     const auto host = exchange_.Request()[http::field::host];
     route_ = routes_->Find({host.data(), host.size()}, {target.data(), target.size()});
     if (route_ == nullptr) {
-      return ForwardRefusal::kNoRoute;
+      co_return ForwardRefusal::kNoRoute;
     }
     caller_ = IdentifyCaller(*routes_, *route_, terms_.key);
     if (caller_.standing == CallerStanding::kUnknown) {
-      return ForwardRefusal::kUnknownKey;
+      co_return ForwardRefusal::kUnknownKey;
     }
     if (caller_.customer == nullptr) {
-      return std::nullopt;
+      co_return std::nullopt;
     }
-    const auto wait = grant_.Take(*caller_.customer, terms_, arrived_);
+    const auto wait = co_await grant_.Take(*caller_.customer, terms_);
     if (!wait) {
-      return std::nullopt;
+      co_return std::nullopt;
     }
     come_back_ = *wait;
     state_.metrics.Count({"rudderloom_over_quota_total", "customer", caller_.customer->name});
-    return ForwardRefusal::kOverQuota;
+    co_return ForwardRefusal::kOverQuota;
   }
 
   // A request that waited may find its caller's key taken away.
--- a/src/rudderloom/forwarding/front.cpp
+++ b/src/rudderloom/forwarding/front.cpp
@@ -60,7 +60,8 @@
                        const FleetSettings& settings,
                        const Dialect& dialect,
                        Metrics& metrics,
-                       std::function<void(NodeCounts)> on_sample)
+                       std::function<void(NodeCounts)> on_sample,
+                       AskHolder ask_holder)
     : context_(context),
       settings_(settings),
       metrics_(metrics),
@@ -82,7 +83,8 @@
              [this] {
                missing_ = true;
                sample_timer_.cancel();
-             }},
+             },
+             std::move(ask_holder)},
       server_(MakeServer([this](HttpExchange& exchange) { return Forward(state_, exchange); })),
       readiness_(MakeServer([this](HttpExchange& exchange) { return AnswerReadiness(exchange); })),
       metrics_server_(
--- a/src/rudderloom/forwarding/quota_grant.cpp
+++ b/src/rudderloom/forwarding/quota_grant.cpp
@@ -2,6 +2,17 @@
 
 namespace rudderloom {
 
+namespace {
+
+// Longer than the link waits for the answer of a holder that is there.
+constexpr Duration kAskLimit{250};
+
+std::optional<Duration> WaitOf(const QuotaDecision& decision) {
+  return decision.verdict == QuotaVerdict::kGranted ? std::nullopt : std::optional(decision.wait);
+}
+
+}  // namespace
+
 std::uint64_t AmountOf(const QuotaLimit& limit, const RequestTerms& terms) {
   if (limit.unit == QuotaUnit::kRequests) {
     return 1;
@@ -10,24 +21,59 @@
 }
 
 QuotaGrant::~QuotaGrant() {
-  if (amount_ > 0 && !ran_) {
-    account_.GiveBack(customer_, amount_);
+  if (taken_ && !ran_) {
+    state_.quota.GiveBack(part_.customer, part_.amount);
   }
 }
 
-std::optional<Duration> QuotaGrant::Take(const Customer& customer,
-                                         const RequestTerms& terms,
-                                         TimePoint now) {
+QuotaDecision QuotaGrant::Decide(HolderReach reach) {
+  const QuotaDecision decision = state_.quota.Decide(part_.customer, part_.amount, reach, Now());
+  taken_ = decision.verdict == QuotaVerdict::kGranted;
+  return decision;
+}
+
+Awaitable<std::optional<Duration>> QuotaGrant::Take(const Customer& customer,
+                                                    const RequestTerms& terms) {
   if (!customer.quota.Limited()) {
-    return std::nullopt;
+    co_return std::nullopt;
+  }
+  part_ = {CustomerKeyOf(customer.name), AmountOf(customer.quota, terms)};
+  state_.quota.Asked(part_.customer, customer.quota, part_.amount, Now());
+  const std::string holder = state_.views.Current()->quota_holder;
+  const QuotaDecision decision =
+      Decide(holder.empty() ? HolderReach::kUnreachable : HolderReach::kReachable);
+  if (decision.verdict != QuotaVerdict::kAsk) {
+    co_return WaitOf(decision);
+  }
+  const auto answer = co_await AskHolder(holder);
+  if (answer && answer->verdict == SpendVerdict::kGranted) {
+    taken_ = true;
+    co_return std::nullopt;
   }
-  customer_ = CustomerKeyOf(customer.name);
-  const std::uint64_t amount = AmountOf(customer.quota, terms);
-  if (auto wait = account_.Spend(customer_, customer.quota, amount, now)) {
-    return wait;
+  if (answer && answer->verdict == SpendVerdict::kRefused) {
+    state_.quota.RefusedByHolder(part_.customer, answer->wait, Now());
+    co_return answer->wait;
   }
-  amount_ = amount;
-  return std::nullopt;
+  state_.metrics.Count({"rudderloom_quota_asks_unanswered_total"});
+  co_return WaitOf(Decide(HolderReach::kUnreachable));
+}
+
+Awaitable<std::optional<SpendAnswer>> QuotaGrant::AskHolder(std::string holder) {
+  struct Waiting {
+    asio::steady_timer timer;
+    std::optional<SpendAnswer> answer;
+  };
+  asio::io_context& context = state_.context;
+  auto waiting = std::make_shared<Waiting>(Waiting{asio::steady_timer(context), {}});
+  waiting->timer.expires_after(kAskLimit);
+  state_.ask_holder(holder, part_, [&context, waiting](std::optional<SpendAnswer> answer) {
+    asio::post(context, [waiting, answer] {
+      waiting->answer = answer;
+      waiting->timer.cancel();
+    });
+  });
+  co_await waiting->timer.async_wait(kAsTuple);
+  co_return waiting->answer;
 }
 
 }  // namespace rudderloom
--- a/src/rudderloom/forwarding/quota_grant.hpp
+++ b/src/rudderloom/forwarding/quota_grant.hpp
@@ -4,9 +4,7 @@
 
 #include <optional>  // for optional
 
-#include "rudderloom/forwarding/dialect.hpp"   // for RequestTerms
-#include "rudderloom/quota/quota_account.hpp"  // for QuotaAccount
-#include "rudderloom/routes/caller.hpp"        // for Caller
+#include "rudderloom/forwarding/forwarder.hpp"  // for ForwardingState
 
 namespace rudderloom {
 
@@ -17,20 +15,25 @@
 // may have.
 class QuotaGrant {
  public:
-  explicit QuotaGrant(QuotaAccount& account) : account_(account) {}
+  explicit QuotaGrant(ForwardingState& state) : state_(state) {}
   QuotaGrant(const QuotaGrant&) = delete;
   QuotaGrant& operator=(const QuotaGrant&) = delete;
   ~QuotaGrant();
 
   // Nothing when the request is inside the limit; else when the next one is likely to be.
-  std::optional<Duration> Take(const Customer& customer, const RequestTerms& terms, TimePoint now);
+  Awaitable<std::optional<Duration>> Take(const Customer& customer, const RequestTerms& terms);
 
   void MayHaveRun() { ran_ = true; }
 
  private:
-  QuotaAccount& account_;
-  CustomerKey customer_ = 0;
-  std::uint64_t amount_ = 0;
+  // The holder's answer; nothing when none came.
+  Awaitable<std::optional<SpendAnswer>> AskHolder(std::string holder);
+  // By this node's own account.
+  QuotaDecision Decide(HolderReach reach);
+
+  ForwardingState& state_;
+  SpendAsk part_;
+  bool taken_ = false;
   bool ran_ = false;
 };
 
--- a/src/rudderloom/peers/fleet_codec.cpp
+++ b/src/rudderloom/peers/fleet_codec.cpp
@@ -294,4 +294,31 @@
   return digest;
 }
 
+void Write(const SpendAnswer& answer, rpc::PlacementHolder::SpendResults::Builder out) {
+  switch (answer.verdict) {
+    case SpendVerdict::kCantSay:
+      out.setVerdict(rpc::SpendVerdict::CANT_SAY);
+      break;
+    case SpendVerdict::kGranted:
+      out.setVerdict(rpc::SpendVerdict::GRANTED);
+      break;
+    case SpendVerdict::kRefused:
+      out.setVerdict(rpc::SpendVerdict::REFUSED);
+      break;
+  }
+  out.setWaitMs(Clamped<std::uint32_t>(static_cast<std::uint64_t>(answer.wait.count())));
+}
+
+// A verdict that this version does not know leaves the node to decide.
+SpendAnswer Read(rpc::PlacementHolder::SpendResults::Reader in) {
+  SpendAnswer answer;
+  answer.wait = Duration(in.getWaitMs());
+  if (in.getVerdict() == rpc::SpendVerdict::GRANTED) {
+    answer.verdict = SpendVerdict::kGranted;
+  } else if (in.getVerdict() == rpc::SpendVerdict::REFUSED) {
+    answer.verdict = SpendVerdict::kRefused;
+  }
+  return answer;
+}
+
 }  // namespace rudderloom
--- a/src/rudderloom/peers/fleet_codec.hpp
+++ b/src/rudderloom/peers/fleet_codec.hpp
@@ -4,6 +4,7 @@
 
 #include "fleet.capnp.h"                        // for rpc::NodeCounts, rpc::Digest
 #include "rudderloom/dissemination/digest.hpp"  // for HolderDigest
+#include "rudderloom/quota/grant_book.hpp"      // for SpendAnswer
 #include "rudderloom/placement/demand.hpp"      // for NodeCounts
 
 namespace rudderloom {
@@ -14,6 +15,9 @@
 void Write(const HolderDigest& digest, rpc::Digest::Builder out);
 HolderDigest Read(rpc::Digest::Reader in);
 
+void Write(const SpendAnswer& answer, rpc::PlacementHolder::SpendResults::Builder out);
+SpendAnswer Read(rpc::PlacementHolder::SpendResults::Reader in);
+
 }  // namespace rudderloom
 
 #endif
--- a/src/rudderloom/peers/holder_link.cpp
+++ b/src/rudderloom/peers/holder_link.cpp
@@ -7,6 +7,7 @@
 #include <mutex>           // for mutex
 #include <optional>        // for optional
 #include <thread>          // for thread
+#include <vector>          // for vector
 
 #include "peers/fleet_codec.hpp"         // for Write, Read
 #include "peers/peer_connection.hpp"     // for ConnectToPeer
@@ -16,6 +17,9 @@
 
 namespace {
 
+// A caller waits meanwhile. Between two availability zones an answer takes some 5 ms.
+constexpr Duration kAskLimit{150};
+
 using WakeFulfiller = kj::Own<kj::CrossThreadPromiseFulfiller<void>>;
 
 kj::Duration ToKj(Duration duration) {
@@ -30,6 +34,13 @@
   NodeCounts counts;
 };
 
+// A request that waits for the holder's word.
+struct OutgoingAsk {
+  std::string holder;  // address
+  SpendAsk ask;
+  SpendCallback done;
+};
+
 // Shared by the owner and the event loop's thread.
 struct HolderLink::Impl {
   std::string address;
@@ -38,6 +49,7 @@
 
   std::mutex mutex;  // guards what follows
   std::optional<OutgoingReport> next;
+  std::vector<OutgoingAsk> asks;
   bool under_way = false;
   bool stopping = false;
   kj::Maybe<WakeFulfiller> wake;
@@ -101,6 +113,12 @@
     return kj::READY_NOW;
   }
 
+  kj::Promise<void> spend(SpendContext context) override {
+    const SpendAsk ask{context.getParams().getCustomer(), context.getParams().getAmount()};
+    Write(hooks_.on_spend(ask), context.getResults());
+    return kj::READY_NOW;
+  }
+
  private:
   const HolderLinkHooks& hooks_;
   AnswerLog log_;
@@ -117,11 +135,13 @@
   kj::Promise<void> Loop() {
     return NextTurn().then([this]() -> kj::Promise<void> {
       std::optional<OutgoingReport> report;
+      std::vector<OutgoingAsk> asks;
       {
         const std::lock_guard lock(impl_.mutex);
         if (impl_.stopping) {
           return kj::READY_NOW;
         }
+        asks.swap(impl_.asks);
         if (!impl_.under_way) {
           report.swap(impl_.next);
           impl_.under_way = report.has_value();
@@ -130,6 +150,9 @@
       if (report) {
         tasks_.add(Report(report->to, report->counts));
       }
+      for (OutgoingAsk& ask : asks) {
+        tasks_.add(Ask(std::move(ask)));
+      }
       return Loop();
     });
   }
@@ -139,10 +162,10 @@
   }
 
  private:
-  // When there is something to report and nothing under way.
+  // When there is something to ask, or to report with nothing under way.
   kj::Promise<void> NextTurn() {
     const std::lock_guard lock(impl_.mutex);
-    if (impl_.stopping || (impl_.next && !impl_.under_way)) {
+    if (impl_.stopping || !impl_.asks.empty() || (impl_.next && !impl_.under_way)) {
       return kj::READY_NOW;
     }
     auto pair = kj::newPromiseAndCrossThreadFulfiller<void>();
@@ -195,11 +218,47 @@
         .attach(kj::mv(connection));
   }
 
+  kj::Promise<void> Ask(OutgoingAsk ask) {
+    auto asked = std::make_shared<OutgoingAsk>(std::move(ask));
+    return timer_.timeoutAfter(ToKj(kAskLimit), ConnectAndAsk(*asked))
+        .then([asked](SpendAnswer answer) { asked->done(answer); },
+              [this, asked](kj::Exception&&) {
+                asking_ = nullptr;
+                asked->done(std::nullopt);
+              });
+  }
+
+  kj::Promise<SpendAnswer> ConnectAndAsk(const OutgoingAsk& asked) {
+    return AskingConnection(asked.holder)
+        .then([ask = asked.ask](std::shared_ptr<PeerConnection>&& connection) {
+          auto request = connection->main.castAs<rpc::PlacementHolder>().spendRequest();
+          request.setCustomer(ask.customer);
+          request.setAmount(ask.amount);
+          return request.send()
+              .then([](auto&& response) { return Read(response); })
+              .attach(kj::mv(connection));
+        });
+  }
+
+  // One connection for all asks, beside the one for reports, which may lead to a relay.
+  kj::Promise<std::shared_ptr<PeerConnection>> AskingConnection(const std::string& holder) {
+    if (asking_ == nullptr || asking_to_ != holder) {
+      asking_to_ = holder;
+      asking_ = ConnectToPeer(network_, holder).fork();
+    }
+    KJ_IF_MAYBE (connection, asking_) {
+      return connection->addBranch();
+    }
+    KJ_UNREACHABLE;
+  }
+
   Impl& impl_;
   kj::Timer& timer_;
   kj::Network& network_;
   std::shared_ptr<PeerConnection> connection_;
   std::string connected_to_;
+  kj::Maybe<kj::ForkedPromise<std::shared_ptr<PeerConnection>>> asking_;
+  std::string asking_to_;
   kj::TaskSet tasks_;
 };
 
@@ -262,6 +321,12 @@
   impl_->Wake();
 }
 
+void HolderLink::Ask(const std::string& holder, const SpendAsk& ask, SpendCallback done) {
+  const std::lock_guard lock(impl_->mutex);
+  impl_->asks.push_back({holder, ask, std::move(done)});
+  impl_->Wake();
+}
+
 void HolderLink::Stop() {
   if (!impl_->thread.joinable()) {
     return;
--- /dev/null
+++ b/src/rudderloom/quota/grant_book.cpp
@@ -0,0 +1,53 @@
+#include "rudderloom/quota/grant_book.hpp"
+
+#include <algorithm>  // for max, min
+#include <cmath>      // for ceil
+
+namespace rudderloom {
+
+std::string_view NameOf(SpendVerdict verdict) {
+  switch (verdict) {
+    case SpendVerdict::kCantSay:
+      return "cant_say";
+    case SpendVerdict::kGranted:
+      return "granted";
+    case SpendVerdict::kRefused:
+      return "refused";
+  }
+  return "unknown";
+}
+
+double GrantBook::Available(CustomerKey customer, const GrantBasis& basis, TimePoint now) const {
+  const QuotaLimit& limit = basis.limits.at(customer);
+  const double age = std::chrono::duration<double>(now - basis.made_at).count();
+  const double level = static_cast<double>(basis.balances.at(customer).level) +
+                       static_cast<double>(limit.per_second) * std::max(0.0, age);
+  const double capped = std::min(level, static_cast<double>(MostAhead(limit, bounds_)));
+  const auto granted = sums_.find(customer);
+  const double outstanding = granted == sums_.end() ? 0.0 : static_cast<double>(granted->second);
+  return capped - kSharedPart * std::max(0.0, capped) - outstanding;
+}
+
+SpendAnswer GrantBook::Ask(const SpendAsk& ask, const GrantBasis& basis, TimePoint now) {
+  while (!outstanding_.empty() && outstanding_.front().number <= basis.counted) {
+    const SpendAsk& counted = outstanding_.front().ask;
+    sums_[counted.customer] -= counted.amount;
+    outstanding_.pop_front();
+  }
+  const bool known = basis.balances.contains(ask.customer) && basis.limits.contains(ask.customer);
+  if (!known || now >= basis.valid_until) {
+    return {};
+  }
+  const double available = Available(ask.customer, basis, now);
+  if (available < 0.0) {
+    constexpr double kMillisecondsPerSecond = 1'000.0;
+    const auto rate = static_cast<double>(basis.limits.at(ask.customer).per_second);
+    const double wait = std::ceil(-available / rate * kMillisecondsPerSecond);
+    return {SpendVerdict::kRefused, Duration(static_cast<Duration::rep>(wait))};
+  }
+  outstanding_.push_back({next_number_++, ask});
+  sums_[ask.customer] += ask.amount;
+  return {SpendVerdict::kGranted, Duration(0)};
+}
+
+}  // namespace rudderloom
--- a/src/rudderloom/quota/quota_account.cpp
+++ b/src/rudderloom/quota/quota_account.cpp
@@ -15,6 +15,11 @@
 // by what each is asked for.
 constexpr double kAlikePart = 0.5;
 constexpr double kMillisecondsPerSecond = 1'000.0;
+// Words come each quarter of a second, and are some 200 ms old; without one for so long the holder
+// is taken for gone, and shares are all that there is.
+constexpr Duration kWordFresh{1'500};
+// A refusal of the holder's holds for so long at the most: others may have given back.
+constexpr Duration kRefusedFor{300};
 
 }  // namespace
 
@@ -22,11 +27,19 @@
   return account.share * static_cast<double>(MostAhead(account.limit, bounds_));
 }
 
-// Lets the rate flow in.
+bool QuotaAccount::WordFresh(TimePoint now) const {
+  return word_ && now - word_->made_at < kWordFresh;
+}
+
+// A second: of the part that is shared while the holder grants the rest.
+double QuotaAccount::Inflow(const Account& account, TimePoint now) const {
+  const double part = WordFresh(now) ? kSharedPart : 1.0;
+  return part * account.share * static_cast<double>(account.limit.per_second);
+}
+
 void QuotaAccount::Move(Account& account, TimePoint now) const {
   const double seconds = std::chrono::duration<double>(now - account.moved_at).count();
-  const auto rate = static_cast<double>(account.limit.per_second);
-  account.balance = std::min(Most(account), account.balance + account.share * rate * seconds);
+  account.balance = std::min(Most(account), account.balance + Inflow(account, now) * seconds);
   account.moved_at = now;
 }
 
@@ -43,30 +56,47 @@
     account.moved_at = now;
     account.share = 1.0 / kUntoldNodes;
     // The holder names customers that ask somewhere: the others' balance is whole.
-    account.balance = word_ ? Most(account) : 0.0;
+    account.balance = WordFresh(now) ? kSharedPart * Most(account) : 0.0;
     TakeWord(customer, account, now);
   }
   return account;
 }
 
-std::optional<Duration> QuotaAccount::Spend(CustomerKey customer,
-                                            const QuotaLimit& limit,
-                                            std::uint64_t amount,
-                                            TimePoint now) {
+void QuotaAccount::Asked(CustomerKey customer,
+                         const QuotaLimit& limit,
+                         std::uint64_t amount,
+                         TimePoint now) {
   Account& account = Open(customer, limit, now);
-  Move(account, now);
   account.asked.Add(amount, now);
   account.asked_at = now;
   account.untold.asked += amount;
+}
+
+QuotaDecision QuotaAccount::Decide(CustomerKey customer,
+                                   std::uint64_t amount,
+                                   HolderReach reach,
+                                   TimePoint now) {
+  Account& account = accounts_[customer];
+  Move(account, now);
+  const bool can_ask = reach == HolderReach::kReachable && WordFresh(now);
+  if (can_ask && account.balance < static_cast<double>(amount)) {
+    return now < account.refused_until
+               ? QuotaDecision{QuotaVerdict::kRefused, Between(now, account.refused_until)}
+               : QuotaDecision{QuotaVerdict::kAsk, Duration(0)};
+  }
   if (account.balance < 0.0) {
-    const double per_second = account.share * static_cast<double>(limit.per_second);
-    const double wait = -account.balance / std::max(1.0, per_second) * kMillisecondsPerSecond;
-    return Duration(static_cast<Duration::rep>(std::ceil(wait)));
+    const double seconds = -account.balance / std::max(1.0, Inflow(account, now));
+    const double wait = seconds * kMillisecondsPerSecond;
+    return {QuotaVerdict::kRefused, Duration(static_cast<Duration::rep>(std::ceil(wait)))};
   }
   account.balance -= static_cast<double>(amount);
   account.total += static_cast<std::int64_t>(amount);
   account.untold.spent += static_cast<std::int64_t>(amount);
-  return std::nullopt;
+  return {QuotaVerdict::kGranted, Duration(0)};
+}
+
+void QuotaAccount::RefusedByHolder(CustomerKey customer, Duration wait, TimePoint now) {
+  accounts_[customer].refused_until = now + std::min(wait, kRefusedFor);
 }
 
 void QuotaAccount::GiveBack(CustomerKey customer, std::uint64_t amount) {
@@ -95,10 +125,10 @@
   const double age = std::chrono::duration<double>(now - word_->made_at).count();
   const double level = static_cast<double>(told.level) +
                        static_cast<double>(account.limit.per_second) * std::max(0.0, age);
-  account.balance =
-      std::min(Most(account), account.share * level) - static_cast<double>(account.total - own);
+  // What is below nothing is the holder's to win back: it grants nothing meanwhile.
+  const double shared = kSharedPart * std::max(0.0, std::min(Most(account), account.share * level));
+  account.balance = shared - static_cast<double>(account.total - own);
   account.moved_at = now;
-  account.told = true;
 }
 
 void QuotaAccount::Heard(QuotaWordPtr word, TimePoint now) {
--- a/src/rudderloom/quota/quota_ledger.cpp
+++ b/src/rudderloom/quota/quota_ledger.cpp
@@ -59,6 +59,13 @@
   }
 }
 
+void QuotaLedger::Granted(CustomerKey customer, std::uint64_t amount) {
+  const auto found = entries_.find(customer);
+  if (found != entries_.end()) {
+    found->second.level -= static_cast<double>(amount);
+  }
+}
+
 BalanceTable QuotaLedger::Balances(TimePoint now) const {
   BalanceTable balances;
   for (const auto& [customer, entry] : entries_) {
