Each life of an endpoint is an endpoint of its own, and odd entries name none

Cause: an endpoint may start again under its name and then holds and knows nothing of before; orders, loads, prompts read, avoid lists and whether it was leaving were kept by name.

Change: the adapter names a life by its name and start; all that is kept of an endpoint is kept by life, an entry or report of another life is dropped, and a new life ends the earlier ones. Orders are announced by name, as two holders' orders to one name count together. A count of orders that falls without a newer start is taken for a new process.

Ruled out: a new type for the name of a life throughout; it is a text made in one place (LifeName).

--- a/include/rudderloom/fleet/endpoint_directory.hpp
+++ b/include/rudderloom/fleet/endpoint_directory.hpp
@@ -17,6 +17,7 @@
 struct KnownEndpoint {
   EndpointRecord record;
   std::optional<TimePoint> gone_at;  ///< Since when the platform no longer lists it.
+  std::uint64_t listed_orders = 0;   ///< Orders taken, as its own entry last told.
 };
 
 /// @brief Joins the platform's list and its events. Pure; time is passed in.
@@ -48,6 +49,8 @@
   const std::map<std::string, KnownEndpoint>& Endpoints() const { return endpoints_; }
 
  private:
+  void ForgetEarlierLives(const EndpointRecord& record);
+
   Duration keep_gone_;
   std::map<std::string, KnownEndpoint> endpoints_;
 };
--- a/include/rudderloom/fleet/endpoint_record.hpp
+++ b/include/rudderloom/fleet/endpoint_record.hpp
@@ -36,10 +36,18 @@
   }
 };
 
-/// @brief One start of one endpoint, as the platform lists it.
+/// @brief Names one life of an endpoint: the name it is listed under, and its start where it tells
+/// that, as it may start again under the same name and then knows nothing of before.
+/// @param born By the endpoint's own clock, in milliseconds; 0 where it tells none.
+/// @ingroup fleet
+std::string LifeName(const std::string& id, std::uint64_t born);
+
+/// @brief One life of one endpoint, as the platform lists it.
 /// @ingroup fleet
 struct EndpointRecord {
-  std::string instance;  ///< New with each start of the process.
+  std::string instance;  ///< Its `LifeName`: new with each start of the process.
+  std::string id;        ///< The name that it is listed under and answers to.
+  std::uint64_t born = 0;
   std::string service;
   std::string address;  ///< IP number and port; may be given to another endpoint later.
   std::string availability_zone;
@@ -61,6 +69,7 @@
 /// @brief What a model engine answers when it is asked for its load; some 100 ms old.
 /// @ingroup fleet
 struct EngineReport {
+  std::uint64_t born = 0;  ///< Of the life that answers; 0 where it tells none.
   std::vector<ResidentModel> models;
   LocalWeights local_weights;
   std::set<std::string> pending_adapters;  ///< `model/adapter`, on their way in.
--- a/include/rudderloom/fleet/fleet_formats.hpp
+++ b/include/rudderloom/fleet/fleet_formats.hpp
@@ -27,6 +27,7 @@
 /// @ingroup fleet
 struct FleetFormats {
   std::string configuration_kind;
+  std::string configuration_name;  ///< Of the one object that holds it.
   std::string endpoint_kind;
   std::string lease_kind;  ///< Of this system's own objects.
   /// @brief An object's or list's version as a number that grows with each change in the store.
--- a/include/rudderloom/fleet/fleet_shell.hpp
+++ b/include/rudderloom/fleet/fleet_shell.hpp
@@ -10,6 +10,7 @@
 #include <string>      // for string
 
 #include "rudderloom/base/backoff.hpp"          // for Backoff
+#include "rudderloom/fleet/endpoint_lives.hpp"  // for EndpointLives
 #include "rudderloom/fleet/fleet_formats.hpp"   // for FleetFormats
 #include "rudderloom/fleet/fleet_settings.hpp"  // for FleetSettings
 #include "rudderloom/fleet/fleet_state.hpp"     // for FleetEffects
@@ -45,6 +46,7 @@
   // Reads the configuration beside a watch that has said nothing for too long.
   void ConfirmRoutes();
   Awaitable<void> FollowEndpoints();
+  std::optional<EndpointRecord> ReadEndpoint(const StoredObject& object);
   Awaitable<void> TickLoop();
   // The store has said what the configuration is.
   void RoutesConfirmed();
@@ -70,11 +72,13 @@
   std::shared_ptr<FollowPace> routes_pace_;
   std::shared_ptr<FollowPace> endpoints_pace_;
   std::optional<Followings> followings_;
-  std::set<std::string> failing_;    // kinds whose last call failed
-  bool reading_routes_ = false;      // beside the watch
-  bool follows_for_others_ = false;  // other nodes rely on what this one has read
-  TimePoint routes_confirmed_at_;    // when the store last said what the configuration is
-  TimePoint routes_read_at_;         // when it was last asked beside the watch
+  EndpointLives lives_;
+  std::set<std::string> unreadable_;  // names of entries that were told
+  std::set<std::string> failing_;     // kinds whose last call failed
+  bool reading_routes_ = false;       // beside the watch
+  bool follows_for_others_ = false;   // other nodes rely on what this one has read
+  TimePoint routes_confirmed_at_;     // when the store last said what the configuration is
+  TimePoint routes_read_at_;          // when it was last asked beside the watch
 };
 
 }  // namespace rudderloom
--- a/include/rudderloom/forwarding/dialect.hpp
+++ b/include/rudderloom/forwarding/dialect.hpp
@@ -47,7 +47,7 @@
 /// @brief What this node adds to a request that it sends to an endpoint.
 /// @ingroup forwarding
 struct SendTerms {
-  std::string instance;  ///< Every other instance refuses the request.
+  std::string endpoint;  ///< Name that it answers to; every other one refuses the request.
   Duration time_left{0};
   std::optional<std::uint32_t> urgency;        ///< 0 is the most urgent.
   std::optional<std::string> after_event;      ///< Goes on after this event of a stream.
@@ -77,7 +77,7 @@
   virtual ~Dialect() = default;
 
   virtual RequestTerms ReadRequest(const HttpRequest& request) const = 0;
-  virtual AnswerTerms ReadAnswer(const AnswerHead& head, const std::string& instance) const = 0;
+  virtual AnswerTerms ReadAnswer(const AnswerHead& head, const std::string& endpoint) const = 0;
   virtual void Write(const SendTerms& terms, HttpRequest& request) const = 0;
 
   /// @brief Headers of a refusal: when to come back, and whose request it was.
--- a/include/rudderloom/placement/engine_state.hpp
+++ b/include/rudderloom/placement/engine_state.hpp
@@ -35,6 +35,8 @@
 /// @brief One engine. Methods that return a bool say whether what it may serve has changed.
 /// @ingroup placement
 struct EngineState {
+  std::string id;  ///< Name that the endpoint answers to.
+  std::uint64_t born = 0;
   std::string address;
   bool known = false;     ///< A report came since the lease was taken.
   bool doubtful = false;  ///< An order's fate is unknown, or the count of orders is.
--- a/include/rudderloom/placement/order.hpp
+++ b/include/rudderloom/placement/order.hpp
@@ -14,7 +14,8 @@
 /// @brief One order to one endpoint.
 /// @ingroup placement
 struct PlacementOrder {
-  std::string instance;
+  std::string instance;  ///< Life of the endpoint.
+  std::string id;        ///< Name that the endpoint answers to.
   std::string address;
   bool load = true;  ///< Else unload.
   std::string model;
--- a/include/rudderloom/placement/placement_keeper.hpp
+++ b/include/rudderloom/placement/placement_keeper.hpp
@@ -33,6 +33,7 @@
 struct ReportCall {
   std::string instance;
   std::string address;
+  std::uint64_t born = 0;  ///< Of the life that is asked.
 };
 
 /// @brief What the keeper asks its shell to do.
--- a/src/rudderloom/dissemination/statement_test.cpp
+++ b/src/rudderloom/dissemination/statement_test.cpp
@@ -28,6 +28,7 @@
   auto endpoints = std::make_shared<EndpointLog>();
   EndpointRecord record;
   record.instance = "e1";
+  record.id = "e1";
   endpoints->Replace({{"e1", record}}, 10);
   statement.endpoints = endpoints;
   statement.endpoints_confirmed_at = At(100);
--- a/src/rudderloom/fleet/endpoint_directory.cpp
+++ b/src/rudderloom/fleet/endpoint_directory.cpp
@@ -1,9 +1,20 @@
 #include "rudderloom/fleet/endpoint_directory.hpp"
 
 #include <algorithm>  // for find_if
+#include <charconv>   // for to_chars
 
 namespace rudderloom {
 
+std::string LifeName(const std::string& id, std::uint64_t born) {
+  if (born == 0) {
+    return id;
+  }
+  constexpr int kBase = 36;
+  char digits[16];
+  const auto written = std::to_chars(digits, digits + sizeof(digits), born, kBase);
+  return id + "@" + std::string(digits, written.ptr);
+}
+
 const ResidentModel* FindModel(const std::vector<ResidentModel>& models, const std::string& name) {
   const auto found = std::find_if(models.begin(), models.end(),
                                   [&](const ResidentModel& model) { return model.name == name; });
@@ -23,10 +34,26 @@
   }
 }
 
+// Its earlier lives are over: what they held, and whether they were leaving, says nothing of it.
+void EndpointDirectory::ForgetEarlierLives(const EndpointRecord& record) {
+  std::erase_if(endpoints_, [&](const auto& entry) {
+    const EndpointRecord& known = entry.second.record;
+    return known.id == record.id && known.born < record.born;
+  });
+}
+
 void EndpointDirectory::Put(const EndpointRecord& record) {
+  if (record.born != 0 && !endpoints_.contains(record.instance)) {
+    ForgetEarlierLives(record);
+  }
   KnownEndpoint& known = endpoints_[record.instance];
   const bool was_leaving = known.record.leaving;
-  const bool older = !record.tells_models || record.orders_taken < known.record.orders_taken;
+  // A count lower than the entry's own before is that of a process that started again without
+  // saying so; one that is lower only than a report's is older than that.
+  const bool fell = record.tells_models && record.orders_taken < known.listed_orders;
+  const bool older =
+      !record.tells_models || (record.orders_taken < known.record.orders_taken && !fell);
+  known.listed_orders = record.tells_models ? record.orders_taken : known.listed_orders;
   std::vector<ResidentModel> models = std::move(known.record.models);
   const std::uint64_t orders_taken = known.record.orders_taken;
   known.record = record;
--- a/src/rudderloom/fleet/endpoint_directory_test.cpp
+++ b/src/rudderloom/fleet/endpoint_directory_test.cpp
@@ -14,6 +14,7 @@
 EndpointRecord Record(const std::string& instance) {
   EndpointRecord record;
   record.instance = instance;
+  record.id = instance;
   record.service = "s";
   record.address = "10.0.0.1:80";
   return record;
@@ -67,5 +68,48 @@
   CHECK_FALSE(directory.Reported("unknown", report));
 }
 
+EndpointRecord Reborn(std::uint64_t born, std::uint64_t orders_taken) {
+  EndpointRecord record;
+  record.id = "e1";
+  record.born = born;
+  record.instance = LifeName("e1", born);
+  record.orders_taken = orders_taken;
+  record.models = {{"m", 1, {}}};
+  return record;
+}
+
+TEST_CASE("an endpoint that starts again under its name holds and knows nothing of before") {
+  EndpointDirectory directory(Duration(1'000));
+  EndpointRecord first = Reborn(1'000, 40);
+  first.leaving = true;
+  directory.Put(first);
+  EndpointRecord second = Reborn(2'000, 0);
+  second.models.clear();
+  directory.Put(second);
+  REQUIRE(directory.Endpoints().size() == 1);
+  const KnownEndpoint& known = directory.Endpoints().begin()->second;
+  CHECK(known.record.born == 2'000);
+  CHECK(known.record.models.empty());
+  CHECK_FALSE(known.record.leaving);
+}
+
+TEST_CASE("a count of orders that falls in an entry is that of a process that started again") {
+  EndpointDirectory directory(Duration(1'000));
+  directory.Put(Reborn(0, 40));
+  EndpointRecord after = Reborn(0, 1);
+  after.models = {{"n", 1, {}}};
+  directory.Put(after);
+  CHECK(directory.Endpoints().at("e1").record.models.front().name == "n");
+  CHECK(directory.Endpoints().at("e1").record.orders_taken == 1);
+  // A report that is newer than the entry stays: the entry's own count did not fall.
+  EngineReport report;
+  report.orders_taken = 5;
+  report.models = {{"o", 1, {}}};
+  CHECK(directory.Reported("e1", report));
+  after.orders_taken = 2;
+  directory.Put(after);
+  CHECK(directory.Endpoints().at("e1").record.models.front().name == "o");
+}
+
 }  // namespace
 }  // namespace rudderloom
--- a/src/rudderloom/fleet/fleet_settings.cpp
+++ b/src/rudderloom/fleet/fleet_settings.cpp
@@ -1,8 +1,6 @@
 #include "rudderloom/fleet/fleet_settings.hpp"
 
-#include <boost/asio/ip/address.hpp>  // for make_address
-#include <charconv>                   // for from_chars
-
+#include "rudderloom/base/address.hpp"      // for IsAddress
 #include "rudderloom/base/json_fields.hpp"  // for TextAt
 
 namespace rudderloom {
@@ -18,19 +16,6 @@
 constexpr double kLeastProcessorShare = 0.001;
 constexpr double kMostProcessorShare = 1'024.0;
 
-bool IsAddress(const std::string& text) {
-  const std::size_t colon = text.rfind(':');
-  if (colon == std::string::npos) {
-    return false;
-  }
-  boost::system::error_code error;
-  boost::asio::ip::make_address(text.substr(0, colon), error);
-  std::uint16_t port = 0;
-  const char* end = text.data() + text.size();
-  const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
-  return !error && parsed.ec == std::errc() && parsed.ptr == end;
-}
-
 std::string ReadAddress(ObjectReader& reader, std::string_view key, bool required) {
   std::string text = reader.String(key, required ? std::nullopt : std::optional<std::string>(""));
   if (!text.empty() && !IsAddress(text)) {
--- a/src/rudderloom/fleet/fleet_shell.cpp
+++ b/src/rudderloom/fleet/fleet_shell.cpp
@@ -1,6 +1,5 @@
 #include "rudderloom/fleet/fleet_shell.hpp"
 
-#include <map>       // for map
 #include <optional>  // for optional
 
 #include "rudderloom/base/log_line.hpp"  // for LogLine
@@ -40,6 +39,8 @@
 constexpr Duration kBetweenReads{500};
 // On that node a list finds what a watch has left out.
 constexpr Duration kListForOthersEvery{20'000};
+constexpr std::size_t kUnreadableTold = 64;
+constexpr std::size_t kNameShown = 64;  // letters
 
 Duration PartOf(Duration whole, double part) {
   return std::chrono::duration_cast<Duration>(whole * part);
@@ -120,6 +121,9 @@
 }
 
 void FleetShell::OfferRoutes(const StoredObject& object) {
+  if (object.name != formats_.configuration_name) {
+    return;
+  }
   auto read = formats_.read_routes(object);
   if (auto* error = std::get_if<FormatError>(&read)) {
     LogLine("configuration_refused", Severity::kError).With("error", error->message);
@@ -180,6 +184,21 @@
   asio::co_spawn(context_, ReadRoutes(), asio::detached);
 }
 
+// An entry that can't be read names no endpoint to use. Other writers may write many of them: each
+// name is told once, and only so many.
+std::optional<EndpointRecord> FleetShell::ReadEndpoint(const StoredObject& object) {
+  auto record = formats_.read_endpoint(object);
+  if (record || unreadable_.size() >= kUnreadableTold) {
+    return record;
+  }
+  std::string name = object.name.substr(0, kNameShown);
+  if (unreadable_.insert(name).second) {
+    metrics_.Count({"rudderloom_unreadable_entries_total"});
+    LogLine("endpoint_unreadable", Severity::kWarning).With("endpoint", name);
+  }
+  return record;
+}
+
 Awaitable<void> FleetShell::FollowEndpoints() {
   const std::string kind = formats_.endpoint_kind;
   FollowHooks hooks;
@@ -188,33 +207,26 @@
     fleet_message::EndpointsListed listed;
     listed.revision = formats_.read_revision(list.version);
     for (const StoredObject& object : list.objects) {
-      if (auto record = formats_.read_endpoint(object)) {
+      if (auto record = ReadEndpoint(object)) {
         listed.records.push_back(std::move(*record));
       }
     }
+    lives_.Listed(listed.records);
     post_(std::move(listed));
   };
-  // An entry that went and came back within one answer is there: the last change counts.
-  auto last_changes = std::make_shared<std::map<std::string, std::optional<EndpointRecord>>>();
-  hooks.on_event = [this, last_changes](const WatchEvent& event) {
+  hooks.on_event = [this](const WatchEvent& event) {
     const bool gone = event.kind == WatchEvent::Kind::kGone;
-    auto record = gone ? std::nullopt : formats_.read_endpoint(event.object);
-    if (gone || record) {
-      (*last_changes)[event.object.name] = std::move(record);
+    auto record = gone ? std::nullopt : ReadEndpoint(event.object);
+    if (record) {
+      lives_.Put(std::move(*record));
+    } else {
+      lives_.Gone(event.object.name);
     }
   };
-  hooks.on_reached = [this, kind, last_changes](const std::string& version) {
+  hooks.on_reached = [this, kind](const std::string& version) {
     Answered(kind);
-    EndpointChanges changes;
+    EndpointChanges changes = lives_.Take();
     changes.version = formats_.read_revision(version);
-    for (auto& [instance, record] : *last_changes) {
-      if (record) {
-        changes.values.emplace_back(instance, std::move(*record));
-      } else {
-        changes.gone.push_back(instance);
-      }
-    }
-    last_changes->clear();
     post_(fleet_message::EndpointsChanged{std::move(changes)});
   };
   hooks.on_error = [this, kind](const StoreError& error) { Failed(kind, error); };
@@ -339,6 +351,11 @@
   if (const auto* response = std::get_if<HttpResponse>(&answer)) {
     message.report = formats_.read_report(*response);
   }
+  // Another life has the endpoint's name and address: its entry tells of it.
+  if (message.report && message.report->born != call.born) {
+    metrics_.Count({"rudderloom_reports_of_other_lives_total"});
+    message.report.reset();
+  }
   metrics_.Count({"rudderloom_engine_reports_total", "result", message.report ? "ok" : "none"});
   post_(std::move(message));
 }
--- a/src/rudderloom/fleet/fleet_state_test.cpp
+++ b/src/rudderloom/fleet/fleet_state_test.cpp
@@ -78,6 +78,7 @@
 EndpointRecord Endpoint(const std::string& instance, bool leaving = false) {
   EndpointRecord record;
   record.instance = instance;
+  record.id = instance;
   record.service = "desk";
   record.address = instance + ":1";
   record.leaving = leaving;
--- a/src/rudderloom/fleet/holder_overload_test.cpp
+++ b/src/rudderloom/fleet/holder_overload_test.cpp
@@ -198,6 +198,7 @@
   OrderingHolder() : state(Settings("n1"), "x") {
     EndpointRecord record;
     record.instance = "e1";
+    record.id = "e1";
     record.service = "pool";
     record.address = "e1:1";
     Take(fleet_message::RoutesSeen{RoutesWithEngine()}, 0);
--- a/src/rudderloom/forwarding/attempt.cpp
+++ b/src/rudderloom/forwarding/attempt.cpp
@@ -116,7 +116,7 @@
       }
     }
     SendTerms terms;
-    terms.instance = ask_.endpoint.instance;
+    terms.endpoint = ask_.endpoint.id;
     terms.caller = ask_.caller;
     terms.time_left = Between(Now(), ask_.time_up) - kEndpointHeadStart;
     if (!ask_.terms->model.empty()) {
@@ -170,7 +170,7 @@
       if (status_ / 100 == 1) {
         continue;
       }
-      terms_ = state_.dialect.ReadAnswer(connection_->Head(), ask_.endpoint.instance);
+      terms_ = state_.dialect.ReadAnswer(connection_->Head(), ask_.endpoint.id);
       const bool foreign = !terms_.request_id.empty() && terms_.request_id != ask_.terms->id;
       if (!foreign) {
         break;
--- a/src/rudderloom/peers/fleet_codec.cpp
+++ b/src/rudderloom/peers/fleet_codec.cpp
@@ -67,7 +67,8 @@
 }
 
 void WriteEndpoint(const EndpointRecord& record, rpc::EndpointEntry::Builder out) {
-  out.setInstance(record.instance);
+  out.setInstance(record.id);
+  out.setBorn(record.born);
   out.setService(record.service);
   out.setAddress(record.address);
   out.setAvailabilityZone(record.availability_zone);
@@ -77,7 +78,9 @@
 
 EndpointRecord ReadEndpoint(rpc::EndpointEntry::Reader in) {
   EndpointRecord record;
-  record.instance = in.getInstance().cStr();
+  record.id = in.getInstance().cStr();
+  record.born = in.getBorn();
+  record.instance = LifeName(record.id, record.born);
   record.service = in.getService().cStr();
   record.address = in.getAddress().cStr();
   record.availability_zone = in.getAvailabilityZone().cStr();
--- a/src/rudderloom/peers/fleet_codec_test.cpp
+++ b/src/rudderloom/peers/fleet_codec_test.cpp
@@ -19,7 +19,8 @@
   for (int i = 0; i < endpoints; ++i) {
     const std::string number = std::to_string(1'000 + i);
     EndpointRecord record;
-    record.instance = "i-5f00c4" + number;
+    record.id = "i-5f00c4" + number;
+    record.instance = record.id;
     record.service = "scribe-pool";
     record.address = "10.3.64." + std::to_string(i % 200) + ":8429";
     record.availability_zone = "surrey-c";
--- a/src/rudderloom/placement/engine_state.cpp
+++ b/src/rudderloom/placement/engine_state.cpp
@@ -60,6 +60,8 @@
 
 EngineState EngineState::FromRecord(const EndpointRecord& record, TimePoint now) {
   EngineState engine;
+  engine.id = record.id;
+  engine.born = record.born;
   engine.address = record.address;
   engine.orders_taken = record.orders_taken;
   engine.models = record.models;
--- a/src/rudderloom/placement/placement_keeper.cpp
+++ b/src/rudderloom/placement/placement_keeper.cpp
@@ -50,7 +50,7 @@
   for (auto& [instance, engine] : engines_) {
     if (!engine.asking && !engine.flight && now >= engine.ask_at) {
       engine.asking = true;
-      effects.report_calls.push_back({instance, engine.address});
+      effects.report_calls.push_back({instance, engine.address, engine.born});
     }
   }
 }
@@ -85,12 +85,14 @@
                            TimePoint now) {
   const bool from_store = load && adapter.empty() && !engine.local_weights.Has(model);
   const OrderScope scope = from_store ? OrderScope::kWeightStore : OrderScope::kLocal;
-  if (!announcements_.MayOrder(instance, scope, lease.announced, now)) {
+  // Announced by name: other holders take the lives of one name for one endpoint.
+  if (!announcements_.MayOrder(engine.id, scope, lease.announced, now)) {
     return false;
   }
-  announcements_.Ordered(instance, scope, now);
+  announcements_.Ordered(engine.id, scope, now);
   PlacementOrder order;
   order.instance = instance;
+  order.id = engine.id;
   order.address = engine.address;
   order.load = load;
   order.model = model;
@@ -155,7 +157,7 @@
                            TimePoint now) {
   PlacementInput input{service.name, *service.engine, {}, demand, now};
   for (const std::string& instance : instances) {
-    const bool resting = announcements_.Resting(instance, now);
+    const bool resting = announcements_.Resting(engines_[instance].id, now);
     PlanEngine view = engines_[instance].View(instance, *service.engine, resting);
     if (const auto load = loads.find(KeyOf(instance)); load != loads.end()) {
       view.load = load->second;
@@ -188,7 +190,7 @@
     engine.swap = ModelSwap{*step.victim, step.model, now + kWithdrawTime};
     // The record names the endpoint by the time that the first order may be sent.
     const OrderScope scope = step.from_store ? OrderScope::kWeightStore : OrderScope::kLocal;
-    announcements_.MayOrder(step.instance, scope, lease.announced, now);
+    announcements_.MayOrder(engine.id, scope, lease.announced, now);
     ServingChanged();
     LogLine("swap_planned")
         .With("endpoint", step.instance)
--- a/src/rudderloom/placement/placement_keeper_test.cpp
+++ b/src/rudderloom/placement/placement_keeper_test.cpp
@@ -48,6 +48,7 @@
     for (const auto& [name, engine] : engines) {
       KnownEndpoint known;
       known.record.instance = name;
+      known.record.id = name;
       known.record.service = "pool";
       known.record.address = name;
       listed.emplace(name, known);
--- a/tests/fakes/fleet_world.cpp
+++ b/tests/fakes/fleet_world.cpp
@@ -81,6 +81,7 @@
 void FleetWorld::PutEndpoint(const std::string& instance, bool leaving) {
   EndpointRecord record;
   record.instance = instance;
+  record.id = instance;
   record.service = "desk";
   record.address = instance + ":1";
   record.leaving = leaving;
