--- a/include/rudderloom/dissemination/upstream.hpp
+++ b/include/rudderloom/dissemination/upstream.hpp
@@ -43,6 +43,9 @@
   /// @brief Under which the holder is known to hold the lease.
   std::uint64_t Epoch() const { return epoch_; }
 
+  /// @brief Address of the relay that this node reports to; empty for none.
+  const std::string& Relay() const { return relay_; }
+
   /// @brief Relays that lately gave no answer, or none of use.
   std::vector<std::string> AvoidedRelays(TimePoint now);
 
--- a/include/rudderloom/fleet/fleet_state.hpp
+++ b/include/rudderloom/fleet/fleet_state.hpp
@@ -112,9 +112,12 @@
   Duration WorkPause() const;
   void PublishServing();
   void TellSpending(NodeCounts& counts, TimePoint now);
-  void BeginBalances(TimePoint now);
+  void BeginBalances(const FormerLease& lease, TimePoint now);
+  LowBalances LowOnes(const BalanceTable& balances, const QuotaLimits& limits) const;
   void MoveBalances(TimePoint now);
   std::shared_ptr<const GrantBasis> MakeGrantBasis() const;
+  std::shared_ptr<const GrantBasis> MakeRelayGrantBasis();
+  void NoteQuotaRelay(TimePoint now);
   void TakeBalances(BalanceTable balances, TimePoint made_at);
   std::uint32_t CountNodes(TimePoint now) const;
   void LogLag(TimePoint now);
@@ -174,8 +177,12 @@
   LoadSums sums_;  // of the board, as of the last plan
   SpendingLog spending_;
   QuotaLedger ledger_;
-  std::uint64_t grants_counted_ = 0;  // the last grant that the ledger takes in
-  QuotaWordPtr quota_word_;           // the newest that this node made or heard
+  std::uint64_t grants_counted_ = 0;        // the last grant that the ledger takes in
+  QuotaWordPtr quota_word_;                 // the newest that this node made or heard
+  QuotaWordPtr relay_grants_word_;          // that this node last granted from as a relay
+  std::uint64_t relay_grants_counted_ = 0;  // the last grant when that word came
+  std::string quota_relay_;                 // as of the last word; empty for none
+  std::uint32_t quota_group_ = 0;           // nodes that this one stands for as a relay, as of then
   std::optional<HeardWord> heard_;
   std::uint64_t newest_routes_ = 0;         // that any peer has told of
   std::optional<TimePoint> routes_behind_;  // since when a peer has a newer configuration
--- a/include/rudderloom/fleet/fleet_view.hpp
+++ b/include/rudderloom/fleet/fleet_view.hpp
@@ -66,7 +66,8 @@
   std::uint32_t live_nodes = 1;  ///< Entry nodes that share limits, with this one.
   bool endpoints_known = false;  ///< The platform's list has been read.
   QuotaWordPtr quota;            ///< What customers may spend; null before the first word.
-  std::string quota_holder;      ///< Address of the node that grants more; empty: none is known.
+  std::string quota_holder;      ///< Address of the holder, which grants more; empty: not known.
+  std::string quota_relay;       ///< Of the relay that does while there is no holder; empty: none.
 };
 
 /// @brief A view that nobody changes any more.
--- a/include/rudderloom/placement/lease_keeper.hpp
+++ b/include/rudderloom/placement/lease_keeper.hpp
@@ -8,12 +8,18 @@
 #include <map>             // for map
 #include <optional>        // for optional
 #include <string>          // for string
+#include <utility>         // for move
 
 #include "rudderloom/base/clock.hpp"             // for TimePoint
+#include "rudderloom/customers/customer.hpp"     // for CustomerKey
 #include "rudderloom/placement/order_scope.hpp"  // for OrderScopes
 
 namespace rudderloom {
 
+/// @brief Balances of customers that have spent most of what they may be ahead.
+/// @ingroup placement
+using LowBalances = std::map<CustomerKey, std::int64_t>;
+
 /// @brief What the platform keeps of the lease.
 /// @ingroup placement
 struct LeaseRecord {
@@ -21,9 +27,10 @@
   std::string incarnation;  ///< Of the holder's process.
   std::uint64_t epoch = 0;  ///< Grows with each new holder; the fencing token of its orders.
   std::uint64_t renewals = 0;
-  bool released = false;  ///< The holder stopped and sends no order any more.
-  OrderScopes own;        ///< The holder sends orders to these endpoints only.
-  OrderScopes inherited;  ///< Former holders may have ordered these a short while ago.
+  bool released = false;          ///< The holder stopped and sends no order any more.
+  OrderScopes own;                ///< The holder sends orders to these endpoints only.
+  OrderScopes inherited;          ///< Former holders may have ordered these a short while ago.
+  LowBalances low_balances = {};  ///< As of this write.
   bool operator==(const LeaseRecord&) const = default;
 };
 
@@ -43,8 +50,9 @@
 /// @ingroup placement
 struct FormerLease {
   FormerHolder who = FormerHolder::kNone;
-  OrderScopes own;        ///< Of an earlier process on this machine.
-  OrderScopes inherited;  ///< Of other machines: not to be ordered before `rest` is over.
+  OrderScopes own;                ///< Of an earlier process on this machine.
+  OrderScopes inherited;          ///< Of other machines: not to be ordered before `rest` is over.
+  LowBalances low_balances = {};  ///< As of its last write.
   Duration rest{0};
 };
 
@@ -93,6 +101,9 @@
   /// @brief What the record must name from now on; an addition is written at once.
   void Announce(OrderScopes own, OrderScopes inherited);
 
+  /// @brief What the next write is to tell of customers' balances; no reason for a write.
+  void NoteBalances(LowBalances low) { low_balances_ = std::move(low); }
+
   /// @brief Lets others go first for so long, beyond what the node's processor time makes it yield.
   void YieldFor(Duration more) { more_yield_ = more; }
 
@@ -172,6 +183,7 @@
   FormerLease former_;
   OrderScopes wanted_own_;
   OrderScopes wanted_inherited_;
+  LowBalances low_balances_;
   TimePoint write_started_at_;
   std::optional<LeaseWrite> writing_;
   std::map<std::uint64_t, TimePoint> write_starts_;  // by renewals, of the present epoch
--- a/include/rudderloom/quota/grant_book.hpp
+++ b/include/rudderloom/quota/grant_book.hpp
@@ -42,13 +42,22 @@
 /// @ingroup quota
 constexpr double kSharedPart = 0.25;
 
-/// @brief From what grants are made: what the holder's control state last published.
+/// @brief A word of the holder that is older no longer holds it to be granting.
+/// @ingroup quota
+constexpr Duration kGrantsWithWord{1'000};
+
+/// @brief From what grants are made: what the control state last published, of the holder or, while
+/// there is none, of a relay.
 /// @ingroup quota
 struct GrantBasis {
   TimePoint made_at;
-  TimePoint valid_until;  ///< Of the lease; nothing is granted later.
+  TimePoint valid_from;   ///< Nothing is granted sooner:
+  TimePoint valid_until;  ///< or later.
   BalanceTable balances;
   QuotaLimits limits;
+  UnknownBalance unknown = UnknownBalance::kEmpty;  ///< Of customers without a balance.
+  TimePoint unknown_since;
+  double part = 1.0;          ///< Of balances and limits, that is this node's to grant.
   std::uint64_t counted = 0;  ///< The last grant that the balances take in.
 };
 
@@ -73,6 +82,7 @@
   const Grant& Last() const { return outstanding_.back(); }
 
  private:
+  double LevelOf(CustomerKey customer, const GrantBasis& basis, TimePoint now) const;
   double Available(CustomerKey customer, const GrantBasis& basis, TimePoint now) const;
 
   QuotaBounds bounds_;
--- a/include/rudderloom/quota/quota_account.hpp
+++ b/include/rudderloom/quota/quota_account.hpp
@@ -25,9 +25,9 @@
   Duration wait{0};
 };
 
-/// @brief Whether the holder can be asked.
+/// @brief Whether a node that grants requests can be asked: the holder, or a relay.
 /// @ingroup quota
-enum class HolderReach {
+enum class GranterReach {
   kReachable,
   kUnreachable,  ///< Not known, silent, or it could not say.
 };
@@ -41,26 +41,30 @@
 /// spent without asking: of that a node takes a share by the number of nodes where the customer
 /// asks and by how much of that it asks here, and takes off what the balance does not take in yet.
 ///
-/// Where the holder can't be asked a node goes by its share of the customer's rate. A request may
-/// run while anything is left, and what it takes beyond is owed: all nodes together are ahead by
-/// one request of each at the most. One that has heard nothing of a customer yet takes a small
-/// fixed share.
+/// /// While there is no holder, relays grant the same way, each its group's part. Where nobody can
+/// be asked a node goes by its share alone. A request may run while anything is left of it, and
+/// what it takes beyond is owed: all nodes together are ahead by one request of each at the most.
+/// One that has heard nothing of a customer yet takes a small fixed share.
 /// @ingroup quota
 class QuotaAccount {
  public:
   explicit QuotaAccount(const QuotaBounds& bounds) : bounds_(bounds) {}
 
+  /// @brief True while the holder's word is so new that the holder itself grants requests. After
+  /// that its relays do, each for the nodes that report to it.
+  bool WordFresh(TimePoint now) const;
+
   /// @brief A request comes. Told once, before anything is decided about it.
   void Asked(CustomerKey customer, const QuotaLimit& limit, std::uint64_t amount, TimePoint now);
 
   /// @brief Decides about it, and takes off what it grants.
   QuotaDecision Decide(CustomerKey customer,
                        std::uint64_t amount,
-                       HolderReach reach,
+                       GranterReach reach,
                        TimePoint now);
 
   /// @brief The holder refused a request: for a moment the next ones are refused without asking.
-  void RefusedByHolder(CustomerKey customer, Duration wait, TimePoint now);
+  void RefusedByGranter(CustomerKey customer, Duration wait, TimePoint now);
 
   /// @brief A request that this node or the holder let run was refused after all.
   void GiveBack(CustomerKey customer, std::uint64_t amount);
@@ -85,10 +89,9 @@
   };
 
   Account& Open(CustomerKey customer, const QuotaLimit& limit, TimePoint now);
-  bool WordFresh(TimePoint now) const;
   double Most(const Account& account) const;
-  double Inflow(const Account& account, TimePoint now) const;
-  void Move(Account& account, TimePoint now) const;
+  double Inflow(const Account& account, GranterReach reach, TimePoint now) const;
+  void Move(Account& account, GranterReach reach, TimePoint now) const;
   void TakeWord(CustomerKey customer, Account& account, TimePoint now) const;
 
   QuotaBounds bounds_;
--- a/include/rudderloom/quota/quota_ledger.hpp
+++ b/include/rudderloom/quota/quota_ledger.hpp
@@ -6,7 +6,8 @@
 #include <map>       // for map
 #include <optional>  // for optional
 
-#include "rudderloom/quota/spending.hpp"  // for BalanceTable
+#include "rudderloom/quota/grant_book.hpp"  // for SpendAsk
+#include "rudderloom/quota/spending.hpp"    // for BalanceTable
 
 namespace rudderloom {
 
@@ -17,13 +18,6 @@
   TimePoint made_at;  ///< When they held.
 };
 
-/// @brief What is assumed of customers of whom nothing was taken over.
-/// @ingroup quota
-enum class UnknownBalance {
-  kWhole,  ///< Nobody has ever asked: the whole system starts.
-  kEmpty,  ///< They may have spent it at nodes that are gone.
-};
-
 /// @brief A token bucket for each customer, with spending told later. Pure; time is passed in.
 ///
 /// Every amount is told once by each node and taken off once. Over any window a customer's requests
@@ -41,7 +35,10 @@
   void Move(const SpendingTable& told, const QuotaLimits& limits, TimePoint now);
 
   /// @brief The holder let a request run that a node asked for.
-  void Granted(CustomerKey customer, std::uint64_t amount);
+  void Granted(const SpendAsk& granted, const QuotaLimits& limits, TimePoint now);
+
+  UnknownBalance Unknown() const { return unknown_; }
+  TimePoint BegunAt() const { return begun_at_; }
 
   BalanceTable Balances(TimePoint now) const;
 
--- a/include/rudderloom/quota/spending.hpp
+++ b/include/rudderloom/quota/spending.hpp
@@ -29,6 +29,23 @@
 /// @ingroup quota
 std::int64_t MostAhead(const QuotaLimit& limit, const QuotaBounds& bounds);
 
+/// @brief What is assumed of customers of whom nothing is known.
+/// @ingroup quota
+enum class UnknownBalance {
+  kWhole,    ///< Nobody has ever asked: the whole system starts.
+  kQuarter,  ///< They had most of it when the holder before last renewed its lease.
+  kEmpty,    ///< They may have spent it at nodes that are gone.
+};
+
+/// @brief The balance of such a customer.
+/// @param since When that was so.
+/// @ingroup quota
+double UnknownLevel(UnknownBalance unknown,
+                    const QuotaLimit& limit,
+                    const QuotaBounds& bounds,
+                    TimePoint since,
+                    TimePoint now);
+
 /// @brief What one customer spent, at one node or at several, since it was last told.
 /// @ingroup quota
 struct Spending {
--- a/include/rudderloom/quota/spending_log.hpp
+++ b/include/rudderloom/quota/spending_log.hpp
@@ -8,7 +8,8 @@
 #include <map>     // for map
 #include <string>  // for string
 
-#include "rudderloom/quota/spending.hpp"  // for SpendingTable
+#include "rudderloom/quota/grant_book.hpp"  // for SpendAsk
+#include "rudderloom/quota/spending.hpp"    // for SpendingTable
 
 namespace rudderloom {
 
@@ -40,6 +41,11 @@
                const SpendingTable& told,
                TimePoint now);
 
+  /// @brief This node let another one's request run that the holder does not know of.
+  void Granted(const SpendAsk& ask) {
+    pending_[ask.customer].spent += static_cast<std::int64_t>(ask.amount);
+  }
+
   /// @brief Everything that was not told yet.
   SpendingReport Take(TimePoint now);
 
--- a/src/rudderloom/fleet/fleet_lease.cpp
+++ b/src/rudderloom/fleet/fleet_lease.cpp
@@ -171,7 +171,7 @@
     held_epoch_ = lease_.Epoch();
     held_since_ = now;
     roster_.reset();
-    BeginBalances(now);
+    BeginBalances(lease_.Former(), now);
   }
   effects.statement = MakeStatement(now);
   LogLine(holds ? "lease_taken" : "lease_lost").With("epoch", lease_.Epoch());
--- /dev/null
+++ b/src/rudderloom/fleet/fleet_quota_test.cpp
@@ -0,0 +1,126 @@
+// A customer's limit over a fleet with relays: 30 nodes, one customer, faults of the nodes that
+// count.
+#include <doctest/doctest.h>  // for TEST_CASE
+
+#include "fakes/fleet_world.hpp"  // for FleetWorld
+
+namespace rudderloom {
+namespace {
+
+using fakes::FleetWorld;
+using fakes::FleetWorldOptions;
+
+constexpr const char* kName = "member-a";
+constexpr std::int64_t kBurst = 100'000;
+constexpr std::int64_t kAmount = 700;
+
+// Hardly anything flows in: a balance tells what was spent.
+FleetWorldOptions Options() {
+  FleetWorldOptions options;
+  Customer customer;
+  customer.name = kName;
+  customer.quota = {QuotaUnit::kTokens, 1, kBurst, 200};
+  options.customers = {customer};
+  return options;
+}
+
+// Some nodes of each group, the holder's and relays' among them; gives what they spent.
+std::int64_t SpendEverywhere(FleetWorld& world) {
+  std::int64_t spent = 0;
+  for (int i = 0; i < world.Nodes(); i += 2) {
+    if (world.Alive(i)) {
+      world.Spend(i, kName, kAmount);
+      spent += kAmount;
+    }
+  }
+  return spent;
+}
+
+// What is missing of the burst, as the node has heard it.
+std::int64_t SpentAt(const FleetWorld& world, int node) {
+  return kBurst - world.LevelAt(node, kName).value_or(kBurst);
+}
+
+bool About(std::int64_t spent, std::int64_t expected) {
+  return spent <= expected && spent >= expected - 60;  // a minute's inflow
+}
+
+TEST_CASE("what is spent at any node is taken off once, and every node where it asks hears so") {
+  FleetWorld world(Options());
+  world.Play(8'000);
+  std::int64_t spent = 0;
+  for (int round = 0; round < 5; ++round) {
+    spent += SpendEverywhere(world);
+    world.Play(700);
+  }
+  world.Play(2'000);
+  for (int i = 0; i < world.Nodes(); i += 2) {
+    CAPTURE(i);
+    CHECK(About(SpentAt(world, i), spent));
+  }
+}
+
+TEST_CASE("a new holder goes on from the balance that it heard of the one before") {
+  FleetWorld world(Options());
+  world.Play(8'000);
+  std::int64_t spent = SpendEverywhere(world);
+  world.Play(3'000);
+  const std::optional<int> first = world.Holder();
+  REQUIRE(first);
+  world.Kill(*first);
+  world.Play(500);
+  spent += SpendEverywhere(world);
+  world.Play(8'000);
+  const std::optional<int> second = world.Holder();
+  REQUIRE(second);
+  REQUIRE(*second != *first);
+  spent += SpendEverywhere(world);
+  world.Play(3'000);
+  CHECK(About(SpentAt(world, *second), spent));
+}
+
+TEST_CASE("while the store is down relays grant their groups' parts, together no more than all") {
+  FleetWorld world(Options());
+  world.Play(8'000);
+  SpendEverywhere(world);
+  world.Play(2'000);
+  world.SetStoreDown(true);
+  world.Play(6'000);
+  REQUIRE_FALSE(world.Holder());
+  double parts = 0.0;
+  for (int i = 0; i < world.Nodes(); ++i) {
+    const auto grants = world.GrantsOf(i);
+    if (grants && grants->valid_from <= world.Time() && world.Time() < grants->valid_until) {
+      parts += grants->part;
+    }
+  }
+  MESSAGE("parts granted: ", parts);
+  CHECK(parts > 0.7);
+  CHECK(parts <= 1.0);
+}
+
+TEST_CASE("where all processes were killed the lease's record tells who has spent most") {
+  FleetWorld world(Options());
+  world.Play(8'000);
+  for (int round = 0; round < 8; ++round) {
+    SpendEverywhere(world);
+    world.Play(400);
+  }
+  world.Play(3'000);
+  const std::int64_t left = world.LevelAt(*world.Holder(), kName).value_or(kBurst);
+  REQUIRE(left < kBurst / 2);
+  for (int i = 0; i < world.Nodes(); ++i) {
+    world.Start(i);
+  }
+  world.Play(4'000);
+  REQUIRE(world.Holder());
+  world.Spend(*world.Holder(), kName, 1);
+  world.Play(2'000);
+  const auto after = world.LevelAt(*world.Holder(), kName);
+  REQUIRE(after);
+  CHECK(*after >= left - 60);
+  CHECK(*after <= left + 60);
+}
+
+}  // namespace
+}  // namespace rudderloom
--- a/src/rudderloom/fleet/fleet_state.cpp
+++ b/src/rudderloom/fleet/fleet_state.cpp
@@ -276,6 +276,7 @@
   view->live_nodes = live_nodes_;
   view->quota = quota_word_;
   view->quota_holder = holds_ ? settings_.listen.peers : upstream_.Holder();
+  view->quota_relay = quota_relay_;
   const LoadTable loads = OtherLoads(now);
   const bool placed = holds_ || WordFresh(now);
   for (const auto& [instance, known] : directory_.Endpoints()) {
--- a/src/rudderloom/fleet/fleet_word.cpp
+++ b/src/rudderloom/fleet/fleet_word.cpp
@@ -195,6 +195,7 @@
   heard_ = HeardWord{digest, now - digest.age};
   spending_.Confirmed(digest.report_counted);
   TakeBalances(digest.balances, heard_->made_at);
+  NoteQuotaRelay(now);
   heard_->digest.serving = {};
   heard_->digest.endpoints = {};
   heard_->digest.configuration = {};
@@ -208,6 +209,7 @@
   common.epoch = holds_ ? lease_.Epoch() : upstream_.Epoch();
   common.holder = holds_ ? settings_.listen.peers : upstream_.Holder();
   if (!holds_) {
+    statement->grants = MakeRelayGrantBasis();
     return statement;
   }
   statement->made_at = now;
@@ -240,6 +242,7 @@
     statement->loads.all[endpoint] += load;
   }
   statement->reports_counted = spending_.ReportsCounted();
+  statement->grants = MakeRelayGrantBasis();
   statement->most_members = MostMembers(settings_.group_size);
   TellKnown(*statement);
   return statement;
--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -71,11 +71,28 @@
     if (routes_ || Now() >= until) {
       co_return;
     }
+    co_await AwaitView(until, [](const FleetView& view) { return view.routes != nullptr; });
+    routes_ = state_.views.Current()->routes;
+  }
+
+  // Without a word of the holder a node lets a customer spend very little: a request would come
+  // back later than the word.
+  Awaitable<void> AwaitQuotaWord() {
+    const TimePoint until =
+        std::min(state_.configured_by, arrived_ + terms_.deadline.value_or(kUsualDeadline));
+    const auto known = [](const FleetView& view) { return view.quota != nullptr; };
+    if (!known(*state_.views.Current()) && Now() < until) {
+      co_await AwaitView(until, known);
+    }
+  }
+
+  // Waits for a view that is as wanted, until a moment, the client's leave or the stop.
+  Awaitable<void> AwaitView(TimePoint until, bool (*wanted)(const FleetView&)) {
     CallGuard guard(state_.context, until, [] { return true; });
     exchange_.WatchPeer([&guard] { guard.ClientGone(); });
-    while (!routes_ && Now() < until && guard.Why() == Interruption::kNone && !state_.stopping) {
+    while (!wanted(*state_.views.Current()) && Now() < until &&
+           guard.Why() == Interruption::kNone && !state_.stopping) {
       co_await state_.views.WaitForNext(guard.WaitTimer(), until);
-      routes_ = state_.views.Current()->routes;
     }
     exchange_.StopWatching();
   }
@@ -96,6 +113,9 @@
     if (caller_.customer == nullptr) {
       co_return std::nullopt;
     }
+    if (caller_.customer->quota.Limited()) {
+      co_await AwaitQuotaWord();
+    }
     const auto wait = co_await grant_.Take(*caller_.customer, terms_);
     if (!wait) {
       co_return std::nullopt;
--- a/src/rudderloom/forwarding/quota_grant.cpp
+++ b/src/rudderloom/forwarding/quota_grant.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-// Longer than the link waits for the answer of a holder that is there.
+// Longer than the link waits for the answer of a node that is there.
 constexpr Duration kAskLimit{250};
 
 std::optional<Duration> WaitOf(const QuotaDecision& decision) {
@@ -26,7 +26,7 @@
   }
 }
 
-QuotaDecision QuotaGrant::Decide(HolderReach reach) {
+QuotaDecision QuotaGrant::Decide(GranterReach reach) {
   const QuotaDecision decision = state_.quota.Decide(part_.customer, part_.amount, reach, Now());
   taken_ = decision.verdict == QuotaVerdict::kGranted;
   return decision;
@@ -39,26 +39,28 @@
   }
   part_ = {CustomerKeyOf(customer.name), AmountOf(customer.quota, terms)};
   state_.quota.Asked(part_.customer, customer.quota, part_.amount, Now());
-  const std::string holder = state_.views.Current()->quota_holder;
+  const FleetViewPtr view = state_.views.Current();
+  const bool fresh = state_.quota.WordFresh(Now());
+  const std::string granter = fresh ? view->quota_holder : view->quota_relay;
   const QuotaDecision decision =
-      Decide(holder.empty() ? HolderReach::kUnreachable : HolderReach::kReachable);
+      Decide(granter.empty() ? GranterReach::kUnreachable : GranterReach::kReachable);
   if (decision.verdict != QuotaVerdict::kAsk) {
     co_return WaitOf(decision);
   }
-  const auto answer = co_await AskHolder(holder);
+  const auto answer = co_await Ask(granter);
   if (answer && answer->verdict == SpendVerdict::kGranted) {
     taken_ = true;
     co_return std::nullopt;
   }
   if (answer && answer->verdict == SpendVerdict::kRefused) {
-    state_.quota.RefusedByHolder(part_.customer, answer->wait, Now());
+    state_.quota.RefusedByGranter(part_.customer, answer->wait, Now());
     co_return answer->wait;
   }
   state_.metrics.Count({"rudderloom_quota_asks_unanswered_total"});
-  co_return WaitOf(Decide(HolderReach::kUnreachable));
+  co_return WaitOf(Decide(GranterReach::kUnreachable));
 }
 
-Awaitable<std::optional<SpendAnswer>> QuotaGrant::AskHolder(std::string holder) {
+Awaitable<std::optional<SpendAnswer>> QuotaGrant::Ask(std::string granter) {
   struct Waiting {
     asio::steady_timer timer;
     std::optional<SpendAnswer> answer;
@@ -66,7 +68,7 @@
   asio::io_context& context = state_.context;
   auto waiting = std::make_shared<Waiting>(Waiting{asio::steady_timer(context), {}});
   waiting->timer.expires_after(kAskLimit);
-  state_.ask_holder(holder, part_, [&context, waiting](std::optional<SpendAnswer> answer) {
+  state_.ask_holder(granter, part_, [&context, waiting](std::optional<SpendAnswer> answer) {
     asio::post(context, [waiting, answer] {
       waiting->answer = answer;
       waiting->timer.cancel();
--- a/src/rudderloom/forwarding/quota_grant.hpp
+++ b/src/rudderloom/forwarding/quota_grant.hpp
@@ -26,10 +26,10 @@
   void MayHaveRun() { ran_ = true; }
 
  private:
-  // The holder's answer; nothing when none came.
-  Awaitable<std::optional<SpendAnswer>> AskHolder(std::string holder);
+  // The answer of the node at this address; nothing when none came.
+  Awaitable<std::optional<SpendAnswer>> Ask(std::string granter);
   // By this node's own account.
-  QuotaDecision Decide(HolderReach reach);
+  QuotaDecision Decide(GranterReach reach);
 
   ForwardingState& state_;
   SpendAsk part_;
--- a/src/rudderloom/placement/lease_keeper.cpp
+++ b/src/rudderloom/placement/lease_keeper.cpp
@@ -1,6 +1,7 @@
 #include "rudderloom/placement/lease_keeper.hpp"
 
 #include <algorithm>   // for max, min
+#include <charconv>    // for from_chars
 #include <functional>  // for hash
 #include <tuple>       // for tie
 
@@ -39,6 +40,34 @@
 
 }  // namespace
 
+namespace {
+
+boost::json::object BalancesToJson(const LowBalances& balances) {
+  boost::json::object object;
+  for (const auto& [customer, level] : balances) {
+    object[std::to_string(customer)] = level;
+  }
+  return object;
+}
+
+LowBalances BalancesAt(const boost::json::object& object, std::string_view key) {
+  LowBalances balances;
+  const boost::json::value* found = object.if_contains({key.data(), key.size()});
+  if (found == nullptr || !found->is_object()) {
+    return balances;
+  }
+  for (const auto& [name, level] : found->as_object()) {
+    CustomerKey customer = 0;
+    const auto parsed = std::from_chars(name.data(), name.data() + name.size(), customer);
+    if (parsed.ec == std::errc() && level.is_int64()) {
+      balances[customer] = level.as_int64();
+    }
+  }
+  return balances;
+}
+
+}  // namespace
+
 boost::json::object ToJson(const LeaseRecord& record) {
   return {{"holder", record.holder},
           {"incarnation", record.incarnation},
@@ -46,7 +75,8 @@
           {"renewals", record.renewals},
           {"released", record.released},
           {"own", ToJson(record.own)},
-          {"inherited", ToJson(record.inherited)}};
+          {"inherited", ToJson(record.inherited)},
+          {"low_balances", BalancesToJson(record.low_balances)}};
 }
 
 LeaseRecord LeaseRecordFromJson(const boost::json::object& object) {
@@ -58,6 +88,7 @@
   record.released = FlagAt(object, "released");
   record.own = ScopesAt(object, "own");
   record.inherited = ScopesAt(object, "inherited");
+  record.low_balances = BalancesAt(object, "low_balances");
   return record;
 }
 
@@ -180,6 +211,7 @@
   FormerLease former;
   former.rest = bound_ + kMargin + (record.released ? Duration(0) : valid_for_);
   former.inherited = record.inherited;
+  former.low_balances = record.low_balances;
   if (record.holder.empty()) {
     return former;
   }
@@ -206,6 +238,7 @@
     write.record.released = GivesUp();
     write.record.own = wanted_own_;
     write.record.inherited = wanted_inherited_;
+    write.record.low_balances = low_balances_;
   } else {
     if (stopping_ || !Suspects() || !Confirmed() || !FreeForThisNode(now)) {
       return std::nullopt;
@@ -213,8 +246,9 @@
     former_ = FormerOf(record_);
     wanted_own_ = former_.own;
     wanted_inherited_ = former_.inherited;
+    low_balances_ = former_.low_balances;
     write.record = LeaseRecord{address_, incarnation_, record_.epoch + 1, 1,
-                               false,    wanted_own_,  wanted_inherited_};
+                               false,    wanted_own_,  wanted_inherited_, low_balances_};
     write_starts_.clear();
   }
   write_started_at_ = now;
--- a/src/rudderloom/placement/lease_keeper_test.cpp
+++ b/src/rudderloom/placement/lease_keeper_test.cpp
@@ -98,7 +98,7 @@
   Step(holder, lonely, At(0));
   LeaseKeeper only("e:1", "v", kBound);
   only.YieldFor(Duration(1'000));
-  lonely.record = LeaseRecord{"a:1", "x", 1, 1, false, {}, {}};
+  lonely.record = LeaseRecord{"a:1", "x", 1, 1, false, {}, {}, {}};
   for (ms = 0; ms < 4'000 && !only.Holds(At(ms)); ms += 50) {
     Step(only, lonely, At(ms));
   }
@@ -356,5 +356,26 @@
   CHECK(orders > 40 * 100);
 }
 
+TEST_CASE("a new holder learns the low balances that the one before wrote down") {
+  LeaseObject object;
+  LeaseKeeper first("a:1", "x", kBound);
+  int ms = 0;
+  for (; ms < 2'500; ms += 50) {
+    first.NoteBalances({{7, -300}, {9, 40}});
+    Step(first, object, At(ms));
+  }
+  REQUIRE(first.Holds(At(ms)));
+  REQUIRE(object.record);
+  const LeaseRecord read = LeaseRecordFromJson(ToJson(*object.record));
+  CHECK(read == *object.record);
+  LeaseKeeper second("b:1", "y", kBound);
+  for (; ms < 8'000 && !second.Holds(At(ms)); ms += 50) {
+    Step(second, object, At(ms));
+  }
+  REQUIRE(second.Holds(At(ms)));
+  CHECK(second.Former().low_balances == LowBalances{{7, -300}, {9, 40}});
+  CHECK(object.record->low_balances == second.Former().low_balances);
+}
+
 }  // namespace
 }  // namespace rudderloom
--- a/src/rudderloom/quota/grant_book.cpp
+++ b/src/rudderloom/quota/grant_book.cpp
@@ -17,15 +17,23 @@
   return "unknown";
 }
 
-double GrantBook::Available(CustomerKey customer, const GrantBasis& basis, TimePoint now) const {
+double GrantBook::LevelOf(CustomerKey customer, const GrantBasis& basis, TimePoint now) const {
   const QuotaLimit& limit = basis.limits.at(customer);
+  const auto told = basis.balances.find(customer);
+  if (told == basis.balances.end()) {
+    return UnknownLevel(basis.unknown, limit, bounds_, basis.unknown_since, now);
+  }
   const double age = std::chrono::duration<double>(now - basis.made_at).count();
-  const double level = static_cast<double>(basis.balances.at(customer).level) +
+  const double level = static_cast<double>(told->second.level) +
                        static_cast<double>(limit.per_second) * std::max(0.0, age);
-  const double capped = std::min(level, static_cast<double>(MostAhead(limit, bounds_)));
+  return std::min(level, static_cast<double>(MostAhead(limit, bounds_)));
+}
+
+double GrantBook::Available(CustomerKey customer, const GrantBasis& basis, TimePoint now) const {
+  const double level = basis.part * LevelOf(customer, basis, now);
   const auto granted = sums_.find(customer);
   const double outstanding = granted == sums_.end() ? 0.0 : static_cast<double>(granted->second);
-  return capped - kSharedPart * std::max(0.0, capped) - outstanding;
+  return level - kSharedPart * std::max(0.0, level) - outstanding;
 }
 
 SpendAnswer GrantBook::Ask(const SpendAsk& ask, const GrantBasis& basis, TimePoint now) {
@@ -34,14 +42,14 @@
     sums_[counted.customer] -= counted.amount;
     outstanding_.pop_front();
   }
-  const bool known = basis.balances.contains(ask.customer) && basis.limits.contains(ask.customer);
-  if (!known || now >= basis.valid_until) {
+  const bool valid = now >= basis.valid_from && now < basis.valid_until;
+  if (!valid || !basis.limits.contains(ask.customer)) {
     return {};
   }
   const double available = Available(ask.customer, basis, now);
   if (available < 0.0) {
     constexpr double kMillisecondsPerSecond = 1'000.0;
-    const auto rate = static_cast<double>(basis.limits.at(ask.customer).per_second);
+    const double rate = basis.part * static_cast<double>(basis.limits.at(ask.customer).per_second);
     const double wait = std::ceil(-available / rate * kMillisecondsPerSecond);
     return {SpendVerdict::kRefused, Duration(static_cast<Duration::rep>(wait))};
   }
--- a/src/rudderloom/quota/grant_book_test.cpp
+++ b/src/rudderloom/quota/grant_book_test.cpp
@@ -57,6 +57,33 @@
   GrantBook book(kBounds);
   CHECK(book.Ask({kCustomer, 1}, Basis(2'000, 0), At(3'000)).verdict == SpendVerdict::kCantSay);
   CHECK(book.Ask({kCustomer + 1, 1}, Basis(2'000, 0), At(0)).verdict == SpendVerdict::kCantSay);
+  GrantBasis later = Basis(2'000, 0);
+  later.valid_from = At(100);
+  CHECK(book.Ask({kCustomer, 1}, later, At(99)).verdict == SpendVerdict::kCantSay);
+  CHECK(book.Ask({kCustomer, 1}, later, At(100)).verdict == SpendVerdict::kGranted);
+}
+
+TEST_CASE("a customer that nobody knows of has all, a part or nothing to spend, as assumed") {
+  GrantBasis basis = Basis(0, 0);
+  basis.balances.clear();
+  basis.unknown_since = At(0);
+  const auto granted = [&](UnknownBalance unknown, int ms) {
+    GrantBook book(kBounds);
+    basis.unknown = unknown;
+    return GrantedAtOnce(book, basis, At(ms));
+  };
+  CHECK(granted(UnknownBalance::kWhole, 0) == 1'800);
+  CHECK(granted(UnknownBalance::kQuarter, 0) == 600);
+  CHECK(granted(UnknownBalance::kEmpty, 0) == 300);
+  CHECK(granted(UnknownBalance::kEmpty, 1'000) == 900);
+}
+
+TEST_CASE("relays that grant while there is no holder grant their parts of the balance") {
+  GrantBook book(kBounds);
+  GrantBasis basis = Basis(2'000, 0);
+  basis.part = 0.25;
+  // 375, and one request ahead.
+  CHECK(GrantedAtOnce(book, basis, At(0)) == 600);
 }
 
 TEST_CASE("a stale balance grants no more than a customer may be ahead") {
--- a/src/rudderloom/quota/quota_account.cpp
+++ b/src/rudderloom/quota/quota_account.cpp
@@ -15,9 +15,6 @@
 // by what each is asked for.
 constexpr double kAlikePart = 0.5;
 constexpr double kMillisecondsPerSecond = 1'000.0;
-// Words come each quarter of a second, and are some 200 ms old; without one for so long the holder
-// is taken for gone, and shares are all that there is.
-constexpr Duration kWordFresh{1'500};
 // A refusal of the holder's holds for so long at the most: others may have given back.
 constexpr Duration kRefusedFor{300};
 
@@ -28,18 +25,20 @@
 }
 
 bool QuotaAccount::WordFresh(TimePoint now) const {
-  return word_ && now - word_->made_at < kWordFresh;
+  return word_ && now - word_->made_at < kGrantsWithWord;
 }
 
-// A second: of the part that is shared while the holder grants the rest.
-double QuotaAccount::Inflow(const Account& account, TimePoint now) const {
-  const double part = WordFresh(now) ? kSharedPart : 1.0;
+// A second: of the part that is shared while others grant the rest, or of the whole rate.
+double QuotaAccount::Inflow(const Account& account, GranterReach reach, TimePoint now) const {
+  const bool alone = reach == GranterReach::kUnreachable && !WordFresh(now);
+  const double part = alone ? 1.0 : kSharedPart;
   return part * account.share * static_cast<double>(account.limit.per_second);
 }
 
-void QuotaAccount::Move(Account& account, TimePoint now) const {
+void QuotaAccount::Move(Account& account, GranterReach reach, TimePoint now) const {
   const double seconds = std::chrono::duration<double>(now - account.moved_at).count();
-  account.balance = std::min(Most(account), account.balance + Inflow(account, now) * seconds);
+  account.balance =
+      std::min(Most(account), account.balance + Inflow(account, reach, now) * seconds);
   account.moved_at = now;
 }
 
@@ -74,18 +73,17 @@
 
 QuotaDecision QuotaAccount::Decide(CustomerKey customer,
                                    std::uint64_t amount,
-                                   HolderReach reach,
+                                   GranterReach reach,
                                    TimePoint now) {
   Account& account = accounts_[customer];
-  Move(account, now);
-  const bool can_ask = reach == HolderReach::kReachable && WordFresh(now);
-  if (can_ask && account.balance < static_cast<double>(amount)) {
+  Move(account, reach, now);
+  if (reach == GranterReach::kReachable && account.balance < static_cast<double>(amount)) {
     return now < account.refused_until
                ? QuotaDecision{QuotaVerdict::kRefused, Between(now, account.refused_until)}
                : QuotaDecision{QuotaVerdict::kAsk, Duration(0)};
   }
   if (account.balance < 0.0) {
-    const double seconds = -account.balance / std::max(1.0, Inflow(account, now));
+    const double seconds = -account.balance / std::max(1.0, Inflow(account, reach, now));
     const double wait = seconds * kMillisecondsPerSecond;
     return {QuotaVerdict::kRefused, Duration(static_cast<Duration::rep>(std::ceil(wait)))};
   }
@@ -95,7 +93,7 @@
   return {QuotaVerdict::kGranted, Duration(0)};
 }
 
-void QuotaAccount::RefusedByHolder(CustomerKey customer, Duration wait, TimePoint now) {
+void QuotaAccount::RefusedByGranter(CustomerKey customer, Duration wait, TimePoint now) {
   accounts_[customer].refused_until = now + std::min(wait, kRefusedFor);
 }
 
--- a/src/rudderloom/quota/quota_account_test.cpp
+++ b/src/rudderloom/quota/quota_account_test.cpp
@@ -31,14 +31,14 @@
                                    std::uint64_t amount,
                                    TimePoint now) {
   account.Asked(kCustomer, limit, amount, now);
-  const QuotaDecision decision = account.Decide(kCustomer, amount, HolderReach::kUnreachable, now);
+  const QuotaDecision decision = account.Decide(kCustomer, amount, GranterReach::kUnreachable, now);
   return decision.verdict == QuotaVerdict::kGranted ? std::nullopt : std::optional(decision.wait);
 }
 
 // The same at one that can.
 QuotaVerdict SpendOrAsk(QuotaAccount& account, std::uint64_t amount, TimePoint now) {
   account.Asked(kCustomer, kLimit, amount, now);
-  return account.Decide(kCustomer, amount, HolderReach::kReachable, now).verdict;
+  return account.Decide(kCustomer, amount, GranterReach::kReachable, now).verdict;
 }
 
 TEST_CASE("a node that has heard nothing lets one request run at once, and then a small share") {
@@ -63,7 +63,7 @@
   QuotaAccount account(kBounds);
   account.Heard(Word(-5'000, 60, 90'000, 0), At(0));
   CHECK(SpendOrAsk(account, kRequest, At(0)) == QuotaVerdict::kAsk);
-  account.RefusedByHolder(kCustomer, Duration(700), At(10));
+  account.RefusedByGranter(kCustomer, Duration(700), At(10));
   CHECK(SpendOrAsk(account, kRequest, At(200)) == QuotaVerdict::kRefused);
   CHECK(SpendOrAsk(account, kRequest, At(311)) == QuotaVerdict::kAsk);
 }
--- a/src/rudderloom/quota/quota_ledger.cpp
+++ b/src/rudderloom/quota/quota_ledger.cpp
@@ -22,11 +22,9 @@
   if (const auto known = former_.balances.find(customer); known != former_.balances.end()) {
     entry.level = static_cast<double>(known->second.level);
     entry.moved_at = former_.made_at;
-  } else if (unknown_ == UnknownBalance::kWhole) {
-    entry.level = static_cast<double>(MostAhead(limit, bounds_));
-    entry.moved_at = now;
   } else {
-    entry.moved_at = begun_at_;
+    entry.level = UnknownLevel(unknown_, limit, bounds_, begun_at_, now);
+    entry.moved_at = now;
   }
   return entry;
 }
@@ -59,10 +57,10 @@
   }
 }
 
-void QuotaLedger::Granted(CustomerKey customer, std::uint64_t amount) {
-  const auto found = entries_.find(customer);
-  if (found != entries_.end()) {
-    found->second.level -= static_cast<double>(amount);
+void QuotaLedger::Granted(const SpendAsk& granted, const QuotaLimits& limits, TimePoint now) {
+  const auto limit = limits.find(granted.customer);
+  if (limit != limits.end()) {
+    Open(granted.customer, limit->second, now).level -= static_cast<double>(granted.amount);
   }
 }
 
--- a/src/rudderloom/quota/quota_model_test.cpp
+++ b/src/rudderloom/quota/quota_model_test.cpp
@@ -168,17 +168,17 @@
     QuotaAccount& account = *nodes_[static_cast<std::size_t>(index)].account;
     account.Asked(kCustomer, kSetup.limit, kRequest, Now());
     const QuotaVerdict verdict =
-        account.Decide(kCustomer, kRequest, HolderReach::kReachable, Now()).verdict;
+        account.Decide(kCustomer, kRequest, GranterReach::kReachable, Now()).verdict;
     if (verdict != QuotaVerdict::kAsk) {
       return verdict == QuotaVerdict::kGranted;
     }
     const SpendAnswer answer = AskHolder(index);
     if (answer.verdict == SpendVerdict::kCantSay) {
-      return account.Decide(kCustomer, kRequest, HolderReach::kUnreachable, Now()).verdict ==
+      return account.Decide(kCustomer, kRequest, GranterReach::kUnreachable, Now()).verdict ==
              QuotaVerdict::kGranted;
     }
     if (answer.verdict == SpendVerdict::kRefused) {
-      account.RefusedByHolder(kCustomer, answer.wait, Now());
+      account.RefusedByGranter(kCustomer, answer.wait, Now());
     }
     return answer.verdict == SpendVerdict::kGranted;
   }
@@ -262,7 +262,7 @@
     const SpendingReport report = node.log->Take(Now());
     ledger_->Move(report.table, {{kCustomer, kSetup.limit}}, Now());
     for (const Grant& grant : granted_) {
-      ledger_->Granted(grant.ask.customer, grant.ask.amount);
+      ledger_->Granted(grant.ask, {{kCustomer, kSetup.limit}}, Now());
       grants_counted_ = grant.number;
     }
     granted_.clear();
--- a/src/rudderloom/quota/spending.cpp
+++ b/src/rudderloom/quota/spending.cpp
@@ -1,6 +1,7 @@
 #include "rudderloom/quota/spending.hpp"
 
-#include <cmath>  // for exp
+#include <algorithm>  // for max, min
+#include <cmath>      // for exp
 
 namespace rudderloom {
 
@@ -24,6 +25,21 @@
                                    kAheadPart * (bounds.overshoot * allowed + bounds.slack));
 }
 
+double UnknownLevel(UnknownBalance unknown,
+                    const QuotaLimit& limit,
+                    const QuotaBounds& bounds,
+                    TimePoint since,
+                    TimePoint now) {
+  constexpr double kQuarter = 0.25;
+  const auto most = static_cast<double>(MostAhead(limit, bounds));
+  if (unknown == UnknownBalance::kWhole) {
+    return most;
+  }
+  const double seconds = std::max(0.0, std::chrono::duration<double>(now - since).count());
+  const double level = unknown == UnknownBalance::kQuarter ? kQuarter * most : 0.0;
+  return std::min(most, level + static_cast<double>(limit.per_second) * seconds);
+}
+
 void AddUntold(const SpendingTable& earlier, SpendingTable& newer) {
   for (const auto& [customer, spending] : earlier) {
     Spending& sum = newer[customer];
--- a/tests/fakes/fleet_world.cpp
+++ b/tests/fakes/fleet_world.cpp
@@ -66,6 +66,7 @@
   node.endpoints = {};
   node.configuration = {};
   node.waiting_report.reset();
+  node.spending.clear();
   node.reporting = false;
   node.routes_version = 0;
   const Followings followings = FollowingsAtStart(SettingsOf(node));
@@ -93,8 +94,9 @@
   std::vector<Route> routes(2);
   routes[0].prefix = "/stays/";
   routes[1].prefix = "/v" + std::to_string(routes_version_) + "/";
-  return std::make_shared<const RouteTable>(routes_version_, routes, std::vector<ServiceSpec>{},
-                                            ClientLimits{});
+  return std::make_shared<const RouteTable>(
+      routes_version_, routes, std::vector<ServiceSpec>{}, ClientLimits{},
+      Callers{!options_.customers.empty(), options_.customers});
 }
 
 void FleetWorld::After(int milliseconds, std::function<void()> what) {
@@ -138,6 +140,10 @@
         NodeCounts counts;
         counts.node = node.name;
         counts.loads[KeyOf("e1")] = {1, 0, 0};
+        counts.spending = node.spending;
+        for (auto& [customer, spending] : node.spending) {
+          spending = {0, 0, spending.nodes};
+        }
         Tell(node, fleet_message::NodeSampled{counts});
       }
     }
@@ -322,6 +328,27 @@
   });
 }
 
+void FleetWorld::Spend(int node, const std::string& customer, std::int64_t amount) {
+  Spending& spending = At(node).spending[CustomerKeyOf(customer)];
+  spending.spent += amount;
+  spending.asked += static_cast<std::uint64_t>(amount);
+  spending.nodes = 1;
+}
+
+std::optional<std::int64_t> FleetWorld::LevelAt(int node, const std::string& customer) const {
+  const FleetViewPtr& view = At(node).view;
+  if (!view || !view->quota) {
+    return std::nullopt;
+  }
+  const auto found = view->quota->balances.find(CustomerKeyOf(customer));
+  return found == view->quota->balances.end() ? std::nullopt : std::optional(found->second.level);
+}
+
+std::shared_ptr<const GrantBasis> FleetWorld::GrantsOf(int node) const {
+  const auto& statement = At(node).statement;
+  return statement ? statement->grants : nullptr;
+}
+
 std::optional<int> FleetWorld::Holder() const {
   for (int i = 0; i < Nodes(); ++i) {
     if (At(i).state && At(i).holds) {
--- a/tests/fakes/fleet_world.hpp
+++ b/tests/fakes/fleet_world.hpp
@@ -23,6 +23,7 @@
   double large_share = 0.5;  // of a core, of the first nodes of each zone
   int large_in_zone = 2;
   double small_share = 0.12;
+  std::vector<Customer> customers = {};
 };
 
 // Calls to the store; a stale one counts a tenth.
@@ -52,6 +53,14 @@
   void Configure(std::uint64_t version);
   void PutEndpoint(const std::string& instance, bool leaving);
 
+  // Something of a customer's limit is spent at a node.
+  void Spend(int node, const std::string& customer, std::int64_t amount);
+  // What the node has last heard of the customer's balance; nothing when it has heard none.
+  std::optional<std::int64_t> LevelAt(int node, const std::string& customer) const;
+  // From what the node would grant requests that other nodes ask for; null for nothing.
+  std::shared_ptr<const GrantBasis> GrantsOf(int node) const;
+  TimePoint Time() const { return TimePoint(std::chrono::hours(1)) + Duration(now_); }
+
   // The node that holds the lease as it sees itself; nothing when none does.
   std::optional<int> Holder() const;
   std::uint64_t RoutesVersionOf(int node) const { return At(node).routes_version; }
@@ -88,6 +97,7 @@
     Followed endpoints;
     Followed configuration;
     std::optional<CountsToReport> waiting_report;
+    SpendingTable spending;  // since the last sample
     bool reporting = false;
     std::vector<int> heard_reports_at;
     std::uint64_t routes_version = 0;
@@ -99,7 +109,6 @@
   Node& At(int node) { return nodes_[static_cast<std::size_t>(node)]; }
   const Node& At(int node) const { return nodes_[static_cast<std::size_t>(node)]; }
   Node* Find(const std::string& address);
-  TimePoint Time() const { return TimePoint(std::chrono::hours(1)) + Duration(now_); }
   void After(int milliseconds, std::function<void()> what);
   // Runs only if the process is still the same one.
   void AfterIn(Node& node, int milliseconds, std::function<void()> what);
--- a/tests/days/make_days.py
+++ b/tools/make_days.py
@@ -1,12 +1,17 @@
 #!/usr/bin/env python3
-"""Writes the days of our own: each kind of trouble alone, twice, and pairs that meet.
+"""Writes the days of our own.
 
-usage: tests/days/make_days.py DIRECTORY
+usage: tools/make_days.py [--every-kind DIRECTORY]
+Without arguments: those of deploy/days, which the bench's hunts play on every deployment that they fit.
+With --every-kind: each kind of trouble alone, twice, and pairs that meet, some ninety days.
 Times are seconds from the start of traffic. The shares and strengths are those of an ordinary day.
+@c0, @s0 and @z0 stand for a deployment's first kind of request, service and zone.
 """
 import pathlib
 import sys
 
+HUNTED = pathlib.Path(__file__).resolve().parent.parent / "deploy" / "days"
+
 KINDS = {
     "srv_crash_dark": "kind = 'srv_crash', share = 0.2, for_s = 4.0, how = 'dark'",
     "srv_crash_gone": "kind = 'srv_crash', share = 0.15, for_s = 4.0, how = 'gone'",
@@ -79,10 +84,56 @@
     "retry_abuse": "kind = 'retry_abuse', share = 0.4, x = 3.0, for_s = 6.0",
     "give_up": "kind = 'give_up', share = 0.4, for_s = 6.0",
     "burst": "kind = 'burst', x = 2.2, for_s = 4.0",
+    "burst_first_class": "kind = 'burst', class = '@c0', x = 3.0, for_s = 3.0",
+    "revoke": "kind = 'revoke', count = 3, gap_s = 0.5",
+    "revoke_last": "kind = 'revoke', count = 3, gap_s = 0.5, how = 'last'",
+    "hot_first": "kind = 'hot_tenant', x = 6.0, for_s = 9.0, count = 1",
+    "hot_second": "kind = 'hot_tenant', x = 7.5, for_s = 9.0, count = 2",
+    "hot_small": "kind = 'hot_tenant', x = 7.5, for_s = 9.0, count = 12",
+    "quota_down": "kind = 'config_change', how = 'quota down'",
+    "quota": "kind = 'config_change', how = 'quota'",
+    "topup": "kind = 'config_change', how = 'topup'",
+    "tenant": "kind = 'config_change', how = 'tenant'",
+    "srv_cut_reborn": "kind = 'srv_cut', share = 0.25, for_s = 4.0, how = 'reborn'",
+    "node_cut_reborn": "kind = 'node_cut', share = 0.3, for_s = 5.0, how = 'servers reborn'",
+    "node_freeze_renewed": "kind = 'node_freeze', count = 1, for_s = 5.0, how = 'renewed'",
+    "grey_first_service": "kind = 'srv_grey', service = '@s0', share = 1.0, x = 0.4, for_s = 5.0, how = 'errors all'",
+    "add": "kind = 'add_nodes'",
+    "shift_first_zone": "kind = 'shift', zone = '@z0', share = 0.6, for_s = 8.0",
 }
 
 PLANNED = ("scale_in_reclaim", "scale_in_spot", "scale_out", "release_all", "roll_term", "roll_remove",
-           "hup", "config_storm", "big_config", "replace_planned")
+           "hup", "config_storm", "big_config", "replace_planned", "revoke", "revoke_last", "quota_down",
+           "quota", "topup", "tenant")
+
+# Each with what it asks of the system; troubles by name and second, and the day's end if it has one.
+HUNTED_DAYS = {
+    # Nodes that are cut off must hear of keys taken away from their neighbours.
+    "keys_taken_behind_cuts": [("node_cut_all", 4.0), ("revoke_last", 5.0), ("revoke", 18.0), ("core_cut_all", 17.0)],
+    "keys_taken_in_outages": [("down_nodes", 4.0), ("revoke", 5.0), ("roll_term", 6.0), ("revoke_last", 20.0), ("down_busy", 19.0)],
+    "keys_move_between_customers": [("tenant", 4.0), ("node_freeze", 4.5), ("tenant", 9.0), ("config_storm", 9.5), ("tenant", 21.0)],
+    # A customer far over its limit, while who counts it changes.
+    "hot_customer_holder_killed": [("hot_first", 3.0), ("node_kill_leader", 6.0), ("replace_core", 9.0), ("hot_second", 17.0), ("node_freeze_renewed", 20.0)],
+    "hot_customer_all_killed": [("hot_second", 3.0), ("herd_kill", 6.0), ("hot_first", 18.0), ("herd_off", 21.0)],
+    "hot_small_customer": [("hot_small", 3.0), ("node_slow_leader", 5.0), ("hot_small", 18.0), ("core_cut_leader", 20.0)],
+    "hot_customer_store_down": [("hot_first", 3.0), ("down_silent", 5.0), ("hot_small", 18.0), ("down_reset", 19.0)],
+    "hot_customer_clients_move": [("hot_first", 3.0), ("shift_first_zone", 5.0), ("roll_term", 6.0), ("hot_second", 18.0), ("add", 19.0)],
+    "hot_customers_two": [("hot_first", 3.0), ("hot_second", 4.0), ("burst", 5.0), ("hot_small", 18.0), ("retry_abuse", 19.0)],
+    "quota_lowered_in_storm": [("quota_down", 4.0), ("config_storm", 4.5), ("core_cut_leader", 6.0), ("topup", 14.0), ("quota_down", 20.0), ("platform_slow", 20.5)],
+    "quota_raised_and_lowered": [("quota", 3.0), ("topup", 7.0), ("quota_down", 11.0), ("hot_first", 12.0), ("quota", 20.0), ("node_kill_leader", 21.0)],
+    # Endpoints that start again under their names.
+    "reborn_with_late_orders": [("srv_cut_reborn", 4.0), ("applied_late", 3.0), ("srv_cut_reborn", 18.0), ("platform_lost_late", 17.0)],
+    "reborn_as_holder_changes": [("node_cut_reborn", 4.0), ("node_kill_leader", 5.0), ("srv_cut_reborn", 18.0), ("core_cut_leader", 18.5)],
+    "reborn_while_leaving": [("release_all", 3.0), ("srv_cut_reborn", 4.0), ("scale_in_spot", 17.0), ("node_cut_reborn", 18.0)],
+    # What earlier findings teach.
+    "takeovers_in_a_row": [("node_kill_leader", 3.0), ("node_freeze_renewed", 8.0), ("core_cut_leader", 15.0), ("node_slow_leader", 20.0)],
+    "connections_reset_in_bursts": [("burst_first_class", 3.0), ("reset_conns", 4.0), ("lossy", 5.0), ("burst_first_class", 18.0), ("reset_conns", 19.0)],
+    "first_service_fails": [("grey_first_service", 4.0), ("retry_abuse", 4.0), ("grey_first_service", 18.0), ("answer_lost", 18.0)],
+}
+HUNTED_ENDS = {
+    "hot_customer_at_the_end": ([("hot_first", 26.0), ("quota_down", 4.0)], "kill_all"),
+    "keys_taken_at_the_end": ([("revoke_last", 28.0), ("hot_small", 20.0)], "power_off_all"),
+}
 
 PAIRS = [
     ("down_busy", "node_freeze"),
@@ -126,24 +177,45 @@
     return text + "plan = [\n%s]\nfaults = [\n%s]\n" % (plan, faults)
 
 
-def main():
-    directory = pathlib.Path(sys.argv[1])
+def write(directory, name, text):
+    (directory / ("%s.toml" % name)).write_text(text, encoding="utf-8")
+
+
+def write_hunted():
+    HUNTED.mkdir(parents=True, exist_ok=True)
+    seed = 5000
+    for name, troubles in HUNTED_DAYS.items():
+        seed += 1
+        write(HUNTED, name, day(name, seed, troubles))
+    for name, (troubles, closing) in HUNTED_ENDS.items():
+        seed += 1
+        write(HUNTED, name, day(name, seed, troubles, '{ kind = "%s", down_s = 1.0 }' % closing))
+
+
+def write_every_kind(directory):
     directory.mkdir(parents=True, exist_ok=True)
     seed = 1000
     for name in KINDS:
         seed += 1
-        text = day("twice-" + name, seed, [(name, 5.0), (name, 19.0)])
-        (directory / ("twice_%s.toml" % name)).write_text(text, encoding="utf-8")
+        write(directory, "twice_" + name, day("twice-" + name, seed, [(name, 5.0), (name, 19.0)]))
     for first, second in PAIRS:
         seed += 1
         troubles = [(first, 5.0), (second, 6.5), (first, 19.5), (second, 18.6)]
-        text = day("pair-%s-%s" % (first, second), seed, troubles)
-        (directory / ("pair_%s_%s.toml" % (first, second))).write_text(text, encoding="utf-8")
+        write(directory, "pair_%s_%s" % (first, second), day("pair-%s-%s" % (first, second), seed, troubles))
     for closing in ("power_off_all", "wipe_after_ack", "kill_all"):
         seed += 1
         text = day("closing-" + closing, seed, [("config_storm", 28.0), ("applied_late", 24.0)],
                    '{ kind = "%s", down_s = 1.0, how = "timed" }' % closing)
-        (directory / ("closing_%s.toml" % closing)).write_text(text, encoding="utf-8")
+        write(directory, "closing_" + closing, text)
+
+
+def main():
+    if len(sys.argv) == 3 and sys.argv[1] == "--every-kind":
+        write_every_kind(pathlib.Path(sys.argv[2]))
+    elif len(sys.argv) == 1:
+        write_hunted()
+    else:
+        sys.exit(__doc__)
 
 
 if __name__ == "__main__":
