What a request passes before it is sent stands in one file; the soak knows customers

Decisions are the same. The soak's callers show keys of two customers; no key may reach an endpoint, an unknown one gets 401; engines start again under their names, and other writers leave odd entries.

--- a/include/rudderloom/fleet/messages.hpp
+++ b/include/rudderloom/fleet/messages.hpp
@@ -13,7 +13,7 @@
 #include "rudderloom/placement/demand.hpp"        // for NodeCounts
 #include "rudderloom/placement/lease_keeper.hpp"  // for LeaseRecord
 #include "rudderloom/placement/order.hpp"         // for PlacementOrder
-#include "rudderloom/quota/grant_book.hpp"        // for Grant
+#include "rudderloom/quota/grant_book.hpp"        // for SpendGrant
 #include "rudderloom/routes/route_table.hpp"      // for RouteTablePtr
 
 namespace rudderloom::fleet_message {
@@ -85,7 +85,7 @@
 /// @brief This node, as the holder of the lease, let a customer's request run at another node.
 /// @ingroup fleet
 struct RequestGranted {
-  Grant grant;
+  SpendGrant grant;
 };
 
 /// @brief The store has just confirmed the configuration in force here.
--- a/include/rudderloom/quota/grant_book.hpp
+++ b/include/rudderloom/quota/grant_book.hpp
@@ -63,7 +63,7 @@
 
 /// @brief One request that was granted.
 /// @ingroup quota
-struct Grant {
+struct SpendGrant {
   std::uint64_t number = 0;  ///< Rises with each.
   SpendAsk ask;
 };
@@ -79,7 +79,7 @@
   SpendAnswer Ask(const SpendAsk& ask, const GrantBasis& basis, TimePoint now);
 
   /// @brief The grant that was last made.
-  const Grant& Last() const { return outstanding_.back(); }
+  const SpendGrant& Last() const { return outstanding_.back(); }
 
  private:
   double LevelOf(CustomerKey customer, const GrantBasis& basis, TimePoint now) const;
@@ -87,7 +87,7 @@
 
   QuotaBounds bounds_;
   std::uint64_t next_number_ = 1;
-  std::deque<Grant> outstanding_;  // that the balances don't take in yet
+  std::deque<SpendGrant> outstanding_;  // that the balances don't take in yet
   std::map<CustomerKey, std::uint64_t> sums_;
 };
 
--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -3,20 +3,18 @@
 #include <algorithm>  // for clamp, max, min
 #include <utility>    // for move
 
+#include "forwarding/arrival.hpp"                // for Arrival
 #include "forwarding/attempt.hpp"                // for RunAttempt
 #include "forwarding/forward_refusal.hpp"        // for ForwardRefusal
-#include "forwarding/quota_grant.hpp"            // for QuotaGrant
 #include "forwarding/request_end.hpp"            // for LogRequestEnd, LogFailedAttempt
 #include "forwarding/request_samples.hpp"        // for LearnTimes, OfferedTime
 #include "forwarding/tried_endpoints.hpp"        // for TriedEndpoints
 #include "rudderloom/forwarding/call_guard.hpp"  // for CallGuard
-#include "rudderloom/routes/caller.hpp"          // for IdentifyCaller
 
 namespace rudderloom {
 
 namespace {
 
-constexpr Duration kUsualDeadline{30'000};
 // Less time than this is not worth an attempt.
 constexpr Duration kLeastForAttempt{40};
 constexpr Duration kComeBackSoon{300};
@@ -36,17 +34,14 @@
         exchange_(exchange),
         arrived_(Now()),
         terms_(state.dialect.ReadRequest(exchange.Request())),
-        routes_(state.views.Current()->routes),
-        grant_(state) {}
+        arrival_(state, exchange, terms_, arrived_) {}
 
   Awaitable<void> Run() {
-    co_await AwaitConfiguration();
-    if (!routes_) {
-      co_await Refuse(ForwardRefusal::kNoConfiguration);
-      co_return;
-    }
-    const auto refusal = co_await Check();
+    const auto refusal = co_await arrival_.Check();
+    routes_ = arrival_.Routes();
+    route_ = arrival_.TheRoute();
     if (refusal) {
+      come_back_ = arrival_.ComeBack();
       co_await Refuse(*refusal);
       co_return;
     }
@@ -63,74 +58,6 @@
   }
 
  private:
-  // A process that has just started has its configuration in some 100 ms: requests that came to it
-  // meanwhile would come back later than that.
-  Awaitable<void> AwaitConfiguration() {
-    const TimePoint until =
-        std::min(state_.configured_by, arrived_ + terms_.deadline.value_or(kUsualDeadline));
-    if (routes_ || Now() >= until) {
-      co_return;
-    }
-    co_await AwaitView(until, [](const FleetView& view) { return view.routes != nullptr; });
-    routes_ = state_.views.Current()->routes;
-  }
-
-  // Without a word of the holder a node lets a customer spend very little: a request would come
-  // back later than the word.
-  Awaitable<void> AwaitQuotaWord() {
-    const TimePoint until =
-        std::min(state_.configured_by, arrived_ + terms_.deadline.value_or(kUsualDeadline));
-    const auto known = [](const FleetView& view) { return view.quota != nullptr; };
-    if (!known(*state_.views.Current()) && Now() < until) {
-      co_await AwaitView(until, known);
-    }
-  }
-
-  // Waits for a view that is as wanted, until a moment, the client's leave or the stop.
-  Awaitable<void> AwaitView(TimePoint until, bool (*wanted)(const FleetView&)) {
-    CallGuard guard(state_.context, until, [] { return true; });
-    exchange_.WatchPeer([&guard] { guard.ClientGone(); });
-    while (!wanted(*state_.views.Current()) && Now() < until &&
-           guard.Why() == Interruption::kNone && !state_.stopping) {
-      co_await state_.views.WaitForNext(guard.WaitTimer(), until);
-    }
-    exchange_.StopWatching();
-  }
-
-  // What a request must pass before it is sent anywhere: its route, its caller's key, and its
-  // customer's limit.
-  Awaitable<std::optional<ForwardRefusal>> Check() {
-    const auto target = exchange_.Request().target();
-    const auto host = exchange_.Request()[http::field::host];
-    route_ = routes_->Find({host.data(), host.size()}, {target.data(), target.size()});
-    if (route_ == nullptr) {
-      co_return ForwardRefusal::kNoRoute;
-    }
-    caller_ = IdentifyCaller(*routes_, *route_, terms_.key);
-    if (caller_.standing == CallerStanding::kUnknown) {
-      co_return ForwardRefusal::kUnknownKey;
-    }
-    if (caller_.customer == nullptr) {
-      co_return std::nullopt;
-    }
-    if (caller_.customer->quota.Limited()) {
-      co_await AwaitQuotaWord();
-    }
-    const auto wait = co_await grant_.Take(*caller_.customer, terms_);
-    if (!wait) {
-      co_return std::nullopt;
-    }
-    come_back_ = *wait;
-    state_.metrics.Count({"rudderloom_over_quota_total", "customer", caller_.customer->name});
-    co_return ForwardRefusal::kOverQuota;
-  }
-
-  // A request that waited may find its caller's key taken away.
-  bool KeyTakenAway(const FleetView& view) const {
-    return caller_.customer != nullptr && view.routes && view.routes != routes_ &&
-           IdentifyCaller(*view.routes, *route_, terms_.key).standing == CallerStanding::kUnknown;
-  }
-
   // Counts how long the request would be at an endpoint. Requests that are refused count too: a
   // model under a burst would look idle otherwise.
   void CountDemand() {
@@ -144,7 +71,7 @@
   Awaitable<void> Attempts() {
     while (true) {
       const FleetViewPtr view = state_.views.Current();
-      if (attempts_ == 0 && KeyTakenAway(*view)) {
+      if (attempts_ == 0 && arrival_.KeyTakenAway(*view)) {
         co_await Refuse(ForwardRefusal::kUnknownKey);
         co_return;
       }
@@ -240,9 +167,9 @@
     ask.terms = &terms_;
     ask.route = route_;
     ask.time_up = time_up_;
-    ask.caller = CallerForEndpoint();
-    ask.urgency = UrgencyOf(admission_, *route_, PriorityOf(caller_, *route_),
-                            last_choice_.forecast, last_choice_.hold, Between(arrived_, started));
+    ask.caller = arrival_.ForEndpoint();
+    ask.urgency = UrgencyOf(admission_, *route_, arrival_.Priority(), last_choice_.forecast,
+                            last_choice_.hold, Between(arrived_, started));
     if (admission_ == Admission::kDeferred) {
       // It is read when a place is free for it, after the others' prompts.
       added.deferred = added.requests;
@@ -278,15 +205,6 @@
     co_return result;
   }
 
-  CallerTerms CallerForEndpoint() const {
-    CallerTerms terms;
-    terms.checked = routes_->NeedsKeys();
-    if (caller_.customer != nullptr) {
-      terms.customer = caller_.customer->name;
-    }
-    return terms;
-  }
-
   // Only what may run again is taken away from a silent endpoint.
   std::optional<Duration> FirstSilence() const {
     if (!route_->Repeatable() || attempts_ + 1 >= route_->max_attempts) {
@@ -316,7 +234,7 @@
   // Decides after an attempt; true when another one is to be made.
   Awaitable<bool> Another(const EndpointRecord& endpoint, const AttemptResult& result) {
     if (result.outcome == AttemptOutcome::kAnswered || result.outcome == AttemptOutcome::kFailed) {
-      grant_.MayHaveRun();
+      arrival_.MayHaveRun();
     }
     if (result.outcome == AttemptOutcome::kAnswered) {
       LogEnd(endpoint.instance, "answered", result.status);
@@ -426,7 +344,7 @@
     }
     RequestEnd end{terms_, routes_, route_, service_, last_choice_, stream_.pace};
     end.admission = admission_;
-    end.customer = caller_.customer != nullptr ? caller_.customer->name : std::string_view();
+    end.customer = arrival_.Customer();
     end.endpoint = instance;
     end.outcome = outcome;
     end.status = status;
@@ -439,10 +357,9 @@
   HttpExchange& exchange_;
   const TimePoint arrived_;
   const RequestTerms terms_;
+  Arrival arrival_;
   RouteTablePtr routes_;
   const Route* route_ = nullptr;
-  Caller caller_;
-  QuotaGrant grant_;
   std::string service_;
   TimePoint time_up_;
   CallGuard* guard_ = nullptr;
--- a/src/rudderloom/quota/quota_model_test.cpp
+++ b/src/rudderloom/quota/quota_model_test.cpp
@@ -261,7 +261,7 @@
     Node& node = nodes_[static_cast<std::size_t>(holder_)];
     const SpendingReport report = node.log->Take(Now());
     ledger_->Move(report.table, {{kCustomer, kSetup.limit}}, Now());
-    for (const Grant& grant : granted_) {
+    for (const SpendGrant& grant : granted_) {
       ledger_->Granted(grant.ask, {{kCustomer, kSetup.limit}}, Now());
       grants_counted_ = grant.number;
     }
@@ -276,7 +276,7 @@
   std::optional<QuotaLedger> ledger_;
   std::optional<QuotaWord> published_;
   std::optional<GrantBook> grants_;
-  std::vector<Grant> granted_;  // on their way from the book to the ledger
+  std::vector<SpendGrant> granted_;  // on their way from the book to the ledger
   std::uint64_t grants_counted_ = 0;
   int holder_ = 0;
   int next_holder_ = 1;
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -13,6 +13,9 @@
 NODES, ENGINES, DESKS = 3, 4, 3
 MODELS = ("m", "n", "o", "p")
 EVENTS = 8
+# Customers and their callers' keys. No key may be seen beyond the entry nodes.
+CUSTOMERS = {"member-a": "key-a-9d41c07be2a3", "member-b": "key-b-5f68e1b40c77"}
+UNKNOWN_KEY = "key-x-000000000000"
 STOP_SECONDS = 8
 
 
@@ -37,6 +40,8 @@
         self.processes = {}
         self.proxies = {}
         self.runs = {}      # request id: times it ran, on processes that are gone
+        self.instances = {}  # name: what the endpoint is listed under
+        self.leaked = 0      # requests that reached an endpoint with a caller's key
         self.starts = 0
         self.version = 0
         self.start("store", [self.standin, "store"])
@@ -47,9 +52,10 @@
         self.processes[name] = process
         return process
 
-    def start_endpoint(self, name, service, more):
+    def start_endpoint(self, name, service, more, instance=None):
         proxy = LoopbackProxy()
-        instance = f"{name}-{self.starts}"
+        instance = instance or f"{name}-{self.starts}"
+        self.instances[name] = instance
         process = self.start(name, [self.standin, "engine" if service == "pool" else "service",
                                     "--store", self.processes["store"].address, "--instance",
                                     instance, "--service", service, "--advertise", proxy.address,
@@ -57,9 +63,10 @@
         proxy.target = process.address
         self.proxies[name] = proxy
 
-    def start_engine(self, name):
+    def start_engine(self, name, instance=None):
+        """A new engine, or with `instance` one that starts again under its name."""
         models = ",".join(random.Random(name).sample(MODELS, 2))
-        self.start_endpoint(name, "pool", ["--models", models, "--memory-mb", "300"])
+        self.start_endpoint(name, "pool", ["--models", models, "--memory-mb", "300"], instance)
 
     def start_desk(self, name):
         self.start_endpoint(name, "desk", ["--slots", "16"])
@@ -99,7 +106,10 @@
                    "adapters": 2, "adapter-size-mb": 1.0} for name in MODELS]
         engine = {"slots": 8, "kv-capacity": 100000, "weights-mb": 300.0, "adapter-slots": 4,
                   "loads-per-s": 10.0, "models": models}
-        spec = {"version": self.version, "routes": routes, "limits": {},
+        tenants = [{"name": name, "api-keys": [key], "priority": 1, "unit": "tokens",
+                    "plain-tokens": 10, "rate-per-s": 1000000, "burst": 1000000}
+                   for name, key in CUSTOMERS.items()]
+        spec = {"version": self.version, "routes": routes, "limits": {}, "tenants": tenants,
                 "services": [{"name": "pool", "max-conns": 100, "engine": engine},
                              {"name": "desk", "max-conns": 100}]}
         body = {"metadata": {"name": "main"}, "spec": spec}
@@ -120,10 +130,11 @@
     def count_runs(self, name):
         """What an endpoint has run, before it is killed."""
         try:
-            runs = json.loads(call(self.processes[name].address, "/stats"))["runs"]
+            stats = json.loads(call(self.processes[name].address, "/stats"))
         except (OSError, urllib.error.URLError, ValueError):
             return
-        for request_id, count in runs.items():
+        self.leaked += stats["leaked"]
+        for request_id, count in stats["runs"].items():
             self.runs[request_id] = self.runs.get(request_id, 0) + count
 
     def all_runs(self):
@@ -150,9 +161,10 @@
     return fleet
 
 
-def one_request(address, kind, model, request_id):
+def one_request(address, kind, model, request_id, key=CUSTOMERS["member-a"]):
     """One request on a connection of its own; gives its status and body, 0 for none."""
-    headers = {"Host": "h.example", "Request-Id": request_id, "Deadline-Ms": "3000"}
+    headers = {"Host": "h.example", "Request-Id": request_id, "Deadline-Ms": "3000",
+               "Authorization": f"Token {key}"}
     if model:
         headers.update({"Model": model, "Token-Count": "10,40", "Prompt-Prefix": "ab:6,cd:4"})
     request = urllib.request.Request(f"http://{address}/{kind}/x", data=b"body", headers=headers)
@@ -192,7 +204,8 @@
 
     def one(self, request_id):
         kind = self.random.choice(["once", "safe", "stream", "stream", "added"])
-        headers = {"Host": "h.example", "Request-Id": request_id, "Deadline-Ms": "5000"}
+        headers = {"Host": "h.example", "Request-Id": request_id, "Deadline-Ms": "5000",
+                   "Authorization": f"Token {self.random.choice(list(CUSTOMERS.values()))}"}
         model = ""
         if kind == "stream":
             model = self.random.choice(MODELS) + self.random.choice(["", "/a1", "/a2"])
--- a/tools/fleet_soak.py
+++ b/tools/fleet_soak.py
@@ -23,8 +23,8 @@
 import urllib.error
 
 from cluster import ROOT
-from fleet import (DESKS, ENGINES, MODELS, NODES, STOP_SECONDS, Client, call, one_request,
-                   start_fleet, whole_stream)
+from fleet import (DESKS, ENGINES, MODELS, NODES, STOP_SECONDS, UNKNOWN_KEY, Client, call,
+                   one_request, start_fleet, whole_stream)
 
 CLIENTS = 12
 FAULT_EVERY = (0.2, 1.2)
@@ -46,6 +46,7 @@
         self.killed = {}     # life of a process: when
         self.problems = []
         self.stops = []
+        self.odd = 0
 
     def at(self, seconds, what):
         self.later.append((time.monotonic() + seconds, what))
@@ -60,7 +61,8 @@
     def strike(self):
         faults = ["kill_node", "freeze_node", "stop_node", "reload_node", "kill_engine",
                   "drain_endpoint", "freeze_endpoint", "stand_in", "store_fault", "cut_store",
-                  "cut_endpoint", "reset_endpoint", "hush_store", "hush_endpoint", "configure"]
+                  "cut_endpoint", "reset_endpoint", "hush_store", "hush_endpoint", "configure",
+                  "reborn_engine", "odd_entry"]
         name = self.random.choice(faults)
         self.counts[name] = self.counts.get(name, 0) + 1
         self.fleet.log.write(f"{time.time():.3f} {name}\n")
@@ -117,6 +119,28 @@
         self.fleet.proxies[name].close()
         self.restart(name)
 
+    def reborn_engine(self):
+        """Starts again under its name; its entry may not have gone meanwhile."""
+        name = self.pick("e", ENGINES)
+        self.fleet.count_runs(name)
+        self.kill(name)
+        self.fleet.proxies[name].close()
+        self.fleet.start_engine(name, self.fleet.instances[name])
+
+    def odd_entry(self):
+        """Another writer leaves something in the list of endpoints."""
+        self.odd += 1
+        good = {"service": "pool", "address": "127.0.0.1:1", "zone": "zone-a", "version": "v1",
+                "slots": 8, "state": "ready", "cold-left-ms": 0, "sequence": 0, "models": []}
+        odd = self.random.choice([{}, 7, "bytes \ud800", {**good, "slots": -1},
+                                  {**good, "state": "asleep"}, {**good, "sequence": 0.5},
+                                  {**good, "address": None}, {**good, "models": {"m": 1}}])
+        body = {"metadata": {"name": f"odd &?#{self.odd}"}, "spec": odd}
+        try:
+            call(self.fleet.processes["store"].address, "/objects/servers", body, "POST")
+        except (OSError, urllib.error.URLError):
+            pass
+
     def drain_endpoint(self):
         name = self.endpoint()
         process = self.fleet.processes[name]
@@ -239,6 +263,18 @@
     return [f"RECOVER {node} does not serve {kind} {model}" for node, kind, model in missing]
 
 
+def keys_hold(fleet):
+    """No node lets a caller in whose key nobody holds, and no key went on to an endpoint."""
+    problems = []
+    for i in range(NODES):
+        status, _ = one_request(fleet.callers(f"n{i}"), "safe", "", f"unknown-{i}", UNKNOWN_KEY)
+        if status != 401:
+            problems.append(f"KEYS n{i} answers {status} to an unknown key")
+    if fleet.leaked:
+        problems.append(f"KEYS {fleet.leaked} requests reached an endpoint with their key")
+    return problems
+
+
 def in_force(fleet):
     """All open connections fall silent, then a configuration comes: it must be in force soon."""
     for proxy in list(fleet.proxies.values()):
@@ -292,7 +328,7 @@
             if status is not None:
                 problems.append(f"n{i} ended by itself with status {status}")
         broken, results = judge(fleet, chaos, clients)
-        return problems + broken, results, chaos.counts
+        return problems + broken + keys_hold(fleet), results, chaos.counts
     finally:
         fleet.stop_all()
         fleet.log.close()
