--- a/include/rudderloom/customers/key_digest.hpp
+++ b/include/rudderloom/customers/key_digest.hpp
@@ -23,7 +23,8 @@
 /// @ingroup customers
 struct KeyDigest {
   std::array<std::uint8_t, kKeyDigestBytes> bytes{};
-  auto operator<=>(const KeyDigest&) const = default;
+  bool operator==(const KeyDigest&) const = default;
+  bool operator<(const KeyDigest& other) const { return bytes < other.bytes; }
 };
 
 /// @brief The digest of a key.
