A balance and the grants that it takes in are published together

Found by reading: the holder's statement could name grants as counted that came after its balances were made up (a statement made between two plans), so that they could be granted once more until the next plan, 0.2 s at the most. Both are now kept at one place; a relay's count needs no word of its own any more. Comments say what was measured: a customer's callers come by all nodes.

--- a/include/rudderloom/fleet/fleet_state.hpp
+++ b/include/rudderloom/fleet/fleet_state.hpp
@@ -177,12 +177,11 @@
   LoadSums sums_;  // of the board, as of the last plan
   SpendingLog spending_;
   QuotaLedger ledger_;
-  std::uint64_t grants_counted_ = 0;        // the last grant that the ledger takes in
-  QuotaWordPtr quota_word_;                 // the newest that this node made or heard
-  QuotaWordPtr relay_grants_word_;          // that this node last granted from as a relay
-  std::uint64_t relay_grants_counted_ = 0;  // the last grant when that word came
-  std::string quota_relay_;                 // as of the last word; empty for none
-  std::uint32_t quota_group_ = 0;           // nodes that this one stands for as a relay, as of then
+  std::uint64_t grants_counted_ = 0;  // the last one that this node has booked or told
+  QuotaWordPtr quota_word_;           // the newest that this node made or heard
+  std::uint64_t grants_in_word_ = 0;  // the last grant that the newest balances take in
+  std::string quota_relay_;           // as of the last word; empty for none
+  std::uint32_t quota_group_ = 0;     // nodes that this one stands for as a relay, as of then
   std::optional<HeardWord> heard_;
   std::uint64_t newest_routes_ = 0;         // that any peer has told of
   std::optional<TimePoint> routes_behind_;  // since when a peer has a newer configuration
--- a/include/rudderloom/quota/grant_book.hpp
+++ b/include/rudderloom/quota/grant_book.hpp
@@ -11,17 +11,17 @@
 
 namespace rudderloom {
 
-/// @brief A node asks the holder whether a request may run.
+/// @brief A node asks the holder, or its relay, whether a request may run.
 /// @ingroup quota
 struct SpendAsk {
   CustomerKey customer = 0;
   std::uint64_t amount = 0;
 };
 
-/// @brief What the holder says.
+/// @brief What the node that was asked says.
 /// @ingroup quota
 enum class SpendVerdict {
-  kCantSay,  ///< It holds no lease, or knows nothing of the customer: the node decides.
+  kCantSay,  ///< It is not the one to ask now, or knows no such limit: the node decides.
   kGranted,  ///< It may run, and the holder has taken it off the balance.
   kRefused,  ///< The balance is spent.
 };
@@ -30,7 +30,7 @@
 /// @ingroup quota
 std::string_view NameOf(SpendVerdict verdict);
 
-/// @brief The holder's answer.
+/// @brief Its answer.
 /// @ingroup quota
 struct SpendAnswer {
   SpendVerdict verdict = SpendVerdict::kCantSay;
@@ -42,7 +42,8 @@
 /// @ingroup quota
 constexpr double kSharedPart = 0.25;
 
-/// @brief A word of the holder that is older no longer holds it to be granting.
+/// @brief A node that has heard no word younger than this takes the holder for gone, and asks its
+/// relay. Words come each quarter of a second and are some 300 ms old.
 /// @ingroup quota
 constexpr Duration kGrantsWithWord{1'000};
 
--- a/include/rudderloom/quota/quota_account.hpp
+++ b/include/rudderloom/quota/quota_account.hpp
@@ -15,7 +15,7 @@
 enum class QuotaVerdict {
   kGranted,
   kRefused,
-  kAsk,  ///< It is more than this node's share: the holder of the lease can tell.
+  kAsk,  ///< It is more than this node's share: the node that grants requests can tell.
 };
 
 /// @brief A verdict, and with a refusal how long until a request is likely to be let run.
@@ -35,16 +35,16 @@
 /// @brief Decides at a node which requests of a customer are inside its limit. Pure; time is passed
 /// in.
 ///
-/// A request is larger than a node's equal share of a second: with 60 nodes that share is 0.5 to 10
-/// thousand tokens, a prompt some 9 thousand, and a customer's callers come by a few of the nodes.
-/// /// So the holder grants most requests one by one. Only a part of the balance that it tells is
-/// spent without asking: of that a node takes a share by the number of nodes where the customer
-/// asks and by how much of that it asks here, and takes off what the balance does not take in yet.
+/// A customer's callers come by all nodes, and a request is larger than a node's equal share of a
+/// second: with 60 nodes that share is 0.5 to 10 thousand tokens, a prompt some 9 thousand. So the
+/// holder grants most requests one by one. Only a part of the balance that it tells is spent
+/// without asking: of that a node takes a share by the number of nodes where the customer asks and
+/// by how much of that it asks here, and takes off what the balance does not take in yet.
 ///
-/// /// While there is no holder, relays grant the same way, each its group's part. Where nobody can
-/// be asked a node goes by its share alone. A request may run while anything is left of it, and
-/// what it takes beyond is owed: all nodes together are ahead by one request of each at the most.
-/// One that has heard nothing of a customer yet takes a small fixed share.
+/// While there is no holder, relays grant the same way, each its group's part. Where nobody can be
+/// asked a node goes by its share alone. A request may run while anything is left of it, and what
+/// it takes beyond is owed: all nodes together are ahead by one request of each at the most. One
+/// that has heard nothing of a customer yet takes a small fixed share.
 /// @ingroup quota
 class QuotaAccount {
  public:
@@ -63,10 +63,11 @@
                        GranterReach reach,
                        TimePoint now);
 
-  /// @brief The holder refused a request: for a moment the next ones are refused without asking.
+  /// @brief The node that was asked refused a request: for a moment the next ones are refused
+  /// without asking.
   void RefusedByGranter(CustomerKey customer, Duration wait, TimePoint now);
 
-  /// @brief A request that this node or the holder let run was refused after all.
+  /// @brief A request that this node or another one let run was refused after all.
   void GiveBack(CustomerKey customer, std::uint64_t amount);
 
   /// @brief Takes a newer word, or the same one again.
@@ -80,7 +81,7 @@
     QuotaLimit limit;
     double share = 0.0;       // of the customer's rate and balance
     double balance = 0.0;     // this node's part
-    TimePoint refused_until;  // by the holder
+    TimePoint refused_until;  // by the node that was asked
     TimePoint moved_at;
     TimePoint asked_at;
     FadingRate asked;
--- a/src/rudderloom/app/fleet_daemon.cpp
+++ b/src/rudderloom/app/fleet_daemon.cpp
@@ -166,7 +166,8 @@
     }
   }
 
-  // Whether a request may run, at this node or at another one, if this one holds the lease.
+  // Whether a request may run, at this node or at another one, if this one is to say so: as the
+  // holder of the lease, or as a relay while there is none.
   SpendAnswer AnswerAsk(const SpendAsk& ask) {
     const std::lock_guard lock(statement_mutex_);
     if (!statement_ || !statement_->grants) {
--- a/src/rudderloom/fleet/fleet_quota.cpp
+++ b/src/rudderloom/fleet/fleet_quota.cpp
@@ -58,7 +58,7 @@
   lease_.NoteBalances(LowOnes(ledger_.Balances(now), limits));
 }
 
-// The holder books what it granted; a relay tells it to the next one.
+// The holder books what it granted; a relay tells it to the next holder.
 void FleetState::On(const fleet_message::RequestGranted& granted, TimePoint now) {
   const SpendAsk& ask = granted.grant.ask;
   if (holds_ && RoutesVersion() != 0) {
@@ -81,7 +81,7 @@
   basis->limits = routes_.Get().Current()->Customers().Limits();
   basis->unknown = ledger_.Unknown();
   basis->unknown_since = ledger_.BegunAt();
-  basis->counted = grants_counted_;
+  basis->counted = grants_in_word_;
   return basis;
 }
 
@@ -98,10 +98,6 @@
   if (!quota_word_ || quota_group_ == 0 || RoutesVersion() == 0) {
     return nullptr;
   }
-  if (relay_grants_word_ != quota_word_) {
-    relay_grants_word_ = quota_word_;
-    relay_grants_counted_ = grants_counted_;
-  }
   auto basis = std::make_shared<GrantBasis>();
   basis->made_at = quota_word_->made_at;
   basis->valid_from = quota_word_->made_at + kGrantsWithWord;
@@ -110,7 +106,7 @@
   basis->limits = routes_.Get().Current()->Customers().Limits();
   basis->unknown_since = quota_word_->made_at;
   basis->part = std::min(1.0, static_cast<double>(quota_group_) / std::max(1U, live_nodes_));
-  basis->counted = relay_grants_counted_;
+  basis->counted = grants_in_word_;
   return basis;
 }
 
@@ -125,6 +121,7 @@
   word->balances = std::move(balances);
   word->counted = spending_.OwnCounted();
   quota_word_ = std::move(word);
+  grants_in_word_ = grants_counted_;
   changed_ = true;
 }
 
--- a/src/rudderloom/quota/quota_account.cpp
+++ b/src/rudderloom/quota/quota_account.cpp
@@ -8,14 +8,15 @@
 
 namespace {
 
-// A customer's callers come by so many nodes at the most, as far as a node assumes that has heard
-// nothing: 250 callers and 16 customers make some 16, and a fleet's start brings them all at once.
+// A node that has heard nothing assumes that a customer asks at so many nodes: about the size of a
+// middling fleet, where each customer's callers come by all nodes. In a larger one, nodes that
+// start all at once let a customer have more than its rate until the first word, about a second.
 constexpr double kUntoldNodes = 64.0;
 // Of a told balance, half goes to all nodes alike, so that a new caller finds something, and half
 // by what each is asked for.
 constexpr double kAlikePart = 0.5;
 constexpr double kMillisecondsPerSecond = 1'000.0;
-// A refusal of the holder's holds for so long at the most: others may have given back.
+// A refusal holds for so long at the most: others may have given back.
 constexpr Duration kRefusedFor{300};
 
 }  // namespace
