Failed attempts tell what a request is known by when it comes again, and what the network said

Cause: the lines name each try of a client by its own id, so nobody can see that one request came again at other nodes, and a broken connection looks alike whether its endpoint has ended or not. Ruled out: the hypotheses are still open; this is what tells them apart. Change: a digest of host, path, caller and body (BLAKE2b, keyed, 16 bytes), worked out only when an attempt has failed; the network's error; the stand-in service can end under a marked body.

--- a/include/rudderloom/forwarding/endpoint_connection.hpp
+++ b/include/rudderloom/forwarding/endpoint_connection.hpp
@@ -22,6 +22,7 @@
 struct ConnectionFailure {
   bool sent = false;  ///< A byte of the request may have left this process.
   std::string message;
+  bool refused = false;  ///< The connect was answered: no process listens at the address.
 };
 
 /// @brief A connection and the answer that is being read from it. One thread only.
--- /dev/null
+++ b/src/rudderloom/base/hex.cpp
@@ -0,0 +1,41 @@
+#include "rudderloom/base/hex.hpp"
+
+#include <charconv>  // for from_chars
+
+namespace rudderloom {
+
+namespace {
+
+constexpr const char* kDigits = "0123456789abcdef";
+constexpr unsigned kHalfByte = 4;
+constexpr unsigned kLowHalf = 15;
+constexpr std::size_t kDigitsOfByte = 2;
+constexpr int kBase = 16;
+
+}  // namespace
+
+std::string ToHex(std::span<const std::uint8_t> bytes) {
+  std::string text;
+  for (const std::uint8_t byte : bytes) {
+    text += kDigits[byte >> kHalfByte];
+    text += kDigits[byte & kLowHalf];
+  }
+  return text;
+}
+
+bool FromHex(std::string_view text, std::span<std::uint8_t> bytes) {
+  if (text.size() != kDigitsOfByte * bytes.size()) {
+    return false;
+  }
+  const char* next = text.data();
+  for (std::uint8_t& byte : bytes) {
+    const auto parsed = std::from_chars(next, next + kDigitsOfByte, byte, kBase);
+    if (parsed.ec != std::errc() || parsed.ptr != next + kDigitsOfByte) {
+      return false;
+    }
+    next += kDigitsOfByte;
+  }
+  return true;
+}
+
+}  // namespace rudderloom
--- a/src/rudderloom/customers/key_digest.cpp
+++ b/src/rudderloom/customers/key_digest.cpp
@@ -3,12 +3,13 @@
 #include <sodium/crypto_generichash.h>  // for crypto_generichash
 #include <algorithm>                    // for copy
 
+#include "rudderloom/base/hex.hpp"  // for ToHex
+
 namespace rudderloom {
 
 namespace {
 
 constexpr std::size_t kShownBytes = 4;
-constexpr const char* kHexadecimal = "0123456789abcdef";
 // Keeps the digests apart from those that other programs make of the same keys.
 constexpr std::string_view kPurpose = "rudderloom caller's key";
 static_assert(kPurpose.size() >= crypto_generichash_KEYBYTES_MIN);
@@ -25,14 +26,7 @@
 }
 
 std::string ShortName(const KeyDigest& digest) {
-  constexpr unsigned kHalf = 4;
-  constexpr unsigned kLow = 15;
-  std::string name;
-  for (std::size_t i = 0; i < kShownBytes; ++i) {
-    name += kHexadecimal[digest.bytes[i] >> kHalf];
-    name += kHexadecimal[digest.bytes[i] & kLow];
-  }
-  return name;
+  return ToHex(std::span(digest.bytes).first<kShownBytes>());
 }
 
 std::string_view BytesOf(const KeyDigest& digest) {
--- a/src/rudderloom/forwarding/arrival.cpp
+++ b/src/rudderloom/forwarding/arrival.cpp
@@ -90,6 +90,21 @@
   return {routes_->NeedsKeys(), std::string(Customer())};
 }
 
+const RequestDigest& Arrival::Digest() {
+  if (!digest_) {
+    const HttpRequest& request = exchange_.Request();
+    const auto host = request[http::field::host];
+    const auto target = request.target();
+    std::string_view caller = Customer();
+    if (caller.empty() && terms_.key) {
+      caller = BytesOf(*terms_.key);
+    }
+    digest_ = DigestOf(RequestIdentity{
+        {host.data(), host.size()}, {target.data(), target.size()}, caller, request.body()});
+  }
+  return *digest_;
+}
+
 bool Arrival::KeyTakenAway(const FleetView& view) const {
   return caller_.customer != nullptr && view.routes && view.routes != routes_ &&
          IdentifyCaller(*view.routes, *route_, terms_.key).standing == CallerStanding::kUnknown;
--- a/src/rudderloom/forwarding/arrival.hpp
+++ b/src/rudderloom/forwarding/arrival.hpp
@@ -5,10 +5,11 @@
 #include <optional>     // for optional
 #include <string_view>  // for string_view
 
-#include "forwarding/forward_refusal.hpp"       // for ForwardRefusal
-#include "forwarding/quota_grant.hpp"           // for QuotaGrant
-#include "rudderloom/forwarding/forwarder.hpp"  // for ForwardingState
-#include "rudderloom/routes/caller.hpp"         // for Caller
+#include "forwarding/forward_refusal.hpp"            // for ForwardRefusal
+#include "forwarding/quota_grant.hpp"                // for QuotaGrant
+#include "rudderloom/forwarding/forwarder.hpp"       // for ForwardingState
+#include "rudderloom/quarantine/request_digest.hpp"  // for RequestDigest
+#include "rudderloom/routes/caller.hpp"              // for Caller
 
 namespace rudderloom {
 
@@ -39,6 +40,10 @@
   // After a refusal for the customer's limit: when another request is likely to be let run.
   Duration ComeBack() const { return come_back_; }
 
+  // What the request is known by when it comes again. Worked out when it is first asked for: it
+  // takes a pass over the body, and most requests never need it.
+  const RequestDigest& Digest();
+
   // A request that waited may find its caller's key taken away.
   bool KeyTakenAway(const FleetView& view) const;
 
@@ -59,6 +64,7 @@
   const Route* route_ = nullptr;
   Caller caller_;
   QuotaGrant grant_;
+  std::optional<RequestDigest> digest_;
   Duration come_back_{0};
 };
 
--- a/src/rudderloom/forwarding/attempt.cpp
+++ b/src/rudderloom/forwarding/attempt.cpp
@@ -101,6 +101,8 @@
     AttemptResult result;
     result.outcome = AttemptOutcome::kNotConnected;
     result.reason = "connect";
+    result.refused = failure->refused;
+    result.error = failure->message;
     co_return result;
   }
 
@@ -149,6 +151,16 @@
     return result;
   }
 
+  // The connection ended, and nobody on this side ended it.
+  AttemptResult Broken(AttemptOutcome outcome,
+                       std::string_view reason,
+                       const ConnectionFailure& failure) const {
+    AttemptResult result = Fail(outcome, reason);
+    result.broken = guard_.Why() == Interruption::kNone;
+    result.error = failure.message;
+    return result;
+  }
+
   // Not a word came on a kept connection: others that have rested since may be as silent.
   void DoubtKeptConnections() {
     const Interruption why = guard_.Why();
@@ -164,7 +176,8 @@
       auto read = co_await connection_->ReadHead(head_only);
       if (std::holds_alternative<ConnectionFailure>(read)) {
         DoubtKeptConnections();
-        co_return Fail(AttemptOutcome::kFailed, "cut_before_answer");
+        co_return Broken(AttemptOutcome::kFailed, "cut_before_answer",
+                         std::get<ConnectionFailure>(read));
       }
       status_ = connection_->Head().result_int();
       if (status_ / 100 == 1) {
@@ -177,8 +190,8 @@
       }
       state_.metrics.Count({"rudderloom_foreign_answers_total"});
       connection_->Distrust();
-      if (co_await connection_->SkipBody()) {
-        co_return Fail(AttemptOutcome::kFailed, "cut_after_foreign_answer");
+      if (const auto failure = co_await connection_->SkipBody()) {
+        co_return Broken(AttemptOutcome::kFailed, "cut_after_foreign_answer", *failure);
       }
     }
     if (IsSuccess(status_) && (!terms_.is_signed || terms_.request_id.empty())) {
@@ -201,8 +214,8 @@
     while (true) {
       auto piece = co_await connection_->ReadSome();
       if (std::holds_alternative<ConnectionFailure>(piece)) {
-        co_return Fail(terms_.not_run ? AttemptOutcome::kNotRun : AttemptOutcome::kFailed,
-                       "cut_within_answer");
+        co_return Broken(terms_.not_run ? AttemptOutcome::kNotRun : AttemptOutcome::kFailed,
+                         "cut_within_answer", std::get<ConnectionFailure>(piece));
       }
       if (std::holds_alternative<EndpointConnection::End>(piece)) {
         break;
@@ -257,7 +270,8 @@
     while (true) {
       auto piece = co_await connection_->ReadSome();
       if (std::holds_alternative<ConnectionFailure>(piece)) {
-        co_return Fail(AttemptOutcome::kFailed, "cut_within_stream");
+        co_return Broken(AttemptOutcome::kFailed, "cut_within_stream",
+                         std::get<ConnectionFailure>(piece));
       }
       if (std::holds_alternative<EndpointConnection::End>(piece)) {
         break;
--- a/src/rudderloom/forwarding/attempt.hpp
+++ b/src/rudderloom/forwarding/attempt.hpp
@@ -64,6 +64,9 @@
   unsigned status = 0;        // of the endpoint's answer, where there is one
   bool not_resident = false;  // the endpoint said that it does not hold the model or adapter
   bool silent = false;        // the endpoint was given up because nothing came from it
+  bool refused = false;       // no process listens at the endpoint's address
+  bool broken = false;        // its connection ended before the whole answer had come
+  std::string error;          // the network's word for it; empty for none
   AttemptMark mark = AttemptMark::kFailed;
   std::optional<Reply> reply;  // a failure that the client may be given as it is
 };
--- a/src/rudderloom/forwarding/endpoint_connection.cpp
+++ b/src/rudderloom/forwarding/endpoint_connection.cpp
@@ -34,7 +34,8 @@
   }
   const auto [error] = co_await socket_.async_connect(endpoint, kAsTuple);
   if (error) {
-    co_return ConnectionFailure{false, "connect: " + error.message()};
+    const bool refused = error == asio::error::connection_refused;
+    co_return ConnectionFailure{false, "connect: " + error.message(), refused};
   }
   boost::system::error_code ignored;
   socket_.set_option(tcp::no_delay(true), ignored);
--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -241,8 +241,8 @@
       co_return false;
     }
     if (state_.log_quota.Allows(Now())) {
-      LogFailedAttempt({terms_.id, endpoint.instance, result.reason, result.status, attempts_ + 1,
-                        Between(arrived_, Now())});
+      LogFailedAttempt({terms_.id, arrival_.Digest(), endpoint.instance, result.reason,
+                        result.error, result.status, attempts_ + 1, Between(arrived_, Now())});
     }
     const bool answered = co_await AnsweredInterruption();
     if (answered) {
--- a/src/rudderloom/forwarding/request_end.cpp
+++ b/src/rudderloom/forwarding/request_end.cpp
@@ -23,8 +23,10 @@
 void LogFailedAttempt(const FailedAttempt& failed) {
   LogLine("attempt_failed")
       .With("request_id", failed.request_id)
+      .With("request", TextOf(failed.request))
       .With("endpoint", failed.endpoint)
       .With("reason", failed.reason)
+      .With("error", failed.error)
       .With("status", failed.status)
       .With("attempt", failed.attempt)
       .With("ms", failed.since_arrival.count());
--- a/src/rudderloom/forwarding/request_end.hpp
+++ b/src/rudderloom/forwarding/request_end.hpp
@@ -5,10 +5,11 @@
 #include <string>       // for string
 #include <string_view>  // for string_view
 
-#include "forwarding/attempt.hpp"              // for StreamPace
-#include "rudderloom/forwarding/balancer.hpp"  // for Choice
-#include "rudderloom/forwarding/dialect.hpp"   // for RequestTerms
-#include "rudderloom/routes/route_table.hpp"   // for Route
+#include "forwarding/attempt.hpp"                    // for StreamPace
+#include "rudderloom/forwarding/balancer.hpp"        // for Choice
+#include "rudderloom/forwarding/dialect.hpp"         // for RequestTerms
+#include "rudderloom/quarantine/request_digest.hpp"  // for RequestDigest
+#include "rudderloom/routes/route_table.hpp"         // for Route
 
 namespace rudderloom {
 
@@ -29,10 +30,12 @@
 };
 
 struct FailedAttempt {
-  std::string_view request_id;
+  std::string_view request_id;   // of this try of the client
+  const RequestDigest& request;  // the same for all its tries
   std::string_view endpoint;
   std::string_view reason;
-  unsigned status = 0;  // of the endpoint's answer; 0 for none
+  std::string_view error;  // the network's; empty for none
+  unsigned status = 0;     // of the endpoint's answer; 0 for none
   std::uint32_t attempt = 0;
   Duration since_arrival{0};
 };
--- a/tests/process/fleet_cluster.cpp
+++ b/tests/process/fleet_cluster.cpp
@@ -1,6 +1,7 @@
 #include "process/fleet_cluster.hpp"
 
-#include <fstream>  // for ofstream
+#include <algorithm>  // for find
+#include <fstream>    // for ofstream
 
 #include "rudderloom/http/pause.hpp"  // for PauseFor
 
@@ -56,11 +57,13 @@
                 "pool", "--models", models, "--memory-mb", "200"});
 }
 
-Program& FleetCluster::StartPlain(const std::string& instance) {
-  endpoints_.push_back(instance);
-  return Start(
-      instance, std::string(RUDDERLOOM_BINARIES) + kStandin,
-      {"service", "--store", At("store").Address(), "--instance", instance, "--service", "desk"});
+Program& FleetCluster::StartPlain(const std::string& instance, const std::string& crash_body) {
+  if (std::find(endpoints_.begin(), endpoints_.end(), instance) == endpoints_.end()) {
+    endpoints_.push_back(instance);
+  }
+  return Start(instance, std::string(RUDDERLOOM_BINARIES) + kStandin,
+               {"service", "--store", At("store").Address(), "--instance", instance, "--service",
+                "desk", "--crash-body", crash_body});
 }
 
 Program& FleetCluster::StartFleetNode(const std::string& name, int group_size) {
@@ -113,7 +116,7 @@
 Awaitable<void> FleetCluster::Exchange(FleetCall call, Answer& answer) {
   co_await PauseFor(Context(), call.at);
   const std::string address = At(call.node).Address(0);
-  HttpRequest request = MakeRequest(http::verb::post, address, call.path, "body");
+  HttpRequest request = MakeRequest(http::verb::post, address, call.path, call.body);
   request.set(http::field::host, "h.example");
   request.set("Request-Id", call.id);
   request.set("Deadline-Ms", "5000");
--- a/tests/process/fleet_cluster.hpp
+++ b/tests/process/fleet_cluster.hpp
@@ -13,6 +13,7 @@
   std::string id;
   std::string model;  // empty for a plain service; with an adapter after a slash
   Duration at{0};     // when to send it, within a burst
+  std::string body = "body";
 };
 
 // A store, model engines, plain services and entry nodes.
@@ -21,7 +22,9 @@
   FleetCluster();
 
   Program& StartEngine(const std::string& instance, const std::string& models);
-  Program& StartPlain(const std::string& instance);
+  // A request with `crash_body` ends it; empty: none does. Under the id of one that has ended it
+  // starts a new life.
+  Program& StartPlain(const std::string& instance, const std::string& crash_body = {});
   // `group_size`: nodes that one relay stands for.
   Program& StartFleetNode(const std::string& name, int group_size = 16);
 
