Time goes on while the machine is suspended

Cause: all moments came from steady_clock, which stands still while a machine is suspended. A holder of the lease that wakes would take a lease that ended for everybody else for valid, up to 2.5 s long, and its old word for new. Change: CLOCK_BOOTTIME behind TimePoint, and timers by the same clock; what was due during a suspension ends when any timer of its thread next does (50 to 200 ms).

--- a/include/rudderloom/base/clock.hpp
+++ b/include/rudderloom/base/clock.hpp
@@ -3,14 +3,30 @@
 #ifndef RUDDERLOOM_BASE_CLOCK_HPP
 #define RUDDERLOOM_BASE_CLOCK_HPP
 
-#include <chrono>   // for steady_clock, milliseconds
+#include <chrono>   // for time_point, milliseconds
 #include <cstdint>  // for int64_t
 
 namespace rudderloom {
 
-/// @brief A monotonic moment of this process; never compared between processes.
+/// @brief Never goes back, and goes on while the machine is suspended.
+///
+/// Leases, grants and the age of what others told end by the clocks of those who gave them. By
+/// `steady_clock`, which stands still meanwhile, a holder of the lease that was suspended for 5 s
+/// would take its lease of 2.5 s for valid as it wakes, and send orders beside the next holder.
 /// @ingroup base
-using TimePoint = std::chrono::steady_clock::time_point;
+struct SuspendAwareClock {
+  using duration = std::chrono::nanoseconds;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<SuspendAwareClock>;
+  static constexpr bool is_steady = true;
+
+  static time_point now() noexcept;
+};
+
+/// @brief A moment of this process; never compared between processes.
+/// @ingroup base
+using TimePoint = SuspendAwareClock::time_point;
 
 /// @brief Length of time used by all settings and decisions, in milliseconds.
 /// @ingroup base
@@ -19,7 +35,7 @@
 /// @brief The present moment. Only shells call this; decisions take it as an argument.
 /// @ingroup base
 inline TimePoint Now() {
-  return std::chrono::steady_clock::now();
+  return SuspendAwareClock::now();
 }
 
 /// @brief Wall clock, in seconds since 1970 UTC, for what operators declare by the calendar.
--- a/include/rudderloom/callers/dispatcher.hpp
+++ b/include/rudderloom/callers/dispatcher.hpp
@@ -62,7 +62,7 @@
  private:
   struct Waiter {
     DispatchAsk ask;
-    asio::steady_timer timer;
+    Timer timer;
     std::optional<std::variant<Grant, AdmissionRefusal>> result;
   };
 
--- a/include/rudderloom/claims/claim_keeper.hpp
+++ b/include/rudderloom/claims/claim_keeper.hpp
@@ -70,7 +70,7 @@
     std::string key;
     Claim claim;
     // For kTake: who waits, until when, and the result.
-    std::shared_ptr<asio::steady_timer> waiter;
+    std::shared_ptr<Timer> waiter;
     TimePoint give_up_at;
     std::shared_ptr<std::variant<std::monostate, ClaimResult>> result;
   };
--- a/include/rudderloom/forwarding/call_guard.hpp
+++ b/include/rudderloom/forwarding/call_guard.hpp
@@ -48,14 +48,14 @@
   void ForgetSilence();
 
   /// @brief Timer for other waits, cancelled at an interruption.
-  asio::steady_timer& WaitTimer() { return state_->wait_timer; }
+  Timer& WaitTimer() { return state_->wait_timer; }
 
  private:
   struct State {
     State(asio::io_context& context, TimePoint until)
         : timer(context), wait_timer(context), time_up(until) {}
-    asio::steady_timer timer;
-    asio::steady_timer wait_timer;
+    Timer timer;
+    Timer wait_timer;
     TimePoint time_up;
     std::function<bool()> may_give_up;
     std::optional<TimePoint> silent_at;
--- a/include/rudderloom/forwarding/front.hpp
+++ b/include/rudderloom/forwarding/front.hpp
@@ -54,7 +54,7 @@
   std::shared_ptr<HttpServer> readiness_;
   std::shared_ptr<HttpServer> metrics_server_;
   std::function<void(NodeCounts)> on_sample_;
-  asio::steady_timer sample_timer_;
+  Timer sample_timer_;
   bool sample_soon_ = false;  // traffic has met what the control state should know
   bool stopping_ = false;
 };
--- a/include/rudderloom/forwarding/view_source.hpp
+++ b/include/rudderloom/forwarding/view_source.hpp
@@ -24,13 +24,13 @@
 
   /// @brief Ends all waits, as a new view does.
   void WakeAll() {
-    for (asio::steady_timer* timer : waiting_) {
+    for (Timer* timer : waiting_) {
       timer->cancel();
     }
   }
 
   /// @brief Waits for the next view, until `until`, or until somebody cancels the timer.
-  Awaitable<void> WaitForNext(asio::steady_timer& timer, TimePoint until) {
+  Awaitable<void> WaitForNext(Timer& timer, TimePoint until) {
     timer.expires_at(until);
     waiting_.insert(&timer);
     co_await timer.async_wait(kAsTuple);
@@ -42,7 +42,7 @@
 
  private:
   FleetViewPtr current_ = std::make_shared<const FleetView>();
-  std::set<asio::steady_timer*> waiting_;
+  std::set<Timer*> waiting_;
 };
 
 }  // namespace rudderloom
--- a/include/rudderloom/http/asio.hpp
+++ b/include/rudderloom/http/asio.hpp
@@ -3,25 +3,27 @@
 #ifndef RUDDERLOOM_HTTP_ASIO_HPP
 #define RUDDERLOOM_HTTP_ASIO_HPP
 
-#include <boost/asio/as_tuple.hpp>             // for as_tuple
-#include <boost/asio/awaitable.hpp>            // for awaitable
-#include <boost/asio/co_spawn.hpp>             // for co_spawn
-#include <boost/asio/detached.hpp>             // for detached
-#include <boost/asio/executor_work_guard.hpp>  // for make_work_guard
-#include <boost/asio/io_context.hpp>           // for io_context
-#include <boost/asio/ip/tcp.hpp>               // for tcp
-#include <boost/asio/post.hpp>                 // for post
-#include <boost/asio/signal_set.hpp>           // for signal_set
-#include <boost/asio/steady_timer.hpp>         // for steady_timer
-#include <boost/asio/this_coro.hpp>            // for this_coro
-#include <boost/asio/use_awaitable.hpp>        // for use_awaitable
-#include <boost/asio/write.hpp>                // for async_write
-#include <boost/beast/core/flat_buffer.hpp>    // for flat_buffer
-#include <boost/beast/core/string.hpp>         // for iequals
-#include <boost/beast/http.hpp>                // for http
-#include <string>                              // for string
-#include <utility>                             // for pair
-#include <vector>                              // for vector
+#include <boost/asio/as_tuple.hpp>              // for as_tuple
+#include <boost/asio/awaitable.hpp>             // for awaitable
+#include <boost/asio/basic_waitable_timer.hpp>  // for basic_waitable_timer
+#include <boost/asio/co_spawn.hpp>              // for co_spawn
+#include <boost/asio/detached.hpp>              // for detached
+#include <boost/asio/executor_work_guard.hpp>   // for make_work_guard
+#include <boost/asio/io_context.hpp>            // for io_context
+#include <boost/asio/ip/tcp.hpp>                // for tcp
+#include <boost/asio/post.hpp>                  // for post
+#include <boost/asio/signal_set.hpp>            // for signal_set
+#include <boost/asio/this_coro.hpp>             // for this_coro
+#include <boost/asio/use_awaitable.hpp>         // for use_awaitable
+#include <boost/asio/write.hpp>                 // for async_write
+#include <boost/beast/core/flat_buffer.hpp>     // for flat_buffer
+#include <boost/beast/core/string.hpp>          // for iequals
+#include <boost/beast/http.hpp>                 // for http
+#include <string>                               // for string
+#include <utility>                              // for pair
+#include <vector>                               // for vector
+
+#include "rudderloom/base/clock.hpp"  // for SuspendAwareClock
 
 namespace rudderloom {
 
@@ -30,6 +32,11 @@
 namespace http = boost::beast::http;
 using tcp = boost::asio::ip::tcp;
 
+/// @brief Ends at a moment of our clock. What was due while the machine was suspended ends when any
+/// timer of the same io_context next does.
+/// @ingroup http
+using Timer = asio::basic_waitable_timer<SuspendAwareClock>;
+
 /// @brief A coroutine that gives a T.
 /// @ingroup http
 template <class T>
--- a/include/rudderloom/http/pause.hpp
+++ b/include/rudderloom/http/pause.hpp
@@ -11,7 +11,7 @@
 /// @brief Resumes after `pause`; other coroutines of the io_context go on in the meantime.
 /// @ingroup http
 inline Awaitable<void> PauseFor(asio::io_context& context, Duration pause) {
-  asio::steady_timer timer(context, pause);
+  Timer timer(context, pause);
   co_await timer.async_wait(kAsTuple);
 }
 
--- a/include/rudderloom/http/watchdog.hpp
+++ b/include/rudderloom/http/watchdog.hpp
@@ -27,7 +27,7 @@
  private:
   struct State {
     State(tcp::socket& owner) : timer(owner.get_executor()), socket(&owner) {}
-    asio::steady_timer timer;
+    Timer timer;
     tcp::socket* socket;  // null once the watchdog is gone
     bool expired = false;
   };
--- a/include/rudderloom/store/store_follower.hpp
+++ b/include/rudderloom/store/store_follower.hpp
@@ -44,7 +44,7 @@
 
  private:
   bool paused_ = false;
-  asio::steady_timer resumed_;
+  Timer resumed_;
 };
 
 /// @brief Which kind is followed, and how.
--- a/src/load/main.cpp
+++ b/src/load/main.cpp
@@ -44,7 +44,7 @@
     std::exponential_distribution<double> gap(scenario_.rate);
     const TimePoint started = Now();
     double at = 0.0;
-    asio::steady_timer timer(context_);
+    Timer timer(context_);
     while (true) {
       at += gap(random_);
       const auto offset =
--- a/src/load/sender.cpp
+++ b/src/load/sender.cpp
@@ -97,7 +97,7 @@
     if (!again || outcome.tries >= part.tries) {
       break;
     }
-    asio::steady_timer pause(context_, std::chrono::seconds(1));
+    Timer pause(context_, std::chrono::seconds(1));
     co_await pause.async_wait(kAsTuple);
     ++asked.target;
   }
--- a/src/rudderloom/app/daemon.cpp
+++ b/src/rudderloom/app/daemon.cpp
@@ -177,7 +177,7 @@
 
   static void Wait(Duration pause) {
     asio::io_context context;
-    asio::steady_timer timer(context, pause);
+    Timer timer(context, pause);
     timer.async_wait([](boost::system::error_code) {});
     context.run();
   }
--- a/src/rudderloom/app/fleet_daemon.cpp
+++ b/src/rudderloom/app/fleet_daemon.cpp
@@ -251,7 +251,7 @@
 
   static void Wait(Duration pause) {
     asio::io_context context;
-    asio::steady_timer timer(context, pause);
+    Timer timer(context, pause);
     timer.async_wait([](boost::system::error_code) {});
     context.run();
   }
--- a/src/rudderloom/callers/dispatcher.cpp
+++ b/src/rudderloom/callers/dispatcher.cpp
@@ -66,7 +66,7 @@
   if (auto refused = queue_.Enter(applicant, room, now)) {
     co_return *refused;
   }
-  Waiter waiter{std::move(ask), asio::steady_timer(context_), std::nullopt};
+  Waiter waiter{std::move(ask), Timer(context_), std::nullopt};
   waiter.timer.expires_at(TimePoint::max());
   waiters_[applicant.ticket] = &waiter;
   if (!pumping_) {
@@ -121,7 +121,7 @@
 
 Awaitable<void> Dispatcher::PumpLoop() {
   while (queue_.Size() > 0) {
-    asio::steady_timer pause(context_, kPumpEvery);
+    Timer pause(context_, kPumpEvery);
     co_await pause.async_wait(kAsTuple);
     Pump();
   }
--- a/src/rudderloom/callers/front.cpp
+++ b/src/rudderloom/callers/front.cpp
@@ -93,7 +93,7 @@
 
 Awaitable<void> Front::SampleLoop() {
   while (true) {
-    asio::steady_timer pause(context_, kSampleEvery);
+    Timer pause(context_, kSampleEvery);
     co_await pause.async_wait(kAsTuple);
     metrics_.Set({"rudderloom_waiting"}, static_cast<double>(dispatcher_.Waiting()));
     metrics_.Set({"rudderloom_running"}, static_cast<double>(server_->Active()));
--- a/src/rudderloom/claims/claim_keeper.cpp
+++ b/src/rudderloom/claims/claim_keeper.cpp
@@ -55,7 +55,7 @@
   change.claim.claimed_at = UnixSeconds();
   change.give_up_at = Now() + limit;
   change.result = std::make_shared<std::variant<std::monostate, ClaimResult>>();
-  change.waiter = std::make_shared<asio::steady_timer>(context_);
+  change.waiter = std::make_shared<Timer>(context_);
   change.waiter->expires_at(TimePoint::max());
   const auto waiter = change.waiter;
   const auto result = change.result;
@@ -102,7 +102,7 @@
 Awaitable<void> ClaimKeeper::Run(Shard& shard) {
   Backoff backoff(kBackoffLeast, kBackoffMost, std::hash<std::string>{}(incarnation_ + shard.name));
   while (!shard.pending.empty()) {
-    asio::steady_timer batch(context_, settings_.batch);
+    Timer batch(context_, settings_.batch);
     co_await batch.async_wait(kAsTuple);
     const bool known = !shard.version.empty() && !WantsNews(shard);
     const bool done = (known || co_await Read(shard)) && co_await Commit(shard);
@@ -112,7 +112,7 @@
       continue;
     }
     GiveUpLate(shard, "the platform does not answer");
-    asio::steady_timer pause(context_, backoff.Next());
+    Timer pause(context_, backoff.Next());
     co_await pause.async_wait(kAsTuple);
   }
   shard.running = false;
--- a/src/rudderloom/fleet/fleet_shell_test.cpp
+++ b/src/rudderloom/fleet/fleet_shell_test.cpp
@@ -32,7 +32,7 @@
   }
   Awaitable<StoreError> Watch(std::string, std::string, std::function<void(WatchEvent)>) override {
     ++watches_;
-    asio::steady_timer never(context_, TimePoint::max());
+    Timer never(context_, TimePoint::max());
     co_await never.async_wait(kAsTuple);
     co_return StoreError{StoreError::Kind::kUnreachable, "ended"};
   }
--- a/src/rudderloom/forwarding/quota_grant.cpp
+++ b/src/rudderloom/forwarding/quota_grant.cpp
@@ -62,11 +62,11 @@
 
 Awaitable<std::optional<SpendAnswer>> QuotaGrant::Ask(std::string granter) {
   struct Waiting {
-    asio::steady_timer timer;
+    Timer timer;
     std::optional<SpendAnswer> answer;
   };
   asio::io_context& context = state_.context;
-  auto waiting = std::make_shared<Waiting>(Waiting{asio::steady_timer(context), {}});
+  auto waiting = std::make_shared<Waiting>(Waiting{Timer(context), {}});
   waiting->timer.expires_after(kAskLimit);
   state_.ask_holder(granter, part_, [&context, waiting](std::optional<SpendAnswer> answer) {
     asio::post(context, [waiting, answer] {
--- a/src/rudderloom/http/server.cpp
+++ b/src/rudderloom/http/server.cpp
@@ -168,7 +168,7 @@
     }
     if (error) {
       LogLine("accept_failed", Severity::kWarning).With("error", error.message());
-      asio::steady_timer pause(context_, kStopPoll);
+      Timer pause(context_, kStopPoll);
       co_await pause.async_wait(kAsTuple);
       continue;
     }
--- a/src/rudderloom/store/store_follower_test.cpp
+++ b/src/rudderloom/store/store_follower_test.cpp
@@ -112,7 +112,7 @@
   following.RunUntil([&] { return following.store.watches >= 2; });
   following.pace->Pause();
   // The watch that was under way ends; then nothing is left to run but the timer below.
-  asio::steady_timer timer(following.context, std::chrono::milliseconds(60));
+  Timer timer(following.context, std::chrono::milliseconds(60));
   bool over = false;
   timer.async_wait([&](boost::system::error_code) { over = true; });
   following.RunUntil([&] { return over; });
--- a/src/standin/standin.cpp
+++ b/src/standin/standin.cpp
@@ -52,7 +52,7 @@
 }
 
 Awaitable<void> Pause(asio::io_context& context, std::int64_t milliseconds) {
-  asio::steady_timer timer(context, Duration(milliseconds));
+  Timer timer(context, Duration(milliseconds));
   co_await timer.async_wait(kAsTuple);
 }
 
--- a/tests/fakes/fleet_world.cpp
+++ b/tests/fakes/fleet_world.cpp
@@ -76,6 +76,11 @@
   Follow(node, node.configuration, followings.configuration);
 }
 
+void FleetWorld::Suspend(int index, int milliseconds, int clock_lags) {
+  At(index).suspended_until = now_ + milliseconds;
+  At(index).clock_lags = clock_lags;
+}
+
 void FleetWorld::Configure(std::uint64_t version) {
   routes_version_ = version;
   routes_revision_ = ++revision_;
@@ -106,8 +111,13 @@
 }
 
 void FleetWorld::AfterIn(Node& node, int milliseconds, std::function<void()> what) {
-  After(milliseconds, [&node, life = node.life, what = std::move(what)] {
-    if (node.life == life && node.state) {
+  After(milliseconds, [this, &node, life = node.life, what = std::move(what)] {
+    if (node.life != life || !node.state) {
+      return;
+    }
+    if (Suspended(node)) {
+      AfterIn(node, node.suspended_until - now_, what);
+    } else {
       what();
     }
   });
@@ -129,12 +139,12 @@
     }
     for (std::size_t i = 0; i < nodes_.size(); ++i) {
       Node& node = nodes_[i];
-      if (!node.state) {
+      if (!node.state || Suspended(node)) {
         continue;
       }
       const int phase = now_ + static_cast<int>(i) * kStep;
       if (phase % kTick == 0) {
-        Tell(node, fleet_message::Tick{Time()});
+        Tell(node, fleet_message::Tick{TimeAt(node)});
         MoveFollowed(node, node.endpoints, false);
         MoveFollowed(node, node.configuration, true);
       }
@@ -158,7 +168,7 @@
 }
 
 void FleetWorld::Tell(Node& node, const fleet_message::Any& message) {
-  Execute(node, node.state->Handle(message, Time()));
+  Execute(node, node.state->Handle(message, TimeAt(node)));
 }
 
 void FleetWorld::Execute(Node& node, FleetEffects effects) {
@@ -234,7 +244,7 @@
   node.waiting_report.reset();
   node.reporting = true;
   Node* to = Find(report.to);
-  const bool silent = to == nullptr || node.cut_from_nodes || to->cut_from_nodes;
+  const bool silent = to == nullptr || node.cut_from_nodes || to->cut_from_nodes || Suspended(*to);
   if (silent || !to->state) {
     AfterIn(node, silent ? kPeerTimeOut : kPeerAnswers, [this, &node, report] {
       ReportEnded(node);
@@ -244,7 +254,7 @@
   }
   HolderDigest digest;
   if (to->statement) {
-    digest = DigestFor(*to->statement, report.counts, Time());
+    digest = DigestFor(*to->statement, report.counts, TimeAt(*to));
   }
   MakeOlder(digest, Duration(kPeerAnswers));
   to->heard_reports_at.push_back(now_);
@@ -376,6 +386,12 @@
   return std::nullopt;
 }
 
+int FleetWorld::Holders() const {
+  return static_cast<int>(std::count_if(nodes_.begin(), nodes_.end(), [&](const Node& node) {
+    return node.state && node.holds && !Suspended(node);
+  }));
+}
+
 bool FleetWorld::Sends(int node, const std::string& instance) const {
   if (!At(node).view) {
     return false;
--- a/tests/fakes/fleet_world.hpp
+++ b/tests/fakes/fleet_world.hpp
@@ -45,6 +45,9 @@
   // Faults. A killed node answers nothing; a started one is a new process.
   void Kill(int node);
   void Start(int node);
+  // The node's machine does nothing for so long. Afterwards its clock lags by `clock_lags` behind
+  // the others', as a clock does that stands still meanwhile.
+  void Suspend(int node, int milliseconds, int clock_lags = 0);
   void CutFromStore(int node, bool cut) { At(node).cut_from_store = cut; }
   void CutFromNodes(int node, bool cut) { At(node).cut_from_nodes = cut; }
   void SetStoreDown(bool down) { store_down_ = down; }
@@ -67,6 +70,8 @@
 
   // The node that holds the lease as it sees itself; nothing when none does.
   std::optional<int> Holder() const;
+  // Nodes that take themselves for the holder, and work now.
+  int Holders() const;
   std::uint64_t RoutesVersionOf(int node) const { return At(node).routes_version; }
   // True when the node would send requests to the endpoint.
   bool Sends(int node, const std::string& instance) const;
@@ -108,12 +113,17 @@
     std::uint64_t routes_version = 0;
     bool cut_from_store = false;
     bool cut_from_nodes = false;
+    int suspended_until = 0;
+    int clock_lags = 0;
     bool holds = false;
   };
 
   Node& At(int node) { return nodes_[static_cast<std::size_t>(node)]; }
   const Node& At(int node) const { return nodes_[static_cast<std::size_t>(node)]; }
   Node* Find(const std::string& address);
+  // As the node's own clock has it.
+  TimePoint TimeAt(const Node& node) const { return Time() - Duration(node.clock_lags); }
+  bool Suspended(const Node& node) const { return now_ < node.suspended_until; }
   void After(int milliseconds, std::function<void()> what);
   // Runs only if the process is still the same one.
   void AfterIn(Node& node, int milliseconds, std::function<void()> what);
--- a/tests/fakes/scripted_endpoint.hpp
+++ b/tests/fakes/scripted_endpoint.hpp
@@ -25,7 +25,7 @@
 
   // Waits until the other side closes, or for `limit`; true when it closed.
   Awaitable<bool> AwaitClose(std::chrono::milliseconds limit) {
-    asio::steady_timer timer(socket_.get_executor(), limit);
+    Timer timer(socket_.get_executor(), limit);
     timer.async_wait([this](boost::system::error_code error) {
       if (!error) {
         socket_.cancel();
@@ -38,7 +38,7 @@
   }
 
   Awaitable<void> Pause(std::chrono::milliseconds pause) {
-    asio::steady_timer timer(socket_.get_executor(), pause);
+    Timer timer(socket_.get_executor(), pause);
     co_await timer.async_wait(kAsTuple);
   }
 
--- a/tests/process/cluster.cpp
+++ b/tests/process/cluster.cpp
@@ -24,7 +24,7 @@
 // Between two looks at a condition.
 void PausePolling() {
   asio::io_context context;
-  asio::steady_timer timer(context, kPoll);
+  Timer timer(context, kPoll);
   timer.wait();
 }
 
