Operators see requests in quarantine and can let one go

Cause: a request that was held back came free after an hour at the soonest, and nobody could see which it was. Ruled out: a command of our own RPC: the platform's interface has no operators' port, and metrics' is there. Change: GET /quarantine and DELETE /quarantine/DIGEST at the metrics' address of any node; what is let go takes the same way to the holder as a whole answer does.

--- a/include/rudderloom/quarantine/crash_watch.hpp
+++ b/include/rudderloom/quarantine/crash_watch.hpp
@@ -29,8 +29,8 @@
   /// @brief No process listens at the endpoint's address.
   void Ended(const std::string& instance, TimePoint now);
 
-  /// @brief An endpoint has answered the request whole.
-  void Answered(const RequestDigest& request) { news_.cleared.insert(request); }
+  /// @brief An endpoint has answered the request whole, or an operator lets it go.
+  void Cleared(const RequestDigest& request) { news_.cleared.insert(request); }
 
   /// @brief True when there is something to tell.
   bool HasNews() const { return !news_.Empty(); }
--- a/src/rudderloom/forwarding/crash_check.cpp
+++ b/src/rudderloom/forwarding/crash_check.cpp
@@ -43,8 +43,8 @@
   TellSoon(state);
 }
 
-void NoteAnswered(ForwardingState& state, const RequestDigest& request) {
-  state.crashes.Answered(request);
+void NoteCleared(ForwardingState& state, const RequestDigest& request) {
+  state.crashes.Cleared(request);
   TellSoon(state);
 }
 
--- a/src/rudderloom/forwarding/crash_check.hpp
+++ b/src/rudderloom/forwarding/crash_check.hpp
@@ -15,8 +15,8 @@
 // Nobody listens at the endpoint's address.
 void NoteEnded(ForwardingState& state, const EndpointRecord& endpoint);
 
-// The endpoint has answered the request whole: it is not one that ends endpoints.
-void NoteAnswered(ForwardingState& state, const RequestDigest& request);
+// An endpoint has answered the request whole, or an operator lets it go: it is no suspect any more.
+void NoteCleared(ForwardingState& state, const RequestDigest& request);
 
 }  // namespace rudderloom
 
--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -290,7 +290,7 @@
     } else if (result.outcome == AttemptOutcome::kAnswered) {
       const FleetView& view = *state_.views.Current();
       if (arrival_.Suspected(view) || arrival_.Quarantined(view)) {
-        NoteAnswered(state_, arrival_.Digest());
+        NoteCleared(state_, arrival_.Digest());
       }
     }
   }
--- a/src/rudderloom/forwarding/front.cpp
+++ b/src/rudderloom/forwarding/front.cpp
@@ -1,7 +1,9 @@
 #include "rudderloom/forwarding/front.hpp"
 
-#include "rudderloom/base/log_line.hpp"  // for LogLine
-#include "rudderloom/http/pause.hpp"     // for PauseFor
+#include "forwarding/crash_check.hpp"      // for NoteCleared
+#include "forwarding/quarantine_page.hpp"  // for AnswerQuarantinePage
+#include "rudderloom/base/log_line.hpp"    // for LogLine
+#include "rudderloom/http/pause.hpp"       // for PauseFor
 
 namespace rudderloom {
 
@@ -179,6 +181,15 @@
 }
 
 Awaitable<void> FleetFront::AnswerMetrics(HttpExchange& exchange) {
+  auto page = AnswerQuarantinePage(exchange.Request(), state_.views.Current()->quarantine);
+  if (page) {
+    if (page->cleared) {
+      LogLine("quarantine_cleared").With("request", TextOf(*page->cleared));
+      NoteCleared(state_, *page->cleared);
+    }
+    co_await exchange.Send(std::move(page->reply));
+    co_return;
+  }
   Reply reply;
   reply.content_type = "text/plain; version=0.0.4";
   reply.body = metrics_.Text();
--- a/tests/process/fleet_quarantine_test.cpp
+++ b/tests/process/fleet_quarantine_test.cpp
@@ -91,6 +91,19 @@
   const auto later = std::count_if(services.Ends().begin(), services.Ends().end(),
                                    [&](auto end) { return end - third > kKnownWithin; });
   CHECK(later <= kMostLater);
+  // Every node shows it to operators; one that is let go reaches an endpoint again.
+  const std::string page = cluster.Call(cluster.At("a").Address(3), "/quarantine").body;
+  const std::size_t digits = page.find("[\"") + 2;
+  REQUIRE(digits > 2);
+  const std::string digest = page.substr(digits, page.find('"', digits) - digits);
+  const std::size_t before = services.Ends().size();
+  CHECK(
+      cluster.Call(cluster.At("b").Address(3), "/quarantine/" + digest, {}, {}, "DELETE").status ==
+      202);
+  CHECK(cluster.Until([&] {
+    send();
+    return services.Ends().size() > before;
+  }));
   // The same path from the same callers with any other body is served.
   for (const std::string& node : nodes) {
     CHECK(cluster.Until([&] {
