No end counts against a request that a node has lately seen answered, or that came after the first break

Cause: one small request that many callers send alike is under way at every endpoint, so it shares three ends with the cause within a moment, and while all endpoints are gone nothing answers it and clears it. A proxy that listens on for an endpoint that has ended also gave evidence against whoever was sent there later. Ruled out: the count alone (3): a larger one lets the cause end more endpoints and only delays this. A trial of one request at a time out of quarantine: nodes would try at once, and each try of the cause costs an endpoint. Change: a node remembers the digests of 4,096 answers and tells nothing of such requests; only requests that were sent before the endpoint's first connection broke count; a break and the answer that nobody listens may lie 1.5 s apart (0.5 s before), as with a proxy between. The digest is worked out for each answered request now.

--- a/src/rudderloom/callers/completion_call.cpp
+++ b/src/rudderloom/callers/completion_call.cpp
@@ -85,7 +85,7 @@
       const AttemptEnd end = co_await Attempt(grant);
       shared_.dispatcher.Release(grant, ResultOf(end), end.first_byte);
       if (end.failure || !end.caller_gone) {
-        crash_guard_.Ended(grant.endpoint, end.failure);
+        crash_guard_.Ended(grant.endpoint, end.failure, grant.started);
       }
       if (end.caller_gone || !end.failure) {
         LogEnd(grant, end);
--- a/src/rudderloom/callers/crash_guard.cpp
+++ b/src/rudderloom/callers/crash_guard.cpp
@@ -40,19 +40,18 @@
   return refusal;
 }
 
-void CrashGuard::Ended(const EndpointView& endpoint, std::optional<AttemptFailure> failure) {
+void CrashGuard::Ended(const EndpointView& endpoint,
+                       std::optional<AttemptFailure> failure,
+                       TimePoint sent_at) {
   if (!failure) {
-    const QuarantineListPtr list = shared_.dispatcher.Current()->quarantine;
-    if (list && (list->suspects.contains(Digest()) || list->quarantined.contains(Digest()))) {
-      shared_.crashes.Cleared(Digest());
-    }
+    shared_.crashes.Answered(Digest(), shared_.dispatcher.Current()->quarantine);
     return;
   }
   if (*failure != AttemptFailure::kCutEarly && *failure != AttemptFailure::kCutMidway) {
     return;
   }
   const std::string life = endpoint.name + "#" + endpoint.incarnation;
-  if (shared_.crashes.Broke(life, Digest(), Now())) {
+  if (shared_.crashes.Broke(life, Digest(), sent_at, Now())) {
     asio::co_spawn(shared_.context, Ask(shared_, endpoint.address, life), asio::detached);
   }
 }
--- a/src/rudderloom/callers/crash_guard.hpp
+++ b/src/rudderloom/callers/crash_guard.hpp
@@ -18,8 +18,10 @@
   // Why the request is not to be sent to an endpoint; nothing when it may be.
   std::optional<Refusal> Check();
 
-  // An attempt has ended; no failure: its endpoint has answered whole.
-  void Ended(const EndpointView& endpoint, std::optional<AttemptFailure> failure);
+  // An attempt that began at `sent_at` has ended; no failure: its endpoint has answered whole.
+  void Ended(const EndpointView& endpoint,
+             std::optional<AttemptFailure> failure,
+             TimePoint sent_at);
 
  private:
   const RequestDigest& Digest();
--- a/src/rudderloom/callers/service_call.cpp
+++ b/src/rudderloom/callers/service_call.cpp
@@ -148,7 +148,7 @@
       }
       const Grant grant = std::move(std::get<Grant>(acquired));
       const auto failure = co_await Attempt(grant);
-      crash_guard_.Ended(grant.endpoint, failure);
+      crash_guard_.Ended(grant.endpoint, failure, grant.started);
       if (!failure) {
         co_return;
       }
--- a/src/rudderloom/forwarding/attempt.cpp
+++ b/src/rudderloom/forwarding/attempt.cpp
@@ -158,6 +158,7 @@
     AttemptResult result = Fail(outcome, reason);
     result.broken = guard_.Why() == Interruption::kNone;
     result.error = failure.message;
+    result.sent_at = sent_at_;
     return result;
   }
 
--- a/src/rudderloom/forwarding/attempt.hpp
+++ b/src/rudderloom/forwarding/attempt.hpp
@@ -67,6 +67,7 @@
   bool refused = false;       // no process listens at the endpoint's address
   bool broken = false;        // its connection ended before the whole answer had come
   std::string error;          // the network's word for it; empty for none
+  TimePoint sent_at;          // when the request began to be written
   AttemptMark mark = AttemptMark::kFailed;
   std::optional<Reply> reply;  // a failure that the client may be given as it is
 };
--- a/src/rudderloom/forwarding/crash_check.cpp
+++ b/src/rudderloom/forwarding/crash_check.cpp
@@ -23,8 +23,9 @@
 
 void NoteBreak(ForwardingState& state,
                const EndpointRecord& endpoint,
-               const RequestDigest& request) {
-  if (state.crashes.Broke(endpoint.instance, request, Now())) {
+               const RequestDigest& request,
+               TimePoint sent_at) {
+  if (state.crashes.Broke(endpoint.instance, request, sent_at, Now())) {
     asio::co_spawn(state.context, Ask(state, endpoint), asio::detached);
   }
   TellSoon(state);
@@ -35,6 +36,11 @@
   TellSoon(state);
 }
 
+void NoteAnswered(ForwardingState& state, const RequestDigest& request) {
+  state.crashes.Answered(request, state.views.Current()->quarantine);
+  TellSoon(state);
+}
+
 void NoteCleared(ForwardingState& state, const RequestDigest& request) {
   state.crashes.Cleared(request);
   TellSoon(state);
--- a/src/rudderloom/forwarding/crash_check.hpp
+++ b/src/rudderloom/forwarding/crash_check.hpp
@@ -10,12 +10,16 @@
 // still listens, and tells the control state when it doesn't.
 void NoteBreak(ForwardingState& state,
                const EndpointRecord& endpoint,
-               const RequestDigest& request);
+               const RequestDigest& request,
+               TimePoint sent_at);
 
 // Nobody listens at the endpoint's address.
 void NoteEnded(ForwardingState& state, const EndpointRecord& endpoint);
 
-// An endpoint has answered the request whole, or an operator lets it go: it is no suspect any more.
+// An endpoint has answered the request whole: it is not one that ends endpoints.
+void NoteAnswered(ForwardingState& state, const RequestDigest& request);
+
+// An operator lets the request go.
 void NoteCleared(ForwardingState& state, const RequestDigest& request);
 
 }  // namespace rudderloom
--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -286,12 +286,9 @@
     if (result.refused) {
       NoteEnded(state_, endpoint);
     } else if (result.broken) {
-      NoteBreak(state_, endpoint, arrival_.Digest());
+      NoteBreak(state_, endpoint, arrival_.Digest(), result.sent_at);
     } else if (result.outcome == AttemptOutcome::kAnswered) {
-      const FleetView& view = *state_.views.Current();
-      if (arrival_.Suspected(view) || arrival_.Quarantined(view)) {
-        NoteCleared(state_, arrival_.Digest());
-      }
+      NoteAnswered(state_, arrival_.Digest());
     }
   }
 
--- a/src/rudderloom/quarantine/crash_watch.cpp
+++ b/src/rudderloom/quarantine/crash_watch.cpp
@@ -6,22 +6,36 @@
 
 namespace {
 
-// Between a break and the answer that nobody listens, in either order. All connections of a process
-// break as it ends; a supervisor starts it again after this time at the soonest.
-constexpr Duration kTogether{500};
-// Requests that broke together need one answer.
+// From an endpoint's first break to the answer that nobody listens, in either order. All
+// connections of a process break as it ends; a proxy before it may listen on for a while.
+constexpr Duration kTogether{1'500};
+// Requests that broke together need one answer, and one more where a proxy gave the first.
 constexpr Duration kAskEvery{100};
+// Requests that a node answers in about a minute, in some 500 KB.
+constexpr std::size_t kMostAnswered = 4'096;
 
 }  // namespace
 
-bool CrashWatch::Broke(const std::string& instance, const RequestDigest& request, TimePoint now) {
+bool CrashWatch::Broke(const std::string& instance,
+                       const RequestDigest& request,
+                       TimePoint sent_at,
+                       TimePoint now) {
+  if (Survived(request)) {
+    return false;
+  }
   Endpoint& endpoint = endpoints_[instance];
-  if (endpoint.ended_at != TimePoint() && now - endpoint.ended_at < kTogether) {
+  if (endpoint.first_broke_at == TimePoint() || now - endpoint.first_broke_at >= kTogether) {
+    endpoint = {now, {}, false, std::nullopt};
+  }
+  if (sent_at > endpoint.first_broke_at) {
+    return false;
+  }
+  if (endpoint.ended) {
     news_.crashes.insert({request, KeyOf(instance)});
     return false;
   }
-  endpoint.breaks.push_back({request, now});
-  if (endpoint.asked_at != TimePoint() && now - endpoint.asked_at < kAskEvery) {
+  endpoint.broke.push_back(request);
+  if (endpoint.asked_at && now - *endpoint.asked_at < kAskEvery) {
     return false;
   }
   endpoint.asked_at = now;
@@ -30,15 +44,26 @@
 
 void CrashWatch::Ended(const std::string& instance, TimePoint now) {
   const auto found = endpoints_.find(instance);
-  if (found == endpoints_.end()) {
+  if (found == endpoints_.end() || now - found->second.first_broke_at >= kTogether) {
+    return;
+  }
+  found->second.ended = true;
+  for (const RequestDigest& request : std::exchange(found->second.broke, {})) {
+    news_.crashes.insert({request, KeyOf(instance)});
+  }
+}
+
+void CrashWatch::Answered(const RequestDigest& request, const QuarantineListPtr& list) {
+  if (list && (list->suspects.contains(request) || list->quarantined.contains(request))) {
+    news_.cleared.insert(request);
+  }
+  if (!answered_.insert(request).second) {
     return;
   }
-  Endpoint& endpoint = found->second;
-  endpoint.ended_at = now;
-  for (const Break& broke : std::exchange(endpoint.breaks, {})) {
-    if (now - broke.at < kTogether) {
-      news_.crashes.insert({broke.request, KeyOf(instance)});
-    }
+  answered_order_.push_back(request);
+  if (answered_order_.size() > kMostAnswered) {
+    answered_.erase(answered_order_.front());
+    answered_order_.pop_front();
   }
 }
 
@@ -47,12 +72,8 @@
 }
 
 void CrashWatch::Trim(TimePoint now) {
-  std::erase_if(endpoints_, [&](const auto& entry) {
-    const Endpoint& endpoint = entry.second;
-    const bool broke_lately =
-        !endpoint.breaks.empty() && now - endpoint.breaks.back().at < kTogether;
-    return !broke_lately && now - endpoint.ended_at >= kTogether;
-  });
+  std::erase_if(endpoints_,
+                [&](const auto& entry) { return now - entry.second.first_broke_at >= kTogether; });
 }
 
 }  // namespace rudderloom
--- a/src/rudderloom/quarantine/crash_watch_test.cpp
+++ b/src/rudderloom/quarantine/crash_watch_test.cpp
@@ -17,11 +17,11 @@
 
 TEST_CASE("requests that broke with an endpoint's end are told, whichever is seen first") {
   CrashWatch watch;
-  CHECK(watch.Broke("e1", Request("a"), At(0)));
-  CHECK_FALSE(watch.Broke("e1", Request("b"), At(1)));
+  CHECK(watch.Broke("e1", Request("a"), At(-40), At(0)));
+  CHECK_FALSE(watch.Broke("e1", Request("b"), At(-10), At(1)));
   CHECK_FALSE(watch.HasNews());
   watch.Ended("e1", At(3));
-  CHECK_FALSE(watch.Broke("e1", Request("c"), At(4)));
+  CHECK_FALSE(watch.Broke("e1", Request("c"), At(-900), At(4)));
   const CrashNews news = watch.Take();
   const EndpointKey key = KeyOf("e1");
   CHECK(news.crashes ==
@@ -31,15 +31,42 @@
 
 TEST_CASE("a connection that breaks alone says nothing of its request") {
   CrashWatch watch;
-  watch.Broke("e1", Request("reset"), At(0));
-  watch.Broke("e2", Request("other"), At(0));
-  watch.Ended("e2", At(1'000));
-  watch.Ended("e3", At(1'000));
+  watch.Broke("e1", Request("reset"), At(-1), At(0));
+  watch.Broke("e2", Request("other"), At(-1), At(0));
+  watch.Ended("e2", At(5'000));
+  watch.Ended("e3", At(5'000));
   CHECK_FALSE(watch.HasNews());
   // The next break is asked about again.
-  CHECK(watch.Broke("e1", Request("reset"), At(1'000)));
+  CHECK(watch.Broke("e1", Request("reset"), At(4'000), At(5'000)));
   watch.Trim(At(10'000));
-  CHECK(watch.Broke("e1", Request("later"), At(10'000)));
+  CHECK(watch.Broke("e1", Request("later"), At(9'000), At(10'000)));
+}
+
+TEST_CASE(
+    "who is sent to an endpoint that has ended, or is known to be answered, has no part in it") {
+  CrashWatch watch;
+  watch.Answered(Request("usual"), nullptr);
+  CHECK(watch.Broke("e1", Request("bad"), At(-40), At(0)));
+  CHECK_FALSE(watch.Broke("e1", Request("usual"), At(-30), At(0)));
+  CHECK_FALSE(watch.Broke("e1", Request("late"), At(2), At(20)));
+  watch.Ended("e1", At(30));
+  CHECK(watch.Take().crashes == std::set<RequestCrash>{{Request("bad"), KeyOf("e1")}});
+  // Some thousand answers later it is forgotten.
+  for (int i = 0; i < 5'000; ++i) {
+    watch.Answered(Request(std::to_string(i)), nullptr);
+  }
+  CHECK(watch.Broke("e2", Request("usual"), At(90), At(100)));
+}
+
+TEST_CASE("an answer clears a request that the fleet suspects or holds back") {
+  CrashWatch watch;
+  const auto list = std::make_shared<const QuarantineList>(
+      QuarantineList{{Request("held")}, {Request("suspect")}});
+  watch.Answered(Request("usual"), list);
+  CHECK_FALSE(watch.HasNews());
+  watch.Answered(Request("held"), list);
+  watch.Answered(Request("suspect"), list);
+  CHECK(watch.Take().cleared == std::set<RequestDigest>{Request("held"), Request("suspect")});
 }
 
 TEST_CASE("news are told for some seconds, each once counted as new") {
