--- a/include/rudderloom/dissemination/digest.hpp
+++ b/include/rudderloom/dissemination/digest.hpp
@@ -27,7 +27,8 @@
 /// @ingroup dissemination
 struct HolderDigest {
   /// @brief False: the node that was asked neither holds the lease nor has a word of its holder to
-  /// hand on. Then only `holder` and `epoch` are told, as that node last knew them, and `crash_news`.
+  /// hand on. Then only `holder` and `epoch` are told, as that node last knew them, and
+  /// `crash_news`.
   bool holds = false;
   std::uint64_t epoch = 0;  ///< Of the lease.
   std::string holder;       ///< Address of its holder.
@@ -56,8 +57,8 @@
   std::uint64_t report_counted = 0;  ///< The asking node's last report that these take in.
   /// @brief Requests that end the endpoints that run them; empty: as the asking node knows them.
   std::optional<QuarantineTable> quarantine;
-  /// @brief What the node that answers is telling the holder, if it is another one: the holder may be
-  /// out of its reach, and out of the asking node's.
+  /// @brief What the node that answers is telling the holder, if it is another one: the holder may
+  /// be out of its reach, and out of the asking node's.
   CrashNews crash_news;
 };
 
