--- a/bench/cost.cpp
+++ b/bench/cost.cpp
@@ -2,6 +2,7 @@
 #include <benchmark/benchmark.h>  // for BENCHMARK
 
 #include "rudderloom/admission/admission_queue.hpp"  // for AdmissionQueue
+#include "rudderloom/quarantine/crash_book.hpp"      // for CrashBook
 #include "rudderloom/residency/planner.hpp"          // for Plan
 #include "rudderloom/routing/router.hpp"             // for Router
 
@@ -109,6 +110,33 @@
 }
 BENCHMARK(BM_PlanAgain)->Args({40, 22})->Args({200, 1600})->Unit(benchmark::kMillisecond);
 
+// What each request on the platform's interface costs for being known when it comes again: a usual
+// body, a long prompt, and the largest that settings allow.
+void BM_RequestDigest(benchmark::State& state) {
+  const std::string body(static_cast<std::size_t>(state.range(0)), 'x');
+  for (auto step : state) {
+    benchmark::DoNotOptimize(DigestOf(RequestIdentity{"host.example", "/a/b", "member-a", body}));
+  }
+}
+BENCHMARK(BM_RequestDigest)->Arg(1 << 10)->Arg(64 << 10)->Arg(4 << 20);
+
+// One more end, while a rack's end has left as many suspects as there may be.
+void BM_CrashTaken(benchmark::State& state) {
+  CrashBook book;
+  const TimePoint now = TimePoint() + std::chrono::hours(1);
+  for (std::uint32_t i = 0; i < state.range(0); ++i) {
+    const RequestDigest digest = DigestOf(RequestIdentity{"h", "/", "", std::to_string(i)});
+    book.Take({{{digest, i % 50}}, {}}, now);
+  }
+  const RequestDigest last = DigestOf(RequestIdentity{"h", "/", "", "last"});
+  std::uint32_t endpoint = 100;
+  for (auto step : state) {
+    benchmark::DoNotOptimize(book.Take({{{last, ++endpoint}}, {}}, now));
+    book.Take({{}, {last}}, now);
+  }
+}
+BENCHMARK(BM_CrashTaken)->Arg(20)->Arg(2'000);
+
 }  // namespace
 }  // namespace rudderloom
 
--- a/include/rudderloom/base/clock.hpp
+++ b/include/rudderloom/base/clock.hpp
@@ -19,7 +19,7 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<SuspendAwareClock>;
-  static constexpr bool is_steady = true;
+  static const bool is_steady = true;
 
   static time_point now() noexcept;
 };
