--- a/include/rudderloom/base/clock.hpp
+++ b/include/rudderloom/base/clock.hpp
@@ -19,7 +19,8 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<SuspendAwareClock>;
-  static const bool is_steady = true;
+  // The standard's name. NOLINTNEXTLINE(readability-identifier-naming)
+  static constexpr bool is_steady = true;
 
   static time_point now() noexcept;
 };
--- a/src/rudderloom/forwarding/quarantine_page_test.cpp
+++ b/src/rudderloom/forwarding/quarantine_page_test.cpp
@@ -3,6 +3,8 @@
 #include <doctest/doctest.h>  // for TEST_CASE
 
 #include <boost/json.hpp>  // for parse
+#include <map>             // for map
+#include <string>          // for string
 
 namespace rudderloom {
 namespace {
--- a/src/rudderloom/quarantine/crash_book_test.cpp
+++ b/src/rudderloom/quarantine/crash_book_test.cpp
@@ -73,6 +73,7 @@
   CrashBook book;
   for (EndpointKey endpoint = 0; endpoint < 40; ++endpoint) {
     std::vector<std::string> bodies;
+    bodies.reserve(12);
     for (int i = 0; i < 12; ++i) {
       bodies.push_back(std::to_string(endpoint % 20) + "-" + std::to_string(i));
     }
