--- a/src/rudderloom/forwarding/quarantine_page_test.cpp
+++ b/src/rudderloom/forwarding/quarantine_page_test.cpp
@@ -35,12 +35,13 @@
 
 TEST_CASE("what makes no sense is told so and lets nothing go") {
   const std::string unknown = TextOf(DigestOf(RequestIdentity{"h", "/p/", "", "unknown"}));
-  for (const auto& [target, status] : std::map<std::string, unsigned>{
-           {"/quarantine/" + unknown, 404}, {"/quarantine/xyz", 400}, {"/quarantine", 404}}) {
-    CAPTURE(target);
-    const auto answer = AnswerQuarantinePage(Ask(http::verb::delete_, target), nullptr);
+  const std::map<std::string, unsigned> statuses{
+      {"/quarantine/" + unknown, 404}, {"/quarantine/xyz", 400}, {"/quarantine", 404}};
+  for (const auto& entry : statuses) {
+    CAPTURE(entry.first);
+    const auto answer = AnswerQuarantinePage(Ask(http::verb::delete_, entry.first), nullptr);
     REQUIRE(answer);
-    CHECK(answer->reply.status == status);
+    CHECK(answer->reply.status == entry.second);
     CHECK_FALSE(answer->cleared);
   }
   CHECK_FALSE(AnswerQuarantinePage(Ask(http::verb::get, "/metrics"), nullptr));
