The two-fault schedules run as four cases; a figure and a claim without a run are taken back

Cause: the 960 schedules in one case had no end after five minutes under the sanitizers. The failing test's head said that every end of the incident came within 150 ms of a try of one path, caller and body: only the tries on record show 45 to 112 ms, and no log of the incident tells digests. Ruled out: fewer schedules; the seeds and checks are the same. Change: a case for each first fault, and the two texts. No product code is touched.

--- a/src/rudderloom/fleet/fleet_quarantine_test.cpp
+++ b/src/rudderloom/fleet/fleet_quarantine_test.cpp
@@ -167,9 +167,11 @@
   }
 }
 
-// Each pair of faults at two moments after the first end: nodes in touch send the request on at
-// most three times once they must all know of it.
-TEST_CASE("any two faults among the nodes that carry the word") {
+// One fault and then each other one, at two moments after the first end: nodes in touch send the
+// request on at most three times once they must all know of it.
+void PlayPairsOf(std::size_t first) {
+  constexpr unsigned kSchedulesOfOne = 240;
+  const unsigned first_seed = static_cast<unsigned>(first) * kSchedulesOfOne;
   using Fault = void (*)(FleetWorld&, int);
   const std::vector<Fault> faults{
       [](FleetWorld& world, int node) { world.Kill(node); },
@@ -188,48 +190,63 @@
     }
     return 1;
   };
-  int schedules = 0;
+  unsigned schedules = 0;
   int most = 0;
-  for (std::size_t first = 0; first < faults.size(); ++first) {
-    for (std::size_t second = 0; second < faults.size(); ++second) {
-      for (int whom = 0; whom < 4; ++whom) {
-        for (const int pause : {0, 130, 300, 1'200, 2'500}) {
-          for (const int ahead : {60, 180, 600}) {
-            FleetWorld world(Small());
-            world.Play(5'000);
-            Crashes crashes(world, static_cast<unsigned>(schedules));
-            crashes.Play(ahead);
-            const int one = victim(world, whom % 2);
-            faults[first](world, one);
-            crashes.Play(pause);
-            const int other = victim(world, whom / 2);
-            faults[second](world, other);
-            crashes.Play(8'000);
-            CAPTURE(first);
-            CAPTURE(second);
-            CAPTURE(whom);
-            CAPTURE(pause);
-            CAPTURE(ahead);
-            constexpr std::size_t kCutFromNodes = 3;
-            std::set<int> cut;
-            if (first == kCutFromNodes) {
-              cut.insert(one);
-            }
-            if (second == kCutFromNodes) {
-              cut.insert(other);
-            }
-            const int later = crashes.Later(cut);
-            CHECK(later <= kMostLater);
-            CHECK(crashes.HeldBackBeside() == 0);
-            most = std::max(most, later);
-            ++schedules;
+  for (std::size_t second = 0; second < faults.size(); ++second) {
+    for (int whom = 0; whom < 4; ++whom) {
+      for (const int pause : {0, 130, 300, 1'200, 2'500}) {
+        for (const int ahead : {60, 180, 600}) {
+          FleetWorld world(Small());
+          world.Play(5'000);
+          Crashes crashes(world, first_seed + schedules);
+          crashes.Play(ahead);
+          const int one = victim(world, whom % 2);
+          faults[first](world, one);
+          crashes.Play(pause);
+          const int other = victim(world, whom / 2);
+          faults[second](world, other);
+          crashes.Play(8'000);
+          CAPTURE(first);
+          CAPTURE(second);
+          CAPTURE(whom);
+          CAPTURE(pause);
+          CAPTURE(ahead);
+          constexpr std::size_t kCutFromNodes = 3;
+          std::set<int> cut;
+          if (first == kCutFromNodes) {
+            cut.insert(one);
           }
+          if (second == kCutFromNodes) {
+            cut.insert(other);
+          }
+          const int later = crashes.Later(cut);
+          CHECK(later <= kMostLater);
+          CHECK(crashes.HeldBackBeside() == 0);
+          most = std::max(most, later);
+          ++schedules;
         }
       }
     }
   }
+  CHECK(schedules == kSchedulesOfOne);
   MESSAGE("schedules ", schedules, ", at most ", most, " sent on by one schedule");
 }
 
+TEST_CASE("any two faults of which the first kills one that carries the word") {
+  PlayPairsOf(0);
+}
+
+TEST_CASE("any two faults of which the first starts it anew") {
+  PlayPairsOf(1);
+}
+
+TEST_CASE("any two faults of which the first cuts it from the store") {
+  PlayPairsOf(2);
+}
+
+TEST_CASE("any two faults of which the first cuts it from the nodes") {
+  PlayPairsOf(3);
+}
+
 }  // namespace
 }  // namespace rudderloom
--- a/tests/process/fleet_quarantine_test.cpp
+++ b/tests/process/fleet_quarantine_test.cpp
@@ -3,8 +3,9 @@
 // Seen: 29 endpoints of one service ended one after the other under tries of one request, 18 of
 // them after the third had ended. Each try came under an id of its own, at another node. Every node
 // judged it as new, by its route and the repeats that were left: nothing related it to the ends
-// before. That all tries had the same path, caller and body, and that every end came within 150 ms
-// of one of them, proved it.
+// before. The tries that are on record ended their endpoints 45 to 112 ms after they began to run;
+// that this test ends 50 services without the mend, and that the recorded day is clean with it,
+// proved it.
 #include <doctest/doctest.h>  // for TEST_CASE
 
 #include <algorithm>  // for count_if
