--- a/include/rudderloom/fleet/fleet_state.hpp
+++ b/include/rudderloom/fleet/fleet_state.hpp
@@ -148,6 +148,7 @@
   void TakeRecord(const EndpointRecord& record, EndpointTeller teller);
   void TakeGone(const std::string& instance, EndpointTeller teller, TimePoint now);
   void TakeEndpoints(const EndpointChanges& changes, EndpointTeller teller, TimePoint now);
+  void LogEndpointsIgnored(std::uint64_t revision, TimePoint now);
   void TakeList(const std::vector<EndpointRecord>& records, EndpointTeller teller, TimePoint now);
   // A peer has told which configuration it has in force.
   void PeerHasRoutes(std::uint64_t version, TimePoint now);
@@ -212,6 +213,8 @@
   TimePoint viewed_at_;
   TimePoint held_since_;
   TimePoint lag_logged_at_;
+  TimePoint lease_ignored_logged_at_;
+  TimePoint endpoints_ignored_logged_at_;
   std::optional<TimePoint> resigned_at_;
   bool holds_ = false;
   bool lease_reading_ = false;
--- a/include/rudderloom/placement/lease_keeper.hpp
+++ b/include/rudderloom/placement/lease_keeper.hpp
@@ -95,7 +95,8 @@
 
   /// @brief The object as read; an empty record when there is none.
   /// @param fresh False when the read may be seconds old.
-  void Seen(const std::optional<LeaseRecord>& record,
+  /// @return False when the record is older than one that this process knows: it is passed over.
+  bool Seen(const std::optional<LeaseRecord>& record,
             const std::string& version,
             bool fresh,
             TimePoint now);
--- a/src/rudderloom/fleet/fleet_endpoints.cpp
+++ b/src/rudderloom/fleet/fleet_endpoints.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr Duration kLogIgnoredEvery{1'000};
+
 std::string_view NameOf(EndpointTeller teller) {
   return teller == EndpointTeller::kStore ? "store" : "holder";
 }
@@ -63,12 +65,27 @@
 
 void FleetState::On(const fleet_message::EndpointsChanged& changed, TimePoint now) {
   endpoint_source_.Confirmed(now);
+  if (changed.changes.version < endpoint_log_.Get().Version()) {
+    LogEndpointsIgnored(changed.changes.version, now);
+  }
   TakeEndpoints(changed.changes, EndpointTeller::kStore, now);
 }
 
+// The store's answer is older than what this node has heard from it or from the holder since.
+void FleetState::LogEndpointsIgnored(std::uint64_t revision, TimePoint now) {
+  if (now - endpoints_ignored_logged_at_ < kLogIgnoredEvery) {
+    return;
+  }
+  endpoints_ignored_logged_at_ = now;
+  LogLine("endpoints_ignored", Severity::kWarning)
+      .With("revision", revision)
+      .With("known_revision", endpoint_log_.Get().Version());
+}
+
 void FleetState::On(const fleet_message::EndpointsListed& listed, TimePoint now) {
   endpoint_source_.Confirmed(now);
   if (listed.revision < endpoint_log_.Get().Version()) {
+    LogEndpointsIgnored(listed.revision, now);
     return;
   }
   std::map<std::string, EndpointRecord> by_instance;
--- a/src/rudderloom/fleet/fleet_lease.cpp
+++ b/src/rudderloom/fleet/fleet_lease.cpp
@@ -44,6 +44,7 @@
 // Half of what makes a holder resign.
 constexpr Duration kLagLoggedFrom{100};
 constexpr Duration kLogLagEvery{1'000};
+constexpr Duration kLogIgnoredEvery{1'000};
 
 }  // namespace
 
@@ -190,7 +191,17 @@
 
 void FleetState::On(const fleet_message::LeaseSeen& seen, TimePoint now) {
   lease_reading_ = false;
-  lease_.Seen(seen.record, seen.version, seen.fresh, now);
+  const bool taken = lease_.Seen(seen.record, seen.version, seen.fresh, now);
+  if (taken || now - lease_ignored_logged_at_ < kLogIgnoredEvery) {
+    return;
+  }
+  lease_ignored_logged_at_ = now;
+  LogLine("lease_record_ignored", Severity::kWarning)
+      .With("holder", seen.record->holder)
+      .With("epoch", seen.record->epoch)
+      .With("renewals", seen.record->renewals)
+      .With("version", seen.version)
+      .With("known_epoch", lease_.Epoch());
 }
 
 void FleetState::On(const fleet_message::LeaseUnread&, TimePoint now) {
--- a/src/rudderloom/fleet/fleet_shell.cpp
+++ b/src/rudderloom/fleet/fleet_shell.cpp
@@ -325,6 +325,7 @@
 }
 
 Awaitable<void> FleetShell::WriteLease(LeaseWrite write) {
+  const std::string version = write.version;
   StoredObject object;
   object.name = kLeaseName;
   object.version = write.version;
@@ -333,6 +334,9 @@
   fleet_message::LeaseWritten message;
   if (auto* error = std::get_if<StoreError>(&written)) {
     metrics_.Count({"rudderloom_lease_write_failures_total", "kind", NameOf(error->kind)});
+    LogLine("lease_write_failed", Severity::kWarning)
+        .With("kind", NameOf(error->kind))
+        .With("version", version);
   } else {
     message.version = std::get<StoredObject>(written).version;
   }
--- a/src/rudderloom/placement/lease_keeper.cpp
+++ b/src/rudderloom/placement/lease_keeper.cpp
@@ -143,7 +143,7 @@
   return record.holder == address_ && record.incarnation == incarnation_;
 }
 
-void LeaseKeeper::Seen(const std::optional<LeaseRecord>& record,
+bool LeaseKeeper::Seen(const std::optional<LeaseRecord>& record,
                        const std::string& version,
                        bool fresh,
                        TimePoint now) {
@@ -154,11 +154,11 @@
   if (seen == version_) {
     last_seen_ = now;
     read_fresh_at_ = fresh ? now : read_fresh_at_;
-    return;
+    return true;
   }
   // An answer may be older than what this process has read or written since it asked.
   if (record && IsOlder(*record, record_)) {
-    return;
+    return false;
   }
   version_ = seen;
   first_seen_ = now;
@@ -168,7 +168,7 @@
   holding_ = record && IsMine(*record) && !record->released;
   if (!holding_) {
     handing_over_ = false;
-    return;
+    return true;
   }
   // A write whose answer was lost took effect: its time counts from when it was begun.
   const auto started = write_starts_.find(record_.renewals);
@@ -176,6 +176,7 @@
   if (holding_) {
     valid_until_ = started->second + valid_for_;
   }
+  return true;
 }
 
 void LeaseKeeper::Unread(TimePoint now) {
