--- a/tests/fakes/fleet_world.cpp
+++ b/tests/fakes/fleet_world.cpp
@@ -82,8 +82,9 @@
 }
 
 void FleetWorld::Configure(std::uint64_t version) {
-  routes_version_ = version;
-  routes_revision_ = ++revision_;
+  store_.routes_version = version;
+  ++store_.revision;
+  CopyStore();
 }
 
 void FleetWorld::PutEndpoint(const std::string& instance, bool leaving) {
@@ -93,16 +94,48 @@
   record.service = "desk";
   record.address = instance + ":1";
   record.leaving = leaving;
-  endpoints_[instance] = {record, ++revision_};
+  store_.endpoints[instance] = {record, ++store_.revision};
+  CopyStore();
+}
+
+void FleetWorld::CopyStore() {
+  copies_[now_] = store_;
+}
+
+void FleetWorld::WriteElsewhere(int writes) {
+  store_.revision += static_cast<std::uint64_t>(writes);
+  CopyStore();
+}
+
+void FleetWorld::RestoreStore(int age, int written_again_after) {
+  const auto newer = copies_.upper_bound(now_ - age);
+  const Kept lost = store_;
+  store_ = newer == copies_.begin() ? Kept() : std::prev(newer)->second;
+  ++era_;
+  copies_.clear();
+  CopyStore();
+  After(written_again_after, [this, lost] { WriteAgain(lost); });
+}
+
+void FleetWorld::WriteAgain(const Kept& lost) {
+  for (const auto& [instance, entry] : lost.endpoints) {
+    const auto found = store_.endpoints.find(instance);
+    if (found == store_.endpoints.end() || (entry.first.leaving && !found->second.first.leaving)) {
+      PutEndpoint(instance, entry.first.leaving);
+    }
+  }
+  if (lost.routes_version > store_.routes_version) {
+    Configure(lost.routes_version);
+  }
 }
 
 RouteTablePtr FleetWorld::Routes() const {
   // Every version has a route of its own beside one that stays.
   std::vector<Route> routes(2);
   routes[0].prefix = "/stays/";
-  routes[1].prefix = "/v" + std::to_string(routes_version_) + "/";
+  routes[1].prefix = "/v" + std::to_string(store_.routes_version) + "/";
   return std::make_shared<const RouteTable>(
-      routes_version_, routes, std::vector<ServiceSpec>{}, ClientLimits{},
+      store_.routes_version, routes, std::vector<ServiceSpec>{}, ClientLimits{},
       Callers{!options_.customers.empty(), options_.customers});
 }
 
@@ -208,8 +241,8 @@
 void FleetWorld::ReadLease(Node& node, LeaseRead how) {
   const bool fresh = how == LeaseRead::kFresh;
   calls_.lease += fresh ? 1.0 : kStalePrice;
-  const auto record = lease_.record;
-  const std::string version = lease_.Version();
+  const auto record = store_.lease.record;
+  const std::string version = store_.lease.Version();
   if (!Reaches(node)) {
     AfterIn(node, kStoreTimeOut, [this, &node] { Tell(node, fleet_message::LeaseUnread{}); });
     return;
@@ -230,8 +263,9 @@
             [this, &node] { Tell(node, fleet_message::LeaseWritten{std::nullopt}); });
     return;
   }
-  const bool taken = lease_.Put(write);
-  const auto version = taken ? std::optional(lease_.Version()) : std::nullopt;
+  const bool taken = store_.lease.Put(write);
+  CopyStore();
+  const auto version = taken ? std::optional(store_.lease.Version()) : std::nullopt;
   AfterIn(node, kStoreAnswers,
           [this, &node, version] { Tell(node, fleet_message::LeaseWritten{version}); });
 }
@@ -297,7 +331,7 @@
   if (followed.how == Following::kStoreOnce) {
     return;
   }
-  const bool changed = revision_ > followed.seen;
+  const bool changed = store_.revision > followed.seen;
   const bool due = followed.how == Following::kForOthers && now_ >= followed.next_answer_at;
   if (changed || due || !Reaches(node)) {
     Answer(node, followed, configuration, false);
@@ -325,20 +359,31 @@
     });
     return;
   }
-  const std::uint64_t at = revision_;
+  const std::uint64_t at = store_.revision;
+  const std::uint64_t era = era_;
+  // A watch tells what has a higher revision than that from which it goes on.
+  const bool partial = !list && followed.era != era_;
   std::vector<EndpointRecord> records;
-  for (const auto& [instance, entry] : endpoints_) {
+  EndpointChanges changes;
+  changes.version = at;
+  for (const auto& [instance, entry] : store_.endpoints) {
     records.push_back(entry.first);
+    if (entry.second > followed.seen) {
+      changes.values.emplace_back(instance, entry.first);
+    }
   }
   const RouteTablePtr routes = Routes();
   AfterIn(node, kStoreAnswers, [=, this, &node, &followed] {
     followed.calling = false;
     followed.listed = true;
     followed.seen = at;
+    followed.era = era;
     followed.next_answer_at = now_ + kForOthersEvery;
     if (configuration) {
       Tell(node, fleet_message::RoutesSeen{routes});
       Tell(node, fleet_message::RoutesConfirmed{});
+    } else if (partial) {
+      Tell(node, fleet_message::EndpointsChanged{changes});
     } else {
       Tell(node, fleet_message::EndpointsListed{records, at});
     }
--- a/tests/fakes/fleet_world.hpp
+++ b/tests/fakes/fleet_world.hpp
@@ -51,6 +51,12 @@
   void CutFromStore(int node, bool cut) { At(node).cut_from_store = cut; }
   void CutFromNodes(int node, bool cut) { At(node).cut_from_nodes = cut; }
   void SetStoreDown(bool down) { store_down_ = down; }
+  // The store is as it was so long ago, and its revisions go back: they are given out again. What
+  // the operator and the endpoints wrote since is written again after a while, in an order of its
+  // own; what the nodes wrote is gone.
+  void RestoreStore(int age, int written_again_after);
+  // Writes of others that the nodes don't follow: they use revisions up.
+  void WriteElsewhere(int writes);
 
   // The operator's changes.
   void Configure(std::uint64_t version);
@@ -85,12 +91,21 @@
   int WentBack() const { return went_back_; }
 
  private:
+  // What the store keeps.
+  struct Kept {
+    std::uint64_t revision = 1;
+    std::uint64_t routes_version = 0;
+    std::map<std::string, std::pair<EndpointRecord, std::uint64_t>> endpoints;
+    LeaseObject lease;
+  };
+
   // One kind of the store's objects, as one node follows it.
   struct Followed {
     Following how = Following::kHolder;
     bool listed = false;     // since it last began to call the store
     bool probes = false;     // before it lists
     std::uint64_t seen = 0;  // revision
+    std::uint64_t era = 0;   // of the store, that it is of
     int next_answer_at = 0;  // of a watch that others rely on
     bool calling = false;
   };
@@ -140,6 +155,8 @@
   // A stale read that shows whether the store answers.
   void Probe(Node& node, Followed& followed);
   bool Reaches(const Node& node) const { return !store_down_ && !node.cut_from_store; }
+  void CopyStore();
+  void WriteAgain(const Kept& lost);
   RouteTablePtr Routes() const;
   FleetSettings SettingsOf(const Node& node) const;
 
@@ -147,11 +164,9 @@
   int now_ = 0;
   std::vector<Node> nodes_;
   std::multimap<int, std::function<void()>> events_;
-  LeaseObject lease_;
-  std::uint64_t revision_ = 1;
-  std::uint64_t routes_revision_ = 0;
-  std::uint64_t routes_version_ = 0;
-  std::map<std::string, std::pair<EndpointRecord, std::uint64_t>> endpoints_;
+  Kept store_;
+  std::map<int, Kept> copies_;  // of the store, by when
+  std::uint64_t era_ = 0;
   bool store_down_ = false;
   StoreCalls calls_;
   int went_back_ = 0;
