A node that finds no lease after a restore waits its term out and takes it; the stand-in and the soak learn restores

Cause: a cheap read that lacks the object was taken for no read at all, so the time for which nothing had changed began anew with each. Ruled out: failed calls (all had succeeded). It now counts as a sight of nothing where nothing is what is known, and asks for a fresh read where a later era is told. fleet_restore_test failed with a copy older than the lease after all nodes were killed; passes now.

--- a/include/rudderloom/placement/lease_keeper.hpp
+++ b/include/rudderloom/placement/lease_keeper.hpp
@@ -193,6 +193,8 @@
   bool IsLate(const std::optional<LeaseRecord>& record,
               const StoreRevision& version,
               bool fresh) const;
+  // A stale read found no object where this process knows of one, or of nothing yet.
+  void MissedByStaleRead(const StoreRevision& version, TimePoint now);
   void Take(const LeaseRecord& record, bool changed_in_era);
   // What was written may be gone: takes what is left of the record.
   void TakeCopy(const LeaseRecord& record);
--- a/src/rudderloom/fleet/fleet_restore_test.cpp
+++ b/src/rudderloom/fleet/fleet_restore_test.cpp
@@ -156,6 +156,20 @@
   }
 }
 
+// The nodes found no object to read, took that for an answer that was too old, and waited for good.
+TEST_CASE("a store comes back from a copy made before there was a lease") {
+  for (const HolderFate fate : {HolderFate::kLives, HolderFate::kKilled}) {
+    for (const int nodes : {12, 60}) {
+      Restore restore;
+      restore.age = 60'000;
+      restore.holder = fate;
+      restore.nodes = nodes;
+      CAPTURE(static_cast<int>(fate));
+      CheckAll(restore);
+    }
+  }
+}
+
 TEST_CASE("a store comes back from an older copy: it was away for another time") {
   for (const int away : {100, 300, 2'600, 5'000}) {
     for (const int lost_writes : {0, 3}) {
@@ -240,30 +254,34 @@
   }
 }
 
-// Nobody is left who knows the last token.
+// Nobody is left who knows the last token. Nodes that found no object to read took that for an
+// answer that was too old, and waited for good.
 TEST_CASE("a store comes back from an older copy: all nodes were killed meanwhile") {
-  FleetWorldOptions options;
-  options.nodes = 6;
-  FleetWorld world(options);
-  world.Play(6'000);
-  const int first = world.Holder().value_or(0);
-  world.Kill(first);
-  world.Play(6'000);
-  REQUIRE(world.Holder());
-  const std::uint64_t given_out = world.EpochOf(*world.Holder());
-  world.SetStoreDown(true);
-  for (int i = 0; i < world.Nodes(); ++i) {
-    world.Kill(i);
-  }
-  world.Play(1'000);
-  world.RestoreStore(9'000, kWrittenAgainAfter);
-  world.SetStoreDown(false);
-  for (int i = 0; i < world.Nodes(); ++i) {
-    world.Start(i);
+  for (const int age : {9'000, 60'000}) {
+    CAPTURE(age);
+    FleetWorldOptions options;
+    options.nodes = 6;
+    FleetWorld world(options);
+    world.Play(6'000);
+    const int first = world.Holder().value_or(0);
+    world.Kill(first);
+    world.Play(6'000);
+    REQUIRE(world.Holder());
+    const std::uint64_t given_out = world.EpochOf(*world.Holder());
+    world.SetStoreDown(true);
+    for (int i = 0; i < world.Nodes(); ++i) {
+      world.Kill(i);
+    }
+    world.Play(1'000);
+    world.RestoreStore(age, kWrittenAgainAfter);
+    world.SetStoreDown(false);
+    for (int i = 0; i < world.Nodes(); ++i) {
+      world.Start(i);
+    }
+    world.Play(8'000);
+    REQUIRE(world.Holders() == 1);
+    CHECK(world.EpochOf(*world.Holder()) > given_out);
   }
-  world.Play(8'000);
-  REQUIRE(world.Holders() == 1);
-  CHECK(world.EpochOf(*world.Holder()) > given_out);
 }
 
 TEST_CASE("a store comes back from an older copy: the holder is lost meanwhile") {
--- a/src/rudderloom/fleet/fleet_shell.cpp
+++ b/src/rudderloom/fleet/fleet_shell.cpp
@@ -303,12 +303,10 @@
         seen.version = object.version.value_or(StoreRevision());
       }
     }
-    // A stale list that lacks the object may just be older than it.
-    if (seen.record) {
-      post_(std::move(seen));
-    } else {
-      post_(fleet_message::LeaseUnread{});
+    if (!seen.record) {
+      seen.version = StoreRevision(std::get<ObjectList>(listed).version.Era(), 0);
     }
+    post_(std::move(seen));
     co_return;
   }
   std::string name(kLeaseName);
--- a/src/rudderloom/placement/lease_keeper.cpp
+++ b/src/rudderloom/placement/lease_keeper.cpp
@@ -181,6 +181,10 @@
                        const StoreRevision& version,
                        bool fresh,
                        TimePoint now) {
+  if (!record && !fresh && version_ != version) {
+    MissedByStaleRead(version, now);
+    return true;
+  }
   if (IsLate(record, version, fresh)) {
     return false;
   }
@@ -208,6 +212,15 @@
   return true;
 }
 
+// It may just be older than the object; of a later era it tells that what is known may be gone.
+void LeaseKeeper::MissedByStaleRead(const StoreRevision& version, TimePoint now) {
+  needs_read_ = needs_read_ || (version_ && version.Era() > version_->Era());
+  if (!holding_) {
+    first_seen_ = now;
+    last_seen_ = now;
+  }
+}
+
 void LeaseKeeper::Take(const LeaseRecord& record, bool changed_in_era) {
   const std::uint64_t era = version_->Era();
   const bool none_yet = record.holder.empty() && store_is_new_;
--- a/tests/fakes/fleet_world.cpp
+++ b/tests/fakes/fleet_world.cpp
@@ -259,11 +259,7 @@
     return;
   }
   AfterIn(node, kStoreAnswers, [this, &node, fresh, record, version] {
-    if (!fresh && !record) {
-      Tell(node, fleet_message::LeaseUnread{});
-    } else {
-      Tell(node, fleet_message::LeaseSeen{record, version, fresh});
-    }
+    Tell(node, fleet_message::LeaseSeen{record, version, fresh});
   });
 }
 
--- a/tests/process/fleet_test.cpp
+++ b/tests/process/fleet_test.cpp
@@ -261,6 +261,41 @@
   cluster.At(holder).Signal(SIGCONT);
 }
 
+// After the store had come back with lower revisions, nodes dropped all that it told of endpoints,
+// and none of them held the lease.
+TEST_CASE("a store that comes back from an older copy is followed, and the lease is held again") {
+  FleetCluster cluster;
+  const std::vector<std::string> nodes{"a", "b", "c"};
+  StartAll(cluster, nodes);
+  Holder(cluster, nodes);
+  cluster.StartPlain("d3");
+  cluster.Configure(2);
+  for (const std::string& node : nodes) {
+    REQUIRE(cluster.Until([&] {
+      return cluster.Send({node, "/added/x", "lost-" + node, ""}).status == 200;
+    }));
+  }
+  // The copy has neither the third service nor the second configuration.
+  cluster.Faults("store", {{"restore_ms", 6'000}});
+  cluster.At("d1").Signal(SIGTERM);
+  std::vector<FleetCall> calls;
+  for (int i = 0; i < 60; ++i) {
+    const std::string& node = nodes[static_cast<std::size_t>(i) % nodes.size()];
+    calls.push_back({node, "/once/x", "left" + std::to_string(i), "", Duration(600 + i * 20)});
+  }
+  for (const auto& [id, answer] : cluster.Burst(calls)) {
+    CHECK(answer.status == 200);
+    CHECK_FALSE(answer.Header("Server-Stamp").starts_with("d1."));
+  }
+  CHECK(HoldsLease(cluster, Holder(cluster, nodes)));
+  for (const std::string& node : nodes) {
+    CHECK(cluster.Until([&] {
+      return cluster.Send({node, "/stream/x", "again-" + node, "n"}).status == 200;
+    }));
+    CHECK(cluster.Send({node, "/added/x", "again-added-" + node, ""}).status == 200);
+  }
+}
+
 bool Shows(FleetCluster& cluster, const std::string& node, const std::string& metric) {
   return cluster.Metrics(node).find(metric + " 1") != std::string::npos;
 }
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -37,6 +37,8 @@
     def __init__(self, folder, build):
         self.folder = folder
         self.daemon = str(build / "src/rudderloom/app/rudderloom")
+        self.daemons = {}    # node: the program that it runs, where it isn't our own
+        self.next_daemon = self.daemon
         self.standin = str(build / "platform/rudderloom_platform_standin")
         self.processes = {}
         self.proxies = {}
@@ -87,7 +89,7 @@
         }
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(settings))
-        self.start(name, [self.daemon, "daemon", "--settings", str(path)])
+        self.start(name, [self.daemons.get(name, self.daemon), "daemon", "--settings", str(path)])
 
     def configure(self, newest=None):
         """A new version; `newest` is the prefix of a route that no earlier one has."""
@@ -145,9 +147,11 @@
         return self.runs
 
 
-def start_fleet(folder, build):
-    """A fleet with everything running."""
+def start_fleet(folder, build, daemon=None):
+    """A fleet with everything running; its nodes run `daemon`, or our own."""
     fleet = Fleet(folder, build)
+    if daemon:
+        fleet.daemons = {f"n{i}": daemon for i in range(NODES)}
     try:
         fleet.configure()
         for i in range(ENGINES):
--- a/tools/fleet_soak.py
+++ b/tools/fleet_soak.py
@@ -7,6 +7,7 @@
 out late. Clients keep their connections until the process is gone.
 
 usage: tools/fleet_soak.py [--seconds 20] [--seed 1] [--folder DIRECTORY]
+           [--other-daemon PROGRAM [--back]]   two builds side by side
 Exit status 0 when no promise was broken; the folder with all logs is kept otherwise.
 """
 import argparse
@@ -29,6 +30,9 @@
 
 CLIENTS = 12
 FAULT_EVERY = (0.2, 1.2)
+RESTORE_EVERY = (2, 9)
+# Of the nodes that are replaced.
+KILLED_SHARE = 0.4
 RECOVERY_SECONDS = 20
 # The bound of the nodes' settings is 3 s; a call on a silent connection costs half a second more.
 IN_FORCE_SECONDS = 5
@@ -48,6 +52,10 @@
     def __init__(self, fleet, seed):
         self.fleet = fleet
         self.random = random.Random(seed)
+        # Drawn apart, so that a seed's other faults stay what they were.
+        self.restores = random.Random(f"{seed}-restores")
+        self.restoring = True
+        self.next_restore = time.monotonic() + self.restores.uniform(*RESTORE_EVERY)
         self.later = []
         self.counts = {}
         self.killed = {}     # life of a process: when
@@ -65,6 +73,9 @@
         self.later = [] if everything else [(m, w) for m, w in self.later if m > now]
         for what in ready:
             what()
+        if self.restoring and not everything and now >= self.next_restore:
+            self.next_restore = now + self.restores.uniform(*RESTORE_EVERY)
+            self.restore_store()
 
     def strike(self):
         faults = ["kill_node", "freeze_node", "stop_node", "reload_node", "kill_engine",
@@ -125,6 +136,21 @@
         self.stops.append((process, time.monotonic()))
         self.fleet.start_node(name)
 
+    def replace_node(self, name, by_force):
+        """From now on the node runs the other build."""
+        self.fleet.daemons[name] = self.fleet.next_daemon
+        self.fleet.log.write(f"{time.time():.3f} replace {name} by_force={by_force}\n")
+        self.counts["replace"] = self.counts.get("replace", 0) + 1
+        self.disturb(name)
+        process = self.fleet.processes[name]
+        if by_force:
+            self.kill(name)
+        else:
+            process.signal(signal.SIGCONT)
+            process.signal(signal.SIGTERM)
+            self.stops.append((process, time.monotonic()))
+        self.fleet.start_node(name)
+
     def reload_node(self):
         self.fleet.processes[self.pick("n", NODES)].signal(signal.SIGHUP)
 
@@ -209,6 +235,23 @@
         self.disturb(None, seconds)
         self.switch("store", seconds, **faults)
 
+    def restore_store(self):
+        """The store is away for a moment and comes back as it was some seconds before."""
+        age, away = self.restores.uniform(0.1, 8), self.restores.uniform(0, 1.5)
+        self.counts["restore_store"] = self.counts.get("restore_store", 0) + 1
+        self.fleet.log.write(f"{time.time():.3f} restore_store {age:.1f} {away:.1f}\n")
+        self.disturb(None, away + 2)
+        if away > 0.3:
+            self.switch("store", away, down=1)
+
+        def restore():
+            try:
+                call(self.fleet.processes["store"].address, "/faults",
+                     {"restore_ms": int(1000 * (age + away))})
+            except (OSError, urllib.error.URLError):
+                pass
+        self.at(max(0, away - 0.1), restore)
+
     def cut(self, name, seconds):
         proxy = self.fleet.proxies[name]
         proxy.delay = self.random.uniform(0.02, 0.2)
@@ -372,10 +415,32 @@
             for node, known_there in zip(nodes, known) if not known_there]
 
 
-def soak(folder, build, seconds, seed):
-    fleet = start_fleet(folder, build)
+class Upgrade:
+    """Nodes are replaced by ones of the other build in turn, some of them by force."""
+
+    def __init__(self, chaos, seconds, seed):
+        self.chaos = chaos
+        self.random = random.Random(f"{seed}-upgrade")
+        nodes = [f"n{i}" for i in range(NODES)]
+        self.random.shuffle(nodes)
+        started = time.monotonic()
+        self.left = [(started + seconds * (i + 1) / (NODES + 1), name)
+                     for i, name in enumerate(nodes)]
+
+    def due(self):
+        while self.left and time.monotonic() >= self.left[0][0]:
+            _, name = self.left.pop(0)
+            self.chaos.replace_node(name, self.random.random() < KILLED_SHARE)
+
+
+def soak(folder, build, seconds, seed, other=None, back=False):
+    """`other`: the program of another build, by which the nodes begin; `back`: end with it.
+
+    An earlier build may not stand a store that comes back older, so nothing ends with one on it."""
+    fleet = start_fleet(folder, build, None if back else other)
     fleet.log = open(folder / "faults.log", "w", buffering=1)
     chaos = Chaos(fleet, seed)
+    chaos.restoring = not back
     try:
         problems = recover(fleet)
         clients = [Client(fleet, i, seed) for i in range(CLIENTS)]
@@ -383,12 +448,16 @@
             client.start()
         crasher = Crasher(fleet, chaos, seed)
         crasher.start()
+        upgrade = Upgrade(chaos, seconds, seed) if other else None
+        fleet.next_daemon = other if back else fleet.daemon
         until = time.monotonic() + seconds
         while time.monotonic() < until:
             time.sleep(chaos.random.uniform(*FAULT_EVERY))
             chaos.due()
             chaos.start_ended()
             chaos.strike()
+            if upgrade:
+                upgrade.due()
         crasher.stopping.set()
         crasher.join(timeout=15)
         chaos.counts["held_back"] = crasher.held_back
@@ -419,11 +488,14 @@
     parser.add_argument("--seconds", type=float, default=20)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--build", default="build")
+    parser.add_argument("--other-daemon", help="begin with this program, and replace node by node")
+    parser.add_argument("--back", action="store_true", help="begin with our own and end with the other")
     parser.add_argument("--folder")
     options = parser.parse_args()
     folder = pathlib.Path(options.folder or tempfile.mkdtemp(prefix="rudderloom-soak-"))
     folder.mkdir(parents=True, exist_ok=True)
-    problems, results, counts = soak(folder, ROOT / options.build, options.seconds, options.seed)
+    problems, results, counts = soak(folder, ROOT / options.build, options.seconds, options.seed,
+                                     options.other_daemon, options.back)
     outcomes = {}
     for r in results:
         key = str(r["status"] or "no answer")
