--- /dev/null
+++ b/tools/earlier_build.sh
@@ -0,0 +1,20 @@
+#!/usr/bin/env bash
+# Builds the program of the landing before this one from the repository's history, into
+# build-earlier. For tests of two builds side by side, as during an upgrade. Prints its path.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+commit=${1:-328ad06}
+tree=build-earlier/$commit
+program=$tree/build/src/rudderloom/app/rudderloom
+if [ ! -x "$program" ]; then
+  if ! git cat-file -e "$commit^{commit}" 2>/dev/null; then
+    echo "commit $commit is not in this repository's history: clone it whole" >&2
+    exit 1
+  fi
+  mkdir -p "$tree"
+  git archive "$commit" | tar x -C "$tree"
+  cmake -S "$tree" -B "$tree/build" -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo \
+    -DRUDDERLOOM_BUILD_TESTS=OFF -DCMAKE_CXX_COMPILER_LAUNCHER=ccache >&2
+  cmake --build "$tree/build" -j "$(nproc)" --target rudderloom | tail -n 1 >&2
+fi
+echo "$PWD/$program"
