Our own interface: a pool's lease outlives a platform that comes back from an older copy

A read that was begun after the write can't be behind it: what it lacks is lost, and is written again on the version that it told. What a watch tells may be behind, as before. A holder whose time is over waits a whole lease, as a successor's record may be gone.

This platform tells no era, so a process that starts after the restore takes the copy for the truth; claims that are gone are not known to it (docs/design/claims.md).

--- a/include/rudderloom/control/messages.hpp
+++ b/include/rudderloom/control/messages.hpp
@@ -52,6 +52,7 @@
   std::string pool;
   PoolRecord record;
   std::optional<StoreRevision> version;
+  PoolSight sight = PoolSight::kWatched;
 };
 
 /// @brief Outcome of a read or write of a pool's object.
--- a/include/rudderloom/residency/pool_keeper.hpp
+++ b/include/rudderloom/residency/pool_keeper.hpp
@@ -25,6 +25,13 @@
 
 namespace rudderloom {
 
+/// @brief How a pool's object was seen.
+/// @ingroup residency
+enum class PoolSight {
+  kWatched,  ///< It may be behind.
+  kRead,     ///< Nothing that was written before the read was begun is missing from it.
+};
+
 /// @brief A conditional write of the pool's object.
 /// @ingroup residency
 struct WritePool {
@@ -62,8 +69,11 @@
              std::string pool,
              ResidencySettings settings);
 
-  /// @brief Takes the object as read or watched. An empty version means that it does not exist.
-  void Seen(const PoolRecord& record, const std::optional<StoreRevision>& version, TimePoint now);
+  /// @brief Takes the object. An empty version means that it does not exist.
+  void Seen(const PoolRecord& record,
+            const std::optional<StoreRevision>& version,
+            PoolSight sight,
+            TimePoint now);
 
   /// @brief The write in flight took effect and gave this version.
   void Written(const StoreRevision& version, TimePoint now);
@@ -104,6 +114,9 @@
 
   void TryTakeOver(PoolEffects& effects, TimePoint now);
   void TakeOverDraft();
+  bool IsOlder(const PoolRecord& record) const;
+  // The platform has come back from a copy older than what was written.
+  void TakeCopy(TimePoint now);
   bool HeardBack(const PoolRecord& record);
   void Reconcile(const PoolView& view, TimePoint now);
   void ReconcileOne(const UnitKey& key,
--- a/src/rudderloom/control/control_shell.cpp
+++ b/src/rudderloom/control/control_shell.cpp
@@ -119,7 +119,8 @@
                  asio::detached);
   const auto on_pool = [this](const StoredObject& object) {
     if (auto record = PoolRecordFromJson(object.spec)) {
-      post_(message::PoolSeen{object.name, std::move(*record), object.version});
+      post_(
+          message::PoolSeen{object.name, std::move(*record), object.version, PoolSight::kWatched});
     }
   };
   asio::co_spawn(context_,
@@ -359,12 +360,12 @@
   if (auto* object = std::get_if<StoredObject>(&got)) {
     if (auto record = PoolRecordFromJson(object->spec)) {
       pool_writers_[read.pool] = object->writers;
-      post_(message::PoolSeen{read.pool, std::move(*record), object->version});
+      post_(message::PoolSeen{read.pool, std::move(*record), object->version, PoolSight::kRead});
       co_return;
     }
     LogLine("pool_record_unreadable", Severity::kError).With("pool", read.pool);
   } else if (std::get<StoreError>(got).kind == StoreError::Kind::kNotFound) {
-    post_(message::PoolSeen{read.pool, PoolRecord(), std::nullopt});
+    post_(message::PoolSeen{read.pool, PoolRecord(), std::nullopt, PoolSight::kRead});
     co_return;
   }
   co_await PauseFor(context_, settings_.platform.backoff_least);
--- a/src/rudderloom/control/control_state.cpp
+++ b/src/rudderloom/control/control_state.cpp
@@ -68,7 +68,7 @@
 }
 
 void ControlState::On(const message::PoolSeen& seen, TimePoint now) {
-  KeeperOf(seen.pool).Seen(seen.record, seen.version, now);
+  KeeperOf(seen.pool).Seen(seen.record, seen.version, seen.sight, now);
   dirty_ = true;
 }
 
--- a/src/rudderloom/residency/pool_keeper_test.cpp
+++ b/src/rudderloom/residency/pool_keeper_test.cpp
@@ -21,13 +21,14 @@
 const std::vector<Step> kLeaseSteps{Step::kLeaseTaken, Step::kLeaseRenewed, Step::kLeaseHandedOver,
                                     Step::kLeaseLapsed};
 const std::vector<Fault> kFaults{
-    Fault::kNodeKilled,      Fault::kNodeFrozen,      Fault::kCutBefore,
-    Fault::kCutDuring,       Fault::kCutAfter,        Fault::kOrderLost,
-    Fault::kOrderLate,       Fault::kOrderDoubled,    Fault::kPlatformDown,
-    Fault::kPlatformSlow,    Fault::kPlatformErrors,  Fault::kPlatformLosesAnswer,
-    Fault::kWatchSilent,     Fault::kWatchBehind,     Fault::kNodeListStale,
-    Fault::kReportLate,      Fault::kEndpointKilled,  Fault::kEndpointRestarted,
-    Fault::kEndpointLeaving, Fault::kWeightStoreBusy, Fault::kPlannedStop,
+    Fault::kNodeKilled,       Fault::kNodeFrozen,      Fault::kCutBefore,
+    Fault::kCutDuring,        Fault::kCutAfter,        Fault::kOrderLost,
+    Fault::kOrderLate,        Fault::kOrderDoubled,    Fault::kPlatformDown,
+    Fault::kPlatformSlow,     Fault::kPlatformErrors,  Fault::kPlatformLosesAnswer,
+    Fault::kWatchSilent,      Fault::kWatchBehind,     Fault::kNodeListStale,
+    Fault::kReportLate,       Fault::kEndpointKilled,  Fault::kEndpointRestarted,
+    Fault::kEndpointLeaving,  Fault::kWeightStoreBusy, Fault::kPlannedStop,
+    Fault::kPlatformRestored,
 };
 
 // The longest that a name may go unserved: not at all while its endpoints stay, else until the
--- a/src/rudderloom/residency/pool_lease.cpp
+++ b/src/rudderloom/residency/pool_lease.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>  // for min
 #include <utility>    // for move
 
+#include "rudderloom/base/log_line.hpp"          // for LogLine
 #include "rudderloom/residency/pool_keeper.hpp"  // for PoolKeeper
 
 namespace rudderloom {
@@ -15,11 +16,12 @@
 
 void PoolKeeper::Seen(const PoolRecord& record,
                       const std::optional<StoreRevision>& version,
+                      PoolSight sight,
                       TimePoint now) {
   reading_ = false;
-  // A stale copy, from a watch that is behind, must not undo what is known to be written.
-  if (record.epoch < stored_.epoch ||
-      (record.epoch == stored_.epoch && record.renewals < stored_.renewals)) {
+  // A watch that is behind must not undo what is known to be written.
+  const bool older = IsOlder(record);
+  if (older && sight == PoolSight::kWatched) {
     return;
   }
   const bool first = !version_;
@@ -28,6 +30,10 @@
   must_read_ = false;
   exists_ = version.has_value();
   version_ = version.value_or(StoreRevision());
+  if (older) {
+    TakeCopy(now);
+    return;
+  }
   if (!changed) {
     return;
   }
@@ -38,6 +44,25 @@
   }
 }
 
+bool PoolKeeper::IsOlder(const PoolRecord& record) const {
+  return record.epoch < stored_.epoch ||
+         (record.epoch == stored_.epoch && record.renewals < stored_.renewals);
+}
+
+// What was written is still so, and the next write on the copy's version tells it again: else no
+// write would ever succeed. A holder whose time is over may have had a successor whose record is
+// gone, so it waits like everybody else.
+void PoolKeeper::TakeCopy(TimePoint now) {
+  changed_at_ = now;
+  if (holding_ && !Holds(now)) {
+    LoseLease();
+  }
+  LogLine("pool_record_lost", Severity::kWarning)
+      .With("pool", pool_)
+      .With("epoch", stored_.epoch)
+      .With("renewals", stored_.renewals);
+}
+
 // True when the record is this holder's own; a write whose answer was lost is taken as done here.
 bool PoolKeeper::HeardBack(const PoolRecord& record) {
   const bool ours =
--- a/tests/fakes/pool_world.cpp
+++ b/tests/fakes/pool_world.cpp
@@ -12,6 +12,7 @@
 constexpr Duration kLoadTime{1'000};
 constexpr Duration kRunLength{230'000};
 constexpr Duration kFaultLength{20'000};
+constexpr Duration kCopyAge{5'000};
 constexpr Duration kFreezeLength{45'000};
 constexpr Duration kLateBy{20'000};
 constexpr Duration kReplacedAfter{5'000};
@@ -143,11 +144,23 @@
       case Fault::kEndpointLeaving:
         endpoints[place].leaving = true;
         break;
+      case Fault::kPlatformRestored:
+        RestorePlatform();
+        break;
       default:
         break;  // heeded where it matters
     }
   }
 
+  void RestorePlatform() {
+    const auto newer = copies.upper_bound(now - kCopyAge);
+    if (newer != copies.begin()) {
+      std::tie(record, version) = std::prev(newer)->second;
+    }
+    copies.clear();
+    copies[now] = {record, version};
+  }
+
   void Kill(Node& node) {
     node.alive = false;
     node.died_at = now;
@@ -204,8 +217,9 @@
       const PoolRecord seen = record;
       const StoreRevision seen_version = Present();
       After(delay, [this, &node, seen, seen_version] {
-        OnNode(node,
-               [this, &node, seen, seen_version] { node.keeper->Seen(seen, seen_version, now); });
+        OnNode(node, [this, &node, seen, seen_version] {
+          node.keeper->Seen(seen, seen_version, PoolSight::kWatched, now);
+        });
       });
     }
     After(kTick, [this, &node] { WatchNode(node); });
@@ -302,6 +316,7 @@
       const PoolRecord before = record;
       record = write.record;
       ++version;
+      copies[now] = {record, version};
       const StoreRevision written = Present();
       const bool lost = Take(Fault::kPlatformLosesAnswer);
       After(kNetwork, [this, &node, written, lost] {
@@ -363,7 +378,7 @@
           if (failed) {
             node.keeper->ReadFailed();
           } else {
-            node.keeper->Seen(read, read_version, now);
+            node.keeper->Seen(read, read_version, PoolSight::kRead, now);
           }
         });
       });
@@ -554,6 +569,7 @@
   std::map<std::string, int> versions;
   PoolRecord record;
   std::uint64_t version = 0;
+  std::map<TimePoint, std::pair<PoolRecord, std::uint64_t>> copies;  // by when they were made
   std::map<std::string, TimePoint> served_at;
   Findings findings;
 };
--- a/tests/fakes/pool_world.hpp
+++ b/tests/fakes/pool_world.hpp
@@ -40,6 +40,7 @@
   kPlatformSlow,
   kPlatformErrors,
   kPlatformLosesAnswer,
+  kPlatformRestored,  // as it was some seconds ago; versions go back and are given out again
   kWatchSilent,
   kWatchBehind,
   kNodeListStale,
--- a/tests/fakes/pool_world_names.cpp
+++ b/tests/fakes/pool_world_names.cpp
@@ -56,6 +56,8 @@
       return "platform answering 5xx";
     case Fault::kPlatformLosesAnswer:
       return "platform losing its answer";
+    case Fault::kPlatformRestored:
+      return "platform restored from a copy";
     case Fault::kWatchSilent:
       return "watch silent";
     case Fault::kWatchBehind:
