--- a/include/rudderloom/base/store_revision.hpp
+++ b/include/rudderloom/base/store_revision.hpp
@@ -3,7 +3,6 @@
 #ifndef RUDDERLOOM_BASE_STORE_REVISION_HPP
 #define RUDDERLOOM_BASE_STORE_REVISION_HPP
 
-#include <compare>  // for operator<=>
 #include <cstdint>  // for uint64_t
 #include <string>   // for string
 
@@ -26,7 +25,13 @@
   /// @brief As the store gives it out; 0 for what isn't there.
   constexpr std::uint64_t Number() const { return number_; }
 
-  constexpr auto operator<=>(const StoreRevision&) const = default;
+  constexpr bool operator==(const StoreRevision&) const = default;
+  constexpr bool operator<(const StoreRevision& other) const {
+    return era_ != other.era_ ? era_ < other.era_ : number_ < other.number_;
+  }
+  constexpr bool operator>(const StoreRevision& other) const { return other < *this; }
+  constexpr bool operator<=(const StoreRevision& other) const { return !(other < *this); }
+  constexpr bool operator>=(const StoreRevision& other) const { return !(*this < other); }
 
  private:
   std::uint64_t era_ = 0;
--- a/src/rudderloom/fleet/fleet_state_test.cpp
+++ b/src/rudderloom/fleet/fleet_state_test.cpp
@@ -347,5 +347,37 @@
   CHECK(FindModel(effects.view->endpoints.front().record.models, "m") == nullptr);
 }
 
+TEST_CASE("an era of the store that another node knows first is told to the store's client, once") {
+  FleetState state(Settings("n1"), "x");
+  state.Handle(fleet_message::EndpointsListed{{Endpoint("e1")}, Revision(10)}, At(0));
+  NodeCounts counts;
+  counts.node = "n2";
+  counts.endpoints_seen = StoreRevision(1, 4);
+  auto effects = state.Handle(fleet_message::PeerCounted{counts}, At(10));
+  CHECK(effects.store_era == 1);
+  effects = state.Handle(fleet_message::PeerCounted{counts}, At(20));
+  CHECK_FALSE(effects.store_era);
+}
+
+// It may be one behind, and stay there: its list would undo what the store has told since.
+TEST_CASE("after a restore the list of a holder that knows no eras is not heeded") {
+  FleetState state(Settings("n1"), "x");
+  state.Handle(fleet_message::EndpointsListed{{Endpoint("e1")}, Revision(10)}, At(0));
+  HolderDigest digest = DigestOf(12, {Endpoint("e2")});
+  digest.tells_era = false;
+  auto effects = state.Handle(fleet_message::DigestHeard{digest, ""}, At(100));
+  REQUIRE(effects.view);
+  CHECK(effects.view->endpoints.size() == 2);
+  state.Handle(fleet_message::EndpointsListed{{Endpoint("e1")}, StoreRevision(1, 4)}, At(200));
+  digest = DigestOf(40, {Endpoint("e3")});
+  digest.tells_era = false;
+  effects = state.Handle(fleet_message::DigestHeard{digest, ""}, At(300));
+  // What the copy lacks is kept for a while, in case its entry is written again.
+  state.Handle(fleet_message::Tick{}, At(3'000));
+  effects = state.Handle(fleet_message::Tick{}, At(5'000));
+  REQUIRE(effects.view);
+  CHECK(effects.view->endpoints.size() == 1);
+}
+
 }  // namespace
 }  // namespace rudderloom
