--- a/src/rudderloom/fleet/fleet_endpoints.cpp
+++ b/src/rudderloom/fleet/fleet_endpoints.cpp
@@ -34,7 +34,9 @@
 void FleetState::TakeEndpoints(const EndpointChanges& changes,
                                EndpointTeller teller,
                                TimePoint now) {
-  NoteEra(changes.version.Era());
+  if (changes.version != StoreRevision()) {
+    NoteEra(changes.version.Era());
+  }
   const ListKind kind = ListKindOf(changes.version);
   if (!(endpoints_known_ || changes.whole) ||
       !endpoint_log_.Change().Apply(WithoutModels(changes))) {
--- a/src/rudderloom/fleet/fleet_lease.cpp
+++ b/src/rudderloom/fleet/fleet_lease.cpp
@@ -206,7 +206,7 @@
   lease_reading_ = false;
   NoteEra(seen.version.Era());
   const bool taken = lease_.Seen(seen.record, seen.version, seen.fresh, now);
-  if (taken || now - lease_ignored_logged_at_ < kLogIgnoredEvery) {
+  if (taken || !seen.record || now - lease_ignored_logged_at_ < kLogIgnoredEvery) {
     return;
   }
   lease_ignored_logged_at_ = now;
--- a/src/rudderloom/fleet/fleet_state_test.cpp
+++ b/src/rudderloom/fleet/fleet_state_test.cpp
@@ -379,5 +379,26 @@
   CHECK(effects.view->endpoints.size() == 1);
 }
 
+// Its list was confirmed by the store a short while ago, but before it came back from a copy.
+TEST_CASE("a word of an older era than this node's own confirms nothing") {
+  FleetState state(Settings("n2"), "x");
+  state.Handle(fleet_message::EndpointsListed{{Endpoint("e1")}, StoreRevision(1, 4)}, At(0));
+  std::optional<Following> following;
+  for (int ms = 0; ms < 2'000; ms += 250) {
+    const auto effects = state.Handle(fleet_message::DigestHeard{DigestOf(10, {}), ""}, At(ms));
+    following = effects.followings ? effects.followings->endpoints : following;
+  }
+  CHECK(following != Following::kHolder);
+}
+
+TEST_CASE("an answer of an older era that comes late changes nothing, also when it found nothing") {
+  FleetState state(Settings("n2"), "x");
+  const LeaseRecord record{"n1:1", "y", 1, 1, false, {}, {}};
+  state.Handle(fleet_message::LeaseSeen{record, StoreRevision(1, 4), true}, At(0));
+  state.Handle(fleet_message::LeaseSeen{std::nullopt, StoreRevision(0, 0), true}, At(2'000));
+  state.Handle(fleet_message::LeaseSeen{record, StoreRevision(0, 9), true}, At(4'000));
+  CHECK_FALSE(state.Handle(fleet_message::Tick{}, At(4'010)).lease_write);
+}
+
 }  // namespace
 }  // namespace rudderloom
--- a/src/rudderloom/fleet/fleet_word.cpp
+++ b/src/rudderloom/fleet/fleet_word.cpp
@@ -191,6 +191,10 @@
   if (!digest.endpoints_age || (!digest.tells_era && era_rose_)) {
     return;
   }
+  // What the store confirmed before it came back says nothing of what it tells since.
+  if (digest.tells_era && digest.endpoints.version.Era() < store_era_.value_or(0)) {
+    return;
+  }
   endpoint_source_.Heard(*digest.endpoints_age, now);
   if (digest.tells_era) {
     TakeEndpoints(digest.endpoints, EndpointTeller::kHolder, now);
