--- a/src/rudderloom/fleet/fleet_shell.cpp
+++ b/src/rudderloom/fleet/fleet_shell.cpp
@@ -342,7 +342,7 @@
   } else {
     message.version = std::get<StoredObject>(written).version.value_or(StoreRevision());
   }
-  post_(std::move(message));
+  post_(message);
 }
 
 Awaitable<void> FleetShell::AskReport(ReportCall call) {
