--- a/tools/earlier_build.sh
+++ b/tools/earlier_build.sh
@@ -1,10 +1,10 @@
 #!/usr/bin/env bash
-# Builds the program of the landing before this one from the repository's history, into
-# build-earlier. For tests of two builds side by side, as during an upgrade. Prints its path.
+# Builds the program of the landing before this one from the repository's history, into the user's
+# cache folder. For tests of two builds side by side, as during an upgrade. Prints its path.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 commit=${1:-328ad06}
-tree=build-earlier/$commit
+tree=${XDG_CACHE_HOME:-$HOME/.cache}/rudderloom-earlier/$commit
 program=$tree/build/src/rudderloom/app/rudderloom
 if [ ! -x "$program" ]; then
   if ! git cat-file -e "$commit^{commit}" 2>/dev/null; then
@@ -17,4 +17,4 @@
     -DRUDDERLOOM_BUILD_TESTS=OFF -DCMAKE_CXX_COMPILER_LAUNCHER=ccache >&2
   cmake --build "$tree/build" -j "$(nproc)" --target rudderloom | tail -n 1 >&2
 fi
-echo "$PWD/$program"
+echo "$program"
