--- a/tools/fleet_soak.py
+++ b/tools/fleet_soak.py
@@ -433,14 +433,12 @@
             self.chaos.replace_node(name, self.random.random() < KILLED_SHARE)
 
 
-def soak(folder, build, seconds, seed, other=None, back=False):
-    """`other`: the program of another build, by which the nodes begin; `back`: end with it.
-
-    An earlier build may not stand a store that comes back older, so nothing ends with one on it."""
+def soak(folder, build, seconds, seed, other=None, back=False, restoring=True):
+    """`other`: the program of another build, by which the nodes begin; `back`: end with it."""
     fleet = start_fleet(folder, build, None if back else other)
     fleet.log = open(folder / "faults.log", "w", buffering=1)
     chaos = Chaos(fleet, seed)
-    chaos.restoring = not back
+    chaos.restoring = restoring
     try:
         problems = recover(fleet)
         clients = [Client(fleet, i, seed) for i in range(CLIENTS)]
@@ -491,11 +489,13 @@
     parser.add_argument("--other-daemon", help="begin with this program, and replace node by node")
     parser.add_argument("--back", action="store_true", help="begin with our own and end with the other")
     parser.add_argument("--folder")
+    parser.add_argument("--no-restores", action="store_true",
+                        help="for an earlier build that does not stand a store that comes back older")
     options = parser.parse_args()
     folder = pathlib.Path(options.folder or tempfile.mkdtemp(prefix="rudderloom-soak-"))
     folder.mkdir(parents=True, exist_ok=True)
     problems, results, counts = soak(folder, ROOT / options.build, options.seconds, options.seed,
-                                     options.other_daemon, options.back)
+                                     options.other_daemon, options.back, not options.no_restores)
     outcomes = {}
     for r in results:
         key = str(r["status"] or "no answer")
