Observability: limits that endpoints announce are received, logged and counted

Changes no decision. The record of the incident tells neither whether a node received an announcement nor how many requests each node sends to an endpoint that has announced one. Added: event endpoint_limit, counters rudderloom_endpoint_limits_received_total, .._unreadable_total and rudderloom_limited_endpoint_requests_total by endpoint.

--- a/include/rudderloom/forwarding/dialect.hpp
+++ b/include/rudderloom/forwarding/dialect.hpp
@@ -9,9 +9,10 @@
 #include <string>    // for string
 #include <vector>    // for vector
 
-#include "rudderloom/base/clock.hpp"            // for Duration
-#include "rudderloom/customers/key_digest.hpp"  // for KeyDigest
-#include "rudderloom/http/asio.hpp"             // for HttpRequest
+#include "rudderloom/base/clock.hpp"                      // for Duration
+#include "rudderloom/customers/key_digest.hpp"            // for KeyDigest
+#include "rudderloom/endpoint_limits/endpoint_limit.hpp"  // for LimitAnnouncement
+#include "rudderloom/http/asio.hpp"                       // for HttpRequest
 
 namespace rudderloom {
 
@@ -64,6 +65,7 @@
   bool wrong_instance = false;  ///< Another endpoint has the address.
   bool not_resident = false;    ///< The endpoint holds no such model or adapter.
   std::string weights_version;
+  LimitAnnouncement limit;  ///< Of the endpoint, on requests from all nodes together.
 };
 
 /// @brief Header of an answer without its body.
--- a/include/rudderloom/forwarding/forwarder.hpp
+++ b/include/rudderloom/forwarding/forwarder.hpp
@@ -10,6 +10,7 @@
 #include <string>      // for string
 
 #include "rudderloom/base/log_quota.hpp"                  // for LogQuota
+#include "rudderloom/endpoint_limits/limit_watch.hpp"     // for LimitWatch
 #include "rudderloom/forwarding/balancer.hpp"             // for Balancer
 #include "rudderloom/forwarding/endpoint_connection.hpp"  // for ConnectionPool
 #include "rudderloom/forwarding/missing_units.hpp"        // for MissingUnits
@@ -44,6 +45,7 @@
   RetryAllowance retries;
   QuotaAccount quota;
   CrashWatch crashes;
+  LimitWatch limits;
   ViewSource views;
   ConnectionPool pool;
   UnitCounts units;
--- a/src/rudderloom/forwarding/attempt.cpp
+++ b/src/rudderloom/forwarding/attempt.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>  // for max
 #include <utility>    // for move
 
+#include "forwarding/limit_check.hpp"  // for NoteLimit, CountLimitedSend
+
 namespace rudderloom {
 
 namespace {
@@ -67,6 +69,7 @@
     }
     ask_.on_sent();
     sent_at_ = Now();
+    CountLimitedSend(state_, ask_.endpoint);
     connection_->StartRequest(MakeRequest());
     ExpectWithin(ask_.first_silence);
     if (auto failure = co_await ReadOwnHead()) {
@@ -187,6 +190,7 @@
       terms_ = state_.dialect.ReadAnswer(connection_->Head(), ask_.endpoint.id);
       const bool foreign = !terms_.request_id.empty() && terms_.request_id != ask_.terms->id;
       if (!foreign) {
+        NoteLimit(state_, ask_.endpoint, terms_, sent_at_);
         break;
       }
       state_.metrics.Count({"rudderloom_foreign_answers_total"});
