--- a/include/rudderloom/dissemination/digest.hpp
+++ b/include/rudderloom/dissemination/digest.hpp
@@ -9,6 +9,7 @@
 #include <vector>    // for vector
 
 #include "rudderloom/dissemination/configuration_log.hpp"  // for ConfigurationChanges
+#include "rudderloom/endpoint_limits/limit_exchange.hpp"   // for LimitTable
 #include "rudderloom/fleet/endpoint_record.hpp"            // for EndpointChanges
 #include "rudderloom/fleet/fleet_view.hpp"                 // for LoadTable
 #include "rudderloom/placement/serving.hpp"                // for ServingChanges
@@ -61,6 +62,8 @@
   /// @brief What the node that answers is telling the holder, if it is another one: the holder may
   /// be out of its reach, and out of the asking node's.
   CrashNews crash_news;
+  /// @brief Limits that endpoints have announced; empty: as the asking node knows them.
+  std::optional<LimitTable> limits;
 };
 
 /// @brief Makes a digest, and what it tells, as old as it is after a time on its way.
--- a/include/rudderloom/dissemination/statement.hpp
+++ b/include/rudderloom/dissemination/statement.hpp
@@ -8,10 +8,11 @@
 #include <optional>  // for optional
 #include <string>    // for string
 
-#include "rudderloom/dissemination/digest.hpp"  // for HolderDigest
-#include "rudderloom/dissemination/roster.hpp"  // for Roster
-#include "rudderloom/placement/demand.hpp"      // for LoadSums
-#include "rudderloom/quota/grant_book.hpp"      // for GrantBasis
+#include "rudderloom/dissemination/digest.hpp"         // for HolderDigest
+#include "rudderloom/dissemination/roster.hpp"         // for Roster
+#include "rudderloom/endpoint_limits/permit_book.hpp"  // for PermitBasis
+#include "rudderloom/placement/demand.hpp"             // for LoadSums
+#include "rudderloom/quota/grant_book.hpp"             // for GrantBasis
 
 namespace rudderloom {
 
@@ -29,7 +30,9 @@
   std::map<std::string, std::uint64_t> reports_counted;   ///< By node: see `SpendingLog`.
   std::shared_ptr<const GrantBasis> grants;               ///< Null: this node can't say.
   std::shared_ptr<const QuarantineTable> quarantine;      ///< Null: there is none.
-  std::shared_ptr<const Roster> roster;                   ///< Null at a relay.
+  LimitTable limits;
+  std::optional<PermitBasis> permits;    ///< Empty: this node hands out none.
+  std::shared_ptr<const Roster> roster;  ///< Null at a relay.
   /// @brief Most nodes that are answered with more than a refusal; empty: any number.
   std::optional<std::uint32_t> most_members;
 };
--- a/include/rudderloom/endpoint_limits/limit_watch.hpp
+++ b/include/rudderloom/endpoint_limits/limit_watch.hpp
@@ -7,11 +7,24 @@
 
 namespace rudderloom {
 
-/// @brief Observes the limits that answers announce. Owned by the traffic thread; time is passed
-/// in.
+/// @brief How an endpoint may be used as far as its limit goes.
+/// @ingroup endpoint_limits
+enum class LimitStanding {
+  kUnlimited,
+  kLimited,     ///< Each request needs a permit; other endpoints come first.
+  kUnobserved,  ///< The same, but no answer has come for a while: a request is to be tried.
+  kRefused,     ///< No permit is to be had at present.
+};
+
+/// @brief Observes the limits that answers announce, and remembers refused permits. Owned by the
+/// traffic thread; time is passed in.
 /// @ingroup endpoint_limits
 class LimitWatch {
  public:
+  /// @param spread From 0 to 1, another one at each node: nodes try an unobserved endpoint one
+  /// after the other.
+  explicit LimitWatch(double spread) : spread_(spread) {}
+
   /// @brief An endpoint has answered a request that was sent at `sent_at`.
   ///
   /// An answer without a limit may have been written before a limit that this node has received
@@ -21,11 +34,32 @@
                        TimePoint sent_at,
                        TimePoint now);
 
+  /// @brief Other nodes have observed these.
+  void Received(const EndpointLimitsPtr& limits);
+
   /// @brief Requests a second that the endpoint accepts from all nodes; empty: it has no limit.
   std::optional<double> LimitOf(EndpointKey endpoint) const;
 
+  LimitStanding StandingOf(EndpointKey endpoint, std::uint32_t live_nodes, TimePoint now) const;
+
+  /// @brief A permit was refused for so long, or could not be asked for.
+  void Refused(EndpointKey endpoint, Duration wait, TimePoint now);
+
+  /// @brief Until some endpoint of those whose permits were refused may be asked for again.
+  Duration LeastWait(TimePoint now) const;
+
+  /// @brief What this node has observed since the last call.
+  EndpointLimits Take();
+
+  /// @brief Forgets endpoints that are gone.
+  void Trim(const std::function<bool(EndpointKey)>& listed, TimePoint now);
+
  private:
+  double spread_;
   LimitBook book_;
+  EndpointLimitsPtr received_;
+  EndpointLimits untold_;
+  std::map<EndpointKey, TimePoint> refused_until_;
 };
 
 }  // namespace rudderloom
--- a/include/rudderloom/fleet/fleet_state.hpp
+++ b/include/rudderloom/fleet/fleet_state.hpp
@@ -15,6 +15,7 @@
 #include "rudderloom/dissemination/source_choice.hpp"      // for SourceChoice
 #include "rudderloom/dissemination/statement.hpp"          // for Statement
 #include "rudderloom/dissemination/upstream.hpp"           // for Upstream
+#include "rudderloom/endpoint_limits/limit_exchange.hpp"   // for LimitExchange
 #include "rudderloom/fleet/control_lag.hpp"                // for ControlLag
 #include "rudderloom/fleet/endpoint_directory.hpp"         // for EndpointDirectory
 #include "rudderloom/fleet/fleet_settings.hpp"             // for FleetSettings
@@ -132,6 +133,12 @@
   void QuarantineChanged();
   void ExpireQuarantine(TimePoint now);
   std::shared_ptr<const QuarantineTable> MakeQuarantineTable(TimePoint now) const;
+  void TakeLimits(const SentLimits& limits, TimePoint now);
+  void ExpireLimits(TimePoint now);
+  std::string Deputy() const;
+  bool DeputyChanged(TimePoint now);
+  std::optional<PermitBasis> MakePermitBasis() const;
+  TimePoint HolderPermitsUntil() const;
   std::uint32_t CountNodes(TimePoint now) const;
   void LogLag(TimePoint now);
   bool ShouldResign(TimePoint now) const;
@@ -209,6 +216,9 @@
   std::uint64_t quarantine_version_ = 0;  // of the holder's list, that the book takes in
   std::uint64_t quarantine_changes_ = 0;  // since this node took the lease
   QuarantineListPtr quarantine_;          // as traffic has it
+  LimitExchange limits_;
+  TimePoint limits_expired_at_;
+  std::optional<TimePoint> deputy_since_;  // this node hands out permits without a holder
   std::optional<HeardWord> heard_;
   std::uint64_t newest_routes_ = 0;         // that any peer has told of
   std::optional<TimePoint> routes_behind_;  // since when a peer has a newer configuration
--- a/include/rudderloom/fleet/fleet_view.hpp
+++ b/include/rudderloom/fleet/fleet_view.hpp
@@ -10,11 +10,12 @@
 #include <string>     // for string
 #include <vector>     // for vector
 
-#include "rudderloom/fleet/endpoint_key.hpp"     // for EndpointKey
-#include "rudderloom/fleet/endpoint_record.hpp"  // for EndpointRecord
-#include "rudderloom/quarantine/crash_news.hpp"  // for QuarantineListPtr
-#include "rudderloom/quota/spending.hpp"         // for QuotaWordPtr
-#include "rudderloom/routes/route_table.hpp"     // for RouteTablePtr
+#include "rudderloom/endpoint_limits/endpoint_limit.hpp"  // for EndpointLimitsPtr
+#include "rudderloom/fleet/endpoint_key.hpp"              // for EndpointKey
+#include "rudderloom/fleet/endpoint_record.hpp"           // for EndpointRecord
+#include "rudderloom/quarantine/crash_news.hpp"           // for QuarantineListPtr
+#include "rudderloom/quota/spending.hpp"                  // for QuotaWordPtr
+#include "rudderloom/routes/route_table.hpp"              // for RouteTablePtr
 
 namespace rudderloom {
 
@@ -63,6 +64,11 @@
   QuotaWordPtr quota;            ///< What customers may spend; null before the first word.
   std::string quota_holder;      ///< Address of the holder, which grants more; empty: not known.
   std::string quota_relay;       ///< Of the relay that does while there is no holder; empty: none.
+  EndpointLimitsPtr limits;      ///< That endpoints have announced; null: none.
+  /// @brief Until then the holder hands out permits for endpoints with limits, after that its
+  /// deputy.
+  TimePoint holder_permits_until;
+  std::string deputy;            ///< Address of the holder's deputy; empty: not known.
   QuarantineListPtr quarantine;  ///< Requests that end the endpoints that run them; null: none.
 };
 
--- a/include/rudderloom/forwarding/balancer.hpp
+++ b/include/rudderloom/forwarding/balancer.hpp
@@ -11,10 +11,11 @@
 #include <string>    // for string
 #include <vector>    // for vector
 
-#include "rudderloom/fleet/fleet_view.hpp"          // for FleetView
-#include "rudderloom/forwarding/admission.hpp"      // for StartForecast
-#include "rudderloom/forwarding/dialect.hpp"        // for RequestTerms
-#include "rudderloom/forwarding/service_times.hpp"  // for ServiceTimes
+#include "rudderloom/endpoint_limits/limit_watch.hpp"  // for LimitWatch
+#include "rudderloom/fleet/fleet_view.hpp"             // for FleetView
+#include "rudderloom/forwarding/admission.hpp"         // for StartForecast
+#include "rudderloom/forwarding/dialect.hpp"           // for RequestTerms
+#include "rudderloom/forwarding/service_times.hpp"     // for ServiceTimes
 
 namespace rudderloom {
 
@@ -24,6 +25,8 @@
   const std::string& service;
   const RequestTerms& terms;
   const std::set<std::string>& excluded;  ///< Instances that failed this request.
+  const LimitWatch* limits = nullptr;     ///< Null: no endpoint has one.
+  bool skip_limited = false;              ///< Leaves endpoints with limits out.
 };
 
 /// @brief Why there is no endpoint for a request.
@@ -31,6 +34,7 @@
 enum class NoEndpoint {
   kNone,         ///< The service has no endpoint that may get requests.
   kNotResident,  ///< None of its endpoints holds the model or adapter.
+  kLimited,      ///< Those that could take it accept no more requests at present.
 };
 
 /// @brief An endpoint that was chosen, and what the request adds to its load.
@@ -38,10 +42,11 @@
 struct Choice {
   std::uint32_t index = 0;  ///< Into the view's endpoints.
   EndpointLoad added;
-  EndpointLoad load;          ///< Of the endpoint before, over all nodes, as far as known.
-  std::uint32_t holding = 0;  ///< Endpoints that could have taken the request.
-  StartForecast forecast;     ///< For requests of a model.
-  Duration hold{0};           ///< How long the request is going to hold its place.
+  EndpointLoad load;              ///< Of the endpoint before, over all nodes, as far as known.
+  std::uint32_t holding = 0;      ///< Endpoints that could have taken the request.
+  bool others_unlimited = false;  ///< Some of the others have no limit.
+  StartForecast forecast;         ///< For requests of a model.
+  Duration hold{0};               ///< How long the request is going to hold its place.
 };
 
 /// @brief How a request on an endpoint ended, as far as further choices go.
@@ -120,6 +125,7 @@
     double fixed = 0.0;               // for its place, its failures and its listing
     double affinity = 0.0;            // saved by what the endpoint has read already
     std::uint32_t others_sent = 0;    // since the loads were told, as reckoned
+    bool limited = false;             // it accepts only so many requests a second
   };
   // What a model's requests take, in the same unit.
   struct Weights {
@@ -129,10 +135,15 @@
     double prompt_tokens = 0.0;
   };
 
-  std::vector<Candidate> FindCandidates(const FleetView& view,
-                                        const BalancerAsk& ask,
-                                        const std::vector<std::uint32_t>& listed,
-                                        TimePoint now);
+  struct Candidates {
+    std::vector<Candidate> usable;
+    bool limit_reached = false;  // by some that were left out
+  };
+
+  Candidates FindCandidates(const FleetView& view,
+                            const BalancerAsk& ask,
+                            const std::vector<std::uint32_t>& listed,
+                            TimePoint now);
   double Cost(const Candidate& candidate, const Weights& weights) const;
   void ReckonOthers(std::vector<Candidate>& candidates, const Weights& weights) const;
   const Candidate& Pick(const std::vector<Candidate>& candidates, const Weights& weights);
--- a/include/rudderloom/forwarding/forwarder.hpp
+++ b/include/rudderloom/forwarding/forwarder.hpp
@@ -11,6 +11,7 @@
 
 #include "rudderloom/base/log_quota.hpp"                  // for LogQuota
 #include "rudderloom/endpoint_limits/limit_watch.hpp"     // for LimitWatch
+#include "rudderloom/endpoint_limits/permit_book.hpp"     // for PermitAsk
 #include "rudderloom/forwarding/balancer.hpp"             // for Balancer
 #include "rudderloom/forwarding/endpoint_connection.hpp"  // for ConnectionPool
 #include "rudderloom/forwarding/missing_units.hpp"        // for MissingUnits
@@ -35,6 +36,14 @@
                                      const SpendAsk& ask,
                                      std::function<void(std::optional<SpendAnswer>)> done)>;
 
+/// @brief Asks the node at an address, the holder of the lease or its deputy, whether a request may
+/// be sent to an endpoint. The callback may be called on any thread, with nothing when no answer
+/// came.
+/// @ingroup forwarding
+using AskForPermit = std::function<void(const std::string& granter,
+                                        const PermitAsk& ask,
+                                        std::function<void(std::optional<PermitAnswer>)> done)>;
+
 /// @brief What every request of this node shares. Owned by the traffic thread.
 /// @ingroup forwarding
 struct ForwardingState {
@@ -59,6 +68,7 @@
   /// finds no endpoint which holds what it asks for, or an endpoint that has ended.
   std::function<void()> sample_soon;
   AskHolder ask_holder;
+  AskForPermit ask_for_permit;
 };
 
 /// @brief Answers one request. The exchange always has its answer, or is aborted, afterwards.
--- a/include/rudderloom/forwarding/front.hpp
+++ b/include/rudderloom/forwarding/front.hpp
@@ -19,7 +19,8 @@
              const Dialect& dialect,
              Metrics& metrics,
              std::function<void(NodeCounts)> on_sample,
-             AskHolder ask_holder);
+             AskHolder ask_holder,
+             AskForPermit ask_for_permit);
 
   /// @brief Begins to listen; gives the addresses taken. Nothing is ready before a configuration
   /// and the endpoints are known.
--- a/include/rudderloom/peers/holder_link.hpp
+++ b/include/rudderloom/peers/holder_link.hpp
@@ -9,9 +9,10 @@
 #include <optional>    // for optional
 #include <string>      // for string
 
-#include "rudderloom/dissemination/digest.hpp"  // for HolderDigest
-#include "rudderloom/placement/demand.hpp"      // for NodeCounts
-#include "rudderloom/quota/grant_book.hpp"      // for SpendAsk
+#include "rudderloom/dissemination/digest.hpp"         // for HolderDigest
+#include "rudderloom/endpoint_limits/permit_book.hpp"  // for PermitAsk
+#include "rudderloom/placement/demand.hpp"             // for NodeCounts
+#include "rudderloom/quota/grant_book.hpp"             // for SpendAsk
 
 namespace rudderloom {
 
@@ -26,6 +27,9 @@
   std::function<void(HolderDigest, const std::string& from, std::uint64_t number)> on_digest;
   /// @brief Another node asks this one whether a request may run; must not block.
   std::function<SpendAnswer(const SpendAsk&)> on_spend;
+  /// @brief Another node asks this one whether it may send a request to an endpoint; must not
+  /// block.
+  std::function<PermitAnswer(const PermitAsk&)> on_permit;
   /// @brief A report to the node at `to` got no answer.
   std::function<void(const std::string& to, std::uint64_t number)> on_failure;
 };
@@ -34,6 +38,10 @@
 /// @ingroup peers
 using SpendCallback = std::function<void(std::optional<SpendAnswer>)>;
 
+/// @brief The same for permits.
+/// @ingroup peers
+using PermitCallback = std::function<void(std::optional<PermitAnswer>)>;
+
 /// @brief Runs Cap'n Proto's event loop on a thread of its own.
 /// @ingroup peers
 class HolderLink {
@@ -59,6 +67,9 @@
   /// the link is stopped before. May be called from any thread.
   void Ask(const std::string& holder, const SpendAsk& ask, SpendCallback done);
 
+  /// @brief The same for a permit, of the holder or its deputy.
+  void Ask(const std::string& granter, const PermitAsk& ask, PermitCallback done);
+
   /// @brief Ends the event loop; no hook is called after this.
   void Stop();
 
--- a/include/rudderloom/placement/demand.hpp
+++ b/include/rudderloom/placement/demand.hpp
@@ -11,10 +11,11 @@
 #include <tuple>     // for tie
 #include <vector>    // for vector
 
-#include "rudderloom/base/clock.hpp"             // for TimePoint
-#include "rudderloom/fleet/fleet_view.hpp"       // for EndpointLoad
-#include "rudderloom/quarantine/crash_news.hpp"  // for CrashNews
-#include "rudderloom/quota/spending.hpp"         // for SpendingTable
+#include "rudderloom/base/clock.hpp"                      // for TimePoint
+#include "rudderloom/endpoint_limits/limit_exchange.hpp"  // for SentLimits
+#include "rudderloom/fleet/fleet_view.hpp"                // for EndpointLoad
+#include "rudderloom/quarantine/crash_news.hpp"           // for CrashNews
+#include "rudderloom/quota/spending.hpp"                  // for SpendingTable
 
 namespace rudderloom {
 
@@ -62,6 +63,8 @@
   SpendingTable spending;             ///< Since the last report.
   CrashNews crash_news;               ///< Told for some seconds, then left out.
   std::uint64_t quarantine_seen = 0;  ///< Version of the quarantine that the node knows.
+  SentLimits limits;                  ///< Of endpoints, observed lately.
+  std::uint64_t limits_seen = 0;      ///< Version of the table of limits that the node knows.
 };
 
 /// @brief Adds what was offered to a node, spent and seen to crash at it by its earlier counts to
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -54,6 +54,18 @@
   entries @1 :List(SuspectEntry);
 }
 
+# Limits that endpoints have announced, on requests from all nodes together.
+struct EndpointLimit {
+  endpoint @0 :UInt32;                # hash of its instance
+  ageMs @1 :UInt32;                   # since an answer said so
+  requestsPerSecond @2 :Float64 = -1; # below 0: the limit has ended
+}
+
+struct EndpointLimits {
+  version @0 :UInt64;  # in a report: of the table that the node knows; 0: none
+  limits @1 :List(EndpointLimit);
+}
+
 struct NodeCounts {
   node @0 :Text;
   incarnation @1 :Text;
@@ -72,6 +84,7 @@
   crashNews @14 :CrashNews;   # null: none
   quarantineSeen @15 :UInt64;  # version of the quarantine that the node knows
   endpointsSeenEra @16 :Int64 = -1;  # of `endpointsSeen`; below 0: the node knows of no eras
+  limits @17 :EndpointLimits;        # observed there lately; null: none, and no table is known
 }
 
 struct ServedModel {
@@ -241,6 +254,7 @@
   reportCounted @18 :UInt64;  # the asking node's last report that the balances take in; 0 for none
   quarantine @19 :QuarantineTable;  # null: as the asking node knows it
   crashNews @20 :CrashNews;  # of who answers, if that is not the holder; null: none
+  limits @21 :EndpointLimits;  # null: as the asking node knows them
 }
 
 enum SpendVerdict {
@@ -249,8 +263,18 @@
   refused @2;
 }
 
+enum PermitVerdict {
+  notGranting @0;  # neither the holder of the lease nor its deputy
+  granted @1;
+  refused @2;
+}
+
 interface PlacementHolder {
   report @0 (counts :NodeCounts) -> (digest :Digest);
   # May a customer's request of this amount run? `waitMs`: until one may, when it is refused.
   spend @1 (customer :UInt32, amount :UInt64) -> (verdict :SpendVerdict, waitMs :UInt32);
+  # May one request be sent to an endpoint that has announced a limit? It can wait `mostWaitMs`.
+  # `waitMs`: until it may be sent, or until the next one may when it is refused.
+  permit @2 (endpoint :UInt32, requestsPerSecond :Float64, mostWaitMs :UInt32)
+      -> (verdict :PermitVerdict, waitMs :UInt32);
 }
--- a/src/rudderloom/app/fleet_daemon.cpp
+++ b/src/rudderloom/app/fleet_daemon.cpp
@@ -55,6 +55,9 @@
             },
             [this](const std::string& holder, const SpendAsk& ask, SpendCallback done) {
               AskHolder(holder, ask, std::move(done));
+            },
+            [this](const std::string& granter, const PermitAsk& ask, PermitCallback done) {
+              AskForPermit(granter, ask, std::move(done));
             }),
         shell_(control_context_,
                settings_,
@@ -151,6 +154,7 @@
       actor_->Post(fleet_message::DigestHeard{std::move(digest), from, number});
     };
     hooks.on_spend = [this](const SpendAsk& ask) { return AnswerAsk(ask); };
+    hooks.on_permit = [this](const PermitAsk& ask) { return AnswerPermit(ask); };
     hooks.on_failure = [this](const std::string& to, std::uint64_t number) {
       metrics_.Count({"rudderloom_holder_reports_failed_total"});
       actor_->Post(fleet_message::ReportFailed{to, number});
@@ -181,6 +185,26 @@
     return answer;
   }
 
+  void AskForPermit(const std::string& granter, const PermitAsk& ask, PermitCallback done) {
+    if (granter == settings_.listen.peers) {
+      done(AnswerPermit(ask));
+    } else {
+      link_.Ask(granter, ask, std::move(done));
+    }
+  }
+
+  // Whether a request may be sent to an endpoint with a limit, if this node is to say so: as the
+  // holder of the lease or as its deputy.
+  PermitAnswer AnswerPermit(const PermitAsk& ask) {
+    const std::lock_guard lock(statement_mutex_);
+    PermitAnswer answer;
+    if (statement_ && statement_->permits) {
+      answer = permits_.Ask(ask, *statement_->permits, Now());
+    }
+    metrics_.Count({"rudderloom_permit_asks_total", "verdict", NameOf(answer.verdict)});
+    return answer;
+  }
+
   CallObserver CountCalls() {
     return [this](std::string_view verb, std::string_view kind, std::size_t bytes) {
       const std::string call = std::string(verb) + " " + std::string(kind);
@@ -268,7 +292,8 @@
   asio::executor_work_guard<asio::io_context::executor_type> traffic_work_;
   std::mutex statement_mutex_;
   std::shared_ptr<const Statement> statement_;
-  GrantBook grants_;  // guarded by the same mutex
+  GrantBook grants_;    // guarded by the same mutex
+  PermitBook permits_;  // guarded by the same mutex
   std::atomic<bool> released_{false};
   std::unique_ptr<FleetActor> actor_;
   CallTally tally_;  // used on the control context's thread
--- a/src/rudderloom/dissemination/statement.cpp
+++ b/src/rudderloom/dissemination/statement.cpp
@@ -47,6 +47,11 @@
   return statement.quarantine ? *statement.quarantine : QuarantineTable();
 }
 
+std::optional<LimitTable> LimitsFor(const Statement& statement, const NodeCounts& asking) {
+  return statement.limits.version == asking.limits_seen ? std::nullopt
+                                                        : std::optional(statement.limits);
+}
+
 // A node that knows of no eras is taken for being in the present one, as it takes itself.
 StoreRevision SeenBy(const NodeCounts& asking, const EndpointLog& log) {
   return asking.tells_era ? asking.endpoints_seen
@@ -97,6 +102,7 @@
   }
   digest.loads = statement.loads.Without(asking.node);
   digest.quarantine = QuarantineFor(statement, asking);
+  digest.limits = LimitsFor(statement, asking);
   if (statement.serving) {
     digest.serving = statement.serving->Since(asking.serving_seen);
   }
--- /dev/null
+++ b/src/rudderloom/endpoint_limits/limit_exchange.cpp
@@ -0,0 +1,108 @@
+#include "rudderloom/endpoint_limits/limit_exchange.hpp"
+
+#include <algorithm>  // for max
+#include <utility>    // for exchange
+
+namespace rudderloom {
+
+namespace {
+
+// Long enough to reach a holder that takes the lease in the meantime.
+constexpr Duration kReportedFor{4'000};
+// A limit that stays as it is is sent again so often: nodes need to know that it was observed.
+constexpr Duration kRefreshEvery{1'000};
+
+EndpointLimits ObservedAt(const SentLimits& limits, TimePoint now) {
+  EndpointLimits observed;
+  for (const auto& [endpoint, limit] : limits) {
+    observed[endpoint] = {limit.requests_per_second, now - limit.age};
+  }
+  return observed;
+}
+
+}  // namespace
+
+SentLimits WithAges(const EndpointLimits& limits, TimePoint now) {
+  SentLimits sent;
+  for (const auto& [endpoint, limit] : limits) {
+    const Duration age = std::max(Duration(0), Between(limit.observed_at, now));
+    sent[endpoint] = {limit.requests_per_second, age};
+  }
+  return sent;
+}
+
+bool LimitExchange::Observed(const SentLimits& limits, TimePoint now) {
+  if (limits.empty()) {
+    return false;
+  }
+  const EndpointLimits observed = ObservedAt(limits, now);
+  const LimitChange change = observed_.Take(observed);
+  Merge(observed, now);
+  return change == LimitChange::kChanged;
+}
+
+SentLimits LimitExchange::ToReport(TimePoint now) const {
+  return WithAges(observed_.Since(now - kReportedFor), now);
+}
+
+void LimitExchange::Received(const LimitTable& table, TimePoint sent_at) {
+  version_ = table.version;
+  Merge(ObservedAt(table.limits, sent_at), sent_at);
+}
+
+void LimitExchange::Begin(std::uint64_t epoch) {
+  holding_epoch_ = epoch;
+  changes_ = 0;
+  if (!known_.All().empty()) {
+    RaiseVersion(version_raised_at_);
+  }
+}
+
+LimitTable LimitExchange::Table(TimePoint sent_at) const {
+  if (known_.All().empty()) {
+    return {};
+  }
+  return {version_, WithAges(known_.All(), sent_at)};
+}
+
+void LimitExchange::Expire(const std::function<bool(EndpointKey)>& listed, TimePoint now) {
+  if (known_.All().empty() && observed_.All().empty()) {
+    return;
+  }
+  const std::size_t before = known_.All().size();
+  known_.Expire(listed, now);
+  observed_.Expire(listed, now);
+  if (known_.All().size() != before) {
+    Publish();
+  }
+}
+
+bool LimitExchange::TakeChanged() {
+  return std::exchange(changed_, false);
+}
+
+void LimitExchange::Merge(const EndpointLimits& limits, TimePoint now) {
+  const LimitChange change = known_.Take(limits);
+  if (change == LimitChange::kNone) {
+    return;
+  }
+  const bool refresh = now - version_raised_at_ >= kRefreshEvery;
+  if (holding_epoch_ && (change == LimitChange::kChanged || refresh)) {
+    RaiseVersion(now);
+  }
+  Publish();
+}
+
+void LimitExchange::Publish() {
+  for_traffic_ =
+      known_.All().empty() ? nullptr : std::make_shared<const EndpointLimits>(known_.All());
+  changed_ = true;
+}
+
+void LimitExchange::RaiseVersion(TimePoint now) {
+  constexpr unsigned kHalf = 32;
+  version_ = (*holding_epoch_ << kHalf) | (++changes_ & 0xffffffffU);
+  version_raised_at_ = now;
+}
+
+}  // namespace rudderloom
--- /dev/null
+++ b/src/rudderloom/endpoint_limits/limit_watch_test.cpp
@@ -0,0 +1,75 @@
+// What traffic takes endpoints' limits to be, from answers that arrive in any order.
+#include "rudderloom/endpoint_limits/limit_watch.hpp"
+
+#include <doctest/doctest.h>  // for TEST_CASE
+
+namespace rudderloom {
+namespace {
+
+using Kind = LimitAnnouncement::Kind;
+
+constexpr TimePoint kStart{std::chrono::hours(1)};
+constexpr EndpointKey kEndpoint = 7;
+constexpr std::uint32_t kNodes = 12;
+
+TimePoint At(int milliseconds) {
+  return kStart + Duration(milliseconds);
+}
+
+TEST_CASE("an announced limit holds until a later request's answer names none") {
+  LimitWatch watch(0.0);
+  CHECK(watch.Answered(kEndpoint, {Kind::kNone, 0.0}, At(0), At(5)) == LimitChange::kNone);
+  CHECK(watch.Answered(kEndpoint, {Kind::kLimited, 2.5}, At(10), At(20)) == LimitChange::kChanged);
+  CHECK(watch.LimitOf(kEndpoint) == 2.5);
+  CHECK(watch.StandingOf(kEndpoint, kNodes, At(21)) == LimitStanding::kLimited);
+  // Sent before the limit was received: its answer may have been written before the limit began.
+  watch.Answered(kEndpoint, {Kind::kNone, 0.0}, At(15), At(30));
+  CHECK(watch.LimitOf(kEndpoint) == 2.5);
+  watch.Answered(kEndpoint, {Kind::kNone, 0.0}, At(25), At(40));
+  CHECK(!watch.LimitOf(kEndpoint));
+  CHECK(watch.StandingOf(kEndpoint, kNodes, At(41)) == LimitStanding::kUnlimited);
+}
+
+TEST_CASE("an unreadable limit changes nothing") {
+  LimitWatch watch(0.0);
+  watch.Answered(kEndpoint, {Kind::kLimited, 2.5}, At(0), At(5));
+  CHECK(watch.Answered(kEndpoint, {Kind::kUnreadable, 0.0}, At(10), At(15)) == LimitChange::kNone);
+  CHECK(watch.LimitOf(kEndpoint) == 2.5);
+}
+
+TEST_CASE("a limit that another node has observed counts, an older one does not") {
+  LimitWatch watch(0.0);
+  watch.Received(std::make_shared<const EndpointLimits>(EndpointLimits{{kEndpoint, {4.0, At(0)}}}));
+  CHECK(watch.LimitOf(kEndpoint) == 4.0);
+  watch.Answered(kEndpoint, {Kind::kLimited, 1.0}, At(0), At(10));
+  watch.Received(std::make_shared<const EndpointLimits>(EndpointLimits{{kEndpoint, {9.0, At(5)}}}));
+  CHECK(watch.LimitOf(kEndpoint) == 1.0);
+  watch.Received(
+      std::make_shared<const EndpointLimits>(EndpointLimits{{kEndpoint, {std::nullopt, At(20)}}}));
+  CHECK(!watch.LimitOf(kEndpoint));
+}
+
+TEST_CASE("after a refused permit the endpoint rests, and after silence it is tried") {
+  LimitWatch watch(0.5);
+  watch.Answered(kEndpoint, {Kind::kLimited, 1.0}, At(0), At(0));
+  watch.Refused(kEndpoint, Duration(300), At(10));
+  CHECK(watch.StandingOf(kEndpoint, kNodes, At(309)) == LimitStanding::kRefused);
+  CHECK(watch.LeastWait(At(10)) == Duration(300));
+  CHECK(watch.StandingOf(kEndpoint, kNodes, At(310)) == LimitStanding::kLimited);
+  CHECK(watch.StandingOf(kEndpoint, kNodes, At(2'150)) == LimitStanding::kLimited);
+  CHECK(watch.StandingOf(kEndpoint, kNodes, At(2'151)) == LimitStanding::kUnobserved);
+}
+
+TEST_CASE("each observation is reported once, and what is gone is forgotten") {
+  LimitWatch watch(0.0);
+  watch.Answered(kEndpoint, {Kind::kLimited, 1.0}, At(0), At(0));
+  CHECK(watch.Take().size() == 1);
+  CHECK(watch.Take().empty());
+  watch.Trim([](EndpointKey) { return true; }, At(60'000));
+  CHECK(watch.LimitOf(kEndpoint) == 1.0);
+  watch.Trim([](EndpointKey) { return false; }, At(60'000));
+  CHECK(!watch.LimitOf(kEndpoint));
+}
+
+}  // namespace
+}  // namespace rudderloom
--- a/src/rudderloom/fleet/fleet_lease.cpp
+++ b/src/rudderloom/fleet/fleet_lease.cpp
@@ -167,7 +167,9 @@
   }
   holds_ = holds;
   ChangedForTraffic();
-  if (holds) {
+  if (!holds) {
+    limits_.End();
+  } else {
     FormerLease former = lease_.Former();
     if (lease_.Epoch() == held_epoch_) {
       former.who = FormerHolder::kThisProcess;
@@ -178,6 +180,7 @@
     roster_.reset();
     BeginBalances(lease_.Former(), now);
     BeginQuarantine(lease_.Former(), now);
+    limits_.Begin(held_epoch_);
   }
   effects.statement = MakeStatement(now);
   LogLine(holds ? "lease_taken" : "lease_lost").With("epoch", lease_.Epoch());
@@ -187,6 +190,7 @@
 void FleetState::GoOnHolding(FleetEffects& effects, TimePoint now) {
   placement_.GoOn(lease_.Former(), now);
   held_epoch_ = lease_.Epoch();
+  limits_.Begin(held_epoch_);
   effects.statement = MakeStatement(now);
   LogLine("lease_taken_anew").With("epoch", lease_.Epoch());
 }
--- a/src/rudderloom/fleet/fleet_state.cpp
+++ b/src/rudderloom/fleet/fleet_state.cpp
@@ -93,6 +93,9 @@
   if (std::exchange(era_is_news_, false)) {
     effects.store_era = store_era_;
   }
+  if (limits_.TakeChanged()) {
+    ChangedForTraffic();
+  }
   if (ViewDue(now)) {
     changed_ = false;
     changed_much_ = false;
@@ -216,6 +219,7 @@
   group_.CountedSelf(sampled.counts);
   spending_.CountedSelf(sampled.counts.spending);
   TakeCrashNews(sampled.counts.crash_news, now);
+  TakeLimits(sampled.counts.limits, now);
   for (const auto& [unit, count] : sampled.counts.units) {
     urgent_ = urgent_ || count.waiting > 0;
   }
@@ -231,6 +235,7 @@
     NoteEra(counted.counts.endpoints_seen.Era());
   }
   TakeCrashNews(counted.counts.crash_news, now);
+  TakeLimits(counted.counts.limits, now);
 }
 
 void FleetState::On(const fleet_message::EngineReported& reported, TimePoint now) {
@@ -260,6 +265,7 @@
     ChangedForTraffic();
   }
   ExpireQuarantine(now);
+  ExpireLimits(now);
 }
 
 LoadTable FleetState::OtherLoads(TimePoint now) const {
@@ -289,6 +295,9 @@
   view->quota_holder = holds_ ? settings_.listen.peers : upstream_.Holder();
   view->quota_relay = quota_relay_;
   view->quarantine = quarantine_;
+  view->limits = limits_.ForTraffic();
+  view->holder_permits_until = HolderPermitsUntil();
+  view->deputy = Deputy();
   const LoadTable loads = OtherLoads(now);
   const bool placed = holds_ || WordFresh(now);
   for (const auto& [instance, known] : directory_.Endpoints()) {
--- a/src/rudderloom/fleet/fleet_word.cpp
+++ b/src/rudderloom/fleet/fleet_word.cpp
@@ -37,6 +37,7 @@
 // Tells the holder this node's counts, and others what there is to tell.
 void FleetState::MoveWord(FleetEffects& effects, TimePoint now) {
   ReportCounts(effects, now);
+  const bool deputy_changed = DeputyChanged(now);
   const bool retell = std::exchange(retell_, false);
   if (holds_) {
     relayed_ = false;
@@ -48,7 +49,8 @@
   const bool relays = Relays(now);
   if (relays && retell) {
     effects.statement = MakeRelayStatement(now);
-  } else if (!relays && (relayed_ || told_holder_ != upstream_.Holder() || NewsToTell(now))) {
+  } else if (!relays && (relayed_ || told_holder_ != upstream_.Holder() || NewsToTell(now) ||
+                         deputy_changed)) {
     effects.statement = MakeStatement(now);
   }
   told_holder_ = upstream_.Holder();
@@ -128,6 +130,8 @@
   counts.avoided_relays = upstream_.AvoidedRelays(now);
   counts.crash_news = news_log_.Current(now);
   counts.quarantine_seen = quarantine_version_;
+  counts.limits = limits_.ToReport(now);
+  counts.limits_seen = limits_.Version();
   TellSpending(counts, now);
   effects.report = CountsToReport{to, std::move(counts)};
   reported_at_ = now;
@@ -220,7 +224,11 @@
   if (digest.quarantine) {
     TakeQuarantine(*digest.quarantine, now);
   }
+  if (digest.limits) {
+    limits_.Received(*digest.limits, heard_->made_at);
+  }
   heard_->digest.quarantine.reset();
+  heard_->digest.limits.reset();
   heard_->digest.serving = {};
   heard_->digest.endpoints = {};
   heard_->digest.configuration = {};
@@ -236,6 +244,7 @@
   if (!holds_) {
     common.crash_news = news_log_.Current(now);
     statement->grants = MakeRelayGrantBasis();
+    statement->permits = MakePermitBasis();
     return statement;
   }
   statement->made_at = now;
@@ -243,6 +252,8 @@
   statement->reports_counted = spending_.ReportsCounted();
   statement->grants = MakeGrantBasis();
   statement->quarantine = MakeQuarantineTable(now);
+  statement->limits = limits_.Table(now);
+  statement->permits = MakePermitBasis();
   common.nodes = live_nodes_;
   common.renewals_fail = lease_.RenewalsFail(now);
   common.relay_pause = RelayPause(settings_.processor_share);
@@ -271,7 +282,9 @@
   }
   statement->reports_counted = spending_.ReportsCounted();
   statement->quarantine = MakeQuarantineTable(now);
+  statement->limits = limits_.Table(heard_->made_at);
   statement->grants = MakeRelayGrantBasis();
+  statement->permits = MakePermitBasis();
   statement->most_members = MostMembers(settings_.group_size);
   TellKnown(*statement);
   return statement;
--- a/src/rudderloom/forwarding/balancer.cpp
+++ b/src/rudderloom/forwarding/balancer.cpp
@@ -1,6 +1,6 @@
 #include "rudderloom/forwarding/balancer.hpp"
 
-#include <algorithm>   // for min, min_element
+#include <algorithm>   // for any_of, min, min_element
 #include <functional>  // for hash
 #include <limits>      // for numeric_limits
 
@@ -15,6 +15,8 @@
 constexpr double kLastResortCost = 10'000'000.0;
 constexpr double kOtherZoneCost = 60.0;
 constexpr double kPlainRequestCost = 1'000.0;
+// About half a second of reading: an endpoint in need comes after others that have room.
+constexpr double kLimitedCost = 20'000.0;
 constexpr double kHomeDiscount = 0.5;  // share of the common prompt that its home is likely to keep
 // A node hears of the others' loads each 250 ms, and these were counted some 100 ms before that.
 constexpr double kLoadsAgeMilliseconds = 300.0;
@@ -44,6 +46,29 @@
   return Mix(prompt ^ std::hash<std::string>{}(instance));
 }
 
+LimitStanding StandingOf(const FleetView& view,
+                         const BalancerAsk& ask,
+                         const std::string& instance,
+                         TimePoint now) {
+  return ask.limits == nullptr ? LimitStanding::kUnlimited
+                               : ask.limits->StandingOf(KeyOf(instance), view.live_nodes, now);
+}
+
+// One that has not answered for a while comes first, as by its answers the end of its limit is
+// noticed.
+double LimitCost(LimitStanding standing) {
+  switch (standing) {
+    case LimitStanding::kLimited:
+      return kLimitedCost;
+    case LimitStanding::kUnobserved:
+      return -kLimitedCost;
+    case LimitStanding::kUnlimited:
+    case LimitStanding::kRefused:
+      return 0.0;
+  }
+  return 0.0;
+}
+
 std::string UnitOf(const RequestTerms& terms) {
   return terms.model + "/" + terms.adapter;
 }
@@ -77,10 +102,10 @@
   return unread;
 }
 
-std::vector<Balancer::Candidate> Balancer::FindCandidates(const FleetView& view,
-                                                          const BalancerAsk& ask,
-                                                          const std::vector<std::uint32_t>& listed,
-                                                          TimePoint now) {
+Balancer::Candidates Balancer::FindCandidates(const FleetView& view,
+                                              const BalancerAsk& ask,
+                                              const std::vector<std::uint32_t>& listed,
+                                              TimePoint now) {
   // The prompt's beginning without its last part, which is the request's own.
   const std::size_t common = ask.terms.prompt.empty() ? 0 : ask.terms.prompt.size() - 1;
   const std::uint64_t common_hash = PromptHash(ask.terms, common);
@@ -88,7 +113,8 @@
   for (std::size_t i = 0; i < common; ++i) {
     common_tokens += ask.terms.prompt[i].tokens;
   }
-  std::vector<Candidate> candidates;
+  Candidates found;
+  std::vector<Candidate>& candidates = found.usable;
   std::optional<std::size_t> home;
   std::uint64_t home_rank = 0;
   for (const std::uint32_t index : listed) {
@@ -102,8 +128,16 @@
     if (absent != own.absent_until.end() && now < absent->second) {
       continue;
     }
+    const LimitStanding standing = StandingOf(view, ask, record.instance, now);
+    const bool limited = standing != LimitStanding::kUnlimited;
+    if (standing == LimitStanding::kRefused || (limited && ask.skip_limited)) {
+      found.limit_reached = true;
+      continue;
+    }
     Candidate candidate;
     candidate.index = index;
+    candidate.limited = limited;
+    candidate.fixed += LimitCost(standing);
     candidate.slots = record.slots;
     candidate.own = own.load;
     candidate.load = own.load;
@@ -126,7 +160,7 @@
   if (home && !ask.terms.model.empty()) {
     candidates[*home].affinity += kHomeDiscount * static_cast<double>(common_tokens);
   }
-  return candidates;
+  return found;
 }
 
 // Without the request's own prompt, and without what is saved of it.
@@ -223,9 +257,10 @@
   if (listed == view.by_service.end() || listed->second.empty()) {
     return NoEndpoint::kNone;
   }
-  std::vector<Candidate> candidates = FindCandidates(view, ask, listed->second, now);
+  Candidates found = FindCandidates(view, ask, listed->second, now);
+  std::vector<Candidate>& candidates = found.usable;
   if (candidates.empty()) {
-    return NoEndpoint::kNotResident;
+    return found.limit_reached ? NoEndpoint::kLimited : NoEndpoint::kNotResident;
   }
   Weights weights;
   weights.engine = !ask.terms.model.empty();
@@ -241,6 +276,9 @@
   choice.load = picked.load;
   choice.load.requests += picked.others_sent;
   choice.holding = static_cast<std::uint32_t>(candidates.size());
+  choice.others_unlimited = std::any_of(
+      candidates.begin(), candidates.end(),
+      [&](const Candidate& candidate) { return !candidate.limited && &candidate != &picked; });
   choice.added.requests = 1;
   if (weights.engine) {
     choice.added.unread_tokens = picked.unread_tokens;
--- a/src/rudderloom/forwarding/forward_refusal.cpp
+++ b/src/rudderloom/forwarding/forward_refusal.cpp
@@ -28,6 +28,8 @@
       return "broken";
     case ForwardRefusal::kTimeUp:
       return "time_up";
+    case ForwardRefusal::kEndpointLimit:
+      return "endpoint_limit";
     case ForwardRefusal::kQuarantined:
       return "quarantined";
   }
--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -7,6 +7,7 @@
 #include "forwarding/attempt.hpp"                // for RunAttempt
 #include "forwarding/crash_check.hpp"            // for NoteBreak
 #include "forwarding/forward_refusal.hpp"        // for ForwardRefusal
+#include "forwarding/limit_check.hpp"            // for TakePermit
 #include "forwarding/request_end.hpp"            // for LogRequestEnd, LogFailedAttempt
 #include "forwarding/request_samples.hpp"        // for LearnTimes, OfferedTime
 #include "forwarding/tried_endpoints.hpp"        // for TriedEndpoints
@@ -22,6 +23,8 @@
 // A client that comes back later than this will hardly find its deadline open.
 constexpr Duration kComeBackMost{8'000};
 constexpr std::uint32_t kMostConnectFailures = 4;
+// For endpoints with limits. Each takes some 5 ms; after that only other endpoints are used.
+constexpr std::uint32_t kMostPermitAsks = 4;
 constexpr double kSilenceGoals = 2.5;
 constexpr int kSilencePauses = 4;
 constexpr unsigned kTooManyRequests = 429;
@@ -80,7 +83,8 @@
         co_await Refuse(ForwardRefusal::kQuarantined);
         co_return;
       }
-      const BalancerAsk ask{service_, terms_, tried_.Excluded()};
+      const BalancerAsk ask{service_, terms_, tried_.Excluded(), &state_.limits,
+                            permits_asked_ >= kMostPermitAsks};
       auto chosen = state_.balancer.Choose(*view, ask, Now());
       if (auto* none = std::get_if<NoEndpoint>(&chosen)) {
         if (!co_await AwaitEndpoint(*none)) {
@@ -98,6 +102,14 @@
         co_return;
       }
       const EndpointRecord endpoint = view->endpoints[last_choice_.index].record;
+      const bool permitted = co_await Permitted(endpoint);
+      if (!permitted) {
+        const bool answered = co_await AnsweredInterruption();
+        if (answered) {
+          co_return;
+        }
+        continue;
+      }
       const AttemptResult result = co_await Try(endpoint, last_choice_.added);
       if (!co_await Another(endpoint, result)) {
         co_return;
@@ -113,6 +125,17 @@
     return Admit(last_choice_.forecast, *route_, Between(arrived_, Now()));
   }
 
+  // Whether the endpoint accepts the request. Where others have no limit they come before a wait.
+  Awaitable<bool> Permitted(const EndpointRecord& endpoint) {
+    if (!state_.limits.LimitOf(KeyOf(endpoint.instance))) {
+      co_return true;
+    }
+    ++permits_asked_;
+    const Duration patience = Between(Now(), LatestStart());
+    const Duration most_wait = last_choice_.others_unlimited ? Duration(0) : kMostPermitWait;
+    co_return co_await TakePermit(state_, *guard_, endpoint, std::min(patience, most_wait));
+  }
+
   // Shortly before the client gives up, or the request's time is over.
   TimePoint LatestStart() const {
     return std::min(time_up_, arrived_ + route_->patience) - kLeastForAttempt;
@@ -135,6 +158,11 @@
     if (tried_.TakeFailed()) {
       co_return true;
     }
+    if (why == NoEndpoint::kLimited) {
+      come_back_ = state_.limits.LeastWait(Now());
+      co_await Refuse(ForwardRefusal::kEndpointLimit);
+      co_return false;
+    }
     const bool can_come = !terms_.model.empty() && !state_.stopping;
     const TimePoint likely = can_come ? LikelyResident() : TimePoint::max();
     if (!can_come || likely > LatestStart() || Now() >= LatestStart()) {
@@ -226,7 +254,8 @@
     }
     std::set<std::string> excluded = tried_.Excluded();
     excluded.insert(attempt_instance_);
-    const BalancerAsk ask{service_, terms_, excluded};
+    constexpr bool kSkipLimited = true;
+    const BalancerAsk ask{service_, terms_, excluded, &state_.limits, kSkipLimited};
     const FleetViewPtr view = state_.views.Current();
     const auto other = state_.balancer.Choose(*view, ask, Now());
     if (std::holds_alternative<NoEndpoint>(other)) {
@@ -394,6 +423,7 @@
   Duration waited_{0};  // for an endpoint that holds the model
   std::uint32_t attempts_ = 0;
   std::uint32_t connect_failures_ = 0;
+  std::uint32_t permits_asked_ = 0;
   bool may_have_run_ = false;
   std::string attempt_instance_;     // of the attempt under way
   bool attempt_connecting_ = false;  // it has sent nothing yet
--- a/src/rudderloom/forwarding/front.cpp
+++ b/src/rudderloom/forwarding/front.cpp
@@ -3,6 +3,7 @@
 #include "forwarding/crash_check.hpp"      // for NoteCleared
 #include "forwarding/quarantine_page.hpp"  // for AnswerQuarantinePage
 #include "rudderloom/base/log_line.hpp"    // for LogLine
+#include "rudderloom/base/spread.hpp"      // for SpreadOf
 #include "rudderloom/http/pause.hpp"       // for PauseFor
 
 namespace rudderloom {
@@ -63,7 +64,8 @@
                        const Dialect& dialect,
                        Metrics& metrics,
                        std::function<void(NodeCounts)> on_sample,
-                       AskHolder ask_holder)
+                       AskHolder ask_holder,
+                       AskForPermit ask_for_permit)
     : context_(context),
       settings_(settings),
       metrics_(metrics),
@@ -75,7 +77,7 @@
                              settings.bounds.retry_window}),
              QuotaAccount(settings.bounds.quota),
              CrashWatch(),
-             LimitWatch(),
+             LimitWatch(SpreadOf(settings.name)),
              {},
              {},
              {},
@@ -88,7 +90,8 @@
                sample_soon_ = true;
                sample_timer_.cancel();
              },
-             std::move(ask_holder)},
+             std::move(ask_holder),
+             std::move(ask_for_permit)},
       server_(MakeServer([this](HttpExchange& exchange) { return Forward(state_, exchange); })),
       readiness_(MakeServer([this](HttpExchange& exchange) { return AnswerReadiness(exchange); })),
       metrics_server_(
@@ -139,6 +142,7 @@
   counts.units = state_.units;
   counts.spending = state_.quota.Take(Now());
   counts.crash_news = state_.crashes.Take();
+  counts.limits = WithAges(state_.limits.Take(), Now());
   std::erase_if(state_.units, [](const auto& entry) {
     return entry.second.running == 0 && entry.second.waiting == 0;
   });
@@ -153,6 +157,7 @@
     server_->SetLimits(LimitsOf(view->routes->Limits()));
   }
   state_.quota.Heard(view->quota, Now());
+  state_.limits.Received(view->limits);
   metrics_.Set({"rudderloom_quarantined_requests"},
                view->quarantine ? static_cast<double>(view->quarantine->quarantined.size()) : 0.0);
   state_.views.Use(std::move(view));
@@ -209,6 +214,11 @@
     state_.balancer.Trim(*view, Now());
     state_.missing.Trim(Now());
     state_.crashes.Trim(Now());
+    std::set<EndpointKey> keys;
+    for (const std::string& instance : instances) {
+      keys.insert(KeyOf(instance));
+    }
+    state_.limits.Trim([&](EndpointKey endpoint) { return keys.contains(endpoint); }, Now());
     metrics_.Set({"rudderloom_requests_active"}, static_cast<double>(Active()));
     metrics_.Set({"rudderloom_requests_waiting"}, static_cast<double>(state_.views.Waiting()));
     if (const std::uint64_t dropped = state_.log_quota.TakeDropped()) {
--- a/src/rudderloom/forwarding/limit_check.cpp
+++ b/src/rudderloom/forwarding/limit_check.cpp
@@ -1,5 +1,8 @@
 #include "forwarding/limit_check.hpp"
 
+#include <algorithm>  // for any_of, max
+
+#include "forwarding/await_answer.hpp"   // for AwaitAnswer
 #include "rudderloom/base/log_line.hpp"  // for LogLine
 
 namespace rudderloom {
@@ -10,6 +13,21 @@
   return requests_per_second ? std::to_string(*requests_per_second) : "none";
 }
 
+// Before a node that gave no answer is asked for the same endpoint again.
+constexpr Duration kAskAgain{300};
+
+// The node that hands out permits now; empty when none is known.
+std::string Granter(const FleetView& view, TimePoint now) {
+  return now < view.holder_permits_until ? view.quota_holder : view.deputy;
+}
+
+// During a wait the endpoint may have begun to leave.
+bool StillUsable(const FleetView& view, const std::string& instance) {
+  return std::any_of(
+      view.endpoints.begin(), view.endpoints.end(),
+      [&](const FleetEndpoint& endpoint) { return endpoint.record.instance == instance; });
+}
+
 }  // namespace
 
 void NoteLimit(ForwardingState& state,
@@ -29,6 +47,7 @@
   if (state.limits.Answered(key, answer.limit, sent_at, Now()) != LimitChange::kChanged) {
     return;
   }
+  state.sample_soon();
   state.metrics.Count({"rudderloom_endpoint_limits_received_total"});
   LogLine("endpoint_limit")
       .With("endpoint", endpoint.instance)
@@ -36,6 +55,40 @@
       .With("source", "answer");
 }
 
+Awaitable<bool> TakePermit(ForwardingState& state,
+                           CallGuard& guard,
+                           EndpointRecord endpoint,
+                           Duration most_wait) {
+  const EndpointKey key = KeyOf(endpoint.instance);
+  const std::optional<double> limit = state.limits.LimitOf(key);
+  if (!limit) {
+    co_return true;
+  }
+  const std::string granter = Granter(*state.views.Current(), Now());
+  std::optional<PermitAnswer> answer;
+  if (!granter.empty()) {
+    const PermitAsk ask{key, *limit, std::max(Duration(0), most_wait)};
+    const auto send = [&](auto done) { state.ask_for_permit(granter, ask, std::move(done)); };
+    answer = co_await AwaitAnswer<PermitAnswer>(state.context, send);
+  }
+  if (!answer || answer->verdict == PermitVerdict::kNotGranting) {
+    state.metrics.Count({"rudderloom_permits_total", "result", "unanswered"});
+    state.limits.Refused(key, kAskAgain, Now());
+    co_return false;
+  }
+  state.metrics.Count({"rudderloom_permits_total", "result", NameOf(answer->verdict)});
+  if (answer->verdict == PermitVerdict::kRefused) {
+    state.limits.Refused(key, answer->wait, Now());
+    co_return false;
+  }
+  if (answer->wait > Duration(0)) {
+    guard.WaitTimer().expires_after(answer->wait);
+    co_await guard.WaitTimer().async_wait(kAsTuple);
+  }
+  co_return guard.Why() ==
+      Interruption::kNone&& StillUsable(*state.views.Current(), endpoint.instance);
+}
+
 void CountLimitedSend(ForwardingState& state, const EndpointRecord& endpoint) {
   if (state.limits.LimitOf(KeyOf(endpoint.instance))) {
     state.metrics.Count({"rudderloom_limited_endpoint_requests_total", "endpoint", endpoint.id});
--- a/src/rudderloom/forwarding/quota_grant.cpp
+++ b/src/rudderloom/forwarding/quota_grant.cpp
@@ -1,12 +1,11 @@
 #include "forwarding/quota_grant.hpp"
 
+#include "forwarding/await_answer.hpp"  // for AwaitAnswer
+
 namespace rudderloom {
 
 namespace {
 
-// Longer than the link waits for the answer of a node that is there.
-constexpr Duration kAskLimit{250};
-
 std::optional<Duration> WaitOf(const QuotaDecision& decision) {
   return decision.verdict == QuotaVerdict::kGranted ? std::nullopt : std::optional(decision.wait);
 }
@@ -47,7 +46,10 @@
   if (decision.verdict != QuotaVerdict::kAsk) {
     co_return WaitOf(decision);
   }
-  const auto answer = co_await Ask(granter);
+  const auto ask = [this, granter](auto done) {
+    state_.ask_holder(granter, part_, std::move(done));
+  };
+  const auto answer = co_await AwaitAnswer<SpendAnswer>(state_.context, ask);
   if (answer && answer->verdict == SpendVerdict::kGranted) {
     taken_ = true;
     co_return std::nullopt;
@@ -60,22 +62,4 @@
   co_return WaitOf(Decide(GranterReach::kUnreachable));
 }
 
-Awaitable<std::optional<SpendAnswer>> QuotaGrant::Ask(std::string granter) {
-  struct Waiting {
-    Timer timer;
-    std::optional<SpendAnswer> answer;
-  };
-  asio::io_context& context = state_.context;
-  auto waiting = std::make_shared<Waiting>(Waiting{Timer(context), {}});
-  waiting->timer.expires_after(kAskLimit);
-  state_.ask_holder(granter, part_, [&context, waiting](std::optional<SpendAnswer> answer) {
-    asio::post(context, [waiting, answer] {
-      waiting->answer = answer;
-      waiting->timer.cancel();
-    });
-  });
-  co_await waiting->timer.async_wait(kAsTuple);
-  co_return waiting->answer;
-}
-
 }  // namespace rudderloom
--- a/src/rudderloom/forwarding/quota_grant.hpp
+++ b/src/rudderloom/forwarding/quota_grant.hpp
@@ -26,8 +26,6 @@
   void MayHaveRun() { ran_ = true; }
 
  private:
-  // The answer of the node at this address; nothing when none came.
-  Awaitable<std::optional<SpendAnswer>> Ask(std::string granter);
   // By this node's own account.
   QuotaDecision Decide(GranterReach reach);
 
--- a/src/rudderloom/peers/fleet_codec.cpp
+++ b/src/rudderloom/peers/fleet_codec.cpp
@@ -189,6 +189,31 @@
   return balances;
 }
 
+void WriteLimits(std::uint64_t version,
+                 const SentLimits& limits,
+                 rpc::EndpointLimits::Builder out) {
+  constexpr double kEnded = -1.0;
+  out.setVersion(version);
+  auto entries = out.initLimits(limits.size());
+  unsigned index = 0;
+  for (const auto& [endpoint, limit] : limits) {
+    auto entry = entries[index++];
+    entry.setEndpoint(endpoint);
+    entry.setAgeMs(Clamped<std::uint32_t>(static_cast<std::uint64_t>(limit.age.count())));
+    entry.setRequestsPerSecond(limit.requests_per_second.value_or(kEnded));
+  }
+}
+
+SentLimits ReadLimits(capnp::List<rpc::EndpointLimit>::Reader in) {
+  SentLimits limits;
+  for (const auto entry : in) {
+    const double rate = entry.getRequestsPerSecond();
+    limits[entry.getEndpoint()] = {rate < 0.0 ? std::nullopt : std::optional(rate),
+                                   Duration(entry.getAgeMs())};
+  }
+  return limits;
+}
+
 }  // namespace
 
 void Write(const NodeCounts& counts, rpc::NodeCounts::Builder out) {
@@ -210,6 +235,9 @@
     WriteNews(counts.crash_news, out.initCrashNews());
   }
   out.setQuarantineSeen(counts.quarantine_seen);
+  if (!counts.limits.empty() || counts.limits_seen != 0) {
+    WriteLimits(counts.limits_seen, counts.limits, out.initLimits());
+  }
   auto units = out.initUnits(counts.units.size());
   unsigned index = 0;
   for (const auto& [unit, count] : counts.units) {
@@ -241,6 +269,8 @@
   counts.spending = ReadSpending(in.getSpending());
   counts.crash_news = ReadNews(in.getCrashNews());
   counts.quarantine_seen = in.getQuarantineSeen();
+  counts.limits = ReadLimits(in.getLimits().getLimits());
+  counts.limits_seen = in.getLimits().getVersion();
   for (const auto entry : in.getUnits()) {
     const UnitName unit{entry.getService().cStr(), entry.getModel().cStr(),
                         entry.getAdapter().cStr()};
@@ -276,6 +306,9 @@
   if (digest.quarantine) {
     WriteQuarantine(*digest.quarantine, out.initQuarantine());
   }
+  if (digest.limits) {
+    WriteLimits(digest.limits->version, digest.limits->limits, out.initLimits());
+  }
   WritePacked(digest, out);
   if (digest.endpoints_age) {
     out.setEndpointsAgeMs(digest.endpoints_age->count());
@@ -307,6 +340,9 @@
   if (in.hasQuarantine()) {
     digest.quarantine = ReadQuarantine(in.getQuarantine());
   }
+  if (in.hasLimits()) {
+    digest.limits = LimitTable{in.getLimits().getVersion(), ReadLimits(in.getLimits().getLimits())};
+  }
   if (in.hasPackedChanges()) {
     ReadPacked(in, digest);
   }
@@ -346,4 +382,31 @@
   return answer;
 }
 
+void Write(const PermitAnswer& answer, rpc::PlacementHolder::PermitResults::Builder out) {
+  switch (answer.verdict) {
+    case PermitVerdict::kNotGranting:
+      out.setVerdict(rpc::PermitVerdict::NOT_GRANTING);
+      break;
+    case PermitVerdict::kGranted:
+      out.setVerdict(rpc::PermitVerdict::GRANTED);
+      break;
+    case PermitVerdict::kRefused:
+      out.setVerdict(rpc::PermitVerdict::REFUSED);
+      break;
+  }
+  out.setWaitMs(Clamped<std::uint32_t>(static_cast<std::uint64_t>(answer.wait.count())));
+}
+
+// A verdict that this version does not know grants nothing.
+PermitAnswer Read(rpc::PlacementHolder::PermitResults::Reader in) {
+  PermitAnswer answer;
+  answer.wait = Duration(in.getWaitMs());
+  if (in.getVerdict() == rpc::PermitVerdict::GRANTED) {
+    answer.verdict = PermitVerdict::kGranted;
+  } else if (in.getVerdict() == rpc::PermitVerdict::REFUSED) {
+    answer.verdict = PermitVerdict::kRefused;
+  }
+  return answer;
+}
+
 }  // namespace rudderloom
--- a/src/rudderloom/peers/fleet_codec.hpp
+++ b/src/rudderloom/peers/fleet_codec.hpp
@@ -2,10 +2,11 @@
 #ifndef RUDDERLOOM_PEERS_FLEET_CODEC_HPP
 #define RUDDERLOOM_PEERS_FLEET_CODEC_HPP
 
-#include "fleet.capnp.h"                        // for rpc::NodeCounts, rpc::Digest
-#include "rudderloom/dissemination/digest.hpp"  // for HolderDigest
-#include "rudderloom/quota/grant_book.hpp"      // for SpendAnswer
-#include "rudderloom/placement/demand.hpp"      // for NodeCounts
+#include "fleet.capnp.h"                               // for rpc::NodeCounts, rpc::Digest
+#include "rudderloom/dissemination/digest.hpp"         // for HolderDigest
+#include "rudderloom/quota/grant_book.hpp"             // for SpendAnswer
+#include "rudderloom/endpoint_limits/permit_book.hpp"  // for PermitAnswer
+#include "rudderloom/placement/demand.hpp"             // for NodeCounts
 
 namespace rudderloom {
 
@@ -18,6 +19,9 @@
 void Write(const SpendAnswer& answer, rpc::PlacementHolder::SpendResults::Builder out);
 SpendAnswer Read(rpc::PlacementHolder::SpendResults::Reader in);
 
+void Write(const PermitAnswer& answer, rpc::PlacementHolder::PermitResults::Builder out);
+PermitAnswer Read(rpc::PlacementHolder::PermitResults::Reader in);
+
 }  // namespace rudderloom
 
 #endif
--- a/src/rudderloom/peers/holder_link.cpp
+++ b/src/rudderloom/peers/holder_link.cpp
@@ -7,6 +7,7 @@
 #include <mutex>           // for mutex
 #include <optional>        // for optional
 #include <thread>          // for thread
+#include <variant>         // for variant
 #include <vector>          // for vector
 
 #include "peers/fleet_codec.hpp"         // for Write, Read
@@ -34,11 +35,17 @@
   NodeCounts counts;
 };
 
-// A request that waits for the holder's word.
+// A request that waits for another node's answer.
+template <class Question, class Callback>
+struct PendingAsk {
+  Question question;
+  Callback done;
+};
+using PendingSpend = PendingAsk<SpendAsk, SpendCallback>;
+using PendingPermit = PendingAsk<PermitAsk, PermitCallback>;
 struct OutgoingAsk {
-  std::string holder;  // address
-  SpendAsk ask;
-  SpendCallback done;
+  std::string to;  // address
+  std::variant<PendingSpend, PendingPermit> pending;
 };
 
 // Shared by the owner and the event loop's thread.
@@ -119,6 +126,14 @@
     return kj::READY_NOW;
   }
 
+  kj::Promise<void> permit(PermitContext context) override {
+    const auto params = context.getParams();
+    const PermitAsk ask{params.getEndpoint(), params.getRequestsPerSecond(),
+                        Duration(params.getMostWaitMs())};
+    Write(hooks_.on_permit(ask), context.getResults());
+    return kj::READY_NOW;
+  }
+
  private:
   const HolderLinkHooks& hooks_;
   AnswerLog log_;
@@ -151,7 +166,8 @@
         tasks_.add(Report(report->to, report->counts));
       }
       for (OutgoingAsk& ask : asks) {
-        tasks_.add(Ask(std::move(ask)));
+        std::visit([&](auto& pending) { tasks_.add(Ask(ask.to, std::move(pending))); },
+                   ask.pending);
       }
       return Loop();
     });
@@ -218,26 +234,39 @@
         .attach(kj::mv(connection));
   }
 
-  kj::Promise<void> Ask(OutgoingAsk ask) {
-    auto asked = std::make_shared<OutgoingAsk>(std::move(ask));
-    return timer_.timeoutAfter(ToKj(kAskLimit), ConnectAndAsk(*asked))
-        .then([asked](SpendAnswer answer) { asked->done(answer); },
+  template <class Pending>
+  kj::Promise<void> Ask(const std::string& to, Pending pending) {
+    auto asked = std::make_shared<Pending>(std::move(pending));
+    return timer_.timeoutAfter(ToKj(kAskLimit), ConnectAndAsk(to, asked->question))
+        .then([asked](auto&& answer) { asked->done(answer); },
               [this, asked](kj::Exception&&) {
                 asking_ = nullptr;
                 asked->done(std::nullopt);
               });
   }
 
-  kj::Promise<SpendAnswer> ConnectAndAsk(const OutgoingAsk& asked) {
-    return AskingConnection(asked.holder)
-        .then([ask = asked.ask](std::shared_ptr<PeerConnection>&& connection) {
-          auto request = connection->main.castAs<rpc::PlacementHolder>().spendRequest();
-          request.setCustomer(ask.customer);
-          request.setAmount(ask.amount);
-          return request.send()
-              .then([](auto&& response) { return Read(response); })
-              .attach(kj::mv(connection));
-        });
+  template <class Question>
+  auto ConnectAndAsk(const std::string& to, const Question& question) {
+    return AskingConnection(to).then([question](std::shared_ptr<PeerConnection>&& connection) {
+      auto answer = Call(connection->main.castAs<rpc::PlacementHolder>(), question);
+      return answer.attach(kj::mv(connection));
+    });
+  }
+
+  static kj::Promise<SpendAnswer> Call(rpc::PlacementHolder::Client holder, const SpendAsk& ask) {
+    auto request = holder.spendRequest();
+    request.setCustomer(ask.customer);
+    request.setAmount(ask.amount);
+    return request.send().then([](auto&& response) { return Read(response); });
+  }
+
+  static kj::Promise<PermitAnswer> Call(rpc::PlacementHolder::Client granter,
+                                        const PermitAsk& ask) {
+    auto request = granter.permitRequest();
+    request.setEndpoint(ask.endpoint);
+    request.setRequestsPerSecond(ask.requests_per_second);
+    request.setMostWaitMs(static_cast<std::uint32_t>(ask.most_wait.count()));
+    return request.send().then([](auto&& response) { return Read(response); });
   }
 
   // One connection for all asks, beside the one for reports, which may lead to a relay.
@@ -323,7 +352,13 @@
 
 void HolderLink::Ask(const std::string& holder, const SpendAsk& ask, SpendCallback done) {
   const std::lock_guard lock(impl_->mutex);
-  impl_->asks.push_back({holder, ask, std::move(done)});
+  impl_->asks.push_back({holder, PendingSpend{ask, std::move(done)}});
+  impl_->Wake();
+}
+
+void HolderLink::Ask(const std::string& granter, const PermitAsk& ask, PermitCallback done) {
+  const std::lock_guard lock(impl_->mutex);
+  impl_->asks.push_back({granter, PendingPermit{ask, std::move(done)}});
   impl_->Wake();
 }
 
--- a/src/rudderloom/placement/demand.cpp
+++ b/src/rudderloom/placement/demand.cpp
@@ -28,6 +28,7 @@
   }
   AddUntold(earlier.spending, newer.spending);
   AddNews(earlier.crash_news, newer.crash_news);
+  newer.limits.insert(earlier.limits.begin(), earlier.limits.end());
 }
 
 bool CountsFresh(TimePoint heard_at, TimePoint now) {
--- a/tests/fakes/fleet_world.cpp
+++ b/tests/fakes/fleet_world.cpp
@@ -69,6 +69,7 @@
   node.waiting_report.reset();
   node.spending.clear();
   node.crash_news = {};
+  node.limits = {};
   node.reporting = false;
   node.routes_version = 0;
   const Followings followings = FollowingsAtStart(SettingsOf(node));
@@ -203,6 +204,7 @@
     spending = {0, 0, spending.nodes};
   }
   counts.crash_news = std::exchange(node.crash_news, {});
+  counts.limits = std::exchange(node.limits, {});
   Tell(node, fleet_message::NodeSampled{counts});
 }
 
@@ -415,6 +417,23 @@
   AfterIn(At(node), kStep, [this, node] { Sample(At(node)); });
 }
 
+void FleetWorld::Observe(int node, const SentLimits& limits) {
+  for (const auto& [endpoint, limit] : limits) {
+    At(node).limits[endpoint] = limit;
+  }
+  AfterIn(At(node), kStep, [this, node] { Sample(At(node)); });
+}
+
+std::optional<int> FleetWorld::Answering(int from, const std::string& address) const {
+  for (int i = 0; i < Nodes(); ++i) {
+    const bool cut = i != from && (At(i).cut_from_nodes || At(from).cut_from_nodes);
+    if (At(i).address == address && Runs(i) && !cut) {
+      return i;
+    }
+  }
+  return std::nullopt;
+}
+
 bool FleetWorld::HoldsBack(int node, const RequestDigest& request) const {
   const FleetViewPtr& view = At(node).view;
   return view && view->quarantine && view->quarantine->quarantined.contains(request);
--- a/tests/fakes/fleet_world.hpp
+++ b/tests/fakes/fleet_world.hpp
@@ -71,6 +71,16 @@
   void See(int node, const CrashNews& news);
   // True when the node sends the request to no endpoint.
   bool HoldsBack(int node, const RequestDigest& request) const;
+  // The node's traffic has observed these limits.
+  void Observe(int node, const SentLimits& limits);
+  // Null before the first.
+  const FleetViewPtr& ViewOf(int node) const { return At(node).view; }
+  const std::shared_ptr<const Statement>& StatementOf(int node) const { return At(node).statement; }
+  // The node that another one reaches at this address now; nothing when none answers.
+  std::optional<int> Answering(int from, const std::string& address) const;
+  bool Runs(int node) const { return Alive(node) && !Suspended(At(node)); }
+  // Of the node's processes, the present one.
+  int LifeOf(int node) const { return At(node).life; }
   // From what the node would grant requests that other nodes ask for; null for nothing.
   std::shared_ptr<const GrantBasis> GrantsOf(int node) const;
   TimePoint Time() const { return TimePoint(std::chrono::hours(1)) + Duration(now_); }
@@ -127,6 +137,7 @@
     std::optional<CountsToReport> waiting_report;
     SpendingTable spending;  // since the last sample
     CrashNews crash_news;    // the same
+    SentLimits limits;       // the same
     bool reporting = false;
     std::vector<int> heard_reports_at;
     std::uint64_t routes_version = 0;
