Placement: models of engines that accept few requests are loaded elsewhere

A model that stands only on an endpoint in need was refused for as long as its limit lasted: the planner takes a copy for as good as any other. Copies on an engine that may fill less than a quarter of its places a second don't count, and no model is loaded there, unless all engines are like that.

planner_test: without the change a model nobody can reach gets no second copy, and the room of the endpoint in need is used for another one.

--- /dev/null
+++ b/include/rudderloom/placement/limited_engines.hpp
@@ -0,0 +1,20 @@
+/// @file
+/// Placement beside engines that accept only few requests a second.
+#ifndef RUDDERLOOM_PLACEMENT_LIMITED_ENGINES_HPP
+#define RUDDERLOOM_PLACEMENT_LIMITED_ENGINES_HPP
+
+#include <vector>  // for vector
+
+#include "rudderloom/placement/planner.hpp"  // for PlanEngine
+
+namespace rudderloom {
+
+/// @brief Has the models of such engines loaded elsewhere, and no others there, unless all engines
+/// are like that.
+/// @param slots Of each engine.
+/// @ingroup placement
+void LeaveLimitedOut(std::vector<PlanEngine>& engines, std::uint32_t slots);
+
+}  // namespace rudderloom
+
+#endif
--- a/include/rudderloom/placement/placement_keeper.hpp
+++ b/include/rudderloom/placement/placement_keeper.hpp
@@ -79,6 +79,9 @@
   /// @brief True while the outcome of an order is not known: it may yet reach its endpoint.
   bool OrdersUnderWay() const { return orders_under_way_ > 0; }
 
+  /// @brief Limits that endpoints have announced; null for none.
+  void NoteLimits(EndpointLimitsPtr limits) { limits_ = std::move(limits); }
+
   /// @brief Moves on; call often while the lease is held.
   PlacementEffects Tick(const RouteTable& routes,
                         const std::map<std::string, KnownEndpoint>& endpoints,
@@ -109,6 +112,7 @@
             const HeldLease& lease,
             PlacementEffects& effects,
             TimePoint now);
+  std::optional<double> LimitOf(const std::string& instance) const;
   void LogShortfalls(const PlacementPlan& plan, TimePoint now);
   // Sends an order; false while the endpoint may not be ordered yet.
   bool Send(const std::string& instance,
@@ -126,6 +130,7 @@
   LoadPacer pacer_;
   OrderAnnouncements announcements_;
   std::map<std::string, EngineState> engines_;
+  EndpointLimitsPtr limits_;
   std::map<std::string, LoadTimes> load_times_;  // by model
   std::uint64_t serving_version_ = 1;
   std::size_t orders_under_way_ = 0;  // also to endpoints that are gone by now
--- a/include/rudderloom/placement/planner.hpp
+++ b/include/rudderloom/placement/planner.hpp
@@ -27,6 +27,8 @@
   bool takes_models = false;      ///< Its state is certain and nothing is under way.
   bool takes_adapters = false;
   EndpointLoad load;
+  std::optional<double> requests_per_second;  ///< That it accepts; empty: any number.
+  bool copies_count = true;                   ///< Demand can be served by its models.
 };
 
 /// @brief Load a model, after unloading another one where there is no room.
--- a/src/rudderloom/fleet/fleet_state.cpp
+++ b/src/rudderloom/fleet/fleet_state.cpp
@@ -132,6 +132,7 @@
   board_.Tick(now);
   sums_ = board_.Sums(now);
   const HeldLease lease{settings_.name, lease_.Epoch(), lease_.ValidUntil(), lease_.Announced()};
+  placement_.NoteLimits(limits_.ForTraffic());
   effects.placement = placement_.Tick(*routes_.Get().Current(), directory_.Endpoints(), board_,
                                       sums_.all, lease, now);
   PublishServing();
--- a/src/rudderloom/placement/placement_keeper.cpp
+++ b/src/rudderloom/placement/placement_keeper.cpp
@@ -2,7 +2,8 @@
 
 #include <algorithm>  // for count_if, min
 
-#include "rudderloom/base/log_line.hpp"  // for LogLine
+#include "rudderloom/base/log_line.hpp"              // for LogLine
+#include "rudderloom/placement/limited_engines.hpp"  // for LeaveLimitedOut
 
 namespace rudderloom {
 
@@ -153,6 +154,14 @@
                     [](const auto& entry) { return entry.second.swap.has_value(); }));
 }
 
+std::optional<double> PlacementKeeper::LimitOf(const std::string& instance) const {
+  if (!limits_) {
+    return std::nullopt;
+  }
+  const auto limit = limits_->find(KeyOf(instance));
+  return limit == limits_->end() ? std::nullopt : limit->second.requests_per_second;
+}
+
 void PlacementKeeper::Plan(const ServiceSpec& service,
                            const std::vector<std::string>& instances,
                            const DemandBoard& demand,
@@ -167,8 +176,10 @@
     if (const auto load = loads.find(KeyOf(instance)); load != loads.end()) {
       view.load = load->second;
     }
+    view.requests_per_second = LimitOf(instance);
     input.engines.push_back(std::move(view));
   }
+  LeaveLimitedOut(input.engines, service.engine->slots);
   const PlacementPlan plan = PlanPlacement(std::move(input));
   LogShortfalls(plan, now);
   for (const AdapterStep& step : plan.adapters) {
--- a/src/rudderloom/placement/planner.cpp
+++ b/src/rudderloom/placement/planner.cpp
@@ -88,7 +88,7 @@
       for (const auto& [name, adapters] : engine.models) {
         const auto found = models_.find(name);
         if (found != models_.end()) {
-          ++found->second.copies;
+          found->second.copies += engine.copies_count ? 1 : 0;
           candidate.held.push_back(&found->second);
           holders_[name].push_back(&engine);
         }
@@ -103,7 +103,13 @@
     }
     const std::uint64_t room =
         input_.spec.memory_mb - std::min(input_.spec.memory_mb, AdapterReserve());
-    return static_cast<std::uint32_t>(input_.engines.size() * (room / largest));
+    return static_cast<std::uint32_t>(CountedEngines() * (room / largest));
+  }
+
+  std::uint64_t CountedEngines() const {
+    return static_cast<std::uint64_t>(
+        std::count_if(input_.engines.begin(), input_.engines.end(),
+                      [](const PlanEngine& engine) { return engine.copies_count; }));
   }
 
   Duration DemandKnownFor() const {
@@ -137,7 +143,7 @@
     const auto idle = std::count_if(models_.begin(), models_.end(),
                                     [&](const auto& entry) { return Idle(entry.second); });
     const auto wanted = WantedCopies(pressures, static_cast<std::uint32_t>(Places() + idle),
-                                     static_cast<std::uint32_t>(input_.engines.size()));
+                                     static_cast<std::uint32_t>(CountedEngines()));
     for (const auto& [name, copies] : wanted) {
       models_[name].wanted = copies;
     }
--- a/src/rudderloom/placement/planner_test.cpp
+++ b/src/rudderloom/placement/planner_test.cpp
@@ -5,7 +5,8 @@
 #include <random>             // for mt19937
 #include <functional>         // for function
 
-#include "rudderloom/placement/load_pacer.hpp"  // for LoadPacer
+#include "rudderloom/placement/limited_engines.hpp"  // for LeaveLimitedOut
+#include "rudderloom/placement/load_pacer.hpp"       // for LoadPacer
 
 namespace rudderloom {
 namespace {
@@ -261,5 +262,34 @@
   }
 }
 
+// Guards against models that stand only on engines which accept next to nothing.
+TEST_CASE("models of an engine that accepts few requests are loaded elsewhere, none on it") {
+  Pool pool;
+  pool.Model("a");
+  pool.Model("b");
+  pool.Engine("limited", {"a"});
+  pool.Engine("other", {"b"});
+  pool.engines[0].requests_per_second = 1.0;
+  CHECK(pool.Plan().models.size() == 2);
+  LeaveLimitedOut(pool.engines, pool.spec.slots);
+  const PlacementPlan plan = pool.Plan();
+  REQUIRE(plan.models.size() == 1);
+  CHECK(plan.models[0].instance == "other");
+  CHECK(plan.models[0].model == "a");
+  // Nothing is gained where all engines are limited, or by much.
+  Pool all;
+  all.Model("a");
+  all.Model("b");
+  all.Engine("e1", {"a"});
+  all.engines[0].requests_per_second = 1.0;
+  LeaveLimitedOut(all.engines, all.spec.slots);
+  CHECK(all.Plan().models.size() == 1);
+  CHECK(all.engines[0].copies_count);
+  all.engines[0].requests_per_second = 100.0;
+  all.Engine("e2", {});
+  LeaveLimitedOut(all.engines, all.spec.slots);
+  CHECK(all.engines[0].copies_count);
+}
+
 }  // namespace
 }  // namespace rudderloom
