--- /dev/null
+++ b/tests/process/fleet_stop_test.cpp
@@ -0,0 +1,49 @@
+// Nodes that are stopped while requests outlast the time that the platform gives them.
+#include <doctest/doctest.h>  // for TEST_CASE
+
+#include <csignal>  // for SIGTERM, SIGSTOP
+#include <cstdlib>  // for setenv
+#include <thread>   // for thread
+
+#include "process/fleet_cluster.hpp"  // for FleetCluster
+
+namespace rudderloom::tests {
+namespace {
+
+// What the program ends with when it had to cut requests, and what a sanitizer ends it with.
+constexpr int kRequestsCut = 1;
+constexpr const char* kSanitizerStatus = "exitcode=99";
+
+// Guards against suspended requests that are destroyed after what they refer to.
+TEST_CASE("a node that is stopped with requests under way cuts them and ends without a crash") {
+  ::setenv("ASAN_OPTIONS", kSanitizerStatus, 0);
+  FleetCluster cluster;
+  cluster.Configure(1);
+  cluster.StartPlain("d1");
+  cluster.StartEngine("e1", "m,n");
+  cluster.StartFleetNode("a");
+  REQUIRE(cluster.Until([&] { return cluster.Ready("a") == 200; }));
+  REQUIRE(cluster.Until([&] {
+    return cluster.Send({"a", "/safe/x", "warm", ""}).status == 200 &&
+           cluster.Send({"a", "/stream/x", "warm-model", "m"}).status == 200;
+  }));
+  cluster.At("d1").Signal(SIGSTOP);
+  cluster.At("e1").Signal(SIGSTOP);
+  std::thread stop([&cluster] {
+    std::this_thread::sleep_for(Duration(600));
+    cluster.At("a").Signal(SIGTERM);
+  });
+  std::vector<FleetCall> calls;
+  for (int i = 0; i < 6; ++i) {
+    const std::string number = std::to_string(i);
+    const Duration at(300 + i * 40);
+    calls.push_back({"a", "/once/x", "once" + number, "", at});
+    calls.push_back({"a", "/stream/x", "stream" + number, "m", at});
+  }
+  cluster.Burst(calls);
+  stop.join();
+  CHECK(cluster.At("a").Wait(Duration(6'000)) == kRequestsCut);
+}
+
+}  // namespace
+}  // namespace rudderloom::tests
--- a/tools/make_days.py
+++ b/tools/make_days.py
@@ -99,6 +99,9 @@
     "node_freeze_renewed": "kind = 'node_freeze', count = 1, for_s = 5.0, how = 'renewed'",
     "grey_first_service": "kind = 'srv_grey', service = '@s0', share = 1.0, x = 0.4, for_s = 5.0, how = 'errors all'",
     "add": "kind = 'add_nodes'",
+    "deadly": "kind = 'poison', how = 'deadly', class = '@c0', share = 0.03, for_s = 20.0",
+    "deadly_rare": "kind = 'poison', how = 'deadly', class = '@c0', share = 0.004, for_s = 12.0",
+    "deadly_short": "kind = 'poison', how = 'deadly', class = '@c0', share = 0.1, for_s = 4.0",
     "shift_first_zone": "kind = 'shift', zone = '@z0', share = 0.6, for_s = 8.0",
 }
 
@@ -134,6 +137,12 @@
     "hot_customer_at_the_end": ([("hot_first", 26.0), ("quota_down", 4.0)], "kill_all"),
     "keys_taken_at_the_end": ([("revoke_last", 28.0), ("hot_small", 20.0)], "power_off_all"),
 }
+# Requests that crash endpoints, while those who count them change.
+HUNTED_CRASHES = {
+    "deadly_holder_killed": [("deadly", 3.0), ("node_kill_leader", 6.0), ("replace_core", 9.0), ("node_freeze_renewed", 15.0)],
+    "deadly_store_down": [("deadly_rare", 3.0), ("down_silent", 5.0), ("deadly_short", 18.0), ("herd_kill", 20.0)],
+    "deadly_in_bursts": [("deadly_short", 4.0), ("burst_first_class", 4.0), ("release_all", 5.0), ("deadly_short", 17.0), ("node_cut_all", 17.5)],
+}
 
 PAIRS = [
     ("down_busy", "node_freeze"),
@@ -190,6 +199,9 @@
     for name, (troubles, closing) in HUNTED_ENDS.items():
         seed += 1
         write(HUNTED, name, day(name, seed, troubles, '{ kind = "%s", down_s = 1.0 }' % closing))
+    for name, troubles in HUNTED_CRASHES.items():
+        seed += 1
+        write(HUNTED, name, day(name, seed, troubles))
 
 
 def write_every_kind(directory):
