A stopped node's suspended requests end before the state that they refer to

Cause: the daemon destroys its front before its io_context, as sockets and timers need the context. The context's destructor then destroys the frames of requests that are still suspended, whose locals give their part of a customer's limit back, and count themselves out, in the front's state. Class: what a suspended coroutine refers to must outlive it.

Fix: EndingContext destroys its suspended coroutines while the context and the state still exist; both daemons and the tests' harness call it.

--- a/src/rudderloom/app/daemon.cpp
+++ b/src/rudderloom/app/daemon.cpp
@@ -11,6 +11,7 @@
 #include "rudderloom/callers/front.hpp"          // for Front
 #include "rudderloom/control/control_actor.hpp"  // for ControlActor
 #include "rudderloom/control/control_shell.hpp"  // for ControlShell
+#include "rudderloom/http/ending_context.hpp"    // for EndingContext
 #include "rudderloom/peers/node_server.hpp"      // for NodeServer
 
 namespace rudderloom {
@@ -94,6 +95,8 @@
     traffic_context_.stop();
     control.join();
     traffic.join();
+    control_context_.EndCoroutines();
+    traffic_context_.EndCoroutines();
     node_server_.Stop();
     actor_.reset();
     LogLine("stopped").With("node", settings_.name).With("clean", clean ? "yes" : "no");
@@ -186,8 +189,8 @@
   const std::string incarnation_;
   Metrics metrics_;
   Contact contact_;
-  asio::io_context control_context_{1};
-  asio::io_context traffic_context_{1};
+  EndingContext control_context_{1};
+  EndingContext traffic_context_{1};
   asio::executor_work_guard<asio::io_context::executor_type> control_work_;
   asio::executor_work_guard<asio::io_context::executor_type> traffic_work_;
   std::atomic<bool> released_{false};
--- a/src/rudderloom/app/fleet_daemon.cpp
+++ b/src/rudderloom/app/fleet_daemon.cpp
@@ -8,16 +8,17 @@
 #include <random>    // for random_device
 #include <thread>    // for thread
 
-#include "platform/dialect.hpp"              // for MakeDialect
-#include "platform/formats.hpp"              // for MakeFormats
-#include "platform/store.hpp"                // for MakeStore
-#include "rudderloom/base/log_line.hpp"      // for LogLine
-#include "rudderloom/fleet/fleet_actor.hpp"  // for FleetActor
-#include "rudderloom/fleet/fleet_shell.hpp"  // for FleetShell
-#include "rudderloom/forwarding/front.hpp"   // for FleetFront
-#include "rudderloom/peers/holder_link.hpp"  // for HolderLink
-#include "rudderloom/settings/settings.hpp"  // for ReadFile
-#include "rudderloom/store/call_tally.hpp"   // for CallTally
+#include "platform/dialect.hpp"                // for MakeDialect
+#include "platform/formats.hpp"                // for MakeFormats
+#include "platform/store.hpp"                  // for MakeStore
+#include "rudderloom/base/log_line.hpp"        // for LogLine
+#include "rudderloom/fleet/fleet_actor.hpp"    // for FleetActor
+#include "rudderloom/fleet/fleet_shell.hpp"    // for FleetShell
+#include "rudderloom/forwarding/front.hpp"     // for FleetFront
+#include "rudderloom/http/ending_context.hpp"  // for EndingContext
+#include "rudderloom/peers/holder_link.hpp"    // for HolderLink
+#include "rudderloom/settings/settings.hpp"    // for ReadFile
+#include "rudderloom/store/call_tally.hpp"     // for CallTally
 
 namespace rudderloom {
 
@@ -89,6 +90,8 @@
     traffic_context_.stop();
     control.join();
     traffic.join();
+    control_context_.EndCoroutines();
+    traffic_context_.EndCoroutines();
     link_.Stop();
     actor_.reset();
     LogLine("stopped").With("node", settings_.name).With("clean", clean ? "yes" : "no");
@@ -286,8 +289,8 @@
   const std::string settings_file_;
   Metrics metrics_;
   std::unique_ptr<Dialect> dialect_;
-  asio::io_context control_context_{1};
-  asio::io_context traffic_context_{1};
+  EndingContext control_context_{1};
+  EndingContext traffic_context_{1};
   asio::executor_work_guard<asio::io_context::executor_type> control_work_;
   asio::executor_work_guard<asio::io_context::executor_type> traffic_work_;
   std::mutex statement_mutex_;
--- /dev/null
+++ b/src/rudderloom/http/ending_context_test.cpp
@@ -0,0 +1,41 @@
+// The order in which a context's suspended coroutines and what they refer to are destroyed.
+#include "rudderloom/http/ending_context.hpp"
+
+#include <doctest/doctest.h>  // for TEST_CASE
+
+namespace rudderloom {
+namespace {
+
+struct Server {
+  explicit Server(asio::io_context& context) : timer(context) {}
+  Timer timer;
+  int requests = 0;
+};
+
+struct Request {
+  explicit Request(Server& server) : server_(server) { ++server_.requests; }
+  ~Request() { --server_.requests; }
+  Server& server_;
+};
+
+Awaitable<void> Serve(Server& server) {
+  const Request request(server);
+  Timer timer(server.timer.get_executor(), std::chrono::hours(1));
+  co_await timer.async_wait(kAsTuple);
+}
+
+// Guards against requests that are destroyed after the server's state that they refer to.
+TEST_CASE("suspended coroutines end before the state that they refer to") {
+  EndingContext context;
+  auto server = std::make_unique<Server>(context);
+  asio::co_spawn(context, Serve(*server), asio::detached);
+  context.poll();
+  CHECK(server->requests == 1);
+  context.stop();
+  context.EndCoroutines();
+  CHECK(server->requests == 0);
+  server.reset();
+}
+
+}  // namespace
+}  // namespace rudderloom
--- a/tests/process/fleet_stop_test.cpp
+++ b/tests/process/stop_test.cpp
@@ -3,6 +3,7 @@
 
 #include <csignal>  // for SIGTERM, SIGSTOP
 #include <cstdlib>  // for setenv
+#include <future>   // for async
 #include <thread>   // for thread
 
 #include "process/fleet_cluster.hpp"  // for FleetCluster
@@ -45,5 +46,35 @@
   CHECK(cluster.At("a").Wait(Duration(6'000)) == kRequestsCut);
 }
 
+// Guards against the same on our own interface.
+TEST_CASE("a node of our own interface cuts calls that outlast its stop and ends without a crash") {
+  ::setenv("ASAN_OPTIONS", kSanitizerStatus, 0);
+  Cluster cluster;
+  cluster.StartPlatform();
+  cluster.StartEndpoint("ep1");
+  cluster.StartNode("n1", {{"stop_notice", "200ms"}, {"stop_time", "500ms"}});
+  cluster.Apply("n1", "set", kDeclarations);
+  const std::string node = cluster.At("n1").Address();
+  REQUIRE(cluster.Until([&] {
+    const std::string metrics = cluster.Call(node, "/metrics").body;
+    return metrics.find("serving_endpoints{model=\"m\"} 1\n") != std::string::npos;
+  }));
+  cluster.At("ep1").Signal(SIGSTOP);
+  const std::string prompt = R"({"model": "m", "prompt": "hello", "max_tokens": 30})";
+  std::vector<std::future<Answer>> answers;
+  for (int i = 0; i < 6; ++i) {
+    answers.push_back(std::async(std::launch::async, [&] {
+      Cluster other;
+      return other.Call(node, "/v1/completions", prompt);
+    }));
+  }
+  std::this_thread::sleep_for(Duration(300));
+  cluster.At("n1").Signal(SIGTERM);
+  CHECK(cluster.At("n1").Wait(Duration(8'000)) == kRequestsCut);
+  for (auto& answer : answers) {
+    CHECK(answer.get().status != 200);
+  }
+}
+
 }  // namespace
 }  // namespace rudderloom::tests
