Without anybody to ask for a permit, all nodes together send one request in 4 s; the soak announces limits

A limited endpoint stayed limited for good where no node hands out permits: the holder and its deputy gone for long, or a holder of an earlier build, which knows no permits. Nobody sent there, so nobody saw the end of the limit. Each node now sends one request in 4 s times the number of nodes, in a phase of its own: 80 to 101 in 400 s at 3, 60 and 300 nodes (limit_watch_test).

tools/fleet_soak.py announces limits at random and counts what each endpoint got from nodes in touch that had passed the announcement on.

--- a/include/rudderloom/endpoint_limits/limit_watch.hpp
+++ b/include/rudderloom/endpoint_limits/limit_watch.hpp
@@ -45,6 +45,15 @@
   /// @brief A permit was refused for so long, or could not be asked for.
   void Refused(EndpointKey endpoint, Duration wait, TimePoint now);
 
+  /// @brief Nobody could be asked for a permit; true when the request may be sent all the same.
+  ///
+  /// Over all nodes that is one request in 4 s, however many they are: enough to notice the end of
+  /// the limit.
+  bool MaySendUnasked(EndpointKey endpoint, std::uint32_t live_nodes, TimePoint now);
+
+  /// @brief Somebody has answered for permits again.
+  void Asked(EndpointKey endpoint) { unasked_from_.erase(endpoint); }
+
   /// @brief Until some endpoint of those whose permits were refused may be asked for again.
   Duration LeastWait(TimePoint now) const;
 
@@ -60,6 +69,7 @@
   EndpointLimitsPtr received_;
   EndpointLimits untold_;
   std::map<EndpointKey, TimePoint> refused_until_;
+  std::map<EndpointKey, TimePoint> unasked_from_;  // when one may be sent without a permit
 };
 
 }  // namespace rudderloom
--- a/src/rudderloom/endpoint_limits/limit_watch.cpp
+++ b/src/rudderloom/endpoint_limits/limit_watch.cpp
@@ -1,6 +1,6 @@
 #include "rudderloom/endpoint_limits/limit_watch.hpp"
 
-#include <algorithm>  // for clamp, min
+#include <algorithm>  // for clamp, max, min
 #include <utility>    // for exchange
 
 namespace rudderloom {
@@ -13,6 +13,7 @@
 // Times the nodes: what a node waits longer than the first one at most. The answer to the first
 // one's request reaches the others in some 500 ms, so that about 20 ask for one permit.
 constexpr Duration kUnobservedSpread{25};
+constexpr Duration kUnaskedEvery{4'000};  // over all nodes
 constexpr Duration kLeastWait{20};
 constexpr Duration kMostWait{2'000};
 
@@ -72,6 +73,17 @@
   refused_until_[endpoint] = now + std::clamp(wait, kLeastWait, kMostWait);
 }
 
+bool LimitWatch::MaySendUnasked(EndpointKey endpoint, std::uint32_t live_nodes, TimePoint now) {
+  const Duration every = kUnaskedEvery * std::max(1U, live_nodes);
+  const auto first = now + std::chrono::duration_cast<Duration>(spread_ * every);
+  const auto [from, is_new] = unasked_from_.try_emplace(endpoint, first);
+  if (now < from->second) {
+    return false;
+  }
+  from->second = now + every;
+  return true;
+}
+
 Duration LimitWatch::LeastWait(TimePoint now) const {
   Duration least = kMostWait;
   for (const auto& [endpoint, until] : refused_until_) {
@@ -88,6 +100,7 @@
 
 void LimitWatch::Trim(const std::function<bool(EndpointKey)>& listed, TimePoint now) {
   book_.Expire(listed, now);
+  std::erase_if(unasked_from_, [&](const auto& entry) { return !listed(entry.first); });
   std::erase_if(refused_until_, [&](const auto& entry) { return entry.second <= now; });
 }
 
--- a/src/rudderloom/endpoint_limits/limit_watch_test.cpp
+++ b/src/rudderloom/endpoint_limits/limit_watch_test.cpp
@@ -3,6 +3,8 @@
 
 #include <doctest/doctest.h>  // for TEST_CASE
 
+#include <vector>  // for vector
+
 namespace rudderloom {
 namespace {
 
@@ -60,6 +62,30 @@
   CHECK(watch.StandingOf(kEndpoint, kNodes, At(2'151)) == LimitStanding::kUnobserved);
 }
 
+// Guards against an endpoint that stays limited for good, as nobody can be asked for a permit.
+TEST_CASE("without anybody to ask all nodes together send one request in 4 s") {
+  for (const std::uint32_t nodes : {3U, 60U, 300U}) {
+    std::vector<LimitWatch> watches;
+    for (std::uint32_t i = 0; i < nodes; ++i) {
+      watches.emplace_back(static_cast<double>(i) / nodes);
+    }
+    int sent = 0;
+    constexpr int kUntil = 400'000;
+    for (int now = 0; now < kUntil; now += 100) {
+      for (LimitWatch& watch : watches) {
+        sent += watch.MaySendUnasked(kEndpoint, nodes, At(now)) ? 1 : 0;
+      }
+    }
+    CAPTURE(nodes);
+    CHECK(sent >= 80);
+    CHECK(sent <= 101);
+  }
+  LimitWatch watch(0.0);
+  CHECK(watch.MaySendUnasked(kEndpoint, 3, At(0)));
+  CHECK(!watch.MaySendUnasked(kEndpoint, 3, At(11'900)));
+  CHECK(watch.MaySendUnasked(kEndpoint, 3, At(12'000)));
+}
+
 TEST_CASE("each observation is reported once, and what is gone is forgotten") {
   LimitWatch watch(0.0);
   watch.Answered(kEndpoint, {Kind::kLimited, 1.0}, At(0), At(0));
--- a/src/rudderloom/forwarding/limit_check.cpp
+++ b/src/rudderloom/forwarding/limit_check.cpp
@@ -72,10 +72,15 @@
     answer = co_await AwaitAnswer<PermitAnswer>(state.context, send);
   }
   if (!answer || answer->verdict == PermitVerdict::kNotGranting) {
+    if (state.limits.MaySendUnasked(key, state.views.Current()->live_nodes, Now())) {
+      state.metrics.Count({"rudderloom_permits_total", "result", "unasked"});
+      co_return true;
+    }
     state.metrics.Count({"rudderloom_permits_total", "result", "unanswered"});
     state.limits.Refused(key, kAskAgain, Now());
     co_return false;
   }
+  state.limits.Asked(key);
   state.metrics.Count({"rudderloom_permits_total", "result", NameOf(answer->verdict)});
   if (answer->verdict == PermitVerdict::kRefused) {
     state.limits.Refused(key, answer->wait, Now());
--- a/tests/fakes/limited_traffic.cpp
+++ b/tests/fakes/limited_traffic.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>  // for count_if, max
 
+#include "rudderloom/base/spread.hpp"  // for SpreadOf
+
 namespace rudderloom::fakes {
 
 namespace {
@@ -40,6 +42,7 @@
   Sender& sender = senders_[static_cast<std::size_t>(node)];
   if (sender.life != world_.LifeOf(node)) {
     sender = Sender();
+    sender.watch = LimitWatch(SpreadOf(std::to_string(node)));
     sender.life = world_.LifeOf(node);
   }
   return sender;
@@ -80,10 +83,17 @@
   }
   const PermitAnswer answer = AskForPermit(node, view);
   if (answer.verdict == PermitVerdict::kGranted) {
+    sender.watch.Asked(kEndpoint);
     const int wait = static_cast<int>(answer.wait.count());
     Send(node, sender.life, world_.Now() + kOnItsWay + wait);
   } else {
     const bool refused = answer.verdict == PermitVerdict::kRefused;
+    if (refused) {
+      sender.watch.Asked(kEndpoint);
+    } else if (sender.watch.MaySendUnasked(kEndpoint, view.live_nodes, world_.Time())) {
+      Send(node, sender.life, world_.Now() + kOnItsWay);
+      return;
+    }
     sender.watch.Refused(kEndpoint, refused ? answer.wait : kAskAgain, world_.Time());
   }
 }
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -44,6 +44,7 @@
         self.proxies = {}
         self.runs = {}      # request id: times it ran, on processes that are gone
         self.instances = {}  # name: what the endpoint is listed under
+        self.instance_of = {}  # name of an endpoint's process: the same
         self.leaked = 0      # requests that reached an endpoint with a caller's key
         self.starts = 0
         self.version = 0
@@ -65,6 +66,7 @@
                                     "--crash-body", CRASH_BODY, *more])
         proxy.target = process.address
         self.proxies[name] = proxy
+        self.instance_of[process.name] = instance
 
     def start_engine(self, name, instance=None):
         """A new engine, or with `instance` one that starts again under its name."""
@@ -225,6 +227,8 @@
             self.connection.request("POST", f"/{kind}/x", body=b"body", headers=headers)
             answer = self.connection.getresponse()
             result["status"] = answer.status
+            if answer.getheader("Server-Limit"):
+                result["limited"] = answer.getheader("Server-Stamp").rsplit(".", 1)[0]
             result["body"] = answer.read().decode()
             result["whole"] = True
             if answer.getheader("Connection", "").lower() == "close":
@@ -233,6 +237,7 @@
             result["error"] = repr(error)
             self.forget()
         result["ended"] = time.monotonic()
+        result["ended_wall"] = time.time()
         self.results.append(result)
 
     def forget(self):
--- a/tools/fleet_soak.py
+++ b/tools/fleet_soak.py
@@ -31,6 +31,16 @@
 CLIENTS = 12
 FAULT_EVERY = (0.2, 1.2)
 RESTORE_EVERY = (2, 9)
+LIMIT_EVERY = (2, 6)
+LIMIT_SECONDS = (5, 10)
+LIMITS = (300, 1000, 3000, 10000)  # requests in a thousand seconds, over all nodes
+# What an endpoint with a limit bears in any window from nodes that have passed its announcement on half a
+# second before, and whose machines were undisturbed for as long as a node may take to be in touch again.
+LIMIT_WINDOW = 4.0
+LIMIT_TOLERANCE = 1.5
+LIMIT_EXTRA = 5
+LIMIT_PASSED_ON = 0.5
+IN_TOUCH_SECONDS = 3.0
 # Of the nodes that are replaced.
 KILLED_SHARE = 0.4
 RECOVERY_SECONDS = 20
@@ -56,6 +66,12 @@
         self.restores = random.Random(f"{seed}-restores")
         self.restoring = True
         self.next_restore = time.monotonic() + self.restores.uniform(*RESTORE_EVERY)
+        self.limits = random.Random(f"{seed}-limits")
+        self.limiting = True
+        self.next_limit = time.monotonic() + self.limits.uniform(*LIMIT_EVERY)
+        self.limited = {}      # process that has a limit: its value
+        self.limit_runs = []   # what processes with limits got: limit and arrivals
+        self.disturbances = []  # node, since when, until when; by the wall clock
         self.later = []
         self.counts = {}
         self.killed = {}     # life of a process: when
@@ -76,6 +92,9 @@
         if self.restoring and not everything and now >= self.next_restore:
             self.next_restore = now + self.restores.uniform(*RESTORE_EVERY)
             self.restore_store()
+        if self.limiting and not everything and now >= self.next_limit:
+            self.next_limit = now + self.limits.uniform(*LIMIT_EVERY)
+            self.limit_endpoint()
 
     def strike(self):
         faults = ["kill_node", "freeze_node", "stop_node", "reload_node", "kill_engine",
@@ -90,6 +109,7 @@
     def disturb(self, node, seconds=0.0):
         """Something happens to a node, or for None to what all of them share, for so long."""
         until = time.monotonic() + seconds
+        self.disturbances.append((node, time.time(), time.time() + seconds))
         self.disturbed[node] = max(until, self.disturbed.get(node, 0.0))
 
     def in_touch(self, node):
@@ -252,6 +272,37 @@
                 pass
         self.at(max(0, away - 0.1), restore)
 
+    def limit_endpoint(self):
+        """An endpoint announces a limit for a while."""
+        name = self.limits.choice([f"e{i}" for i in range(ENGINES)] + [f"d{i}" for i in range(DESKS)])
+        process = self.fleet.processes[name]
+        if process.name in self.limited:
+            return
+        limit = self.limits.choice(LIMITS)
+        self.counts["limit_endpoint"] = self.counts.get("limit_endpoint", 0) + 1
+        self.fleet.log.write(f"{time.time():.3f} limit_endpoint {process.name} {limit}\n")
+        self.limited[process.name] = limit
+
+        def announce(value):
+            try:
+                if not value:
+                    stats = json.loads(call(process.address, "/stats"))
+                    self.limit_runs.append((process.name, limit, stats["limited_arrivals"]))
+                call(process.address, "/faults", {"limit": value})
+            except (OSError, ValueError):
+                pass
+
+        def end():
+            announce(0)
+            self.limited.pop(process.name, None)
+        announce(limit)
+        self.at(self.limits.uniform(*LIMIT_SECONDS), end)
+
+    def was_in_touch(self, node, moment):
+        """Nothing had happened to the node itself for as long as that counts."""
+        return not any(name == node and since <= moment and moment - until < IN_TOUCH_SECONDS
+                       for name, since, until in self.disturbances)
+
     def cut(self, name, seconds):
         proxy = self.fleet.proxies[name]
         proxy.delay = self.random.uniform(0.02, 0.2)
@@ -333,6 +384,42 @@
         return [f"CRASHES a request that ends endpoints was sent on {len(later)} times"]
 
 
+def most_within(moments, window):
+    """The most of these moments within any such window."""
+    moments = sorted(moments)
+    first = most = 0
+    for last, moment in enumerate(moments):
+        while moment - moments[first] > window:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
+
+
+def check_limits(chaos, results):
+    """What endpoints with limits got from nodes in touch that had passed the announcement on."""
+    sent_by = {r["id"]: (r["node"], r["life"]) for r in results if "life" in r}
+    passed_on = {}  # life of a node, life of an endpoint: when first
+    for r in results:
+        if "limited" in r:
+            key = (r["life"], r["limited"])
+            passed_on[key] = min(r["ended_wall"], passed_on.get(key, r["ended_wall"]))
+    problems = []
+    for name, limit, arrivals in chaos.limit_runs:
+        moments = []
+        for milliseconds, request_id in arrivals:
+            moment = milliseconds / 1000
+            node, life = sent_by.get(request_id, (None, None))
+            told = passed_on.get((life, chaos.fleet.instance_of.get(name)))
+            if told is not None and moment >= told + LIMIT_PASSED_ON and chaos.was_in_touch(node, moment):
+                moments.append(moment)
+        allowed = LIMIT_TOLERANCE * LIMIT_WINDOW * limit / 1000 + LIMIT_EXTRA
+        most = most_within(moments, LIMIT_WINDOW)
+        if most > allowed:
+            problems.append(f"LIMIT {name} with {limit / 1000} a second got {most} in {LIMIT_WINDOW} s; "
+                            f"allowed {allowed:.1f}")
+    return problems
+
+
 def judge(fleet, chaos, clients):
     """Broken promises, each as a line."""
     problems = list(chaos.problems)
@@ -439,6 +526,8 @@
     fleet.log = open(folder / "faults.log", "w", buffering=1)
     chaos = Chaos(fleet, seed)
     chaos.restoring = restoring
+    # An earlier build keeps to no limits.
+    chaos.limiting = other is None
     try:
         problems = recover(fleet)
         clients = [Client(fleet, i, seed) for i in range(CLIENTS)]
@@ -475,6 +564,7 @@
             if status is not None:
                 problems.append(f"n{i} ended by itself with status {status}")
         broken, results = judge(fleet, chaos, clients)
+        problems += check_limits(chaos, results)
         return problems + broken + keys_hold(fleet), results, chaos.counts
     finally:
         fleet.stop_all()
