--- a/include/rudderloom/placement/limited_engines.hpp
+++ b/include/rudderloom/placement/limited_engines.hpp
@@ -9,8 +9,8 @@
 
 namespace rudderloom {
 
-/// @brief Has the models of such engines loaded elsewhere, and nothing there, unless all engines are
-/// like that. What is ordered there would take reports as well, which may count as requests.
+/// @brief Has the models of such engines loaded elsewhere, and nothing there, unless all engines
+/// are like that. What is ordered there would take reports as well, which may count as requests.
 /// @param slots Of each engine.
 /// @ingroup placement
 void LeaveLimitedOut(std::vector<PlanEngine>& engines, std::uint32_t slots);
