The link between nodes ends before suspended requests, and keeps no callbacks

Callbacks of asks that the link had not sent when it was stopped hold a timer of the traffic context and were kept until after it: the class of the crash that mends, found by reading the diff, not seen. The link, and the node's server on our own interface, are stopped first now, as they post to both contexts. Includes a header that a source uses.

--- a/include/rudderloom/peers/holder_link.hpp
+++ b/include/rudderloom/peers/holder_link.hpp
@@ -70,7 +70,7 @@
   /// @brief The same for a permit, of the holder or its deputy.
   void Ask(const std::string& granter, const PermitAsk& ask, PermitCallback done);
 
-  /// @brief Ends the event loop; no hook is called after this.
+  /// @brief Ends the event loop; no hook is called after this, and no callback is kept.
   void Stop();
 
  private:
--- a/src/rudderloom/app/daemon.cpp
+++ b/src/rudderloom/app/daemon.cpp
@@ -95,9 +95,9 @@
     traffic_context_.stop();
     control.join();
     traffic.join();
+    node_server_.Stop();
     control_context_.EndCoroutines();
     traffic_context_.EndCoroutines();
-    node_server_.Stop();
     actor_.reset();
     LogLine("stopped").With("node", settings_.name).With("clean", clean ? "yes" : "no");
     return clean ? 0 : 1;
--- a/src/rudderloom/app/fleet_daemon.cpp
+++ b/src/rudderloom/app/fleet_daemon.cpp
@@ -90,9 +90,9 @@
     traffic_context_.stop();
     control.join();
     traffic.join();
+    link_.Stop();
     control_context_.EndCoroutines();
     traffic_context_.EndCoroutines();
-    link_.Stop();
     actor_.reset();
     LogLine("stopped").With("node", settings_.name).With("clean", clean ? "yes" : "no");
     return clean ? 0 : 1;
--- a/src/rudderloom/forwarding/front.cpp
+++ b/src/rudderloom/forwarding/front.cpp
@@ -1,5 +1,7 @@
 #include "rudderloom/forwarding/front.hpp"
 
+#include <set>  // for set
+
 #include "forwarding/crash_check.hpp"      // for NoteCleared
 #include "forwarding/quarantine_page.hpp"  // for AnswerQuarantinePage
 #include "rudderloom/base/log_line.hpp"    // for LogLine
--- a/src/rudderloom/peers/holder_link.cpp
+++ b/src/rudderloom/peers/holder_link.cpp
@@ -375,6 +375,8 @@
     impl_->started.set_value();
   }
   impl_->thread.join();
+  // Callbacks of asks that were never sent may hold what must not outlive this call.
+  impl_->asks.clear();
 }
 
 }  // namespace rudderloom
