Wait for models and adapters by the lease holder's load forecast

Requests were refused with 503 not_resident for a model or adapter that was loaded before the client's deadline. Once a unit had been missing for longer than its load time, the node treated it as overdue and expected it after a further quarter of the time that it had been missing. Where an engine leaves its orders unanswered, requests were refused for seconds with 5 s left to their deadline.

Cause: the node estimates from the age of a gap what the lease holder knows: whether an order is running, in doubt, or waiting for its engine. Class of fault: a forecast derived from the age of a state instead of from the state itself.

Evidence: fleet_process_test with six adapters on two engines whose next 6 orders each are carried out 1.5 s late.

Ruled out: a different constant.

With each plan the holder now forecasts the load of every model and adapter that was requested recently and has no running requests: when it is under way, in doubt, or next on its engine. Digests carry the forecast to the nodes whose reports name the unit, also through relays. A node refuses a request only if the expected time is too late for it. Engines that give no report are left out of the forecast. Without a forecast the node's own estimate applies as before, also with a holder of an earlier version.

--- a/include/rudderloom/dissemination/digest.hpp
+++ b/include/rudderloom/dissemination/digest.hpp
@@ -64,6 +64,9 @@
   CrashNews crash_news;
   /// @brief Limits that endpoints have announced; empty: as the asking node knows them.
   std::optional<LimitTable> limits;
+  /// @brief Remaining load times of units that the asking node's report names, counted from when
+  /// the holder made its statement.
+  LoadTimesLeft loads_due;
 };
 
 /// @brief Makes a digest, and what it tells, as old as it is after a time on its way.
--- a/include/rudderloom/fleet/fleet_state.hpp
+++ b/include/rudderloom/fleet/fleet_state.hpp
@@ -177,6 +177,7 @@
   bool ViewDue(TimePoint now) const;
   FleetViewPtr MakeView(TimePoint now) const;
   LoadTable OtherLoads(TimePoint now) const;
+  LoadForecastPtr CurrentForecast(TimePoint now) const;
   std::shared_ptr<const Statement> MakeStatement(TimePoint now);
   std::shared_ptr<const Statement> MakeRelayStatement(TimePoint now);
   void TellKnown(Statement& statement);
@@ -202,7 +203,8 @@
   LeaseKeeper lease_;
   PlacementKeeper placement_;
   DemandBoard board_;
-  LoadSums sums_;  // of the board, as of the last plan
+  LoadSums sums_;          // of the board, as of the last plan
+  LoadForecast forecast_;  // as of the last plan
   SpendingLog spending_;
   QuotaLedger ledger_;
   std::uint64_t grants_counted_ = 0;      // the last one that this node has booked or told
--- a/include/rudderloom/fleet/fleet_view.hpp
+++ b/include/rudderloom/fleet/fleet_view.hpp
@@ -13,6 +13,7 @@
 #include "rudderloom/endpoint_limits/endpoint_limit.hpp"  // for EndpointLimitsPtr
 #include "rudderloom/fleet/endpoint_key.hpp"              // for EndpointKey
 #include "rudderloom/fleet/endpoint_record.hpp"           // for EndpointRecord
+#include "rudderloom/placement/load_forecast.hpp"         // for LoadForecastPtr
 #include "rudderloom/quarantine/crash_news.hpp"           // for QuarantineListPtr
 #include "rudderloom/quota/spending.hpp"                  // for QuotaWordPtr
 #include "rudderloom/routes/route_table.hpp"              // for RouteTablePtr
@@ -68,8 +69,9 @@
   /// @brief Until then the holder hands out permits for endpoints with limits, after that its
   /// deputy.
   TimePoint holder_permits_until;
-  std::string deputy;            ///< Address of the holder's deputy; empty: not known.
-  QuarantineListPtr quarantine;  ///< Requests that end the endpoints that run them; null: none.
+  std::string deputy;             ///< Address of the holder's deputy; empty: not known.
+  LoadForecastPtr load_forecast;  ///< Null: no loads are forecast.
+  QuarantineListPtr quarantine;   ///< Requests that end the endpoints that run them; null: none.
 };
 
 /// @brief A view that nobody changes any more.
--- a/include/rudderloom/placement/demand.hpp
+++ b/include/rudderloom/placement/demand.hpp
@@ -8,29 +8,17 @@
 #include <memory>    // for shared_ptr
 #include <optional>  // for optional
 #include <string>    // for string
-#include <tuple>     // for tie
 #include <vector>    // for vector
 
 #include "rudderloom/base/clock.hpp"                      // for TimePoint
 #include "rudderloom/endpoint_limits/limit_exchange.hpp"  // for SentLimits
 #include "rudderloom/fleet/fleet_view.hpp"                // for EndpointLoad
+#include "rudderloom/placement/unit_name.hpp"             // for UnitName
 #include "rudderloom/quarantine/crash_news.hpp"           // for CrashNews
 #include "rudderloom/quota/spending.hpp"                  // for SpendingTable
 
 namespace rudderloom {
 
-/// @brief A model of a service, or an adapter of it.
-/// @ingroup placement
-struct UnitName {
-  std::string service;
-  std::string model;
-  std::string adapter;  ///< Empty for the model itself.
-  bool operator==(const UnitName&) const = default;
-  bool operator<(const UnitName& other) const {
-    return std::tie(service, model, adapter) < std::tie(other.service, other.model, other.adapter);
-  }
-};
-
 /// @brief Requests of one node for one unit at one moment.
 /// @ingroup placement
 struct UnitCount {
--- a/include/rudderloom/placement/engine_state.hpp
+++ b/include/rudderloom/placement/engine_state.hpp
@@ -38,16 +38,20 @@
   std::string id;  ///< Name that the endpoint answers to.
   std::uint64_t born = 0;
   std::string address;
-  bool known = false;     ///< A report came since the lease was taken.
-  bool doubtful = false;  ///< An order's fate is unknown, or the count of orders is.
+  bool known = false;                ///< A report came since the lease was taken.
+  bool doubtful = false;             ///< An order's fate is unknown, or the count of orders is.
+  bool awaits_announcement = false;  ///< An order waits until the lease's record names it.
+  bool silent = false;               ///< The last report call returned no report.
   bool busy = false;
   std::uint64_t orders_taken = 0;
   std::vector<ResidentModel> models;
   LocalWeights local_weights;
-  std::set<std::string> pending_adapters;  ///< `model/adapter`.
-  std::optional<PlacementOrder> flight;    ///< Sent, no answer yet.
-  std::optional<PlacementOrder> running;   ///< Accepted, its end not yet seen.
-  TimePoint order_at;                      ///< When the last order was sent or answered.
+  std::set<std::string> pending_adapters;    ///< `model/adapter`.
+  std::optional<PlacementOrder> flight;      ///< Sent, no answer yet.
+  std::optional<PlacementOrder> running;     ///< Accepted, its end not yet seen.
+  std::optional<PlacementOrder> unanswered;  ///< The last order, until its outcome is known.
+  TimePoint running_ends_at;                 ///< Expected end of `running`.
+  TimePoint order_at;                        ///< When the last order was sent or answered.
   std::optional<ModelSwap> swap;
   TimePoint ask_at;  ///< When to ask for the next report.
   bool asking = false;
@@ -82,6 +86,18 @@
   /// @param resting A former holder may have ordered it a short while ago.
   PlanEngine View(const std::string& instance, const EngineSpec& spec, bool resting) const;
 
+  /// @brief When it is expected to accept another order.
+  TimePoint NextOrderAt(TimePoint now) const;
+
+  /// @brief When the load of a model is expected to end; empty if none is ordered or planned.
+  /// @param times Of the model.
+  std::optional<TimePoint> LoadEndsAt(const std::string& model,
+                                      const LoadTimes& times,
+                                      TimePoint now) const;
+
+  /// @brief Models with a load that is under way, has an unknown outcome, or is planned by a swap.
+  std::set<std::string> IncomingModels() const;
+
   /// @brief Models that requests may be sent for: none that is about to go.
   std::vector<ResidentModel> Serving() const;
 
--- a/include/rudderloom/placement/placement_keeper.hpp
+++ b/include/rudderloom/placement/placement_keeper.hpp
@@ -20,6 +20,7 @@
 #include "rudderloom/placement/serving.hpp"              // for ServingList
 #include "rudderloom/placement/engine_state.hpp"         // for EngineState
 #include "rudderloom/placement/lease_keeper.hpp"         // for FormerLease
+#include "rudderloom/placement/load_forecast.hpp"        // for LoadForecast
 #include "rudderloom/placement/load_pacer.hpp"           // for LoadPacer
 #include "rudderloom/placement/order_announcements.hpp"  // for OrderAnnouncements
 #include "rudderloom/placement/order.hpp"                // for PlacementOrder
@@ -41,6 +42,7 @@
 struct PlacementEffects {
   std::vector<PlacementOrder> orders;
   std::vector<ReportCall> report_calls;
+  LoadForecast forecast;  ///< Of recently requested units without running requests.
 };
 
 /// @brief The lease as the keeper needs it.
@@ -112,6 +114,11 @@
             const HeldLease& lease,
             PlacementEffects& effects,
             TimePoint now);
+  void AddForecast(const std::string& service,
+                   const std::vector<std::string>& instances,
+                   const DemandBoard& demand,
+                   LoadForecast& forecast,
+                   TimePoint now);
   std::optional<double> LimitOf(const std::string& instance) const;
   void LogShortfalls(const PlacementPlan& plan, TimePoint now);
   // Sends an order; false while the endpoint may not be ordered yet.
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -232,6 +232,14 @@
   configuration @2 :ConfigurationChanges;
 }
 
+# Expected end of the load of a model or adapter.
+struct LoadDue {
+  service @0 :Text;
+  model @1 :Text;
+  adapter @2 :Text;  # empty for the model itself
+  timeLeftMs @3 :UInt32;  # counted from when the holder made its statement
+}
+
 struct Digest {
   holds @0 :Bool;            # false: of the rest only `holder` and `epoch` are told
   epoch @1 :UInt64;
@@ -255,6 +263,7 @@
   quarantine @19 :QuarantineTable;  # null: as the asking node knows it
   crashNews @20 :CrashNews;  # of who answers, if that is not the holder; null: none
   limits @21 :EndpointLimits;  # null: as the asking node knows them
+  loadsDue @22 :List(LoadDue);  # of units that the asking node's report names
 }
 
 enum SpendVerdict {
--- a/src/rudderloom/dissemination/statement.cpp
+++ b/src/rudderloom/dissemination/statement.cpp
@@ -38,6 +38,16 @@
   return balances;
 }
 
+LoadTimesLeft LoadsDueFor(const LoadTimesLeft& all, const NodeCounts& asking) {
+  LoadTimesLeft due;
+  for (const auto& [unit, time_left] : all) {
+    if (asking.units.contains(unit)) {
+      due.emplace(unit, time_left);
+    }
+  }
+  return due;
+}
+
 // Nothing when the node knows it all, as nearly always.
 std::optional<QuarantineTable> QuarantineFor(const Statement& statement, const NodeCounts& asking) {
   const std::uint64_t version = statement.quarantine ? statement.quarantine->version : 0;
@@ -91,8 +101,10 @@
   }
   if (!digest.relay.empty()) {
     digest.balances.clear();
+    digest.loads_due.clear();
     return digest;
   }
+  digest.loads_due = LoadsDueFor(statement.common.loads_due, asking);
   if (!digest.standby) {
     digest.balances = BalancesFor(statement.common.balances, asking);
   }
--- a/src/rudderloom/fleet/fleet_state.cpp
+++ b/src/rudderloom/fleet/fleet_state.cpp
@@ -136,6 +136,8 @@
   effects.placement = placement_.Tick(*routes_.Get().Current(), directory_.Endpoints(), board_,
                                       sums_.all, lease, now);
   PublishServing();
+  changed_ = changed_ || !NearlyEqual(forecast_, effects.placement.forecast);
+  forecast_ = std::move(effects.placement.forecast);
   MoveBalances(now);
   live_nodes_ = CountNodes(now);
   ChooseRelays(now);
@@ -283,6 +285,18 @@
   return loads;
 }
 
+// The holder's own forecast; on other nodes the one in its last digest, while that is fresh.
+LoadForecastPtr FleetState::CurrentForecast(TimePoint now) const {
+  if (holds_) {
+    return std::make_shared<const LoadForecast>(forecast_);
+  }
+  if (!WordFresh(now) || heard_->digest.loads_due.empty()) {
+    return nullptr;
+  }
+  return std::make_shared<const LoadForecast>(
+      ForecastFrom(heard_->digest.loads_due, heard_->made_at));
+}
+
 bool FleetState::WordFresh(TimePoint now) const {
   return heard_ && now - heard_->made_at < kWordFresh;
 }
@@ -299,6 +313,7 @@
   view->limits = limits_.ForTraffic();
   view->holder_permits_until = HolderPermitsUntil();
   view->deputy = Deputy();
+  view->load_forecast = CurrentForecast(now);
   const LoadTable loads = OtherLoads(now);
   const bool placed = holds_ || WordFresh(now);
   for (const auto& [instance, known] : directory_.Endpoints()) {
--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -149,7 +149,9 @@
     const ServiceSpec* service = routes_->Service(service_);
     const std::vector<UnitName> units = RequestedUnits(service_, terms_);
     // The adapter can't come before its model, and nobody knows here which of both is missing.
-    return state_.missing.Missed(units.back(), service, Now());
+    const TimePoint assumed = state_.missing.Missed(units.back(), service, Now());
+    const auto told = ExpectedAt(state_.views.Current()->load_forecast, units.back());
+    return told ? std::max(*told, Now()) : assumed;
   }
 
   // No endpoint can take the request: goes back to one that failed it, or waits for a change; false
--- a/src/rudderloom/peers/fleet_codec.cpp
+++ b/src/rudderloom/peers/fleet_codec.cpp
@@ -9,6 +9,7 @@
 #include "peers/changes_codec.hpp"        // for WriteChanges, ReadChanges
 #include "peers/configuration_codec.hpp"  // for Write, Read
 #include "peers/crash_codec.hpp"          // for WriteNews, ReadNews
+#include "peers/forecast_codec.hpp"       // for WriteLoadsDue, ReadLoadsDue
 #include "peers/quarantine_codec.hpp"     // for WriteQuarantine, ReadQuarantine
 
 namespace rudderloom {
@@ -309,6 +310,7 @@
   if (digest.limits) {
     WriteLimits(digest.limits->version, digest.limits->limits, out.initLimits());
   }
+  WriteLoadsDue(digest.loads_due, out.initLoadsDue(digest.loads_due.size()));
   WritePacked(digest, out);
   if (digest.endpoints_age) {
     out.setEndpointsAgeMs(digest.endpoints_age->count());
@@ -343,6 +345,7 @@
   if (in.hasLimits()) {
     digest.limits = LimitTable{in.getLimits().getVersion(), ReadLimits(in.getLimits().getLimits())};
   }
+  digest.loads_due = ReadLoadsDue(in.getLoadsDue());
   if (in.hasPackedChanges()) {
     ReadPacked(in, digest);
   }
--- a/src/rudderloom/peers/fleet_codec_test.cpp
+++ b/src/rudderloom/peers/fleet_codec_test.cpp
@@ -16,6 +16,8 @@
   digest.endpoints.version = StoreRevision(3, 1'234);
   digest.endpoints.whole = true;
   digest.serving.gone = {"i-gone"};
+  digest.loads_due = {{{"scribe-pool", "milo24", ""}, Duration(5'200)},
+                      {{"scribe-pool", "milo24", "a1"}, Duration(0)}};
   for (int i = 0; i < endpoints; ++i) {
     const std::string number = std::to_string(1'000 + i);
     EndpointRecord record;
@@ -49,6 +51,7 @@
   CHECK(heard.endpoints.whole);
   CHECK(heard.endpoints.values == told.endpoints.values);
   CHECK(heard.endpoints_age == told.endpoints_age);
+  CHECK(heard.loads_due == told.loads_due);
 }
 
 // A configuration of `count` routes and a service with an engine.
--- a/src/rudderloom/placement/engine_state.cpp
+++ b/src/rudderloom/placement/engine_state.cpp
@@ -1,6 +1,6 @@
 #include "rudderloom/placement/engine_state.hpp"
 
-#include <algorithm>  // for find_if
+#include <algorithm>  // for find_if, max
 
 #include "rudderloom/base/log_line.hpp"  // for LogLine
 
@@ -23,6 +23,8 @@
 constexpr Duration kAdapterTime{25};
 // A report shows a load's end this much later.
 constexpr Duration kReportDelay{120};
+// Expected time until an order is answered.
+constexpr Duration kOrderAnswerTime{50};
 
 std::string AdapterKey(const std::string& model, const std::string& adapter) {
   return model + "/" + adapter;
@@ -71,6 +73,7 @@
 
 bool EngineState::TakeReport(const std::optional<EngineReport>& report, TimePoint now) {
   asking = false;
+  silent = !report;
   ask_at = now + kAskSilent;
   if (!report || flight) {
     return false;
@@ -87,6 +90,7 @@
   }
   bool changed = models != report->models;
   known = true;
+  unanswered.reset();
   doubtful = false;
   busy = report->busy;
   orders_taken = report->orders_taken;
@@ -151,6 +155,7 @@
       const bool changed = Carried(order);
       if (order.adapter.empty()) {
         ask_at = now + (order.load ? ExpectedLoadTime(order.model, times) : kAskAfterUnload);
+        running_ends_at = ask_at;
       }
       return changed;
     }
@@ -184,12 +189,64 @@
     case PlacementOutcome::kFenced:
     case PlacementOutcome::kUnknown:
       doubtful = true;
+      unanswered = order;
       ask_at = now + kAskAgain;
       return false;
   }
   return false;
 }
 
+TimePoint EngineState::NextOrderAt(TimePoint now) const {
+  if (flight || doubtful) {
+    // An order without an answer may be confirmed by any report.
+    return now + kOrderAnswerTime;
+  }
+  if (running) {
+    return std::max(running_ends_at, now);
+  }
+  return Certain() ? now : std::max(ask_at, now) + kOrderAnswerTime;
+}
+
+std::optional<TimePoint> EngineState::LoadEndsAt(const std::string& model,
+                                                 const LoadTimes& times,
+                                                 TimePoint now) const {
+  const auto loads = [&](const std::optional<PlacementOrder>& order) {
+    return order && order->load && order->adapter.empty() && order->model == model;
+  };
+  const Duration load_time = ExpectedLoadTime(model, times);
+  if (loads(running)) {
+    return std::max(running_ends_at, now);
+  }
+  if (loads(flight)) {
+    return std::max(order_at + load_time, now);
+  }
+  if (loads(unanswered)) {
+    // Assumes that the order was accepted and, once its load time is over, that it is sent again.
+    const TimePoint ends_if_accepted = order_at + load_time;
+    return ends_if_accepted >= now ? ends_if_accepted : NextOrderAt(now) + load_time;
+  }
+  if (swap && swap->newcomer == model) {
+    const TimePoint unloaded_at = Holds(swap->victim)
+                                      ? std::max(swap->ready_at, NextOrderAt(now)) + kAskAfterUnload
+                                      : NextOrderAt(now);
+    return unloaded_at + load_time;
+  }
+  return std::nullopt;
+}
+
+std::set<std::string> EngineState::IncomingModels() const {
+  std::set<std::string> incoming;
+  for (const auto& order : {flight, running, unanswered}) {
+    if (order && order->load && order->adapter.empty()) {
+      incoming.insert(order->model);
+    }
+  }
+  if (swap) {
+    incoming.insert(swap->newcomer);
+  }
+  return incoming;
+}
+
 bool EngineState::TakeAdapters(TimePoint now) {
   bool changed = false;
   std::erase_if(adapter_loaded, [&](const auto& entry) {
--- a/src/rudderloom/placement/placement_keeper.cpp
+++ b/src/rudderloom/placement/placement_keeper.cpp
@@ -13,6 +13,28 @@
 constexpr Duration kWithdrawTime{400};
 constexpr Duration kLogShortfallsEvery{1'000};
 constexpr std::size_t kShortfallsTold = 3;
+// Expected time from the acceptance of an order until the adapter can be used.
+constexpr Duration kAdapterLoadTime{80};
+// Units whose last request is older are left out of the forecast.
+constexpr Duration kDemandWindow{2'000};
+
+// Recently requested models and adapters without running requests: the adapters by their model, an
+// empty list where only the model itself was requested.
+using LackedUnits = std::map<std::string, std::vector<std::string>>;
+
+LackedUnits FindLackedUnits(const std::string& service, const DemandBoard& demand, TimePoint now) {
+  LackedUnits lacked;
+  for (const auto& [unit, asked] : demand.Units()) {
+    if (unit.service != service || asked.running > 0 || now - asked.asked_at > kDemandWindow) {
+      continue;
+    }
+    std::vector<std::string>& adapters = lacked[unit.model];
+    if (!unit.adapter.empty()) {
+      adapters.push_back(unit.adapter);
+    }
+  }
+  return lacked;
+}
 
 }  // namespace
 
@@ -92,7 +114,8 @@
   const bool from_store = load && adapter.empty() && !engine.local_weights.Has(model);
   const OrderScope scope = from_store ? OrderScope::kWeightStore : OrderScope::kLocal;
   // Announced by name: other holders take the lives of one name for one endpoint.
-  if (!announcements_.MayOrder(engine.id, scope, lease.announced, now)) {
+  engine.awaits_announcement = !announcements_.MayOrder(engine.id, scope, lease.announced, now);
+  if (engine.awaits_announcement) {
     return false;
   }
   announcements_.Ordered(engine.id, scope, now);
@@ -171,6 +194,7 @@
                            TimePoint now) {
   PlacementInput input{service.name, *service.engine, {}, demand, now};
   for (const std::string& instance : instances) {
+    engines_[instance].awaits_announcement = false;
     const bool resting = announcements_.Resting(engines_[instance].id, now);
     PlanEngine view = engines_[instance].View(instance, *service.engine, resting);
     if (const auto load = loads.find(KeyOf(instance)); load != loads.end()) {
@@ -216,6 +240,49 @@
   }
 }
 
+// Adds the expected ends of loads of recently requested units, if their orders are under way or
+// wait for the engine to accept another order.
+void PlacementKeeper::AddForecast(const std::string& service,
+                                  const std::vector<std::string>& instances,
+                                  const DemandBoard& demand,
+                                  LoadForecast& forecast,
+                                  TimePoint now) {
+  const LackedUnits lacked = FindLackedUnits(service, demand, now);
+  if (lacked.empty()) {
+    return;
+  }
+  for (const std::string& instance : instances) {
+    const EngineState& engine = engines_[instance];
+    if (engine.silent) {
+      continue;
+    }
+    for (const std::string& model : engine.IncomingModels()) {
+      if (const auto found = lacked.find(model); found != lacked.end()) {
+        const TimePoint ends_at = *engine.LoadEndsAt(model, load_times_[model], now);
+        AddExpected(forecast, {service, model, ""}, ends_at);
+        for (const std::string& adapter : found->second) {
+          AddExpected(forecast, {service, model, adapter}, ends_at + kAdapterLoadTime);
+        }
+      }
+    }
+    const bool accepts_order = engine.Certain() && !engine.awaits_announcement;
+    if (accepts_order && engine.pending_adapters.empty()) {
+      continue;
+    }
+    for (const ResidentModel& model : engine.models) {
+      if (const auto found = lacked.find(model.name); found != lacked.end()) {
+        for (const std::string& adapter : found->second) {
+          const bool pending = engine.pending_adapters.contains(model.name + "/" + adapter);
+          if (pending || !accepts_order) {
+            const TimePoint from = pending ? now : engine.NextOrderAt(now);
+            AddExpected(forecast, {service, model.name, adapter}, from + kAdapterLoadTime);
+          }
+        }
+      }
+    }
+  }
+}
+
 // What demand waits for most, every now and then: the first thing to look at when a model is slow.
 void PlacementKeeper::LogShortfalls(const PlacementPlan& plan, TimePoint now) {
   if (plan.shortfalls.empty() || now - shortfalls_logged_at_ < kLogShortfallsEvery) {
@@ -262,6 +329,7 @@
     }
     Advance(service, instances, lease, effects, now);
     Plan(service, instances, demand, loads, lease, effects, now);
+    AddForecast(name, instances, demand, effects.forecast, now);
   }
   return effects;
 }
--- a/src/rudderloom/placement/placement_keeper_test.cpp
+++ b/src/rudderloom/placement/placement_keeper_test.cpp
@@ -125,6 +125,7 @@
         unannounced += announced.contains(order.instance) ? 0 : 1;
       }
       announced = keeper.Announcements().Own(At(ms));
+      forecast = effects.forecast;
       for (const ReportCall& call : effects.report_calls) {
         keeper.Reported(call.instance, Report(engines[call.instance]), At(ms));
       }
@@ -166,6 +167,7 @@
   int orders = 0;
   int refused = 0;
   int overcommitted = 0;
+  LoadForecast forecast;  // of the last plan
   OrderScopes announced;  // as the lease's record names them
   int unannounced = 0;    // orders to endpoints that it does not name
 };
@@ -209,6 +211,57 @@
   CHECK(world.overcommitted == 0);
 }
 
+// Milliseconds from `ms` until the expected end of the unit's load; -1 if none is forecast.
+int ExpectedInMs(const World& world, const UnitName& unit, int ms) {
+  const auto found = world.forecast.find(unit);
+  return found == world.forecast.end() ? -1
+                                       : static_cast<int>(Between(At(ms), found->second).count());
+}
+
+TEST_CASE("a load is forecast while its order runs, and while the order is unanswered") {
+  const UnitName model{"pool", "m0", ""};
+  const UnitName adapter{"pool", "m0", "a1"};
+  World world(1, 1, 3);
+  PlacementKeeper keeper(Duration(5'000), 1.1, Duration(3'000));
+  keeper.Reset(FormerLease(), At(0));
+  world.Ask("m0", "", 0, 1);
+  world.Ask("m0", "a1", 0, 1);
+  world.Play(keeper, 0, 200, 0);
+  REQUIRE(world.orders == 1);
+  CHECK(ExpectedInMs(world, model, 150) >= 800);
+  CHECK(ExpectedInMs(world, model, 150) < 1'300);
+  CHECK(ExpectedInMs(world, adapter, 150) > ExpectedInMs(world, model, 150));
+  int ms = 200;
+  while (world.Copies("m0") == 0 && ms < 5'000) {
+    world.Play(keeper, ms, ms + 50, 0);
+    ms += 50;
+  }
+  // The adapter's order gets no answer, and any report may show that it was carried out.
+  world.Play(keeper, ms, ms + 400, 100);
+  REQUIRE(world.orders == 2);
+  CHECK(ExpectedInMs(world, adapter, ms + 350) >= 0);
+  CHECK(ExpectedInMs(world, adapter, ms + 350) < 400);
+  world.Play(keeper, ms + 400, ms + 4'000, 0);
+  CHECK(world.engines["e0"].models["m0"].contains("a1"));
+  CHECK(world.forecast.empty());
+}
+
+TEST_CASE("no load is forecast without an order, or for an engine that gives no report") {
+  World world(1, 1, 3);
+  PlacementKeeper keeper(Duration(5'000), 1.1, Duration(3'000));
+  keeper.Reset(FormerLease(), At(0));
+  world.Ask("unknown", "", 0, 1);
+  world.Ask("unknown", "a1", 0, 1);
+  world.Play(keeper, 0, 500, 0);
+  CHECK(world.forecast.empty());
+  world.Ask("m0", "", 0, 1);
+  world.Play(keeper, 500, 700, 100);
+  REQUIRE(world.forecast.size() == 1);
+  keeper.Reported("e0", std::nullopt, At(700));
+  world.Play(keeper, 700, 750, 0);
+  CHECK(world.forecast.empty());
+}
+
 TEST_CASE("a model in demand gets copies from those that nobody asks for") {
   World world(4, 4, 2);
   PlacementKeeper keeper(Duration(5'000), 1.1, Duration(3'000));
--- a/tests/process/fleet_cluster.cpp
+++ b/tests/process/fleet_cluster.cpp
@@ -50,11 +50,14 @@
   Start("store", std::string(RUDDERLOOM_BINARIES) + kStandin, {"store"});
 }
 
-Program& FleetCluster::StartEngine(const std::string& instance, const std::string& models) {
+Program& FleetCluster::StartEngine(const std::string& instance,
+                                   const std::string& models,
+                                   int slots) {
   endpoints_.push_back(instance);
-  return Start(instance, std::string(RUDDERLOOM_BINARIES) + kStandin,
-               {"engine", "--store", At("store").Address(), "--instance", instance, "--service",
-                "pool", "--models", models, "--memory-mb", "200"});
+  return Start(
+      instance, std::string(RUDDERLOOM_BINARIES) + kStandin,
+      {"engine", "--store", At("store").Address(), "--instance", instance, "--service", "pool",
+       "--models", models, "--memory-mb", "200", "--slots", std::to_string(slots)});
 }
 
 Program& FleetCluster::StartPlain(const std::string& instance, const std::string& crash_body) {
--- a/tests/process/fleet_cluster.hpp
+++ b/tests/process/fleet_cluster.hpp
@@ -21,7 +21,7 @@
  public:
   FleetCluster();
 
-  Program& StartEngine(const std::string& instance, const std::string& models);
+  Program& StartEngine(const std::string& instance, const std::string& models, int slots = 8);
   // A request with `crash_body` ends it; empty: none does. Under the id of one that has ended it
   // starts a new life.
   Program& StartPlain(const std::string& instance, const std::string& crash_body = {});
--- a/tests/process/fleet_test.cpp
+++ b/tests/process/fleet_test.cpp
@@ -10,10 +10,13 @@
 namespace {
 
 // Nodes that are ready, with two engines and two plain services behind them.
-void StartAll(FleetCluster& cluster, const std::vector<std::string>& nodes, int group_size = 16) {
+void StartAll(FleetCluster& cluster,
+              const std::vector<std::string>& nodes,
+              int group_size = 16,
+              int slots = 8) {
   cluster.Configure(1);
-  cluster.StartEngine("e1", "m,n");
-  cluster.StartEngine("e2", "m,o");
+  cluster.StartEngine("e1", "m,n", slots);
+  cluster.StartEngine("e2", "m,o", slots);
   cluster.StartPlain("d1");
   cluster.StartPlain("d2");
   for (const std::string& node : nodes) {
@@ -200,6 +203,46 @@
   CHECK(cluster.Stats("e2").contains("runs"));
 }
 
+// Sends 40 requests for six adapters that are not loaded, while `fault` applies to the next
+// `faulty_orders` orders to each engine, and returns the number of whole answers.
+int CountWholeAnswers(const std::string& fault, int faulty_orders) {
+  FleetCluster cluster;
+  constexpr int kGroupSize = 16;
+  constexpr int kRequests = 40;
+  // The engines have slots for all requests at once.
+  StartAll(cluster, {"a", "b"}, kGroupSize, kRequests);
+  cluster.Faults("e1", {{fault, faulty_orders}});
+  cluster.Faults("e2", {{fault, faulty_orders}});
+  std::vector<FleetCall> calls;
+  for (int i = 0; i < kRequests; ++i) {
+    const std::string node = i % 4 < 2 ? "a" : "b";
+    const std::string model = std::string(1, "mno"[i % 3]) + "/a" + std::to_string(1 + i % 2);
+    calls.push_back({node, "/stream/x", "s" + std::to_string(i), model, Duration(i * 100)});
+  }
+  const auto answers = cluster.Burst(calls);
+  int whole = 0;
+  for (const FleetCall& call : calls) {
+    const Answer& answer = answers.at(call.id);
+    CHECK((answer.status == 200 || answer.status == 503));
+    whole += answer.body == WholeStream(call.id, call.model) ? 1 : 0;
+  }
+  return whole;
+}
+
+// Guards against refusing requests for adapters that are loaded before the deadline although their
+// orders were delayed or lost.
+TEST_CASE("requests wait for adapters whose orders are delayed") {
+  CHECK(CountWholeAnswers("late_orders", 6) >= 26);
+}
+
+TEST_CASE("requests wait for adapters whose orders are lost") {
+  CHECK(CountWholeAnswers("lost_orders", 3) >= 26);
+}
+
+TEST_CASE("requests wait for adapters whose orders are carried out without an answer") {
+  CHECK(CountWholeAnswers("lost_order_answers", 6) >= 26);
+}
+
 TEST_CASE("an endpoint that drains gets nothing new once its notice is read") {
   FleetCluster cluster;
   StartAll(cluster, {"a"});
