Plan adapters with unanswered orders after all others that are waited for

Requests for an adapter that only one engine can load waited while that engine was ordered to load another adapter, for which an order to another engine was still unanswered.

Cause: the planner counts an adapter as missing until an engine confirms it. An unanswered order leaves the state of its engine uncertain for 1.1 to 1.7 s. Meanwhile the adapter with the most waiting requests was ordered on every engine in turn.

Evidence: fleet_process_test with 40 requests for six adapters on two engines whose next 10 orders each are carried out 1.5 s late. In the logs, m/a2 is ordered on both engines while n/a1 and o/a2, which one engine each can load, wait.

Among the adapters that requests wait for, those with an unanswered order are now planned last. They are still loaded on another engine when no other adapter is waited for. Orders to engines that give no report are ignored here. Adapters without waiting requests come last, as before.

--- a/include/rudderloom/placement/planner.hpp
+++ b/include/rudderloom/placement/planner.hpp
@@ -26,6 +26,9 @@
   std::uint32_t adapters = 0;     ///< Adapter places taken, with those on their way.
   bool takes_models = false;      ///< Its state is certain and nothing is under way.
   bool takes_adapters = false;
+  /// @brief Model and adapter of its unanswered load order; empty for none, or if it gives no
+  /// report.
+  std::optional<std::pair<std::string, std::string>> unanswered_adapter;
   EndpointLoad load;
   std::optional<double> requests_per_second;  ///< That it accepts; empty: any number.
   bool copies_count = true;                   ///< Demand can be served by its models.
--- a/src/rudderloom/placement/engine_state.cpp
+++ b/src/rudderloom/placement/engine_state.cpp
@@ -297,6 +297,9 @@
     view.resident.erase(swap->victim);
     view.models[swap->newcomer];
   }
+  if (unanswered && unanswered->load && !unanswered->adapter.empty() && !silent) {
+    view.unanswered_adapter = {unanswered->model, unanswered->adapter};
+  }
   view.local_weights = local_weights;
   view.takes_adapters = Certain() && !resting;
   view.takes_models = view.takes_adapters && !swap && !running;
--- a/src/rudderloom/placement/planner.cpp
+++ b/src/rudderloom/placement/planner.cpp
@@ -289,6 +289,20 @@
   }
 
   void PlanAdapters() {
+    std::set<UnitName> unanswered;
+    for (const PlanEngine& engine : input_.engines) {
+      if (const auto& adapter = engine.unanswered_adapter) {
+        unanswered.insert({input_.service, adapter->first, adapter->second});
+      }
+    }
+    // An adapter whose load order is unanswered may already be loading, so it is planned on other
+    // engines after all others that requests wait for.
+    const auto rank = [&](const std::pair<UnitName, UnitDemand>& entry) {
+      if (entry.second.waiting == 0) {
+        return 2;
+      }
+      return unanswered.contains(entry.first) ? 1 : 0;
+    };
     std::vector<std::pair<UnitName, UnitDemand>> wanted;
     for (const auto& [unit, demand] : input_.demand.Units()) {
       const bool asked = demand.waiting > 0 ||
@@ -297,7 +311,10 @@
         wanted.emplace_back(unit, demand);
       }
     }
-    std::sort(wanted.begin(), wanted.end(), [](const auto& left, const auto& right) {
+    std::sort(wanted.begin(), wanted.end(), [&](const auto& left, const auto& right) {
+      if (rank(left) != rank(right)) {
+        return rank(left) < rank(right);
+      }
       return left.second.waiting != right.second.waiting
                  ? left.second.waiting > right.second.waiting
                  : left.second.pressure > right.second.pressure;
--- a/src/rudderloom/placement/planner_test.cpp
+++ b/src/rudderloom/placement/planner_test.cpp
@@ -49,8 +49,11 @@
   }
 
   // One node has counted this for some seconds.
-  void Asked(const std::string& model, std::uint32_t running, std::uint32_t waiting) {
-    asked_[{kService, model, ""}] = {running, waiting, Duration(0)};
+  void Asked(const std::string& model,
+             std::uint32_t running,
+             std::uint32_t waiting,
+             const std::string& adapter = "") {
+    asked_[{kService, model, adapter}] = {running, waiting, Duration(0)};
     NodeCounts counts;
     counts.node = "n1";
     counts.units = asked_;
@@ -68,6 +71,24 @@
   std::map<UnitName, UnitCount> asked_;
 };
 
+// Guards against loading an adapter with an unanswered order on another engine while requests wait
+// for other adapters.
+TEST_CASE("an adapter with an unanswered order is loaded on another engine only after all others") {
+  Pool pool;
+  pool.Model("m");
+  pool.Engine("e1", {"m"});
+  pool.Engine("e2", {"m"});
+  pool.engines[0].takes_adapters = false;
+  pool.engines[0].unanswered_adapter = {"m", "a1"};
+  pool.Asked("m", 0, 9, "a1");
+  CHECK(pool.Plan().adapters.front().adapter == "a1");
+  pool.Asked("m", 0, 1, "a2");
+  const PlacementPlan plan = pool.Plan();
+  REQUIRE(plan.adapters.size() == 1);
+  CHECK(plan.adapters.front().instance == "e2");
+  CHECK(plan.adapters.front().adapter == "a2");
+}
+
 TEST_CASE("a busy model's next copy comes before models that nobody asks for") {
   Pool pool;
   for (const char* model : {"busy", "idle1", "idle2", "idle3"}) {
--- a/tests/process/fleet_test.cpp
+++ b/tests/process/fleet_test.cpp
@@ -235,6 +235,11 @@
   CHECK(CountWholeAnswers("late_orders", 6) >= 26);
 }
 
+// Guards against ordering one adapter on every engine in turn while its first order is delayed.
+TEST_CASE("requests wait for adapters whose orders are delayed all the time") {
+  CHECK(CountWholeAnswers("late_orders", 10) >= 26);
+}
+
 TEST_CASE("requests wait for adapters whose orders are lost") {
   CHECK(CountWholeAnswers("lost_orders", 3) >= 26);
 }
