Refuse requests early when a loading model cannot start them in time

Symptom: with the lease holder's load forecast, more requests waited for a model, and when it was loaded all of them were sent to one endpoint at the same moment. Their prompts are processed one after the other, so clients disconnected before their first event.

Cause: a node checks when the model will be loaded, but not how many requests wait for it on all nodes. Nodes know each other's loads with a delay of about 250 ms, so the estimate made when a request is sent includes none of the others.

Change: the holder reports with each expected load how many requests wait for it. A request that finds others waiting adds the time until their prompts are processed or a place is free, whichever is later, and is refused at once if that is too late. The count is taken once, when a request first sees the forecast, so later arrivals cause no refusal of it.

--- a/include/rudderloom/dissemination/digest.hpp
+++ b/include/rudderloom/dissemination/digest.hpp
@@ -66,7 +66,7 @@
   std::optional<LimitTable> limits;
   /// @brief Remaining load times of units that the asking node's report names, counted from when
   /// the holder made its statement.
-  LoadTimesLeft loads_due;
+  LoadsDue loads_due;
 };
 
 /// @brief Makes a digest, and what it tells, as old as it is after a time on its way.
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -238,6 +238,7 @@
   model @1 :Text;
   adapter @2 :Text;  # empty for the model itself
   timeLeftMs @3 :UInt32;  # counted from when the holder made its statement
+  waiting @4 :UInt32;     # requests waiting for this load on all nodes
 }
 
 struct Digest {
--- a/src/rudderloom/dissemination/statement.cpp
+++ b/src/rudderloom/dissemination/statement.cpp
@@ -38,11 +38,11 @@
   return balances;
 }
 
-LoadTimesLeft LoadsDueFor(const LoadTimesLeft& all, const NodeCounts& asking) {
-  LoadTimesLeft due;
-  for (const auto& [unit, time_left] : all) {
+LoadsDue LoadsDueFor(const LoadsDue& all, const NodeCounts& asking) {
+  LoadsDue due;
+  for (const auto& [unit, load] : all) {
     if (asking.units.contains(unit)) {
-      due.emplace(unit, time_left);
+      due.emplace(unit, load);
     }
   }
   return due;
--- a/src/rudderloom/dissemination/statement_test.cpp
+++ b/src/rudderloom/dissemination/statement_test.cpp
@@ -64,12 +64,13 @@
 TEST_CASE("a digest contains only the loads of units that the asking node reports") {
   const UnitName asked{"pool", "m", "a1"};
   Statement statement = MakeStatement();
-  statement.common.loads_due = {{asked, Duration(900)}, {{"pool", "n", ""}, Duration(700)}};
+  statement.common.loads_due = {{asked, {Duration(900), 3}},
+                                {{"pool", "n", ""}, {Duration(700), 1}}};
   NodeCounts asking = Asking("n1");
   CHECK(DigestFor(statement, asking, At(500)).loads_due.empty());
   asking.units[asked].waiting = 1;
   const HolderDigest digest = DigestFor(statement, asking, At(500));
-  CHECK(digest.loads_due == LoadTimesLeft{{asked, Duration(900)}});
+  CHECK(digest.loads_due == LoadsDue{{asked, {Duration(900), 3}}});
 }
 
 TEST_CASE("a relay answers no more nodes than it can, and those it has go on") {
--- a/src/rudderloom/fleet/fleet_word.cpp
+++ b/src/rudderloom/fleet/fleet_word.cpp
@@ -258,7 +258,7 @@
   common.renewals_fail = lease_.RenewalsFail(now);
   common.relay_pause = RelayPause(settings_.processor_share);
   statement->loads = sums_;
-  common.loads_due = TimesLeft(forecast_, now);
+  common.loads_due = LoadsDueFrom(forecast_, now);
   // Until it is known who relays, nobody is told lists, nor that any are not told.
   common.tells_configuration = !roster_ || roster_->HasRelays();
   if (roster_) {
--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -1,6 +1,7 @@
 #include "rudderloom/forwarding/forwarder.hpp"
 
 #include <algorithm>  // for clamp, max, min
+#include <optional>   // for optional
 #include <utility>    // for move
 
 #include "forwarding/arrival.hpp"                // for Arrival
@@ -150,8 +151,17 @@
     const std::vector<UnitName> units = RequestedUnits(service_, terms_);
     // The adapter can't come before its model, and nobody knows here which of both is missing.
     const TimePoint assumed = state_.missing.Missed(units.back(), service, Now());
-    const auto told = ExpectedAt(state_.views.Current()->load_forecast, units.back());
-    return told ? std::max(*told, Now()) : assumed;
+    const auto told = FindExpected(state_.views.Current()->load_forecast, units.back());
+    if (!told) {
+      return assumed;
+    }
+    if (!waiting_ahead_) {
+      waiting_ahead_ = std::max(told->waiting, state_.units[units.back()].waiting);
+    }
+    const bool has_engine = service != nullptr && service->engine;
+    const std::uint32_t slots = has_engine ? service->engine->slots : 1;
+    return std::max(told->ends_at, Now()) +
+           BacklogTime(state_.balancer.Times(), service_, terms_, *waiting_ahead_, slots);
   }
 
   // No endpoint can take the request: goes back to one that failed it, or waits for a change; false
@@ -423,6 +433,9 @@
   Admission admission_ = Admission::kInTurn;
   Duration come_back_ = kComeBackSoon;
   Duration waited_{0};  // for an endpoint that holds the model
+  // Requests waiting for the same unit when its forecast was first seen. Not updated, so that those
+  // that arrive later don't cause a refusal.
+  std::optional<std::uint32_t> waiting_ahead_;
   std::uint32_t attempts_ = 0;
   std::uint32_t connect_failures_ = 0;
   std::uint32_t permits_asked_ = 0;
--- a/src/rudderloom/forwarding/request_samples.cpp
+++ b/src/rudderloom/forwarding/request_samples.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/request_samples.hpp"
 
-#include <utility>  // for move
+#include <algorithm>  // for max
+#include <utility>    // for move
 
 namespace rudderloom {
 
@@ -22,6 +23,21 @@
   return known > Duration(0) ? known : kAssumedHold;
 }
 
+Duration BacklogTime(const ServiceTimes& times,
+                     const std::string& service,
+                     const RequestTerms& terms,
+                     std::uint32_t ahead,
+                     std::uint32_t slots) {
+  const double tokens_per_millisecond = times.TokensPerMillisecond(service, terms.model);
+  const double unread_tokens = static_cast<double>(terms.tokens_in) * ahead;
+  const Duration prompt_time(
+      tokens_per_millisecond > 0.0
+          ? static_cast<Duration::rep>(unread_tokens / tokens_per_millisecond)
+          : 0);
+  const Duration hold = times.HoldTime(service, terms.model, terms.tokens_out);
+  return std::max(prompt_time, WaitForPlace(ahead, slots, hold));
+}
+
 CountedRequest::CountedRequest(std::map<UnitName, UnitCount>& counts,
                                std::vector<UnitName> units,
                                std::uint32_t UnitCount::*as)
--- a/src/rudderloom/forwarding/request_samples.hpp
+++ b/src/rudderloom/forwarding/request_samples.hpp
@@ -19,6 +19,14 @@
                      const std::string& service,
                      const RequestTerms& terms);
 
+// How long a request waits at an idle endpoint behind `ahead` similar requests that arrive just
+// before it: until their prompts are read or a place is free, whichever is later.
+Duration BacklogTime(const ServiceTimes& times,
+                     const std::string& service,
+                     const RequestTerms& terms,
+                     std::uint32_t ahead,
+                     std::uint32_t slots);
+
 // Counts a request, for each thing that it asks for, as one that waits or runs while this lives.
 class CountedRequest {
  public:
--- a/src/rudderloom/peers/fleet_codec_test.cpp
+++ b/src/rudderloom/peers/fleet_codec_test.cpp
@@ -16,8 +16,8 @@
   digest.endpoints.version = StoreRevision(3, 1'234);
   digest.endpoints.whole = true;
   digest.serving.gone = {"i-gone"};
-  digest.loads_due = {{{"scribe-pool", "milo24", ""}, Duration(5'200)},
-                      {{"scribe-pool", "milo24", "a1"}, Duration(0)}};
+  digest.loads_due = {{{"scribe-pool", "milo24", ""}, {Duration(5'200), 40}},
+                      {{"scribe-pool", "milo24", "a1"}, {Duration(0), 0}}};
   for (int i = 0; i < endpoints; ++i) {
     const std::string number = std::to_string(1'000 + i);
     EndpointRecord record;
--- a/src/rudderloom/peers/forecast_codec.cpp
+++ b/src/rudderloom/peers/forecast_codec.cpp
@@ -1,6 +1,6 @@
 #include "peers/forecast_codec.hpp"
 
-#include <algorithm>  // for clamp
+#include <algorithm>  // for clamp, min
 
 namespace rudderloom {
 
@@ -8,29 +8,31 @@
 
 // Keeps times within the 32 bits of the field.
 constexpr Duration kMostTimeLeft{std::chrono::hours(1)};
+constexpr std::uint32_t kMostWaiting = 1'000'000;
 
 }  // namespace
 
-void WriteLoadsDue(const LoadTimesLeft& times_left, capnp::List<rpc::LoadDue>::Builder out) {
+void WriteLoadsDue(const LoadsDue& due, capnp::List<rpc::LoadDue>::Builder out) {
   unsigned index = 0;
-  for (const auto& [unit, time_left] : times_left) {
-    const Duration bounded = std::clamp(time_left, Duration(0), kMostTimeLeft);
+  for (const auto& [unit, load] : due) {
+    const Duration bounded = std::clamp(load.time_left, Duration(0), kMostTimeLeft);
     auto entry = out[index++];
     entry.setService(unit.service);
     entry.setModel(unit.model);
     entry.setAdapter(unit.adapter);
     entry.setTimeLeftMs(static_cast<std::uint32_t>(bounded.count()));
+    entry.setWaiting(load.waiting);
   }
 }
 
-LoadTimesLeft ReadLoadsDue(capnp::List<rpc::LoadDue>::Reader in) {
-  LoadTimesLeft times_left;
+LoadsDue ReadLoadsDue(capnp::List<rpc::LoadDue>::Reader in) {
+  LoadsDue due;
   for (const auto entry : in) {
     const UnitName unit{entry.getService().cStr(), entry.getModel().cStr(),
                         entry.getAdapter().cStr()};
-    times_left[unit] = Duration(entry.getTimeLeftMs());
+    due[unit] = {Duration(entry.getTimeLeftMs()), std::min(entry.getWaiting(), kMostWaiting)};
   }
-  return times_left;
+  return due;
 }
 
 }  // namespace rudderloom
--- a/src/rudderloom/peers/forecast_codec.hpp
+++ b/src/rudderloom/peers/forecast_codec.hpp
@@ -3,12 +3,12 @@
 #define RUDDERLOOM_PEERS_FORECAST_CODEC_HPP
 
 #include "fleet.capnp.h"                           // for rpc::LoadDue
-#include "rudderloom/placement/load_forecast.hpp"  // for LoadTimesLeft
+#include "rudderloom/placement/load_forecast.hpp"  // for LoadsDue
 
 namespace rudderloom {
 
-void WriteLoadsDue(const LoadTimesLeft& times_left, capnp::List<rpc::LoadDue>::Builder out);
-LoadTimesLeft ReadLoadsDue(capnp::List<rpc::LoadDue>::Reader in);
+void WriteLoadsDue(const LoadsDue& due, capnp::List<rpc::LoadDue>::Builder out);
+LoadsDue ReadLoadsDue(capnp::List<rpc::LoadDue>::Reader in);
 
 }  // namespace rudderloom
 
--- a/src/rudderloom/placement/placement_keeper.cpp
+++ b/src/rudderloom/placement/placement_keeper.cpp
@@ -281,6 +281,11 @@
       }
     }
   }
+  for (auto& [unit, load] : forecast) {
+    if (unit.service == service) {
+      load.waiting = demand.Of(unit).waiting;
+    }
+  }
 }
 
 // What demand waits for most, every now and then: the first thing to look at when a model is slow.
--- a/src/rudderloom/placement/placement_keeper_test.cpp
+++ b/src/rudderloom/placement/placement_keeper_test.cpp
@@ -214,8 +214,9 @@
 // Milliseconds from `ms` until the expected end of the unit's load; -1 if none is forecast.
 int ExpectedInMs(const World& world, const UnitName& unit, int ms) {
   const auto found = world.forecast.find(unit);
-  return found == world.forecast.end() ? -1
-                                       : static_cast<int>(Between(At(ms), found->second).count());
+  return found == world.forecast.end()
+             ? -1
+             : static_cast<int>(Between(At(ms), found->second.ends_at).count());
 }
 
 TEST_CASE("a load is forecast while its order runs, and while the order is unanswered") {
