Answer requests that outlast a planned stop before the node exits

Symptom: a connection could be closed without an answer when the grace period of a planned stop ended. A node accepts requests for 2.6 s after SIGTERM, because the balancer takes it out only then. A request that arrives 2.5 s after SIGTERM and uses its full 5 s outlasts a grace period of 8 s, of which 7.3 s are used, so the process exited with requests in flight.

Cause: request deadlines were not bounded by the end of the stop; the stop only waited.

Fix: requests that arrive during the stop end 300 ms before its end at the latest. Requests that arrived earlier and are still in flight 150 ms before its end are answered with 504. Exit status 1 still reports that requests were cut.

--- a/include/rudderloom/forwarding/call_guard.hpp
+++ b/include/rudderloom/forwarding/call_guard.hpp
@@ -6,6 +6,7 @@
 #include <functional>  // for function
 #include <memory>      // for shared_ptr
 #include <optional>    // for optional
+#include <set>         // for set
 
 #include "rudderloom/base/clock.hpp"                      // for TimePoint
 #include "rudderloom/forwarding/endpoint_connection.hpp"  // for EndpointConnection
@@ -18,17 +19,27 @@
 enum class Interruption {
   kNone,
   kClientGone,
-  kTimeUp,  ///< The client's deadline or the route's timeout.
+  kTimeUp,  ///< The client's deadline, the route's timeout, or the end of a planned stop.
   kSilent,  ///< The endpoint gave nothing for too long.
 };
 
+class CallGuard;
+
+/// @brief The guards of all requests in flight on a node.
+/// @ingroup forwarding
+using CallGuards = std::set<CallGuard*>;
+
 /// @brief Watches over one request. One thread only.
 /// @ingroup forwarding
 class CallGuard {
  public:
+  /// @param guards The set in which this guard is registered during its lifetime.
   /// @param may_give_up Asked when an endpoint has been silent for too long; where it says no, the
   /// endpoint is waited for on.
-  CallGuard(asio::io_context& context, TimePoint time_up, std::function<bool()> may_give_up);
+  CallGuard(asio::io_context& context,
+            CallGuards& guards,
+            TimePoint time_up,
+            std::function<bool()> may_give_up);
   CallGuard(const CallGuard&) = delete;
   CallGuard& operator=(const CallGuard&) = delete;
   ~CallGuard();
@@ -42,6 +53,9 @@
   /// @brief The client closed its connection.
   void ClientGone();
 
+  /// @brief Interrupts the request as if its deadline had passed.
+  void TimeUp();
+
   Interruption Why() const { return state_->why; }
 
   /// @brief Forgets a silence, before the next endpoint is tried.
@@ -68,6 +82,7 @@
   static void Arm(const std::shared_ptr<State>& state);
   static void Interrupt(State& state, Interruption why);
 
+  CallGuards& guards_;
   std::shared_ptr<State> state_;
 };
 
--- a/include/rudderloom/forwarding/forwarder.hpp
+++ b/include/rudderloom/forwarding/forwarder.hpp
@@ -13,6 +13,7 @@
 #include "rudderloom/endpoint_limits/limit_watch.hpp"     // for LimitWatch
 #include "rudderloom/endpoint_limits/permit_book.hpp"     // for PermitAsk
 #include "rudderloom/forwarding/balancer.hpp"             // for Balancer
+#include "rudderloom/forwarding/call_guard.hpp"           // for CallGuards
 #include "rudderloom/forwarding/endpoint_connection.hpp"  // for ConnectionPool
 #include "rudderloom/forwarding/missing_units.hpp"        // for MissingUnits
 #include "rudderloom/forwarding/retry_allowance.hpp"      // for RetryAllowance
@@ -69,6 +70,9 @@
   std::function<void()> sample_soon;
   AskHolder ask_holder;
   AskForPermit ask_for_permit;
+  /// @brief Upper bound on the deadline of requests that arrive during a planned stop.
+  TimePoint stop_deadline = TimePoint::max();
+  CallGuards guards = {};  ///< Of requests in flight.
 };
 
 /// @brief Answers one request. The exchange always has its answer, or is aborted, afterwards.
--- a/include/rudderloom/forwarding/front.hpp
+++ b/include/rudderloom/forwarding/front.hpp
@@ -30,11 +30,15 @@
   void Use(FleetViewPtr view);
 
   /// @brief Says "not ready", and asks clients to reconnect elsewhere after their answers.
-  void BeginStop();
+  /// @param stop_deadline Upper bound on the deadline of requests that arrive from now on.
+  void BeginStop(TimePoint stop_deadline);
 
   /// @brief Accepts no more connections; idle ones are closed.
   void StopAccepting();
 
+  /// @brief Interrupts all requests in flight; those without a started answer get an error answer.
+  void InterruptRequests();
+
   /// @brief Requests being answered now.
   std::uint64_t Active() const { return server_->Active(); }
 
--- a/src/rudderloom/app/fleet_daemon.cpp
+++ b/src/rudderloom/app/fleet_daemon.cpp
@@ -30,6 +30,8 @@
 constexpr Duration kReportLimit{600};
 // Before the platform kills the process.
 constexpr Duration kGraceMargin{700};
+// Time to send the answers of interrupted requests.
+constexpr Duration kFinalAnswerMargin{150};
 
 class FleetDaemon {
  public:
@@ -263,17 +265,30 @@
   }
 
   // Tells the balancer, waits until it has noticed, and lets requests in flight end.
+  // Interrupts those still in flight shortly before the grace period ends, and returns false if
+  // there were any.
   bool Stop() {
     LogLine("stopping").With("node", settings_.name);
     const TimePoint until = Now() + settings_.bounds.grace - kGraceMargin;
-    asio::post(traffic_context_, [this] { front_.BeginStop(); });
+    const TimePoint interrupt_at = until - kFinalAnswerMargin;
+    asio::post(traffic_context_,
+               [this, interrupt_at] { front_.BeginStop(interrupt_at - kFinalAnswerMargin); });
     actor_->Post(fleet_message::StopAsked{});
     Wait(kStopNotice);
     asio::post(traffic_context_, [this] { front_.StopAccepting(); });
+    AwaitIdle(interrupt_at);
+    if (Active() == 0) {
+      return true;
+    }
+    asio::post(traffic_context_, [this] { front_.InterruptRequests(); });
+    AwaitIdle(until);
+    return false;
+  }
+
+  void AwaitIdle(TimePoint until) {
     while (Active() > 0 && Now() < until) {
       Wait(kStopPoll);
     }
-    return Active() == 0;
   }
 
   static void Wait(Duration pause) {
--- a/src/rudderloom/forwarding/arrival.cpp
+++ b/src/rudderloom/forwarding/arrival.cpp
@@ -75,7 +75,7 @@
   if (wanted(*state_.views.Current()) || Now() >= until) {
     co_return;
   }
-  CallGuard guard(state_.context, until, [] { return true; });
+  CallGuard guard(state_.context, state_.guards, until, [] { return true; });
   exchange_.WatchPeer([&guard] { guard.ClientGone(); });
   while (!wanted(*state_.views.Current()) && Now() < until && guard.Why() == Interruption::kNone &&
          !state_.stopping) {
--- a/src/rudderloom/forwarding/call_guard.cpp
+++ b/src/rudderloom/forwarding/call_guard.cpp
@@ -5,14 +5,17 @@
 namespace rudderloom {
 
 CallGuard::CallGuard(asio::io_context& context,
+                     CallGuards& guards,
                      TimePoint time_up,
                      std::function<bool()> may_give_up)
-    : state_(std::make_shared<State>(context, time_up)) {
+    : guards_(guards), state_(std::make_shared<State>(context, time_up)) {
+  guards_.insert(this);
   state_->may_give_up = std::move(may_give_up);
   Arm(state_);
 }
 
 CallGuard::~CallGuard() {
+  guards_.erase(this);
   state_->alive = false;
   state_->timer.cancel();
 }
@@ -36,6 +39,10 @@
   Interrupt(*state_, Interruption::kClientGone);
 }
 
+void CallGuard::TimeUp() {
+  Interrupt(*state_, Interruption::kTimeUp);
+}
+
 void CallGuard::ForgetSilence() {
   state_->silent_at.reset();
   if (state_->why == Interruption::kSilent) {
--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -52,9 +52,11 @@
     }
     service_ = ChooseService(*route_, state_.random());
     state_.retries.Requested(service_, arrived_);
-    time_up_ = arrived_ + std::min(route_->timeout, terms_.deadline.value_or(kUsualDeadline));
+    const Duration timeout = std::min(route_->timeout, terms_.deadline.value_or(kUsualDeadline));
+    time_up_ = std::min(arrived_ + timeout, state_.stop_deadline);
     CountDemand();
-    CallGuard guard(state_.context, time_up_, [this] { return MayGiveUpEndpoint(); });
+    CallGuard guard(state_.context, state_.guards, time_up_,
+                    [this] { return MayGiveUpEndpoint(); });
     guard_ = &guard;
     exchange_.WatchPeer([&guard] { guard.ClientGone(); });
     co_await Attempts();
--- a/src/rudderloom/forwarding/front.cpp
+++ b/src/rudderloom/forwarding/front.cpp
@@ -165,8 +165,9 @@
   state_.views.Use(std::move(view));
 }
 
-void FleetFront::BeginStop() {
+void FleetFront::BeginStop(TimePoint stop_deadline) {
   stopping_ = true;
+  state_.stop_deadline = stop_deadline;
   state_.stopping = true;
   state_.views.WakeAll();
   server_->CloseAfterAnswers();
@@ -176,6 +177,12 @@
   server_->Stop();
 }
 
+void FleetFront::InterruptRequests() {
+  for (CallGuard* guard : state_.guards) {
+    guard->TimeUp();
+  }
+}
+
 bool FleetFront::Ready() const {
   const FleetViewPtr& view = state_.views.Current();
   return !stopping_ && view->routes && view->endpoints_known;
--- a/tests/process/stop_test.cpp
+++ b/tests/process/stop_test.cpp
@@ -46,6 +46,53 @@
   CHECK(cluster.At("a").Wait(Duration(6'000)) == kRequestsCut);
 }
 
+// Starts a node, then suspends its only endpoint so that requests get no answer.
+void StartWithSuspendedEndpoint(FleetCluster& cluster) {
+  cluster.Configure(1);
+  cluster.StartPlain("d1");
+  cluster.StartFleetNode("a");
+  REQUIRE(cluster.Until([&] { return cluster.Ready("a") == 200; }));
+  REQUIRE(cluster.Until([&] { return cluster.Send({"a", "/safe/x", "warm", ""}).status == 200; }));
+  cluster.At("d1").Signal(SIGSTOP);
+}
+
+std::vector<FleetCall> CallsToSuspendedEndpoint() {
+  std::vector<FleetCall> calls;
+  for (int i = 0; i < 6; ++i) {
+    const std::string number = std::to_string(i);
+    calls.push_back({"a", "/once/x", "once" + number, ""});
+    calls.push_back({"a", "/safe/x", "safe" + number, ""});
+  }
+  return calls;
+}
+
+// Guards against connections closed without an answer at the end of a planned stop.
+TEST_CASE("requests that arrive during a planned stop are answered before its end") {
+  FleetCluster cluster;
+  StartWithSuspendedEndpoint(cluster);
+  cluster.At("a").Signal(SIGTERM);
+  REQUIRE(cluster.Until([&] { return cluster.Ready("a") == 503; }));
+  for (const auto& [id, answer] : cluster.Burst(CallsToSuspendedEndpoint())) {
+    CHECK(answer.status == 504);
+  }
+  CHECK(cluster.At("a").Wait(Duration(6'000)) == 0);
+}
+
+// Guards against the same for requests that were in flight before the stop.
+TEST_CASE("requests that outlast a planned stop are answered when they are cut") {
+  FleetCluster cluster;
+  StartWithSuspendedEndpoint(cluster);
+  std::thread stop([&cluster] {
+    std::this_thread::sleep_for(Duration(500));
+    cluster.At("a").Signal(SIGTERM);
+  });
+  for (const auto& [id, answer] : cluster.Burst(CallsToSuspendedEndpoint())) {
+    CHECK(answer.status == 504);
+  }
+  stop.join();
+  CHECK(cluster.At("a").Wait(Duration(6'000)) == kRequestsCut);
+}
+
 // Guards against the same on our own interface.
 TEST_CASE("a node of our own interface cuts calls that outlast its stop and ends without a crash") {
   ::setenv("ASAN_OPTIONS", kSanitizerStatus, 0);
