Keep signal handlers installed during a stop; fix teardown after a failed start

Symptom: a second SIGTERM or a SIGHUP during a planned stop cut requests.

Cause: the handlers were removed when the stop began, so the default action ended the process. The node of our own interface had the same fault for SIGTERM. Separately, when a listener could not bind, the destructor destroyed the front before the link's thread and the suspended coroutines that refer to it; this was found by code review.

Fix: the handlers stay installed for the lifetime of the daemon, and the destructor ends the link and the coroutines first. A SIGHUP during a stop changes nothing; a SIGTERM during the start takes effect once the start is over.

Our own interface's change and the teardown have no case.

--- a/src/rudderloom/app/daemon.cpp
+++ b/src/rudderloom/app/daemon.cpp
@@ -144,11 +144,9 @@
         asio::detached);
   }
 
-  static void WaitForSignal() {
-    asio::io_context context;
-    asio::signal_set signals(context, SIGTERM, SIGINT);
-    signals.async_wait([](boost::system::error_code, int) {});
-    context.run();
+  void WaitForSignal() {
+    stop_signals_.async_wait([](boost::system::error_code, int) {});
+    signal_context_.run();
   }
 
   // Tells the balancer and the peers, gives the leases back, and lets requests in flight end.
@@ -187,6 +185,9 @@
 
   const Settings settings_;
   const std::string incarnation_;
+  // Registered for the lifetime of the daemon, so that a second signal doesn't end it mid-stop.
+  asio::io_context signal_context_;
+  asio::signal_set stop_signals_{signal_context_, SIGTERM, SIGINT};
   Metrics metrics_;
   Contact contact_;
   EndingContext control_context_{1};
--- a/src/rudderloom/app/fleet_daemon.cpp
+++ b/src/rudderloom/app/fleet_daemon.cpp
@@ -69,6 +69,17 @@
                metrics_,
                [this](fleet_message::Any any) { actor_->Post(std::move(any)); }) {}
 
+  FleetDaemon(const FleetDaemon&) = delete;
+  FleetDaemon& operator=(const FleetDaemon&) = delete;
+
+  // After a failed start too, the link's thread and suspended coroutines must end before the
+  // members that they refer to.
+  ~FleetDaemon() {
+    link_.Stop();
+    control_context_.EndCoroutines();
+    traffic_context_.EndCoroutines();
+  }
+
   int Run() {
     actor_ = std::make_unique<FleetActor>(
         settings_, NewIncarnation(), [this](FleetEffects effects) { Execute(std::move(effects)); });
@@ -220,19 +231,16 @@
   }
 
   void ServeUntilStopped() {
-    asio::io_context context;
-    asio::signal_set stops(context, SIGTERM, SIGINT);
-    asio::signal_set reloads(context, SIGHUP);
-    stops.async_wait([&](boost::system::error_code, int) { context.stop(); });
-    AwaitReload(reloads);
-    context.run();
+    stop_signals_.async_wait([this](boost::system::error_code, int) { signal_context_.stop(); });
+    AwaitReload();
+    signal_context_.run();
   }
 
-  void AwaitReload(asio::signal_set& reloads) {
-    reloads.async_wait([this, &reloads](boost::system::error_code error, int) {
+  void AwaitReload() {
+    reload_signals_.async_wait([this](boost::system::error_code error, int) {
       if (!error) {
         Reload();
-        AwaitReload(reloads);
+        AwaitReload();
       }
     });
   }
@@ -303,6 +311,11 @@
   const FleetSettings settings_;
   const std::string settings_file_;
   Metrics metrics_;
+  // Registered for the lifetime of the daemon, so that a signal during the start or the stop
+  // doesn't end the process.
+  asio::io_context signal_context_;
+  asio::signal_set stop_signals_{signal_context_, SIGTERM, SIGINT};
+  asio::signal_set reload_signals_{signal_context_, SIGHUP};
   std::unique_ptr<Dialect> dialect_;
   EndingContext control_context_{1};
   EndingContext traffic_context_{1};
--- a/tests/process/stop_test.cpp
+++ b/tests/process/stop_test.cpp
@@ -66,6 +66,28 @@
   return calls;
 }
 
+// Guards against a signal that ends the process during a planned stop.
+TEST_CASE("further signals during a planned stop cut no requests") {
+  FleetCluster cluster;
+  cluster.Configure(1);
+  cluster.StartPlain("d1");
+  cluster.StartEngine("e1", "m,n");
+  cluster.StartFleetNode("a");
+  REQUIRE(cluster.Until([&] { return cluster.Ready("a") == 200; }));
+  REQUIRE(cluster.Until([&] {
+    return cluster.Send({"a", "/stream/x", "warm", "m"}).status == 200;
+  }));
+  cluster.At("a").Signal(SIGTERM);
+  REQUIRE(cluster.Until([&] { return cluster.Ready("a") == 503; }));
+  cluster.At("a").Signal(SIGHUP);
+  cluster.At("a").Signal(SIGTERM);
+  for (int i = 0; i < 5; ++i) {
+    const std::string id = "s" + std::to_string(i);
+    CHECK(cluster.Send({"a", "/stream/x", id, "m"}).body == WholeStream(id, "m"));
+  }
+  CHECK(cluster.At("a").Wait(Duration(6'000)) == 0);
+}
+
 // Guards against connections closed without an answer at the end of a planned stop.
 TEST_CASE("requests that arrive during a planned stop are answered before its end") {
   FleetCluster cluster;
