--- a/tools/fleet_soak.py
+++ b/tools/fleet_soak.py
@@ -343,11 +343,11 @@
             try:
                 status = process.child.wait(timeout=left)
             except subprocess.TimeoutExpired:
-                self.problems.append(f"{process.name} did not stop")
+                self.problems.append(f"{process.name} ({process.command[0]}) did not stop")
                 process.kill()
                 continue
             if status != 0:
-                self.problems.append(f"{process.name} stopped with status {status}")
+                self.problems.append(f"{process.name} ({process.command[0]}) stopped with status {status}")
 
 
 class Crasher(threading.Thread):
@@ -560,7 +560,8 @@
         for i in range(NODES):
             status = fleet.processes[f"n{i}"].child.poll()
             if status is not None:
-                problems.append(f"n{i} ended by itself with status {status}")
+                program = fleet.processes[f"n{i}"].command[0]
+                problems.append(f"n{i} ({program}) ended by itself with status {status}")
         broken, results = judge(fleet, chaos, clients)
         # An earlier build keeps to no limits.
         problems += [] if other else check_limits(chaos, results)
