--- a/src/rudderloom/placement/placement_keeper.cpp
+++ b/src/rudderloom/placement/placement_keeper.cpp
@@ -36,6 +36,31 @@
   return lacked;
 }
 
+// Adds the expected ends of adapter loads on models that the engine holds.
+void AddAdapters(const EngineState& engine,
+                 const std::string& service,
+                 const LackedUnits& lacked,
+                 LoadForecast& forecast,
+                 TimePoint now) {
+  const bool accepts_order = engine.Certain() && !engine.awaits_announcement;
+  if (accepts_order && engine.pending_adapters.empty()) {
+    return;
+  }
+  for (const ResidentModel& model : engine.models) {
+    const auto found = lacked.find(model.name);
+    if (found == lacked.end()) {
+      continue;
+    }
+    for (const std::string& adapter : found->second) {
+      const bool pending = engine.pending_adapters.contains(model.name + "/" + adapter);
+      if (pending || !accepts_order) {
+        const TimePoint from = pending ? now : engine.NextOrderAt(now);
+        AddExpected(forecast, {service, model.name, adapter}, from + kAdapterLoadTime);
+      }
+    }
+  }
+}
+
 }  // namespace
 
 PlacementKeeper::PlacementKeeper(Duration load_window, double load_overshoot, Duration lease_bound)
@@ -265,21 +290,7 @@
         }
       }
     }
-    const bool accepts_order = engine.Certain() && !engine.awaits_announcement;
-    if (accepts_order && engine.pending_adapters.empty()) {
-      continue;
-    }
-    for (const ResidentModel& model : engine.models) {
-      if (const auto found = lacked.find(model.name); found != lacked.end()) {
-        for (const std::string& adapter : found->second) {
-          const bool pending = engine.pending_adapters.contains(model.name + "/" + adapter);
-          if (pending || !accepts_order) {
-            const TimePoint from = pending ? now : engine.NextOrderAt(now);
-            AddExpected(forecast, {service, model.name, adapter}, from + kAdapterLoadTime);
-          }
-        }
-      }
-    }
+    AddAdapters(engine, service, lacked, forecast, now);
   }
   for (auto& [unit, load] : forecast) {
     if (unit.service == service) {
