Report an accepted change as accepted when its daemon stops

Cause: WaitUntilInForce reported a failed status call like a change that could not be asked for. A script that trusts the status applies the change again.

Change: the command ends with status 6 (accepted, not in force everywhere yet) and names the daemon as behind.

--- a/src/rudderloom/app/commands.cpp
+++ b/src/rudderloom/app/commands.cpp
@@ -63,15 +63,17 @@
 }
 
 // Waits until the generation is in force on every live entry node, or the wait time is up;
-// prints the nodes that are behind.
+// prints the nodes that are behind. The change is accepted already, so a daemon that stops
+// answering is reported as behind.
 ExitStatus WaitUntilInForce(OperatorClient& client,
                             std::uint64_t generation,
                             const CommandOptions& options) {
   const TimePoint deadline = Now() + options.wait_time;
   while (true) {
     auto status = client.Status();
-    if (auto* failure = std::get_if<CallFailure>(&status)) {
-      return ReportUnreachable(*failure, options);
+    if (std::holds_alternative<CallFailure>(status)) {
+      PrintInForce(generation, {options.daemon}, 1, options.json);
+      return ExitStatus::kBehind;
     }
     const StatusSummary& summary = std::get<StatusSummary>(status);
     std::vector<std::string> behind;
