--- a/include/rudderloom/admission/admission_queue.hpp
+++ b/include/rudderloom/admission/admission_queue.hpp
@@ -37,6 +37,7 @@
     kQueueFull,
     kDeadlineUnreachable,  ///< The expected wait exceeds the deadline.
     kDeadlinePassed,       ///< The deadline passed, before or while the request waited.
+    kStopping,             ///< The node stops before the request can start.
   };
   Reason reason = Reason::kQueueFull;
   Duration retry_delay{1'000};  ///< Delay after which the client should retry.
@@ -64,6 +65,14 @@
   /// @brief Removes and returns all requests whose deadline has passed.
   std::vector<QueuedRequest> Expire(TimePoint now);
 
+  /// @brief Lets no waiting request wait beyond `latest`. Removes and returns those that are not
+  /// expected to be served by then.
+  /// @param slots_for Number of requests for a target that this node may run at once.
+  std::vector<QueuedRequest> LimitDeadlines(
+      TimePoint latest,
+      const std::function<std::uint32_t(const QueuedRequest&)>& slots_for,
+      TimePoint now);
+
   /// @brief Records how long a request for the target occupied its slot.
   void RecordServiceTime(const std::string& target, Duration service_time);
 
@@ -84,6 +93,8 @@
   using CallerQueues = std::map<std::string, CallerQueue>;
 
   Duration ServiceTimeOf(const std::string& target) const;
+  // Expected time until a request with `ahead` others before it has been served.
+  Duration WaitBehind(const std::string& target, std::size_t ahead, std::uint32_t slots) const;
 
   std::size_t capacity_;
   std::size_t size_ = 0;
--- a/include/rudderloom/callers/call_context.hpp
+++ b/include/rudderloom/callers/call_context.hpp
@@ -11,7 +11,7 @@
 #include "rudderloom/callers/request_info.hpp"    // for RequestInfo
 #include "rudderloom/claims/claim_keeper.hpp"     // for ClaimKeeper
 #include "rudderloom/http/client.hpp"             // for HttpClient
-#include "rudderloom/http/pause.hpp"              // for PauseFor
+#include "rudderloom/http/call_guard.hpp"         // for CallGuard
 #include "rudderloom/quarantine/crash_watch.hpp"  // for CrashWatch
 #include "rudderloom/telemetry/metrics.hpp"       // for Metrics
 
@@ -48,6 +48,10 @@
 /// @ingroup callers
 Refusal ToRefusal(const GiveUp& given_up, AttemptFailure failure);
 
+/// @brief Returns the refusal of a call that the stop of the node interrupts.
+/// @ingroup callers
+Refusal StoppingRefusal(bool may_have_run);
+
 /// @brief Reports the endpoint as leaving if the response header says so. Returns whether it does.
 /// @ingroup callers
 bool ReportIfLeaving(CallContext& shared, const EndpointView& endpoint, const HttpStream& response);
@@ -61,13 +65,23 @@
 /// @ingroup callers
 Awaitable<std::variant<std::string, HttpFailure>> ReadFullBody(HttpStream& response);
 
+/// @brief Waits before a retry, at most until `guard` interrupts the request.
+/// @ingroup callers
+Awaitable<void> PauseBeforeRetry(CallGuard& guard, Duration pause);
+
 /// @brief Serves a `POST /v1/chat/completions` or `POST /v1/completions` request.
 /// @ingroup callers
-Awaitable<void> ServeCompletion(CallContext& shared, HttpExchange& exchange, RequestInfo info);
+Awaitable<void> ServeCompletion(CallContext& shared,
+                                HttpExchange& exchange,
+                                CallGuard& guard,
+                                RequestInfo info);
 
 /// @brief Serves a request to a plain service under `/services/`.
 /// @ingroup callers
-Awaitable<void> ServeService(CallContext& shared, HttpExchange& exchange, RequestInfo info);
+Awaitable<void> ServeService(CallContext& shared,
+                             HttpExchange& exchange,
+                             CallGuard& guard,
+                             RequestInfo info);
 
 }  // namespace rudderloom
 
--- a/include/rudderloom/callers/dispatcher.hpp
+++ b/include/rudderloom/callers/dispatcher.hpp
@@ -13,6 +13,7 @@
 #include "rudderloom/control/messages.hpp"           // for message::TrafficSampled
 #include "rudderloom/control/snapshot.hpp"           // for SnapshotPtr
 #include "rudderloom/http/asio.hpp"                  // for Awaitable
+#include "rudderloom/http/call_guard.hpp"            // for CallGuard
 #include "rudderloom/routing/router.hpp"             // for Router
 
 namespace rudderloom {
@@ -47,8 +48,14 @@
   void UpdateSnapshot(SnapshotPtr snapshot);
   const SnapshotPtr& Current() const { return snapshot_; }
 
-  /// @brief Waits for a free endpoint. Returns a refusal as soon as the request can't be served.
-  Awaitable<std::variant<Grant, AdmissionRefusal>> Acquire(DispatchRequest dispatch);
+  /// @brief Waits for a free endpoint. Returns a refusal as soon as the request can't be served, or
+  /// when `guard` interrupts the request.
+  Awaitable<std::variant<Grant, AdmissionRefusal>> Acquire(DispatchRequest dispatch,
+                                                           CallGuard& guard);
+
+  /// @brief Lets no request wait beyond `deadline`, and refuses at once those that are not expected
+  /// to be served by then.
+  void BeginStop(TimePoint deadline);
 
   /// @brief Returns an endpoint and records the result of the attempt.
   /// @param first_byte Time to the first byte of the response, for a served request.
@@ -66,6 +73,11 @@
     std::optional<std::variant<Grant, AdmissionRefusal>> result;
   };
 
+  QueuedRequest ToQueued(const DispatchRequest& dispatch);
+  std::uint32_t SlotsFor(const DispatchRequest& dispatch) const;
+  AdmissionRefusal BoundByStop(AdmissionRefusal refused, const DispatchRequest& dispatch) const;
+  void Refuse(Ticket ticket, AdmissionRefusal refused);
+
   const ServingSet* FindServingSet(const DispatchRequest& dispatch) const;
   std::optional<Grant> TryStart(const DispatchRequest& dispatch);
   void DispatchWaiting();
@@ -79,6 +91,7 @@
   std::map<std::string, std::uint32_t> running_;    // by target
   std::map<std::string, std::uint32_t> in_flight_;  // by endpoint
   Ticket next_ticket_ = 0;
+  TimePoint stop_deadline_ = TimePoint::max();
   bool loop_running_ = false;
 };
 
--- a/include/rudderloom/callers/frontend.hpp
+++ b/include/rudderloom/callers/frontend.hpp
@@ -38,14 +38,30 @@
   void UpdateSnapshot(SnapshotPtr snapshot);
 
   /// @brief Makes the readiness check fail, so that the load balancer stops sending requests.
-  /// Requests are still served.
-  void BeginStop();
+  /// Requests are still served, except those that can't start before `deadline`.
+  void BeginStop(TimePoint deadline);
 
-  /// @brief Accepts no new connections or requests; requests in flight are completed.
-  void StopAccepting() { server_->Stop(); }
+  /// @brief Accepts no new connections. Those that wait to be accepted are served.
+  void StopListening() { server_->StopListening(); }
 
-  /// @brief Number of requests in flight plus claim updates that are not stored yet.
-  std::size_t Unfinished() const { return server_->Active() + claims_.Pending(); }
+  /// @brief Refuses new calls; those in flight go on.
+  void RefuseCalls() { refusing_ = true; }
+
+  /// @brief Interrupts the calls in flight. Each is answered with what is known of its execution,
+  /// and the outcomes of claimed ones are recorded.
+  void InterruptCalls();
+
+  /// @brief Closes the connections without a request in flight; requests that have been received in
+  /// part are refused.
+  void Close();
+
+  /// @brief Number of requests in flight.
+  std::size_t Active() const { return server_->Active(); }
+
+  /// @brief Number of claim updates that are not stored yet.
+  std::size_t UnstoredClaims() const { return claims_.Pending(); }
+
+  std::size_t Connections() const { return server_->Connections(); }
 
  private:
   Awaitable<void> Handle(HttpExchange& exchange);
@@ -66,8 +82,10 @@
   ClaimKeeper claims_;
   CrashWatch crashes_;
   CallContext shared_;
+  CallGuards guards_;
   std::shared_ptr<HttpServer> server_;
   bool stopping_ = false;
+  bool refusing_ = false;
 };
 
 }  // namespace rudderloom
--- a/include/rudderloom/callers/refusal.hpp
+++ b/include/rudderloom/callers/refusal.hpp
@@ -26,6 +26,7 @@
   kUnknownModel,
   kUnknownService,
   kNotReady,
+  kStopping,
   kIsolated,
   kQueueFull,
   kDeadlineUnreachable,
--- a/include/rudderloom/claims/claim_keeper.hpp
+++ b/include/rudderloom/claims/claim_keeper.hpp
@@ -13,6 +13,7 @@
 #include <vector>    // for vector
 
 #include "rudderloom/claims/claim_book.hpp"   // for Claim
+#include "rudderloom/http/call_guard.hpp"     // for CallGuard
 #include "rudderloom/store/object_store.hpp"  // for ObjectStore
 #include "rudderloom/settings/settings.hpp"   // for ClaimSettings
 #include "rudderloom/telemetry/metrics.hpp"   // for Metrics
@@ -51,8 +52,12 @@
               ClaimSettings settings,
               Metrics& metrics);
 
-  /// @brief Claims a call; resumes once the claim is stored in the platform or has failed.
-  Awaitable<ClaimResult> Take(std::string key, std::string fingerprint, Duration limit);
+  /// @brief Claims a call; resumes once the claim is stored in the platform or has failed, or when
+  /// `guard`, if any, interrupts the call. A claim that is stored after that is released.
+  Awaitable<ClaimResult> Take(std::string key,
+                              std::string fingerprint,
+                              Duration limit,
+                              CallGuard* guard = nullptr);
 
   /// @brief Records the outcome of a claimed call, in the background with retries.
   void Finish(const std::string& key, const Claim& ended);
@@ -74,6 +79,8 @@
     std::shared_ptr<Timer> waiter;
     TimePoint deadline;
     std::shared_ptr<std::variant<std::monostate, ClaimResult>> result;
+
+    bool IsWaiting() const { return std::holds_alternative<std::monostate>(*result); }
   };
 
   struct Shard {
@@ -92,6 +99,8 @@
   Awaitable<bool> Read(Shard& shard);
   Awaitable<bool> Commit(Shard& shard);
   void ResolveTaken(Shard& shard);
+  void ResolveCommitted(const Shard& shard, Change& change);
+  static void ReleaseAbandoned(Shard& shard);
   static bool NeedsRefresh(const Shard& shard);
   static const Claim* PendingOutcome(const Shard& shard, const std::string& key);
   void ExpireOverdue(Shard& shard, const std::string& why);
--- a/include/rudderloom/forwarding/forwarder.hpp
+++ b/include/rudderloom/forwarding/forwarder.hpp
@@ -13,7 +13,7 @@
 #include "rudderloom/endpoint_limits/limit_watch.hpp"     // for LimitWatch
 #include "rudderloom/endpoint_limits/permit_book.hpp"     // for PermitRequest
 #include "rudderloom/forwarding/balancer.hpp"             // for Balancer
-#include "rudderloom/forwarding/call_guard.hpp"           // for CallGuards
+#include "rudderloom/http/call_guard.hpp"                 // for CallGuards
 #include "rudderloom/forwarding/endpoint_connection.hpp"  // for ConnectionPool
 #include "rudderloom/forwarding/missing_units.hpp"        // for MissingUnits
 #include "rudderloom/forwarding/retry_budget.hpp"         // for RetryBudget
--- a/include/rudderloom/forwarding/call_guard.hpp
+++ b/include/rudderloom/http/call_guard.hpp
@@ -1,36 +1,37 @@
 /// @file
-/// Interrupts a request when its client disconnects, its deadline passes or its endpoint is silent.
-#ifndef RUDDERLOOM_FORWARDING_CALL_GUARD_HPP
-#define RUDDERLOOM_FORWARDING_CALL_GUARD_HPP
+/// Interrupts a request when its client disconnects, its deadline passes, its endpoint is silent or
+/// the node stops.
+#ifndef RUDDERLOOM_HTTP_CALL_GUARD_HPP
+#define RUDDERLOOM_HTTP_CALL_GUARD_HPP
 
 #include <functional>  // for function
 #include <memory>      // for shared_ptr
 #include <optional>    // for optional
 #include <set>         // for set
 
-#include "rudderloom/base/clock.hpp"                      // for TimePoint
-#include "rudderloom/forwarding/endpoint_connection.hpp"  // for EndpointConnection
-#include "rudderloom/http/asio.hpp"                       // for asio
+#include "rudderloom/base/clock.hpp"  // for TimePoint
+#include "rudderloom/http/asio.hpp"   // for asio
 
 namespace rudderloom {
 
 /// @brief Why a request was interrupted.
-/// @ingroup forwarding
+/// @ingroup http
 enum class Interruption {
   kNone,
   kClientDisconnected,
   kDeadlineExceeded,  ///< The client's deadline, the route's timeout, or the end of a planned stop.
   kEndpointSilent,    ///< The endpoint sent nothing before the response deadline.
+  kStopping,          ///< The node exits shortly.
 };
 
 class CallGuard;
 
 /// @brief The guards of all requests in flight on a node.
-/// @ingroup forwarding
+/// @ingroup http
 using CallGuards = std::set<CallGuard*>;
 
 /// @brief Monitors one request and interrupts its pending operation. Not thread-safe.
-/// @ingroup forwarding
+/// @ingroup http
 class CallGuard {
  public:
   /// @param guards The set in which this guard is registered during its lifetime.
@@ -44,8 +45,9 @@
   CallGuard& operator=(const CallGuard&) = delete;
   ~CallGuard();
 
-  /// @brief Sets the connection to close on an interruption; null for none.
-  void SetConnection(EndpointConnection* connection);
+  /// @brief Sets the function that cancels the pending operation on an interruption; empty for
+  /// none. If the request is already interrupted, it is called immediately.
+  void SetCancel(std::function<void()> cancel);
 
   /// @brief Sets the time by which the endpoint must send something; empty for no limit.
   void SetResponseDeadline(std::optional<TimePoint> deadline);
@@ -56,7 +58,11 @@
   /// @brief Interrupts the request as if its deadline had passed.
   void ExpireDeadline();
 
+  /// @brief Interrupts the request because the node exits shortly.
+  void Stop();
+
   Interruption Cause() const { return state_->cause; }
+  bool Interrupted() const { return state_->cause != Interruption::kNone; }
 
   /// @brief Clears an interruption for silence, before the next endpoint is tried.
   void ClearSilence();
@@ -74,7 +80,7 @@
     std::function<bool()> may_abandon_endpoint;
     std::optional<TimePoint> response_deadline;
     TimePoint timer_expiry;
-    EndpointConnection* connection = nullptr;
+    std::function<void()> cancel;
     Interruption cause = Interruption::kNone;
     bool alive = true;
   };
--- a/include/rudderloom/http/client.hpp
+++ b/include/rudderloom/http/client.hpp
@@ -10,8 +10,9 @@
 #include <variant>  // for variant
 #include <vector>   // for vector
 
-#include "rudderloom/base/clock.hpp"  // for Duration
-#include "rudderloom/http/asio.hpp"   // for Awaitable
+#include "rudderloom/base/clock.hpp"       // for Duration
+#include "rudderloom/http/asio.hpp"        // for Awaitable
+#include "rudderloom/http/call_guard.hpp"  // for CallGuard
 
 namespace rudderloom {
 
@@ -44,7 +45,12 @@
  public:
   struct End {};
 
-  HttpStream(tcp::socket socket, CallTimeouts times);
+  /// @param guard Closes the connection when it interrupts the request; null for none. It must
+  /// outlive the stream.
+  HttpStream(tcp::socket socket, CallTimeouts times, CallGuard* guard);
+  HttpStream(const HttpStream&) = delete;
+  HttpStream& operator=(const HttpStream&) = delete;
+  ~HttpStream();
 
   /// @brief Sends the request and reads the response header.
   Awaitable<std::variant<End, HttpFailure>> Start(const HttpRequest& request);
@@ -68,6 +74,7 @@
 
   tcp::socket socket_;
   CallTimeouts timeouts_;
+  CallGuard* guard_;
   beast::flat_buffer buffer_;
   http::response_parser<http::buffer_body> parser_;
 };
@@ -89,10 +96,14 @@
   explicit HttpClient(asio::io_context& context) : context_(context) {}
 
   /// @brief Sends a request and returns the response once its header has been read.
-  Awaitable<std::variant<std::unique_ptr<HttpStream>, HttpFailure>> Open(std::string address,
-                                                                         HttpRequest request,
-                                                                         CallTimeouts times,
-                                                                         ConnectionReuse reuse);
+  /// @param guard Interrupts the call and the reading of its response; null for none. It must
+  /// outlive the returned stream.
+  Awaitable<std::variant<std::unique_ptr<HttpStream>, HttpFailure>> Open(
+      std::string address,
+      HttpRequest request,
+      CallTimeouts times,
+      ConnectionReuse reuse,
+      CallGuard* guard = nullptr);
 
   /// @brief Sends a request and reads the complete response.
   Awaitable<std::variant<HttpResponse, HttpFailure>> Call(std::string address,
@@ -110,6 +121,10 @@
   };
 
   std::optional<tcp::socket> TakeIdle(const std::string& address);
+  Awaitable<std::optional<HttpFailure>> Connect(tcp::socket& socket,
+                                                std::string address,
+                                                Duration limit,
+                                                CallGuard* guard);
   // Closes the pooled connections that were last used at or before `cutoff`.
   void CloseIdleUnusedSince(const std::string& address, TimePoint cutoff);
 
--- a/include/rudderloom/http/server.hpp
+++ b/include/rudderloom/http/server.hpp
@@ -10,8 +10,9 @@
 #include <string>       // for string
 #include <string_view>  // for string_view
 
-#include "rudderloom/base/clock.hpp"  // for Duration
-#include "rudderloom/http/asio.hpp"   // for Awaitable, HttpRequest
+#include "rudderloom/base/clock.hpp"     // for Duration
+#include "rudderloom/http/asio.hpp"      // for Awaitable, HttpRequest
+#include "rudderloom/http/watchdog.hpp"  // for Watchdog
 
 namespace rudderloom {
 
@@ -34,6 +35,7 @@
   kMalformed,
   kTooSlow,
   kTooManyConnections,
+  kStopping,  ///< The server stopped before the request was complete.
 };
 
 /// @brief A complete response.
@@ -49,7 +51,12 @@
 /// @ingroup http
 class HttpExchange {
  public:
-  HttpExchange(tcp::socket& socket, HttpRequest request, const HttpLimits& limits);
+  /// @param closing Whether the server closes connections after their response; read when the
+  /// response is sent.
+  HttpExchange(tcp::socket& socket,
+               HttpRequest request,
+               const HttpLimits& limits,
+               const bool& closing);
   HttpExchange(const HttpExchange&) = delete;
   HttpExchange& operator=(const HttpExchange&) = delete;
   ~HttpExchange();
@@ -80,7 +87,7 @@
   void StopWatching();
 
   bool Started() const { return started_; }
-  bool KeepAlive() const;
+  bool KeepAlive() const { return keep_alive_ && ended_ && !aborted_; }
   bool TooSlow() const { return too_slow_; }
 
   /// @brief Closes the connection after this response, which carries `Connection: close`.
@@ -91,9 +98,13 @@
     std::function<void()> on_close;
   };
 
+  bool DecideKeepAlive();
+
   tcp::socket& socket_;
   HttpRequest request_;
   const HttpLimits& limits_;
+  const bool& closing_;
+  bool keep_alive_ = false;  // as announced in the response
   bool started_ = false;
   bool ended_ = false;
   bool aborted_ = false;
@@ -122,20 +133,35 @@
   /// @throws boost::system::system_error when the address cannot be bound.
   std::uint16_t Listen(const std::string& ip, std::uint16_t port);
 
-  /// @brief Closes each connection after the response to its next request.
+  /// @brief Closes each connection after its next response.
   void CloseAfterAnswers() { close_after_response_ = true; }
 
   /// @brief Sets the limits, effective from the next request on.
   void SetLimits(const HttpLimits& limits) { limits_ = limits; }
 
-  /// @brief Stops accepting and closes idle connections; the others finish their response.
+  /// @brief Accepts no new connections, except those that already wait to be accepted.
+  void StopListening();
+
+  /// @brief Stops listening and closes idle connections. Requests that are already on their way are
+  /// still served.
   void Stop();
 
+  /// @brief Refuses the requests that have been received in part only.
+  void RefusePartialRequests();
+
   /// @brief Number of requests in progress.
   std::uint64_t Active() const { return active_requests_; }
 
+  /// @brief Number of requests that have been received in part.
+  std::size_t Receiving() const { return reading_.size(); }
+
+  /// @brief Number of open connections.
+  std::uint64_t Connections() const { return connections_; }
+
  private:
   Awaitable<void> AcceptLoop();
+  void ServeInBackground(tcp::socket socket);
+  void AcceptWaitingConnections();
   Awaitable<void> Serve(tcp::socket socket);
   Awaitable<bool> AwaitRequest(tcp::socket& socket, beast::flat_buffer& buffer);
   Awaitable<bool> ServeOne(tcp::socket& socket, beast::flat_buffer& buffer);
@@ -148,8 +174,10 @@
   std::uint64_t active_requests_ = 0;
   std::uint64_t connections_ = 0;
   std::set<tcp::socket*> idle_sockets_;  // waiting for a request; Stop() cancels their reads
+  std::set<Watchdog*> reading_;          // timeouts of the requests received in part
   bool close_after_response_ = false;
   bool stopping_ = false;
+  bool refuse_partial_requests_ = false;
 };
 
 }  // namespace rudderloom
--- a/include/rudderloom/http/watchdog.hpp
+++ b/include/rudderloom/http/watchdog.hpp
@@ -21,6 +21,9 @@
   Watchdog& operator=(const Watchdog&) = delete;
   ~Watchdog();
 
+  /// @brief Lets the timeout expire now.
+  void Expire() { Arm(state_, Duration(0)); }
+
   /// @brief True once the timeout has expired.
   bool Expired() const { return state_->expired; }
 
--- a/src/rudderloom/admission/admission_queue.cpp
+++ b/src/rudderloom/admission/admission_queue.cpp
@@ -26,6 +26,12 @@
       ahead += other <= priority ? count : 0;
     }
   }
+  return WaitBehind(target, ahead, slots);
+}
+
+Duration AdmissionQueue::WaitBehind(const std::string& target,
+                                    std::size_t ahead,
+                                    std::uint32_t slots) const {
   const auto places = static_cast<Duration::rep>(std::max(1U, slots));
   return ServiceTimeOf(target) * static_cast<Duration::rep>(ahead + 1) / places;
 }
@@ -129,6 +135,40 @@
   return expired;
 }
 
+std::vector<QueuedRequest> AdmissionQueue::LimitDeadlines(
+    TimePoint latest,
+    const std::function<std::uint32_t(const QueuedRequest&)>& slots_for,
+    TimePoint now) {
+  std::vector<QueuedRequest> removed;
+  std::map<std::string, std::size_t> ahead;  // by target
+  for (auto& [priority, caller_queues] : priorities_) {
+    std::vector<QueuedRequest*> in_order;  // callers take turns
+    for (std::size_t turn = 0, left = 1; left > 0; ++turn) {
+      left = 0;
+      for (auto& [caller, caller_queue] : caller_queues) {
+        if (turn < caller_queue.waiting.size()) {
+          in_order.push_back(&caller_queue.waiting[turn]);
+          ++left;
+        }
+      }
+    }
+    for (QueuedRequest* waiting : in_order) {
+      const std::uint32_t slots = slots_for(*waiting);
+      const Duration wait = WaitBehind(waiting->target, ahead[waiting->target], slots);
+      waiting->deadline = std::min(waiting->deadline, latest);
+      if (slots > 0 && now + wait > latest) {
+        removed.push_back(*waiting);
+      } else {
+        ++ahead[waiting->target];
+      }
+    }
+  }
+  for (const QueuedRequest& waiting : removed) {
+    Remove(waiting.ticket);
+  }
+  return removed;
+}
+
 void AdmissionQueue::RecordServiceTime(const std::string& target, Duration service_time) {
   const auto sample = static_cast<double>(service_time.count());
   const auto [found, is_new] = service_times_ms_.try_emplace(target, sample);
--- a/src/rudderloom/admission/admission_queue_test.cpp
+++ b/src/rudderloom/admission/admission_queue_test.cpp
@@ -121,4 +121,30 @@
   CHECK(in_time >= 1'900);  // of 2,000 that the slots can serve
 }
 
+// Guards against requests that wait for a slot that a stopping node can't give them in time.
+TEST_CASE("with a common deadline, requests that can't be served by then leave the queue at once") {
+  AdmissionQueue queue(10);
+  queue.RecordServiceTime("m", Duration(1'000));
+  queue.Enqueue(MakeApplicant(1, 5, "a"), 1, kStart);
+  queue.Enqueue(MakeApplicant(2, 5, "a"), 1, kStart);
+  queue.Enqueue(MakeApplicant(3, 0, "a"), 1, kStart);
+  queue.Enqueue(MakeApplicant(4, 5, "b"), 1, kStart);
+  const auto one_slot = [](const QueuedRequest&) { return 1U; };
+  const auto removed = queue.LimitDeadlines(kStart + Duration(3'000), one_slot, kStart);
+  REQUIRE(removed.size() == 1);
+  CHECK(removed[0].ticket == 2);
+  CHECK(queue.Size() == 3);
+  CHECK(queue.Expire(kStart + Duration(2'999)).empty());
+  CHECK(queue.Expire(kStart + Duration(3'000)).size() == 3);
+}
+
+TEST_CASE("a common deadline does not remove requests whose wait can't be estimated") {
+  AdmissionQueue queue(10);
+  queue.RecordServiceTime("m", Duration(1'000));
+  queue.Enqueue(MakeApplicant(1, 5, "a"), 0, kStart);
+  const auto no_slots = [](const QueuedRequest&) { return 0U; };
+  CHECK(queue.LimitDeadlines(kStart + Duration(100), no_slots, kStart).empty());
+  CHECK(queue.Expire(kStart + Duration(100)).size() == 1);
+}
+
 }  // namespace rudderloom
--- a/src/rudderloom/app/commands.cpp
+++ b/src/rudderloom/app/commands.cpp
@@ -9,6 +9,7 @@
 
 #include "app/operator_client.hpp"              // for OperatorClient
 #include "app/output.hpp"                       // for Print
+#include "app/wait.hpp"                         // for BlockFor
 #include "rudderloom/fleet/fleet_settings.hpp"  // for ParseFleetSettings
 #include "rudderloom/settings/settings.hpp"     // for ParseSettings
 
--- a/src/rudderloom/app/daemon.cpp
+++ b/src/rudderloom/app/daemon.cpp
@@ -1,12 +1,14 @@
 #include "rudderloom/app/daemon.hpp"
 
-#include <atomic>    // for atomic
-#include <csignal>   // for SIGTERM
-#include <iostream>  // for cout
-#include <future>    // for promise
-#include <random>    // for random_device
-#include <thread>    // for thread
-
+#include <algorithm>  // for min
+#include <atomic>     // for atomic
+#include <csignal>    // for SIGTERM
+#include <future>     // for promise
+#include <iostream>   // for cout
+#include <random>     // for random_device
+#include <thread>     // for thread
+
+#include "app/wait.hpp"                             // for BlockFor
 #include "rudderloom/base/log_line.hpp"             // for LogLine
 #include "rudderloom/callers/frontend.hpp"          // for Frontend
 #include "rudderloom/control/control_actor.hpp"     // for ControlActor
@@ -18,7 +20,12 @@
 
 namespace {
 
-constexpr Duration kStopPollInterval{20};
+// Time at the end of a stop to answer interrupted calls and to store the outcomes of claimed ones:
+// at most a quarter of the stop time.
+constexpr Duration kMaxFinalTime{1'000};
+constexpr int kFinalTimeDivisor = 4;
+// Time after the notice to read the calls that arrived within it.
+constexpr Duration kLastCallsTime{50};
 
 std::string NewIncarnation(const std::string& name) {
   std::random_device device;
@@ -135,11 +142,13 @@
   }
 
   void Change(ChangeRequest request, std::function<void(ChangeResult)> done) {
+    ++changes_in_progress_;
     asio::co_spawn(
         control_context_,
         [this, request = std::move(request), done = std::move(done)]() mutable -> Awaitable<void> {
           ChangeResult result = co_await changer_.Make(std::move(request));
           done(std::move(result));
+          --changes_in_progress_;
         },
         asio::detached);
   }
@@ -149,39 +158,57 @@
     signal_context_.run();
   }
 
+  struct Unfinished {
+    std::size_t calls = 0;
+    std::size_t claims = 0;  // outcomes that are not stored yet
+    std::size_t connections = 0;
+  };
+
+  Unfinished CountUnfinished() {
+    std::promise<Unfinished> counted;
+    asio::post(traffic_context_, [&] {
+      counted.set_value({front_.Active(), front_.UnstoredClaims(), front_.Connections()});
+    });
+    return counted.get_future().get();
+  }
+
   // Announces the stop to the load balancer and the peers, releases the leases and drains requests
-  // in flight. Returns false if some were still unfinished at the deadline.
+  // in flight. Interrupts those that are still unfinished shortly before the deadline, and returns
+  // false if there were any, or if an outcome could not be stored.
   bool Stop() {
     LogLine("stopping").With("node", settings_.name);
+    const Duration final_time = std::min(kMaxFinalTime, settings_.stop_time / kFinalTimeDivisor);
     const TimePoint deadline = Now() + settings_.stop_notice + settings_.stop_time;
-    asio::post(traffic_context_, [this] { front_.BeginStop(); });
+    const TimePoint interrupt_at = deadline - final_time;
+    asio::post(traffic_context_, [this, interrupt_at] { front_.BeginStop(interrupt_at); });
     actor_->Post(message::StopRequested{});
-    Wait(settings_.stop_notice);
-    asio::post(traffic_context_, [this] { front_.StopAccepting(); });
-    while (Now() < deadline) {
-      std::promise<std::size_t> unfinished;
-      asio::post(traffic_context_, [&] { unfinished.set_value(front_.Unfinished()); });
-      const bool done = unfinished.get_future().get() == 0;
-      if (done && released_.load()) {
-        break;
-      }
-      Wait(kStopPollInterval);
-    }
-    std::promise<std::size_t> remaining;
-    asio::post(traffic_context_, [&] { remaining.set_value(front_.Unfinished()); });
-    const std::size_t unfinished_requests = remaining.get_future().get();
-    std::promise<void> unregistered;
-    asio::co_spawn(control_context_, shell_.Unregister(),
-                   [&](const std::exception_ptr&) { unregistered.set_value(); });
-    unregistered.get_future().wait();
-    return unfinished_requests == 0;
+    BlockFor(settings_.stop_notice);
+    asio::post(traffic_context_, [this] { front_.StopListening(); });
+    BlockFor(kLastCallsTime);
+    asio::post(traffic_context_, [this] { front_.RefuseCalls(); });
+    BlockUntil(interrupt_at, [this] {
+      const Unfinished unfinished = CountUnfinished();
+      return unfinished.calls + unfinished.claims + changes_in_progress_ == 0 && released_.load();
+    });
+    const std::size_t interrupted = CountUnfinished().calls;
+    LogLine("ending_stop").With("node", settings_.name).With("interrupted_calls", interrupted);
+    asio::post(traffic_context_, [this] {
+      front_.InterruptCalls();
+      front_.Close();
+    });
+    Unregister();
+    Unfinished unfinished;
+    BlockUntil(deadline, [&] {
+      unfinished = CountUnfinished();
+      return unfinished.calls + unfinished.claims + unfinished.connections == 0 &&
+             unregistered_.load();
+    });
+    return interrupted + unfinished.claims == 0;
   }
 
-  static void Wait(Duration pause) {
-    asio::io_context context;
-    Timer timer(context, pause);
-    timer.async_wait([](boost::system::error_code) {});
-    context.run();
+  void Unregister() {
+    asio::co_spawn(control_context_, shell_.Unregister(),
+                   [this](const std::exception_ptr&) { unregistered_.store(true); });
   }
 
   const Settings settings_;
@@ -197,6 +224,8 @@
   asio::executor_work_guard<asio::io_context::executor_type> control_work_;
   asio::executor_work_guard<asio::io_context::executor_type> traffic_work_;
   std::atomic<bool> released_{false};
+  std::atomic<bool> unregistered_{false};
+  std::atomic<std::size_t> changes_in_progress_{0};
   std::unique_ptr<ControlActor> actor_;
   NodeServer node_server_;
   std::unique_ptr<ObjectStore> control_store_;
--- a/src/rudderloom/app/output.cpp
+++ b/src/rudderloom/app/output.cpp
@@ -1,10 +1,8 @@
 #include "app/output.hpp"
 
-#include <boost/asio/io_context.hpp>    // for io_context
-#include <boost/asio/steady_timer.hpp>  // for steady_timer
-#include <ctime>                        // for gmtime_r
-#include <iomanip>                      // for setw
-#include <iostream>                     // for cout
+#include <ctime>     // for gmtime_r
+#include <iomanip>   // for setw
+#include <iostream>  // for cout
 
 namespace rudderloom {
 
@@ -220,10 +218,4 @@
   }
 }
 
-void BlockFor(Duration pause) {
-  boost::asio::io_context context;
-  boost::asio::steady_timer timer(context, pause);
-  timer.wait();
-}
-
 }  // namespace rudderloom
--- a/src/rudderloom/app/output.hpp
+++ b/src/rudderloom/app/output.hpp
@@ -24,7 +24,6 @@
 bool PrintDiff(const DeclarationSet& in_force, const DeclarationSet& files, bool json);
 void PrintEvents(const Catalog& catalog, bool json);
 void PrintStatusSummary(const StatusSummary& summary, bool json);
-void BlockFor(Duration pause);
 
 }  // namespace rudderloom
 
--- a/src/rudderloom/callers/call_context.cpp
+++ b/src/rudderloom/callers/call_context.cpp
@@ -35,6 +35,9 @@
     case AdmissionRefusal::Reason::kDeadlinePassed:
       refusal.reason = has_endpoints ? RefusalReason::kDeadlinePassed : RefusalReason::kNotResident;
       break;
+    case AdmissionRefusal::Reason::kStopping:
+      refusal.reason = RefusalReason::kStopping;
+      break;
   }
   return refusal;
 }
@@ -61,6 +64,20 @@
   return refusal;
 }
 
+Refusal StoppingRefusal(bool may_have_run) {
+  Refusal refusal;
+  refusal.reason = RefusalReason::kStopping;
+  refusal.execution = may_have_run ? ExecutionStatus::kUnknown : ExecutionStatus::kNotExecuted;
+  return refusal;
+}
+
+Awaitable<void> PauseBeforeRetry(CallGuard& guard, Duration pause) {
+  if (!guard.Interrupted()) {
+    guard.WaitTimer().expires_after(pause);
+    co_await guard.WaitTimer().async_wait(kAsTuple);
+  }
+}
+
 AttemptFailure ClassifyFailure(const HttpFailure& failure, AttemptFailure on_disconnect) {
   if (!failure.may_have_been_sent) {
     return AttemptFailure::kConnect;
--- a/src/rudderloom/callers/completion_call.cpp
+++ b/src/rudderloom/callers/completion_call.cpp
@@ -33,9 +33,10 @@
 // Serves one completion request, with retries.
 class CompletionCall {
  public:
-  CompletionCall(CallContext& shared, HttpExchange& exchange, RequestInfo info)
+  CompletionCall(CallContext& shared, HttpExchange& exchange, CallGuard& guard, RequestInfo info)
       : shared_(shared),
         exchange_(exchange),
+        guard_(guard),
         info_(std::move(info)),
         crash_guard_(shared, exchange, info_) {}
 
@@ -65,7 +66,7 @@
         attempt_dispatch.deadline = Now() + shared_.settings.deadlines.resume;
         state.deadline = attempt_dispatch.deadline;
       }
-      auto acquired = co_await shared_.dispatcher.Acquire(std::move(attempt_dispatch));
+      auto acquired = co_await shared_.dispatcher.Acquire(std::move(attempt_dispatch), guard_);
       if (auto* refused = std::get_if<AdmissionRefusal>(&acquired)) {
         Refusal refusal = ToRefusal(*refused, HasEndpoints());
         refusal.execution =
@@ -85,6 +86,10 @@
       unit_ = grant.unit;
       const AttemptEnd end = co_await Attempt(grant);
       shared_.dispatcher.Release(grant, ToRouteResult(end), end.first_byte);
+      if (end.failure && guard_.Interrupted()) {
+        co_await Fail(StoppingRefusal(state.may_have_run || !ProvesNotRun(*end.failure)));
+        co_return;
+      }
       if (end.failure || !end.caller_disconnected) {
         crash_guard_.AttemptEnded(grant.endpoint, end.failure, grant.started);
       }
@@ -104,7 +109,7 @@
       if (dispatch.route.excluded.size() >= CountServingEndpoints()) {
         dispatch.route.excluded.clear();  // all endpoints were tried: allow each again
       }
-      co_await PauseFor(shared_.context, std::get<RetryAfter>(decision).pause);
+      co_await PauseBeforeRetry(guard_, std::get<RetryAfter>(decision).pause);
     }
   }
 
@@ -178,7 +183,7 @@
     HttpRequest request = MakeAttempt(grant);
     const TimePoint sent = Now();
     auto opened = co_await shared_.client.Open(grant.endpoint.address, std::move(request),
-                                               MakeTimeouts(), ConnectionReuse::kAllowed);
+                                               MakeTimeouts(), ConnectionReuse::kAllowed, &guard_);
     if (auto* failure = std::get_if<HttpFailure>(&opened)) {
       end.failure = ClassifyFailure(*failure, AttemptFailure::kBrokenBeforeAnswer);
       co_return end;
@@ -281,7 +286,7 @@
         co_return;
       }
     }
-    if (!relay_.Resumable()) {
+    if (!relay_.Resumable() && !guard_.Interrupted()) {
       // Without event ids, a resumed stream could repeat or skip events.
       Refusal refusal;
       refusal.reason = RefusalReason::kEndpointFailed;
@@ -370,6 +375,7 @@
 
   CallContext& shared_;
   HttpExchange& exchange_;
+  CallGuard& guard_;
   RequestInfo info_;
   CrashGuard crash_guard_;
   json::object body_;
@@ -383,8 +389,11 @@
 
 }  // namespace
 
-Awaitable<void> ServeCompletion(CallContext& shared, HttpExchange& exchange, RequestInfo info) {
-  CompletionCall call(shared, exchange, std::move(info));
+Awaitable<void> ServeCompletion(CallContext& shared,
+                                HttpExchange& exchange,
+                                CallGuard& guard,
+                                RequestInfo info) {
+  CompletionCall call(shared, exchange, guard, std::move(info));
   co_await call.Run();
 }
 
--- a/src/rudderloom/callers/dispatcher.cpp
+++ b/src/rudderloom/callers/dispatcher.cpp
@@ -48,23 +48,52 @@
   return grant;
 }
 
-Awaitable<std::variant<Grant, AdmissionRefusal>> Dispatcher::Acquire(DispatchRequest dispatch) {
+std::uint32_t Dispatcher::SlotsFor(const DispatchRequest& dispatch) const {
+  const ServingSet* set = FindServingSet(dispatch);
+  return set == nullptr ? 0 : router_.AvailableShare(*snapshot_, *set);
+}
+
+QueuedRequest Dispatcher::ToQueued(const DispatchRequest& dispatch) {
+  QueuedRequest queued;
+  queued.ticket = ++next_ticket_;
+  queued.target = dispatch.target;
+  queued.caller = dispatch.caller;
+  queued.priority = dispatch.priority;
+  queued.deadline = std::min(dispatch.deadline, stop_deadline_);
+  return queued;
+}
+
+// Names the stop as the reason if the request had more time than the stop leaves.
+AdmissionRefusal Dispatcher::BoundByStop(AdmissionRefusal refused,
+                                         const DispatchRequest& dispatch) const {
+  if (refused.reason != AdmissionRefusal::Reason::kQueueFull &&
+      stop_deadline_ < dispatch.deadline) {
+    return {AdmissionRefusal::Reason::kStopping};
+  }
+  return refused;
+}
+
+void Dispatcher::Refuse(Ticket ticket, AdmissionRefusal refused) {
+  Waiter* waiter = waiters_.at(ticket);
+  waiters_.erase(ticket);
+  waiter->result = refused;
+  waiter->timer.cancel();
+}
+
+Awaitable<std::variant<Grant, AdmissionRefusal>> Dispatcher::Acquire(DispatchRequest dispatch,
+                                                                     CallGuard& guard) {
+  if (guard.Interrupted()) {
+    co_return AdmissionRefusal{AdmissionRefusal::Reason::kStopping};
+  }
   const TimePoint now = Now();
   if (queue_.Waiting(dispatch.target) == 0 && now < dispatch.deadline) {
     if (auto grant = TryStart(dispatch)) {
       co_return std::move(*grant);
     }
   }
-  QueuedRequest applicant;
-  applicant.ticket = ++next_ticket_;
-  applicant.target = dispatch.target;
-  applicant.caller = dispatch.caller;
-  applicant.priority = dispatch.priority;
-  applicant.deadline = dispatch.deadline;
-  const ServingSet* set = FindServingSet(dispatch);
-  const std::uint32_t capacity = set == nullptr ? 0 : router_.AvailableShare(*snapshot_, *set);
-  if (auto refused = queue_.Enqueue(applicant, capacity, now)) {
-    co_return *refused;
+  const QueuedRequest applicant = ToQueued(dispatch);
+  if (auto refused = queue_.Enqueue(applicant, SlotsFor(dispatch), now)) {
+    co_return BoundByStop(*refused, dispatch);
   }
   Waiter waiter{std::move(dispatch), Timer(context_), std::nullopt};
   waiter.timer.expires_at(TimePoint::max());
@@ -74,9 +103,15 @@
     asio::co_spawn(context_, DispatchLoop(), asio::detached);
   }
   DispatchWaiting();
+  guard.SetCancel([this, ticket = applicant.ticket] {
+    if (queue_.Remove(ticket)) {
+      Refuse(ticket, {AdmissionRefusal::Reason::kStopping});
+    }
+  });
   while (!waiter.result) {
     co_await waiter.timer.async_wait(kAsTuple);
   }
+  guard.SetCancel({});
   co_return std::move(*waiter.result);
 }
 
@@ -86,13 +121,11 @@
     return;
   }
   for (const QueuedRequest& late : queue_.Expire(Now())) {
-    Waiter* waiter = waiters_.at(late.ticket);
-    waiters_.erase(late.ticket);
     const std::uint32_t capacity = 1;
-    waiter->result = AdmissionRefusal{
+    const AdmissionRefusal refused{
         AdmissionRefusal::Reason::kDeadlinePassed,
         std::max(Duration(1'000), queue_.ExpectedWait(late.target, late.priority, capacity))};
-    waiter->timer.cancel();
+    Refuse(late.ticket, BoundByStop(refused, waiters_.at(late.ticket)->dispatch));
   }
   std::set<std::pair<std::string, std::int64_t>> full_targets;  // no free endpoint in this pass
   while (true) {
@@ -120,6 +153,16 @@
   }
 }
 
+void Dispatcher::BeginStop(TimePoint deadline) {
+  stop_deadline_ = deadline;
+  const auto slots_for = [this](const QueuedRequest& waiting) {
+    return SlotsFor(waiters_.at(waiting.ticket)->dispatch);
+  };
+  for (const QueuedRequest& unreachable : queue_.LimitDeadlines(deadline, slots_for, Now())) {
+    Refuse(unreachable.ticket, {AdmissionRefusal::Reason::kStopping});
+  }
+}
+
 Awaitable<void> Dispatcher::DispatchLoop() {
   while (queue_.Size() > 0) {
     Timer pause(context_, kDispatchInterval);
--- a/src/rudderloom/callers/frontend.cpp
+++ b/src/rudderloom/callers/frontend.cpp
@@ -88,9 +88,22 @@
   });
 }
 
-void Frontend::BeginStop() {
+void Frontend::BeginStop(TimePoint deadline) {
   stopping_ = true;
   server_->CloseAfterAnswers();
+  dispatcher_.BeginStop(deadline);
+}
+
+void Frontend::InterruptCalls() {
+  for (CallGuard* guard : guards_) {
+    guard->Stop();
+  }
+}
+
+void Frontend::Close() {
+  refusing_ = true;
+  server_->Stop();
+  server_->RefusePartialRequests();
 }
 
 Awaitable<void> Frontend::SampleLoop() {
@@ -108,6 +121,9 @@
 
 // Returns why this node can't serve requests at present; empty if it can.
 std::optional<RefusalReason> Frontend::UnavailableReason() const {
+  if (refusing_) {
+    return RefusalReason::kStopping;
+  }
   if (!dispatcher_.Current()->ready) {
     return RefusalReason::kNotReady;
   }
@@ -176,10 +192,12 @@
     co_return;
   }
   RequestInfo request_info = std::move(std::get<RequestInfo>(info));
+  // Each step of a call has its own timeout.
+  CallGuard guard(context_, guards_, TimePoint::max(), [] { return true; });
   if (service) {
-    co_await ServeService(shared_, exchange, std::move(request_info));
+    co_await ServeService(shared_, exchange, guard, std::move(request_info));
   } else {
-    co_await ServeCompletion(shared_, exchange, std::move(request_info));
+    co_await ServeCompletion(shared_, exchange, guard, std::move(request_info));
   }
 }
 
--- a/src/rudderloom/callers/refusal.cpp
+++ b/src/rudderloom/callers/refusal.cpp
@@ -32,6 +32,7 @@
     ReasonEntry{RefusalReason::kUnknownModel, "unknown_model", 404, "No such model or adapter"},
     ReasonEntry{RefusalReason::kUnknownService, "unknown_service", 404, "No such service"},
     ReasonEntry{RefusalReason::kNotReady, "not_ready", 503, "This entry node is not ready yet"},
+    ReasonEntry{RefusalReason::kStopping, "stopping", 503, "This entry node is stopping"},
     ReasonEntry{RefusalReason::kIsolated, "isolated", 503,
                 "This entry node is cut off from the others"},
     ReasonEntry{RefusalReason::kQueueFull, "queue_full", 429, "Too many requests wait"},
@@ -128,6 +129,9 @@
     case ReadFailure::kTooManyConnections:
       refusal.reason = RefusalReason::kTooManyConnections;
       break;
+    case ReadFailure::kStopping:
+      refusal.reason = RefusalReason::kStopping;
+      break;
   }
   return refusal;
 }
--- a/src/rudderloom/callers/service_call.cpp
+++ b/src/rudderloom/callers/service_call.cpp
@@ -22,9 +22,10 @@
 // previous attempt certainly did not execute.
 class ServiceCall {
  public:
-  ServiceCall(CallContext& shared, HttpExchange& exchange, RequestInfo info)
+  ServiceCall(CallContext& shared, HttpExchange& exchange, CallGuard& guard, RequestInfo info)
       : shared_(shared),
         exchange_(exchange),
+        guard_(guard),
         info_(std::move(info)),
         crash_guard_(shared, exchange, info_) {}
 
@@ -76,7 +77,7 @@
     const std::string own_fingerprint = fingerprint;
     const Duration limit =
         std::max(Duration(1), std::min(kClaimTimeout, Between(Now(), info_.deadline)));
-    ClaimResult result = co_await shared_.claims.Take(key_, std::move(fingerprint), limit);
+    ClaimResult result = co_await shared_.claims.Take(key_, std::move(fingerprint), limit, &guard_);
     if (auto* granted = std::get_if<ClaimGranted>(&result)) {
       claim_ = granted->claim;
       co_return true;
@@ -85,9 +86,11 @@
       co_await ReplyFromClaim(taken->claim, own_fingerprint);
       co_return false;
     }
-    Refusal refusal;
-    refusal.reason = RefusalReason::kClaimsUnavailable;
-    refusal.detail = std::get<ClaimUnavailable>(result).message;
+    Refusal refusal = StoppingRefusal(false);
+    if (!guard_.Interrupted()) {
+      refusal.reason = RefusalReason::kClaimsUnavailable;
+      refusal.detail = std::get<ClaimUnavailable>(result).message;
+    }
     co_await SendRefusal(shared_, exchange_, std::move(refusal), info_.request_id);
     co_return false;
   }
@@ -139,7 +142,7 @@
         co_return;
       }
       DispatchRequest attempt_dispatch = dispatch;
-      auto acquired = co_await shared_.dispatcher.Acquire(std::move(attempt_dispatch));
+      auto acquired = co_await shared_.dispatcher.Acquire(std::move(attempt_dispatch), guard_);
       if (auto* refused = std::get_if<AdmissionRefusal>(&acquired)) {
         Refusal refusal = ToRefusal(*refused, true);
         refusal.execution =
@@ -149,6 +152,10 @@
       }
       const Grant grant = std::move(std::get<Grant>(acquired));
       const auto failure = co_await Attempt(grant);
+      if (failure && guard_.Interrupted()) {
+        co_await Fail(StoppingRefusal(state.may_have_run || !ProvesNotRun(*failure)));
+        co_return;
+      }
       crash_guard_.AttemptEnded(grant.endpoint, failure, grant.started);
       if (!failure) {
         co_return;
@@ -166,7 +173,7 @@
           .With("endpoint", grant.endpoint.name);
       ++state.attempts;
       dispatch.route.excluded = {grant.endpoint.id};
-      co_await PauseFor(shared_.context, std::get<RetryAfter>(decision).pause);
+      co_await PauseBeforeRetry(guard_, std::get<RetryAfter>(decision).pause);
     }
   }
 
@@ -196,8 +203,8 @@
     const TimePoint sent = Now();
     // On a reused connection, a disconnect does not show whether the endpoint has read the request.
     const ConnectionReuse reuse = repeatable_ ? ConnectionReuse::kAllowed : ConnectionReuse::kNever;
-    auto opened =
-        co_await shared_.client.Open(grant.endpoint.address, std::move(request), timeouts, reuse);
+    auto opened = co_await shared_.client.Open(grant.endpoint.address, std::move(request), timeouts,
+                                               reuse, &guard_);
     if (auto* failed = std::get_if<HttpFailure>(&opened)) {
       const AttemptFailure failure = ClassifyFailure(*failed, AttemptFailure::kBrokenBeforeAnswer);
       shared_.dispatcher.Release(grant, RouteResult::kFailed, Duration(0));
@@ -272,6 +279,7 @@
 
   CallContext& shared_;
   HttpExchange& exchange_;
+  CallGuard& guard_;
   RequestInfo info_;
   CrashGuard crash_guard_;
   std::string service_;
@@ -283,8 +291,11 @@
 
 }  // namespace
 
-Awaitable<void> ServeService(CallContext& shared, HttpExchange& exchange, RequestInfo info) {
-  ServiceCall call(shared, exchange, std::move(info));
+Awaitable<void> ServeService(CallContext& shared,
+                             HttpExchange& exchange,
+                             CallGuard& guard,
+                             RequestInfo info) {
+  ServiceCall call(shared, exchange, guard, std::move(info));
   co_await call.Run();
 }
 
--- a/src/rudderloom/claims/claim_keeper.cpp
+++ b/src/rudderloom/claims/claim_keeper.cpp
@@ -43,7 +43,10 @@
                      [](const auto& entry) { return entry.second.running; });
 }
 
-Awaitable<ClaimResult> ClaimKeeper::Take(std::string key, std::string fingerprint, Duration limit) {
+Awaitable<ClaimResult> ClaimKeeper::Take(std::string key,
+                                         std::string fingerprint,
+                                         Duration limit,
+                                         CallGuard* guard) {
   if (failing_ && ProbeInProgress()) {
     co_return ClaimUnavailable{"the platform does not answer"};
   }
@@ -60,9 +63,20 @@
   const auto waiter = change.waiter;
   const auto result = change.result;
   Enqueue(std::move(change));
+  if (guard != nullptr) {
+    guard->SetCancel([waiter, result] {
+      if (std::holds_alternative<std::monostate>(*result)) {
+        *result = ClaimUnavailable{"interrupted"};
+        waiter->cancel();
+      }
+    });
+  }
   while (std::holds_alternative<std::monostate>(*result)) {
     co_await waiter->async_wait(kAsTuple);
   }
+  if (guard != nullptr) {
+    guard->SetCancel({});
+  }
   co_return std::get<ClaimResult>(*result);
 }
 
@@ -169,6 +183,15 @@
   }
 }
 
+// The calls of these claims were interrupted and are never sent.
+void ClaimKeeper::ReleaseAbandoned(Shard& shard) {
+  for (Change& change : shard.pending) {
+    if (change.kind == ChangeKind::kTake && !change.IsWaiting()) {
+      change.kind = ChangeKind::kRelease;
+    }
+  }
+}
+
 // Fails the waiting claims whose deadline has passed. Such a claim may have been stored, so it is
 // released in the background; its call is never sent.
 void ClaimKeeper::ExpireOverdue(Shard& shard, const std::string& reason) {
@@ -181,8 +204,26 @@
   }
 }
 
+// Resolves a claim of a commit that was stored, or releases it if its call was interrupted.
+void ClaimKeeper::ResolveCommitted(const Shard& shard, Change& change) {
+  const Claim* existing = shard.book.Find(change.key);
+  const bool own = existing != nullptr && existing->owner == change.claim.owner;
+  if (!change.IsWaiting()) {
+    if (own) {
+      Release(change.key, change.claim);
+    }
+  } else if (own) {
+    Resolve(change, ClaimGranted{change.claim});
+  } else if (existing != nullptr) {
+    Resolve(change, ClaimTaken{*existing});
+  } else {
+    Resolve(change, ClaimUnavailable{"the claim was not kept"});
+  }
+}
+
 Awaitable<bool> ClaimKeeper::Commit(Shard& shard) {
   shard.book.Prune(UnixSeconds() - settings_.retention.count() / 1000);
+  ReleaseAbandoned(shard);
   ResolveTaken(shard);
   if (shard.book.Bytes() > kMaxShardBytes) {
     for (Change& change : shard.pending) {
@@ -230,16 +271,8 @@
     metrics_.Count({"rudderloom_claim_commits_total", "result", "done"});
     metrics_.Count({"rudderloom_claim_changes_total"}, batch.size());
     for (Change& change : batch) {
-      if (change.kind != ChangeKind::kTake) {
-        continue;
-      }
-      const Claim* existing = shard.book.Find(change.key);
-      if (existing != nullptr && existing->owner == change.claim.owner) {
-        Resolve(change, ClaimGranted{change.claim});
-      } else if (existing != nullptr) {
-        Resolve(change, ClaimTaken{*existing});
-      } else {
-        Resolve(change, ClaimUnavailable{"the claim was not kept"});
+      if (change.kind == ChangeKind::kTake) {
+        ResolveCommitted(shard, change);
       }
     }
     co_return true;
--- a/src/rudderloom/claims/claim_keeper_test.cpp
+++ b/src/rudderloom/claims/claim_keeper_test.cpp
@@ -298,4 +298,24 @@
   }
 }
 
+// Guards against keys that stay claimed by a call that its node never sent.
+TEST_CASE("a claim whose call is interrupted while it is being stored is released") {
+  for (const auto fault : {WriteFault::kNone, WriteFault::kLostAfter, WriteFault::kUnreachable}) {
+    asio::io_context context;
+    FakePlatform platform;
+    Node one(platform, context, "one");
+    CallGuards guards;
+    CallGuard guard(context, guards, TimePoint::max(), [] { return true; });
+    platform.write_fault = [&](std::uint64_t number) {
+      guard.Stop();
+      return number == 1 ? fault : WriteFault::kNone;
+    };
+    const auto result = RunCoroutine(context, one.keeper.Take(Key("k"), "print", kLimit, &guard));
+    CHECK(std::holds_alternative<ClaimUnavailable>(result));
+    RunUntil(context, [&] { return one.keeper.Pending() == 0; });
+    Node other(platform, context, "other");
+    CHECK(Granted(RunCoroutine(context, other.keeper.Take(Key("k"), "print", kLimit))));
+  }
+}
+
 }  // namespace rudderloom
--- a/src/rudderloom/forwarding/attempt.cpp
+++ b/src/rudderloom/forwarding/attempt.cpp
@@ -62,7 +62,7 @@
       : state_(state), exchange_(exchange), guard_(guard), params_(std::move(params)) {}
   Attempt(const Attempt&) = delete;
   Attempt& operator=(const Attempt&) = delete;
-  ~Attempt() { guard_.SetConnection(nullptr); }
+  ~Attempt() { guard_.SetCancel({}); }
 
   Awaitable<AttemptResult> Run() {
     if (auto failure = co_await Connect()) {
@@ -77,7 +77,7 @@
       co_return std::move(*failure);
     }
     AttemptResult result = co_await HandleAnswer();
-    guard_.SetConnection(nullptr);
+    guard_.SetCancel({});
     state_.pool.Put(params_.endpoint.instance, std::move(connection_), Now());
     co_return result;
   }
@@ -87,21 +87,25 @@
     guard_.SetResponseDeadline(limit ? std::optional(Now() + *limit) : std::nullopt);
   }
 
+  void CloseWhenInterrupted() {
+    guard_.SetCancel([connection = connection_.get()] { connection->Close(); });
+  }
+
   Awaitable<std::optional<AttemptResult>> Connect() {
     connection_ = state_.pool.Take(params_.endpoint.instance, Now());
     if (connection_) {
       reused_ = true;
-      guard_.SetConnection(connection_.get());
+      CloseWhenInterrupted();
       co_return std::nullopt;
     }
     connection_ = std::make_unique<EndpointConnection>(state_.context);
-    guard_.SetConnection(connection_.get());
+    CloseWhenInterrupted();
     SetResponseTimeout(kConnectTimeout);
     auto failure = co_await connection_->Connect(params_.endpoint.address);
     if (!failure) {
       co_return std::nullopt;
     }
-    guard_.SetConnection(nullptr);
+    guard_.SetCancel({});
     AttemptResult result;
     result.outcome = AttemptOutcome::kNotConnected;
     result.reason = "connect";
--- a/src/rudderloom/forwarding/attempt.hpp
+++ b/src/rudderloom/forwarding/attempt.hpp
@@ -7,7 +7,7 @@
 #include <string>       // for string
 #include <string_view>  // for string_view
 
-#include "rudderloom/forwarding/call_guard.hpp"    // for CallGuard
+#include "rudderloom/http/call_guard.hpp"          // for CallGuard
 #include "rudderloom/forwarding/event_framer.hpp"  // for EventSequence
 #include "rudderloom/forwarding/forwarder.hpp"     // for ForwardingState
 
--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -4,15 +4,15 @@
 #include <optional>   // for optional
 #include <utility>    // for move
 
-#include "forwarding/request_checks.hpp"         // for RequestChecks
-#include "forwarding/attempt.hpp"                // for RunAttempt
-#include "forwarding/crash_check.hpp"            // for RecordConnectionBreak
-#include "forwarding/forward_refusal.hpp"        // for ForwardRefusal
-#include "forwarding/limit_check.hpp"            // for AcquirePermit
-#include "forwarding/request_end.hpp"            // for LogRequestEnd, LogFailedAttempt
-#include "forwarding/request_samples.hpp"        // for RecordServiceTimes, OfferedTime
-#include "forwarding/tried_endpoints.hpp"        // for TriedEndpoints
-#include "rudderloom/forwarding/call_guard.hpp"  // for CallGuard
+#include "forwarding/request_checks.hpp"   // for RequestChecks
+#include "forwarding/attempt.hpp"          // for RunAttempt
+#include "forwarding/crash_check.hpp"      // for RecordConnectionBreak
+#include "forwarding/forward_refusal.hpp"  // for ForwardRefusal
+#include "forwarding/limit_check.hpp"      // for AcquirePermit
+#include "forwarding/request_end.hpp"      // for LogRequestEnd, LogFailedAttempt
+#include "forwarding/request_samples.hpp"  // for RecordServiceTimes, OfferedTime
+#include "forwarding/tried_endpoints.hpp"  // for TriedEndpoints
+#include "rudderloom/http/call_guard.hpp"  // for CallGuard
 
 namespace rudderloom {
 
@@ -254,7 +254,7 @@
     }
     state_.metrics.Observe({"rudderloom_attempt_seconds", "service", service_},
                            std::chrono::duration<double>(Now() - started).count());
-    guard_->SetConnection(nullptr);
+    guard_->SetCancel({});
     guard_->SetResponseDeadline(std::nullopt);
     co_return result;
   }
--- a/src/rudderloom/forwarding/frontend.cpp
+++ b/src/rudderloom/forwarding/frontend.cpp
@@ -35,6 +35,7 @@
       reply.status = 408;
       break;
     case ReadFailure::kTooManyConnections:
+    case ReadFailure::kStopping:
       reply.status = 503;
       break;
   }
--- a/src/rudderloom/forwarding/limit_check.hpp
+++ b/src/rudderloom/forwarding/limit_check.hpp
@@ -2,8 +2,8 @@
 #ifndef RUDDERLOOM_FORWARDING_LIMIT_CHECK_HPP
 #define RUDDERLOOM_FORWARDING_LIMIT_CHECK_HPP
 
-#include "rudderloom/forwarding/call_guard.hpp"  // for CallGuard
-#include "rudderloom/forwarding/forwarder.hpp"   // for ForwardingState
+#include "rudderloom/http/call_guard.hpp"       // for CallGuard
+#include "rudderloom/forwarding/forwarder.hpp"  // for ForwardingState
 
 namespace rudderloom {
 
--- a/src/rudderloom/forwarding/request_checks.cpp
+++ b/src/rudderloom/forwarding/request_checks.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>  // for min
 
-#include "rudderloom/forwarding/call_guard.hpp"  // for CallGuard
+#include "rudderloom/http/call_guard.hpp"  // for CallGuard
 
 namespace rudderloom {
 
--- a/src/rudderloom/forwarding/call_guard.cpp
+++ b/src/rudderloom/http/call_guard.cpp
@@ -1,6 +1,7 @@
-#include "rudderloom/forwarding/call_guard.hpp"
+#include "rudderloom/http/call_guard.hpp"
 
 #include <algorithm>  // for min
+#include <utility>    // for move
 
 namespace rudderloom {
 
@@ -20,10 +21,10 @@
   state_->timer.cancel();
 }
 
-void CallGuard::SetConnection(EndpointConnection* connection) {
-  state_->connection = connection;
-  if (connection != nullptr && state_->cause != Interruption::kNone) {
-    connection->Close();
+void CallGuard::SetCancel(std::function<void()> cancel) {
+  state_->cancel = std::move(cancel);
+  if (state_->cancel && Interrupted()) {
+    state_->cancel();
   }
 }
 
@@ -43,6 +44,10 @@
   Interrupt(*state_, Interruption::kDeadlineExceeded);
 }
 
+void CallGuard::Stop() {
+  Interrupt(*state_, Interruption::kStopping);
+}
+
 void CallGuard::ClearSilence() {
   state_->response_deadline.reset();
   if (state_->cause == Interruption::kEndpointSilent) {
@@ -57,8 +62,8 @@
   }
   state.cause = cause;
   state.wait_timer.cancel();
-  if (state.connection != nullptr) {
-    state.connection->Close();
+  if (state.cancel) {
+    state.cancel();
   }
 }
 
--- a/src/rudderloom/http/client.cpp
+++ b/src/rudderloom/http/client.cpp
@@ -26,6 +26,11 @@
   ::setsockopt(socket.native_handle(), level, name, &value, sizeof(value));
 }
 
+void CloseSocket(tcp::socket& socket) {
+  boost::system::error_code ignored;
+  socket.close(ignored);
+}
+
 bool IsStillOpen(tcp::socket& socket) {
   char byte = 0;
   const auto got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
@@ -74,9 +79,18 @@
   return request;
 }
 
-HttpStream::HttpStream(tcp::socket socket, CallTimeouts times)
-    : socket_(std::move(socket)), timeouts_(times) {
+HttpStream::HttpStream(tcp::socket socket, CallTimeouts times, CallGuard* guard)
+    : socket_(std::move(socket)), timeouts_(times), guard_(guard) {
   parser_.body_limit(std::numeric_limits<std::uint64_t>::max());
+  if (guard_ != nullptr) {
+    guard_->SetCancel([this] { CloseSocket(socket_); });
+  }
+}
+
+HttpStream::~HttpStream() {
+  if (guard_ != nullptr) {
+    guard_->SetCancel({});
+  }
 }
 
 HttpFailure HttpStream::FailureAfterSend(boost::system::error_code error, bool timed_out) const {
@@ -166,37 +180,59 @@
   });
 }
 
+// Connects a closed socket; returns the failure, if any.
+Awaitable<std::optional<HttpFailure>> HttpClient::Connect(tcp::socket& socket,
+                                                          std::string address,
+                                                          Duration limit,
+                                                          CallGuard* guard) {
+  tcp::endpoint endpoint;
+  try {
+    endpoint = ParseAddress(address);
+  } catch (const std::invalid_argument& error) {
+    co_return HttpFailure{false, false, false, error.what()};
+  }
+  if (guard != nullptr && guard->Interrupted()) {
+    co_return HttpFailure{false, false, false, "interrupted"};
+  }
+  Watchdog watchdog(socket, limit);
+  if (guard != nullptr) {
+    guard->SetCancel([&socket] { CloseSocket(socket); });
+  }
+  const auto [error] = co_await socket.async_connect(endpoint, kAsTuple);
+  if (guard != nullptr) {
+    guard->SetCancel({});
+  }
+  if (error) {
+    HttpFailure failure;
+    failure.timed_out = watchdog.Expired();
+    failure.message = "connect: " + error.message();
+    co_return failure;
+  }
+  boost::system::error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  EnableDeadPeerDetection(socket, kPeerSilenceLimit);
+  co_return std::nullopt;
+}
+
 Awaitable<std::variant<std::unique_ptr<HttpStream>, HttpFailure>> HttpClient::Open(
     std::string address,
     HttpRequest request,
     CallTimeouts times,
-    ConnectionReuse reuse) {
+    ConnectionReuse reuse,
+    CallGuard* guard) {
   std::optional<tcp::socket> socket;
   if (reuse == ConnectionReuse::kAllowed) {
     socket = TakeIdle(address);
   }
   const bool reused = socket.has_value();
   if (!socket) {
-    tcp::endpoint endpoint;
-    try {
-      endpoint = ParseAddress(address);
-    } catch (const std::invalid_argument& error) {
-      co_return HttpFailure{false, false, false, error.what()};
-    }
     socket.emplace(context_);
-    Watchdog watchdog(*socket, times.connect);
-    const auto [error] = co_await socket->async_connect(endpoint, kAsTuple);
-    if (error) {
-      HttpFailure failure;
-      failure.timed_out = watchdog.Expired();
-      failure.message = "connect: " + error.message();
-      co_return failure;
+    auto failure = co_await Connect(*socket, address, times.connect, guard);
+    if (failure) {
+      co_return std::move(*failure);
     }
-    boost::system::error_code ignored;
-    socket->set_option(tcp::no_delay(true), ignored);
-    EnableDeadPeerDetection(*socket, kPeerSilenceLimit);
   }
-  auto stream = std::make_unique<HttpStream>(std::move(*socket), times);
+  auto stream = std::make_unique<HttpStream>(std::move(*socket), times, guard);
   const TimePoint started_at = Now();
   auto started = co_await stream->Start(request);
   if (auto* failure = std::get_if<HttpFailure>(&started)) {
--- a/src/rudderloom/http/client_test.cpp
+++ b/src/rudderloom/http/client_test.cpp
@@ -66,5 +66,39 @@
   CHECK(server.Connections() == 4);
 }
 
+// Guards against calls that keep waiting for an endpoint when the node stops.
+TEST_CASE("an interrupted call fails at once and tells whether the request may have been sent") {
+  asio::io_context context;
+  int requests = 0;
+  ScriptedEndpoint server(context,
+                          [&](const HttpRequest&, EndpointAnswer& answer) -> Awaitable<void> {
+                            ++requests;
+                            co_await answer.AwaitClose(milliseconds(5'000));
+                          });
+  HttpClient client(context);
+  CallGuards guards;
+  for (const bool sent : {true, false}) {
+    CallGuard guard(context, guards, TimePoint::max(), [] { return true; });
+    std::optional<HttpFailure> failure;
+    HttpRequest request = MakeRequest(http::verb::get, server.Address(), "/");
+    asio::co_spawn(
+        context,
+        client.Open(server.Address(), std::move(request), CallTimeouts(), ConnectionReuse::kNever,
+                    &guard),
+        [&](const std::exception_ptr&, auto opened) { failure = std::get<HttpFailure>(opened); });
+    while (sent && requests == 0) {
+      context.run_one();
+    }
+    guard.Stop();
+    const TimePoint interrupted_at = Now();
+    while (!failure) {
+      context.run_one();
+    }
+    CHECK(Between(interrupted_at, Now()) < kTimeout);
+    CHECK(failure->may_have_been_sent == sent);
+  }
+  CHECK(requests == 1);
+}
+
 }  // namespace
 }  // namespace rudderloom
--- a/src/rudderloom/http/server.cpp
+++ b/src/rudderloom/http/server.cpp
@@ -6,7 +6,6 @@
 #include <utility>   // for move
 
 #include "rudderloom/base/log_line.hpp"  // for LogLine
-#include "rudderloom/http/watchdog.hpp"  // for Watchdog
 
 namespace rudderloom {
 
@@ -14,6 +13,8 @@
 
 constexpr std::size_t kReadBytes = 4096;
 constexpr Duration kAcceptRetryDelay{50};
+// For a request that was sent before its client could see that the server stops.
+constexpr Duration kLastRequestWait{50};
 
 ReadFailure ToReadFailure(boost::system::error_code error) {
   if (error == http::error::header_limit) {
@@ -39,8 +40,11 @@
 
 }  // namespace
 
-HttpExchange::HttpExchange(tcp::socket& socket, HttpRequest request, const HttpLimits& limits)
-    : socket_(socket), request_(std::move(request)), limits_(limits) {}
+HttpExchange::HttpExchange(tcp::socket& socket,
+                           HttpRequest request,
+                           const HttpLimits& limits,
+                           const bool& closing)
+    : socket_(socket), request_(std::move(request)), limits_(limits), closing_(closing) {}
 
 HttpExchange::~HttpExchange() {
   if (watch_) {
@@ -48,15 +52,16 @@
   }
 }
 
-bool HttpExchange::KeepAlive() const {
-  return ended_ && !aborted_ && request_.keep_alive();
+bool HttpExchange::DecideKeepAlive() {
+  keep_alive_ = request_.keep_alive() && !closing_;
+  return keep_alive_;
 }
 
 Awaitable<bool> HttpExchange::Send(Reply reply) {
   HttpResponse response;
   response.result(reply.status);
   response.version(request_.version());
-  response.keep_alive(request_.keep_alive());
+  response.keep_alive(DecideKeepAlive());
   if (!reply.content_type.empty()) {
     response.set(http::field::content_type, reply.content_type);
   }
@@ -77,7 +82,7 @@
   http::response<http::empty_body> response;
   response.result(status);
   response.version(request_.version());
-  response.keep_alive(request_.keep_alive());
+  response.keep_alive(DecideKeepAlive());
   response.set(http::field::content_type, content_type);
   AddHeaders(response, headers);
   response.chunked(true);
@@ -151,15 +156,42 @@
   return acceptor_.local_endpoint().port();
 }
 
+void HttpServer::StopListening() {
+  AcceptWaitingConnections();
+  boost::system::error_code ignored;
+  acceptor_.close(ignored);
+}
+
 void HttpServer::Stop() {
+  StopListening();
   stopping_ = true;
+  close_after_response_ = true;
   boost::system::error_code ignored;
-  acceptor_.close(ignored);
   for (tcp::socket* socket : idle_sockets_) {
     socket->cancel(ignored);
   }
 }
 
+void HttpServer::RefusePartialRequests() {
+  refuse_partial_requests_ = true;
+  for (Watchdog* watchdog : reading_) {
+    watchdog->Expire();
+  }
+}
+
+// Closing the listening socket would reset the connections in its queue.
+void HttpServer::AcceptWaitingConnections() {
+  boost::system::error_code error;
+  acceptor_.non_blocking(true, error);
+  while (!error) {
+    tcp::socket socket(context_);
+    acceptor_.accept(socket, error);
+    if (!error) {
+      ServeInBackground(std::move(socket));
+    }
+  }
+}
+
 Awaitable<void> HttpServer::AcceptLoop() {
   while (!stopping_) {
     auto [error, socket] = co_await acceptor_.async_accept(kAsTuple);
@@ -172,15 +204,19 @@
       co_await pause.async_wait(kAsTuple);
       continue;
     }
-    boost::system::error_code ignored;
-    socket.set_option(tcp::no_delay(true), ignored);
-    auto owned = std::make_shared<tcp::socket>(std::move(socket));
-    asio::co_spawn(
-        context_, [self = shared_from_this(), owned] { return self->Serve(std::move(*owned)); },
-        asio::detached);
+    ServeInBackground(std::move(socket));
   }
 }
 
+void HttpServer::ServeInBackground(tcp::socket socket) {
+  boost::system::error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  auto owned = std::make_shared<tcp::socket>(std::move(socket));
+  asio::co_spawn(
+      context_, [self = shared_from_this(), owned] { return self->Serve(std::move(*owned)); },
+      asio::detached);
+}
+
 Awaitable<void> HttpServer::Serve(tcp::socket socket) {
   ++connections_;
   if (connections_ > limits_.connections) {
@@ -195,21 +231,25 @@
   socket.shutdown(tcp::socket::shutdown_send, ignored);
 }
 
-// Waits up to the idle timeout for the first byte of a request; false when the connection ends or
-// the timeout expires first.
+// Waits up to the idle timeout for the first byte of a request, while the server stops only for one
+// that is on its way; false when the connection ends or the timeout expires first.
 Awaitable<bool> HttpServer::AwaitRequest(tcp::socket& socket, beast::flat_buffer& buffer) {
   if (buffer.size() > 0) {
     co_return true;
   }
-  if (stopping_) {
-    co_return false;
+  while (true) {
+    const bool last_request = stopping_;
+    idle_sockets_.insert(&socket);
+    Watchdog watchdog(socket, last_request ? kLastRequestWait : limits_.idle_time);
+    const auto [error, size] =
+        co_await socket.async_read_some(buffer.prepare(kReadBytes), kAsTuple);
+    idle_sockets_.erase(&socket);
+    buffer.commit(size);
+    const bool stopped = error == asio::error::operation_aborted && stopping_ && !last_request;
+    if (!stopped) {
+      co_return !error;
+    }
   }
-  idle_sockets_.insert(&socket);
-  Watchdog watchdog(socket, limits_.idle_time);
-  const auto [error, size] = co_await socket.async_read_some(buffer.prepare(kReadBytes), kAsTuple);
-  idle_sockets_.erase(&socket);
-  buffer.commit(size);
-  co_return !error;
 }
 
 Awaitable<bool> HttpServer::ServeOne(tcp::socket& socket, beast::flat_buffer& buffer) {
@@ -221,10 +261,12 @@
   parser.body_limit(limits_.body_bytes);
   std::optional<ReadFailure> failure;
   {
-    Watchdog watchdog(socket, limits_.header_time);
+    Watchdog watchdog(socket, refuse_partial_requests_ ? kLastRequestWait : limits_.header_time);
+    reading_.insert(&watchdog);
     const auto [error, size] = co_await http::async_read(socket, buffer, parser, kAsTuple);
+    reading_.erase(&watchdog);
     if (error && watchdog.Expired()) {
-      failure = ReadFailure::kTooSlow;
+      failure = refuse_partial_requests_ ? ReadFailure::kStopping : ReadFailure::kTooSlow;
     } else if (error && !IsProtocolError(error)) {
       co_return false;
     } else if (error) {
@@ -236,11 +278,7 @@
     co_return false;
   }
   ++active_requests_;
-  HttpRequest request = parser.release();
-  if (close_after_response_) {
-    request.keep_alive(false);
-  }
-  HttpExchange exchange(socket, std::move(request), limits_);
+  HttpExchange exchange(socket, parser.release(), limits_, close_after_response_);
   try {
     co_await handlers_.handle(exchange);
   } catch (const std::exception& error) {
@@ -251,14 +289,14 @@
   if (exchange.TooSlow() && handlers_.slow_reader) {
     handlers_.slow_reader();
   }
-  co_return exchange.KeepAlive() && !stopping_;
+  co_return exchange.KeepAlive();
 }
 
 Awaitable<void> HttpServer::Refuse(tcp::socket& socket, ReadFailure failure) {
   HttpRequest request;
   request.version(11);
   request.keep_alive(false);
-  HttpExchange exchange(socket, std::move(request), limits_);
+  HttpExchange exchange(socket, std::move(request), limits_, close_after_response_);
   Reply reply = handlers_.read_failure(failure);
   co_await exchange.Send(std::move(reply));
   boost::system::error_code ignored;
--- /dev/null
+++ b/src/rudderloom/http/server_test.cpp
@@ -0,0 +1,151 @@
+// Connections and requests at the stop of a server.
+#include "rudderloom/http/server.hpp"
+
+#include <doctest/doctest.h>  // for TEST_CASE
+
+namespace rudderloom {
+namespace {
+
+constexpr Duration kTestTimeout{5'000};
+
+// A server whose handler answers "done", or waits for Finish() if the target is /wait.
+class TestServer {
+ public:
+  TestServer() : finish_(context_, TimePoint::max()) {
+    HttpHandlers handlers;
+    handlers.handle = [this](HttpExchange& exchange) -> Awaitable<void> {
+      if (exchange.Request().target() == "/wait") {
+        co_await finish_.async_wait(kAsTuple);
+      }
+      Reply reply;
+      reply.body = "done";
+      co_await exchange.Send(std::move(reply));
+    };
+    handlers.read_failure = [](ReadFailure failure) {
+      Reply reply;
+      reply.status = 503;
+      reply.body = failure == ReadFailure::kStopping ? "stopping" : "other";
+      return reply;
+    };
+    server_ = std::make_shared<HttpServer>(context_, HttpLimits(), std::move(handlers));
+    port_ = server_->Listen("127.0.0.1", 0);
+  }
+
+  HttpServer& Server() { return *server_; }
+  void Finish() { finish_.cancel(); }
+
+  tcp::socket Connect() {
+    tcp::socket socket(context_);
+    socket.connect({asio::ip::make_address("127.0.0.1"), port_});
+    return socket;
+  }
+
+  // Serves until the condition holds.
+  template <class Condition>
+  bool RunUntil(Condition condition) {
+    const TimePoint deadline = Now() + kTestTimeout;
+    while (!condition() && Now() < deadline) {
+      context_.restart();
+      context_.run_one_for(std::chrono::milliseconds(10));
+    }
+    return condition();
+  }
+
+  // Serves until the connection is closed; returns what it received.
+  std::string ReadUntilClosed(tcp::socket& socket) {
+    std::string received;
+    bool closed = false;
+    asio::co_spawn(
+        context_,
+        [&]() -> Awaitable<void> {
+          std::string chunk(1024, '\0');
+          while (!closed) {
+            const auto [error, size] =
+                co_await socket.async_read_some(asio::buffer(chunk), kAsTuple);
+            received.append(chunk, 0, size);
+            closed = static_cast<bool>(error);
+          }
+        },
+        asio::detached);
+    REQUIRE(RunUntil([&] { return closed; }));
+    return received;
+  }
+
+ private:
+  asio::io_context context_;
+  Timer finish_;
+  std::shared_ptr<HttpServer> server_;
+  std::uint16_t port_ = 0;
+};
+
+void Write(tcp::socket& socket, const std::string& bytes) {
+  asio::write(socket, asio::buffer(bytes));
+}
+
+const std::string kRequest = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+const std::string kWaitingRequest = "GET /wait HTTP/1.1\r\nHost: x\r\n\r\n";
+
+bool Contains(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+// Guards against clients that send a further request on a connection that the server closes.
+TEST_CASE("a response that is sent after the stop began announces that the connection closes") {
+  TestServer test;
+  tcp::socket client = test.Connect();
+  Write(client, kWaitingRequest);
+  REQUIRE(test.RunUntil([&] { return test.Server().Active() == 1; }));
+  test.Server().CloseAfterAnswers();
+  test.Finish();
+  const std::string response = test.ReadUntilClosed(client);
+  CHECK(Contains(response, "Connection: close"));
+  CHECK(Contains(response, "done"));
+}
+
+// Guards against connections closed on requests that had already been sent.
+TEST_CASE("a request on its way over a kept connection is answered after the server was stopped") {
+  TestServer test;
+  tcp::socket client = test.Connect();
+  REQUIRE(test.RunUntil([&] { return test.Server().Connections() == 1; }));
+  Write(client, kRequest);
+  test.Server().Stop();
+  CHECK(Contains(test.ReadUntilClosed(client), "done"));
+}
+
+// Guards against resets of connections that wait in the listening socket's queue.
+TEST_CASE("a connection that waits to be accepted is served after the server was stopped") {
+  TestServer test;
+  tcp::socket client = test.Connect();
+  Write(client, kRequest);
+  test.Server().Stop();
+  CHECK(Contains(test.ReadUntilClosed(client), "done"));
+}
+
+// Guards against connections closed without a response to a partial request.
+TEST_CASE("requests that were received in part are refused at the end of a stop") {
+  const std::string partial_header = "GET / HTTP/1.1\r\nHost";
+  const std::string partial_body = "POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf";
+  for (const std::string& received : {partial_header, partial_body}) {
+    TestServer test;
+    tcp::socket client = test.Connect();
+    Write(client, received);
+    REQUIRE(test.RunUntil([&] { return test.Server().Receiving() == 1; }));
+    test.Server().Stop();
+    test.Server().RefusePartialRequests();
+    const std::string response = test.ReadUntilClosed(client);
+    CHECK(Contains(response, "503"));
+    CHECK(Contains(response, "stopping"));
+  }
+}
+
+TEST_CASE("idle connections are closed by a stop") {
+  TestServer test;
+  tcp::socket client = test.Connect();
+  REQUIRE(test.RunUntil([&] { return test.Server().Connections() == 1; }));
+  test.Server().Stop();
+  CHECK(test.ReadUntilClosed(client).empty());
+  CHECK(test.RunUntil([&] { return test.Server().Connections() == 0; }));
+}
+
+}  // namespace
+}  // namespace rudderloom
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -1,6 +1,8 @@
 #!/usr/bin/env python3
-"""Soak test: four entry nodes and eight engines at half their capacity, one random fault every 2 s."""
+"""Soak test: four entry nodes and eight engines at half capacity, with random faults and planned stops."""
 import argparse
+import dataclasses
+import json
 import random
 import signal
 import sys
@@ -10,6 +12,7 @@
 import urllib.error
 
 from cluster import Cluster, fetch_json, set_faults
+from stop_callers import StopCallers
 
 NODES, ENGINES, MODELS = 4, 8, 12
 SLOTS, TOKENS, TOKEN_MS = 8, 30, 5
@@ -17,7 +20,11 @@
 # Half the capacity of the engines, in requests of TOKENS tokens per second.
 RATE = 0.5 * ENGINES * SLOTS / (TOKENS * TOKEN_MS / 1000)
 MAX_UNREACHABLE_SECONDS = 60.0
-NODE_SETTINGS = {"residency": {"loads_per_second": 5.0, "late_order_bound": "20s"}}
+NODE_SETTINGS = {"residency": {"loads_per_second": 5.0, "late_order_bound": "20s"},
+                 "stop_notice": "300ms", "stop_time": "1500ms"}
+# Calls outlast this stop if their endpoint is slow or suspended.
+STOP_SECONDS = 1.8
+STOP_CALLERS, FULL_CALLERS = 24, 96
 
 
 def write_declarations(folder):
@@ -26,7 +33,6 @@
     models = [{"name": f"model-{i}", "version": "1", "pool": "p", "memory": "3GiB"}
               for i in range(MODELS)]
     services = [{"name": "desk", "pool": "desk", "repeatable": ["GET"], "deadline": "4s"}]
-    import json
     (path / "all.json").write_text(json.dumps({"models": models, "services": services}))
     return str(path)
 
@@ -86,6 +92,7 @@
         self.scheduled = []
         self.counts = {}
         self.overcommits = 0
+        self.stopping = set()
 
     def schedule(self, moment, action):
         self.scheduled.append((moment, action))
@@ -105,7 +112,7 @@
         getattr(self, name)()
 
     def node(self):
-        return f"n{self.random.randrange(NODES)}"
+        return self.random.choice([f"n{i}" for i in range(NODES) if f"n{i}" not in self.stopping])
 
     def engine(self):
         return f"e{self.random.randrange(ENGINES)}"
@@ -113,6 +120,9 @@
     def kill_node(self):
         name = self.node()
         self.cluster.processes[name].kill()
+        self.restart_node(name)
+
+    def restart_node(self, name):
         settings = self.cluster.folder / f"{name}.json"
         self.cluster._start(name, [self.cluster.daemon, "daemon", "--settings", str(settings)])
 
@@ -182,6 +192,89 @@
         self.overcommits += stats["overcommits"]
 
 
+class NodeStopper:
+    """Stops one node at a time while callers keep calling it, in random moments drawn from a seed."""
+
+    def __init__(self, cluster, injector, seed):
+        self.cluster = cluster
+        self.injector = injector
+        self.seed = seed
+        self.random = random.Random(f"stops {seed}")
+        self.stops = []
+        self.name = None
+        self.next_start = time.monotonic() + self.random.uniform(0.5, 2)
+
+    def run_due(self):
+        now = time.monotonic()
+        if self.name is None and now >= self.next_start:
+            self.begin(now)
+        elif self.name and not self.signalled and now >= self.signal_at:
+            self.signalled = now
+            self.process.signal(signal.SIGTERM)
+        elif self.name and self.signalled and self.process.child.poll() is not None:
+            self.end(now)
+
+    def begin(self, now):
+        self.name = self.injector.node()
+        self.injector.stopping.add(self.name)
+        self.process = self.cluster.processes[self.name]
+        self.process.signal(signal.SIGCONT)
+        self.trouble = self.random.choice(["none", "slow", "suspended", "full", "platform_silent"])
+        callers = FULL_CALLERS if self.trouble == "full" else STOP_CALLERS
+        self.callers = StopCallers(self.process.address, f"stop-{len(self.stops)}", self.seed, callers,
+                                   [f"model-{i}" for i in range(MODELS)])
+        self.signalled = None
+        self.signal_at = now + self.random.uniform(0.3, 1)
+        trouble_at = self.signal_at + self.random.uniform(-0.3, STOP_SECONDS)
+        self.injector.schedule(trouble_at, self.cause_trouble)
+
+    def cause_trouble(self):
+        endpoints = [f"e{i}" for i in range(ENGINES)] + ["desk1"]
+        seconds = self.random.uniform(1, 3)
+        if self.trouble == "platform_silent":
+            self.injector.set_temporary_faults(self.cluster.processes["platform"], seconds, hang=1)
+        for name in endpoints:
+            if self.trouble == "suspended":
+                self.injector.freeze(name, seconds)
+            elif self.trouble in ("slow", "full"):
+                faults = {"delay_ms": 2000} if name == "desk1" else {"slow_factor": 16}
+                self.injector.set_temporary_faults(self.cluster.processes[name], seconds, **faults)
+
+    def end(self, now):
+        self.callers.finish()
+        self.stops.append({"node": self.name, "trouble": self.trouble,
+                           "seconds": now - self.signalled, "status": self.process.child.returncode,
+                           "calls": [dataclasses.asdict(call) for call in self.callers.calls]})
+        self.injector.restart_node(self.name)
+        self.injector.stopping.discard(self.name)
+        self.name = None
+        self.next_start = now + self.random.uniform(0.5, 2)
+
+    def finish(self):
+        """Ends the stop under way and writes all of them to a file."""
+        self.next_start = float("inf")
+        while self.name:
+            time.sleep(0.02)
+            self.injector.run_due()
+            self.run_due()
+        (self.cluster.folder / "stops.json").write_text(json.dumps(self.stops))
+
+    def violations(self):
+        runs = fetch_json(self.cluster.processes["desk1"].address, "/stats")["runs"]
+        calls = [call for stop in self.stops for call in stop["calls"]]
+        service = [call for call in calls if call["kind"].endswith(("call", "key"))]
+        return {"unanswered at a stop": sum(call["outcome"] in ("unanswered", "cut") for call in calls),
+                "answers to others at a stop": sum(call["foreign"] for call in calls),
+                "false `ran: no` at a stop": sum(call["ran"] == "no" and runs.get(call["id"], 0) > 0
+                                                 for call in service),
+                "calls run more than once at a stop": sum(
+                    runs.get(call["id"], 0) > 1 for call in service if call["kind"] != "repeatable call"),
+                "calls answered at a stop but never run": sum(
+                    call["status"] == 200 and call["outcome"] == "answered" and
+                    runs.get(call["id"], 0) == 0 for call in service),
+                "stops that crashed": sum(stop["status"] not in (0, 1) for stop in self.stops)}
+
+
 def scenario(cluster, seconds, seed):
     chat = {"type": "completion", "tokens": TOKENS, "tries": 8, "deadline": "10s"}
     mix = [{**chat, "name": f"model-{i}", "target": f"model-{i}", "stream": i % 3 != 0,
@@ -226,15 +319,18 @@
         watcher = MetricsWatcher(cluster)
         watcher.start()
         injector = FaultInjector(cluster, options.seed)
+        stopper = NodeStopper(cluster, injector, options.seed)
         load = cluster.start_load(scenario(cluster, options.seconds, options.seed))
         end = time.monotonic() + options.seconds
         next_fault = time.monotonic() + FAULT_INTERVAL_SECONDS
         while time.monotonic() < end:
             time.sleep(0.05)
             injector.run_due()
+            stopper.run_due()
             if time.monotonic() >= next_fault:
                 next_fault += FAULT_INTERVAL_SECONDS
                 injector.inject_fault()
+        stopper.finish()
         while injector.scheduled:
             time.sleep(0.05)
             injector.run_due()
@@ -243,22 +339,24 @@
         watcher.join()
         for i in range(ENGINES):
             injector.collect_overcommits(cluster.processes[f"e{i}"])
-        return print_verdict(cluster, table, injector, watcher)
+        return print_verdict(cluster, table, injector, watcher, stopper)
     finally:
         cluster.stop_all()
 
 
-def print_verdict(cluster, table, injector, watcher):
+def print_verdict(cluster, table, injector, watcher, stopper):
     report = cluster.load_report()
     print(table)
     print("faults:", ", ".join(f"{name} {count}" for name, count in sorted(injector.counts.items())))
+    print("stops:", ", ".join(f"{stop['node']} {stop['trouble']}" for stop in stopper.stops))
     violations = {"mismatched or duplicated answers": report["foreign"],
                   "truncated answers reported as success": report["cut_as_success"],
                   "calls run more than once": report["run_twice"],
                   "false `ran: no`": report["false_not_run"],
                   "calls answered but never run": report["answered_never_run"],
                   "load orders beyond an endpoint's memory": injector.overcommits,
-                  "configuration generations going backwards": watcher.reversals}
+                  "configuration generations going backwards": watcher.reversals,
+                  **stopper.violations()}
     for name, count in violations.items():
         print(f"{count:6d} {name}")
     print(f"{watcher.longest_unreachable:6.1f} s longest time without an endpoint for a model "
