Don't report a call as in progress once its node has ended

What callers saw: after a node was killed, or stopped while the platform did not answer, every retry of a key that it had claimed was told 409 call_in_progress for as long as the claim was kept (an hour), though nothing ran it any more.

Cause: ReplyFromClaim judged by the stored state alone; nothing said whether the owner still runs or until when the call could.

A claim whose owner is gone or whose deadline has passed, with 2 s for clocks that differ, answers outcome_unknown. An owner that was only silent can still store the outcome, which is then replayed.

--- a/include/rudderloom/claims/claim_book.hpp
+++ b/include/rudderloom/claims/claim_book.hpp
@@ -26,10 +26,18 @@
   std::string owner;            ///< Incarnation and number; unique per attempt to claim.
   std::string fingerprint;      ///< Of the request; detects keys reused for another one.
   std::int64_t claimed_at = 0;  ///< Seconds since 1970.
+  std::int64_t runs_until = 0;  ///< Deadline of the call, seconds since 1970; 0 if not known.
   unsigned status = 0;          ///< HTTP status of the answer, if it ended.
   std::string content_type;
   std::string body;  ///< Empty if it was too large to store.
   bool body_kept = false;
+
+  /// @brief True while the owner may still be running the call and can record its outcome.
+  /// @param unix_seconds Seconds since 1970, by a clock that may differ from the owner's by 2 s.
+  bool MayBeRunning(std::int64_t unix_seconds) const;
+
+  /// @brief Returns the incarnation of the node that owns the claim.
+  std::string OwnerIncarnation() const { return owner.substr(0, owner.rfind('/')); }
 };
 
 /// @brief The claims of one shard: the spec of one platform object.
--- a/include/rudderloom/claims/claim_keeper.hpp
+++ b/include/rudderloom/claims/claim_keeper.hpp
@@ -54,10 +54,13 @@
 
   /// @brief Claims a call; resumes once the claim is stored in the platform or has failed, or when
   /// `guard`, if any, interrupts the call. A claim that is stored after that is released.
+  /// @param limit Time for the claim to be stored.
+  /// @param runs_until Deadline of the call, in seconds since 1970; 0 if not known.
   Awaitable<ClaimResult> Take(std::string key,
                               std::string fingerprint,
                               Duration limit,
-                              CallGuard* guard = nullptr);
+                              CallGuard* guard = nullptr,
+                              std::int64_t runs_until = 0);
 
   /// @brief Records the outcome of a claimed call, in the background with retries.
   void Finish(const std::string& key, const Claim& ended);
--- a/include/rudderloom/control/control_state.hpp
+++ b/include/rudderloom/control/control_state.hpp
@@ -79,6 +79,7 @@
                                          const std::string& unit) const;
   bool IsBeingUnloaded(const EndpointState& endpoint, const std::string& unit) const;
   SnapshotPtr MakeSnapshot(TimePoint now);
+  void UpdateRunningNodes(TimePoint now);
   void AddServingSet(Snapshot& snapshot,
                      std::map<std::string, ServingSet>& sets,
                      const std::string& name,
@@ -108,6 +109,7 @@
   bool endpoints_listed_ = false;
   bool nodes_listed_ = false;
   bool stopping_ = false;
+  std::shared_ptr<const std::set<std::string>> running_nodes_;  // null while not known
   bool dirty_ = true;
 };
 
--- a/include/rudderloom/control/snapshot.hpp
+++ b/include/rudderloom/control/snapshot.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>  // for uint32_t
 #include <map>      // for map
 #include <memory>   // for shared_ptr
+#include <set>      // for set
 #include <string>   // for string
 #include <vector>   // for vector
 
@@ -35,6 +36,9 @@
   std::map<std::string, ServingSet> models;    ///< By name of a model or adapter.
   std::map<std::string, ServingSet> services;  ///< By name of a plain service.
   std::uint32_t live_nodes = 1;                ///< Including this node.
+  /// @brief Incarnations of the entry nodes that may be running, including this one; null while the
+  /// nodes are not known.
+  std::shared_ptr<const std::set<std::string>> running_nodes;
   QuarantineListPtr quarantine;  ///< Requests that crash endpoints; null if there are none.
   bool ready = false;            ///< A configuration is in force and the endpoints are known.
 };
--- a/include/rudderloom/membership/member_table.hpp
+++ b/include/rudderloom/membership/member_table.hpp
@@ -88,6 +88,9 @@
   /// longer in large fleets, where news of a member takes several rounds.
   bool IsLive(const Member& member, TimePoint now) const;
 
+  /// @brief Returns the incarnations of the members that are alive or were never heard.
+  std::set<std::string> PossiblyRunning(TimePoint now) const;
+
   /// @brief Returns true when no known member has this incarnation.
   bool Ended(const std::string& incarnation) const;
 
--- a/src/rudderloom/callers/service_call.cpp
+++ b/src/rudderloom/callers/service_call.cpp
@@ -77,7 +77,8 @@
     const std::string own_fingerprint = fingerprint;
     const Duration limit =
         std::max(Duration(1), std::min(kClaimTimeout, Between(Now(), info_.deadline)));
-    ClaimResult result = co_await shared_.claims.Take(key_, std::move(fingerprint), limit, &guard_);
+    ClaimResult result =
+        co_await shared_.claims.Take(key_, std::move(fingerprint), limit, &guard_, UnixDeadline());
     if (auto* granted = std::get_if<ClaimGranted>(&result)) {
       claim_ = granted->claim;
       co_return true;
@@ -95,6 +96,19 @@
     co_return false;
   }
 
+  // The deadline of the call in seconds since 1970, rounded up.
+  std::int64_t UnixDeadline() const {
+    const Duration left = Between(Now(), info_.deadline);
+    return UnixSeconds() + std::chrono::ceil<std::chrono::seconds>(left).count();
+  }
+
+  // Whether the owner of the claim may still run its call and record the outcome.
+  bool MayBeRunning(const Claim& claim) const {
+    const auto& nodes = shared_.dispatcher.Current()->running_nodes;
+    return claim.MayBeRunning(UnixSeconds()) &&
+           (!nodes || nodes->contains(claim.OwnerIncarnation()));
+  }
+
   // Replays the stored response of an earlier request with the same key, or reports its state.
   Awaitable<void> ReplyFromClaim(const Claim& claim, const std::string& fingerprint) {
     Refusal refusal;
@@ -115,7 +129,7 @@
     } else if (claim.state == ClaimState::kEnded) {
       refusal.reason = RefusalReason::kAnswerNotKept;
       refusal.detail = "it ended with status " + std::to_string(claim.status);
-    } else if (claim.state == ClaimState::kClaimed) {
+    } else if (MayBeRunning(claim)) {
       refusal.reason = RefusalReason::kCallInProgress;
     } else {
       refusal.reason = RefusalReason::kOutcomeUnknown;
--- a/src/rudderloom/claims/claim_book.cpp
+++ b/src/rudderloom/claims/claim_book.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr std::size_t kClaimOverheadBytes = 160;
+constexpr std::int64_t kClockToleranceSeconds = 2;
 constexpr unsigned kDigestWords = 4;  // of SHA-1's five: 128 bits
 
 // Short hash of length-prefixed parts, so that different lists of parts never hash the same bytes.
@@ -55,6 +56,7 @@
   claim.owner = TextAt(object, "owner");
   claim.fingerprint = TextAt(object, "fingerprint");
   claim.claimed_at = static_cast<std::int64_t>(NumberAt(object, "claimed_at"));
+  claim.runs_until = static_cast<std::int64_t>(NumberAt(object, "runs_until"));
   claim.status = static_cast<unsigned>(NumberAt(object, "status"));
   claim.content_type = TextAt(object, "content_type");
   claim.body = TextAt(object, "body");
@@ -68,6 +70,7 @@
   switch (claim.state) {
     case ClaimState::kClaimed:
       object["state"] = "claimed";
+      object["runs_until"] = claim.runs_until;
       break;
     case ClaimState::kUnknown:
       object["state"] = "unknown";
@@ -86,6 +89,11 @@
 
 }  // namespace
 
+bool Claim::MayBeRunning(std::int64_t unix_seconds) const {
+  return state == ClaimState::kClaimed &&
+         (runs_until == 0 || unix_seconds <= runs_until + kClockToleranceSeconds);
+}
+
 ClaimBook ClaimBook::FromJson(const json::object& spec) {
   ClaimBook book;
   const json::value* claims = spec.if_contains("claims");
--- a/src/rudderloom/claims/claim_keeper.cpp
+++ b/src/rudderloom/claims/claim_keeper.cpp
@@ -46,7 +46,8 @@
 Awaitable<ClaimResult> ClaimKeeper::Take(std::string key,
                                          std::string fingerprint,
                                          Duration limit,
-                                         CallGuard* guard) {
+                                         CallGuard* guard,
+                                         std::int64_t runs_until) {
   if (failing_ && ProbeInProgress()) {
     co_return ClaimUnavailable{"the platform does not answer"};
   }
@@ -56,6 +57,7 @@
   change.claim.owner = incarnation_ + "/" + std::to_string(++sequence_);
   change.claim.fingerprint = std::move(fingerprint);
   change.claim.claimed_at = UnixSeconds();
+  change.claim.runs_until = runs_until;
   change.deadline = Now() + limit;
   change.result = std::make_shared<std::variant<std::monostate, ClaimResult>>();
   change.waiter = std::make_shared<Timer>(context_);
--- a/src/rudderloom/claims/claim_keeper_test.cpp
+++ b/src/rudderloom/claims/claim_keeper_test.cpp
@@ -318,4 +318,28 @@
   }
 }
 
+// Guards against keys that are reported as in progress long after the node that ran them has ended.
+TEST_CASE("a claim counts as running until the deadline of its call, on every node") {
+  asio::io_context context;
+  FakePlatform platform;
+  Node one(platform, context, "one");
+  constexpr std::int64_t kRunsUntil = 1'000;
+  CallGuard* const no_guard = nullptr;
+  REQUIRE(Granted(
+      RunCoroutine(context, one.keeper.Take(Key("k"), "print", kLimit, no_guard, kRunsUntil))));
+  Node other(platform, context, "other");
+  const auto taken = RunCoroutine(context, other.keeper.Take(Key("k"), "print", kLimit));
+  REQUIRE(std::holds_alternative<ClaimTaken>(taken));
+  const Claim& claim = std::get<ClaimTaken>(taken).claim;
+  CHECK(claim.MayBeRunning(kRunsUntil + 2));
+  CHECK_FALSE(claim.MayBeRunning(kRunsUntil + 3));
+}
+
+TEST_CASE("a claim without a deadline, as earlier builds store it, counts as running") {
+  const auto book = ClaimBook::FromJson(
+      {{"claims", {{"k", {{"state", "claimed"}, {"owner", "o"}, {"claimed_at", 5}}}}}});
+  REQUIRE(book.Find("k") != nullptr);
+  CHECK(book.Find("k")->MayBeRunning(1'000'000));
+}
+
 }  // namespace rudderloom
--- a/src/rudderloom/control/control_state.cpp
+++ b/src/rudderloom/control/control_state.cpp
@@ -146,6 +146,7 @@
   dirty_ = crash_book_.Expire(now) || dirty_;
   if (nodes_listed_) {
     members_.Expire(now);
+    UpdateRunningNodes(now);
   }
   for (const auto& [name, state] : endpoints_.Endpoints()) {
     if (state.spec.service.empty()) {
@@ -154,6 +155,15 @@
   }
 }
 
+void ControlState::UpdateRunningNodes(TimePoint now) {
+  std::set<std::string> running = members_.PossiblyRunning(now);
+  running.insert(incarnation_);
+  if (!running_nodes_ || *running_nodes_ != running) {
+    running_nodes_ = std::make_shared<const std::set<std::string>>(std::move(running));
+    dirty_ = true;
+  }
+}
+
 void ControlState::On(const message::StopRequested&, TimePoint) {
   stopping_ = true;
   for (auto& [pool, keeper] : keepers_) {
@@ -368,6 +378,7 @@
   auto snapshot = std::make_shared<Snapshot>();
   snapshot->configuration = configuration_.InForce();
   snapshot->live_nodes = static_cast<std::uint32_t>(members_.Live(now).size()) + 1;
+  snapshot->running_nodes = running_nodes_;
   snapshot->ready = endpoints_listed_ && snapshot->configuration->generation > 0;
   std::map<std::string, std::vector<std::uint32_t>> by_service;
   for (const auto& [name, state] : endpoints_.Endpoints()) {
--- a/src/rudderloom/membership/member_table.cpp
+++ b/src/rudderloom/membership/member_table.cpp
@@ -136,6 +136,16 @@
   return live;
 }
 
+std::set<std::string> MemberTable::PossiblyRunning(TimePoint now) const {
+  std::set<std::string> incarnations;
+  for (const auto& [name, member] : members_) {
+    if (!member.advanced_at || IsLive(member, now)) {
+      incarnations.insert(member.state.incarnation);
+    }
+  }
+  return incarnations;
+}
+
 bool MemberTable::IsLive(const Member& member, TimePoint now) const {
   const auto times = static_cast<Duration::rep>(1 + members_.size() / kMembersPerSilenceLimit);
   return member.advanced_at && Between(*member.advanced_at, now) <= settings_.silent_after * times;
--- a/tests/process/claim_stop_test.cpp
+++ b/tests/process/claim_stop_test.cpp
@@ -78,6 +78,49 @@
   CHECK(cluster.RunCount("one") == 1);
 }
 
+// The write of the outcome may have reached the suspended platform, which then stores it.
+TEST_CASE("stop: a key whose outcome is not stored does not run again and is not in progress") {
+  StoppingCluster cluster;
+  cluster.SetFaults("desk1", {{"hang", 1}});
+  RawCaller caller(cluster.Node(), ServiceCallBytes("desk", true, true));
+  REQUIRE(cluster.WaitForCalls(1, 0));
+  REQUIRE(cluster.WaitUntil([&] { return cluster.Metric("rudderloom_claim_changes_total") == 1; }));
+  cluster.At("platform").Signal(SIGSTOP);
+  cluster.SetFaults("desk1", {{"hang", 0}});
+  CHECK(caller.Receive(Duration(2'000)).response.status == 200);
+  cluster.BeginStop();
+  CHECK(cluster.ExitsInTime());
+  CHECK(ReasonOf(cluster.Retry()) == "claims_unavailable");
+  cluster.At("platform").Signal(SIGCONT);
+  CHECK(cluster.WaitUntil(
+      [&] {
+        const Response response = cluster.Retry();
+        return ReasonOf(response) == "outcome_unknown" ||
+               (response.status == 200 && response.Header("Idempotency-Replayed") == "true");
+      },
+      Duration(5'000)));
+  CHECK(cluster.RunCount("one") == 1);
+}
+
+// Guards against keys that are reported as in progress after their node has ended.
+TEST_CASE(
+    "stop: the key of a call on a killed node has an unknown outcome once the node is missed") {
+  StoppingCluster cluster;
+  REQUIRE(cluster.WaitUntil([&] { return cluster.Metric("rudderloom_live_nodes") == 2; }));
+  cluster.SetFaults("desk1", {{"hang", 1}});
+  RawCaller caller(cluster.Node(), ServiceCallBytes("desk", true, true));
+  REQUIRE(cluster.WaitForCalls(1, 0));
+  REQUIRE(cluster.WaitUntil([&] { return cluster.Metric("rudderloom_claim_changes_total") == 1; }));
+  cluster.At("n1").Kill();
+  CHECK(ReasonOf(cluster.Retry()) == "call_in_progress");
+  CHECK(cluster.WaitUntil([&] { return ReasonOf(cluster.Retry()) == "outcome_unknown"; },
+                          Duration(5'000)));
+  cluster.SetFaults("desk1", {{"hang", 0}});
+  CHECK(cluster.WaitUntil([&] { return cluster.RunCount("one") == 1; }));
+  CHECK(ReasonOf(cluster.Retry()) == "outcome_unknown");
+  CHECK(cluster.RunCount("one") == 1);
+}
+
 TEST_CASE("stop: a node without calls exits in time while the platform is suspended") {
   StoppingCluster cluster;
   cluster.At("platform").Signal(SIGSTOP);
