Keep a node of the own interface alive on SIGHUP

What callers saw: a SIGHUP, also one during a planned stop, ended the process with everything in flight; no call got an answer.

Cause: the daemon handles SIGTERM and SIGINT only, so the default action of SIGHUP applied.

Change: the daemon registers SIGHUP and ignores it, as it reads its settings only at the start.

--- a/src/rudderloom/app/daemon.cpp
+++ b/src/rudderloom/app/daemon.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>  // for min
 #include <atomic>     // for atomic
-#include <csignal>    // for SIGTERM
+#include <csignal>    // for SIGTERM, SIGHUP
 #include <future>     // for promise
 #include <iostream>   // for cout
 #include <random>     // for random_device
@@ -217,6 +217,8 @@
   // the stop.
   asio::io_context signal_context_;
   asio::signal_set stop_signals_{signal_context_, SIGTERM, SIGINT};
+  // Settings are read only at the start; unhandled, the signal would kill the process.
+  asio::signal_set ignored_signals_{signal_context_, SIGHUP};
   Metrics metrics_;
   ContactMonitor contact_;
   DestroyableContext control_context_{1};
--- a/tests/process/caller_stop_test.cpp
+++ b/tests/process/caller_stop_test.cpp
@@ -257,5 +257,20 @@
   CHECK(cluster.AwaitExit() == kClean);
 }
 
+TEST_CASE("stop: a SIGHUP leaves calls their time") {
+  StoppingCluster cluster;
+  cluster.SetFaults("desk1", {{"hang", 1}});
+  RawCaller caller(cluster.Node(), ServiceCallBytes("desk", true, false));
+  REQUIRE(cluster.WaitForCalls(1, 0));
+  cluster.BeginStop();
+  cluster.At("n1").Signal(SIGHUP);
+  cluster.AwaitEndOfNotice();
+  cluster.SetFaults("desk1", {{"hang", 0}});
+  const Received received = caller.Receive();
+  INFO(received.Text());
+  CHECK(received.response.status == 200);
+  CHECK(cluster.AwaitExit() == kClean);
+}
+
 }  // namespace
 }  // namespace rudderloom::tests
