Refuse partly received requests at the end of a stop on the platform's interface

A request whose header or body is still being received when the grace period ends is not counted as in progress: the process exits with status 0 and the connection is closed without a response.

Change: at the end of a stop such requests are refused with 503, which says that they have not run, and the process waits for its connections until its deadline. Both daemons share the blocking waits of the main thread.

No process test of this interface yet.

--- a/include/rudderloom/forwarding/frontend.hpp
+++ b/include/rudderloom/forwarding/frontend.hpp
@@ -37,12 +37,15 @@
   void StopAccepting();
 
   /// @brief Interrupts all requests in flight; those whose answer has not started get an error
-  /// answer.
+  /// answer, as do requests that have been received in part.
   void InterruptRequests();
 
   /// @brief Number of requests in progress.
   std::uint64_t Active() const { return server_->Active(); }
 
+  /// @brief Number of open connections from clients.
+  std::uint64_t Connections() const { return server_->Connections(); }
+
  private:
   bool Ready() const;
   Awaitable<void> AnswerReadiness(HttpExchange& exchange);
--- a/src/rudderloom/app/fleet_daemon.cpp
+++ b/src/rudderloom/app/fleet_daemon.cpp
@@ -8,6 +8,7 @@
 #include <random>    // for random_device
 #include <thread>    // for thread
 
+#include "app/wait.hpp"                             // for BlockFor
 #include "platform/dialect.hpp"                     // for MakeDialect
 #include "platform/formats.hpp"                     // for MakeFormats
 #include "platform/store.hpp"                       // for MakeStore
@@ -26,7 +27,6 @@
 
 // The load balancer probes readiness every second and removes a node after two failed probes.
 constexpr Duration kStopNotice{2'600};
-constexpr Duration kStopPollInterval{20};
 constexpr Duration kReportTimeout{600};
 // Time reserved before the platform kills the process at the end of the grace period.
 constexpr Duration kGraceMargin{700};
@@ -268,10 +268,17 @@
     LogLine("reload_refused", Severity::kError).With("error", error);
   }
 
-  std::uint64_t ActiveRequests() {
-    std::promise<std::uint64_t> active;
-    asio::post(traffic_context_, [&] { active.set_value(front_.Active()); });
-    return active.get_future().get();
+  struct Unfinished {
+    std::uint64_t requests = 0;
+    std::uint64_t connections = 0;
+  };
+
+  Unfinished CountUnfinished() {
+    std::promise<Unfinished> counted;
+    asio::post(traffic_context_, [&] {
+      counted.set_value({front_.Active(), front_.Connections()});
+    });
+    return counted.get_future().get();
   }
 
   // Reports not ready, waits until the load balancer has noticed, and drains requests in flight.
@@ -284,28 +291,16 @@
     asio::post(traffic_context_,
                [this, interrupt_at] { front_.BeginStop(interrupt_at - kFinalResponseMargin); });
     actor_->Post(fleet_message::StopRequested{});
-    Wait(kStopNotice);
+    BlockFor(kStopNotice);
     asio::post(traffic_context_, [this] { front_.StopAccepting(); });
-    AwaitIdle(interrupt_at);
-    if (ActiveRequests() == 0) {
-      return true;
-    }
+    BlockUntil(interrupt_at, [this] { return CountUnfinished().requests == 0; });
+    const bool clean = CountUnfinished().requests == 0;
     asio::post(traffic_context_, [this] { front_.InterruptRequests(); });
-    AwaitIdle(deadline);
-    return false;
-  }
-
-  void AwaitIdle(TimePoint deadline) {
-    while (ActiveRequests() > 0 && Now() < deadline) {
-      Wait(kStopPollInterval);
-    }
-  }
-
-  static void Wait(Duration pause) {
-    asio::io_context context;
-    Timer timer(context, pause);
-    timer.async_wait([](boost::system::error_code) {});
-    context.run();
+    BlockUntil(deadline, [this] {
+      const Unfinished unfinished = CountUnfinished();
+      return unfinished.requests + unfinished.connections == 0;
+    });
+    return clean;
   }
 
   // Declared first: the address that it listens on identifies this node to the others.
--- a/src/rudderloom/forwarding/frontend.cpp
+++ b/src/rudderloom/forwarding/frontend.cpp
@@ -182,6 +182,7 @@
   for (CallGuard* guard : state_.guards) {
     guard->ExpireDeadline();
   }
+  server_->RefusePartialRequests();
 }
 
 bool FleetFrontend::Ready() const {
