Retry failed claim writes soon once the node stops

What callers saw: a call was answered 200, and its key was not replayed afterwards, although the platform was well again before the node ended.

Cause: the commit loop pauses up to 2 s after failed writes, and nothing woke it for the stop, whose last part lasts a second at most.

Change: the beginning of a stop ends the pause, and later ones last 50 ms.

--- a/include/rudderloom/claims/claim_keeper.hpp
+++ b/include/rudderloom/claims/claim_keeper.hpp
@@ -68,6 +68,9 @@
   /// @brief Releases the claim of a call that was certainly not executed, in the background.
   void Release(const std::string& key, const Claim& claim);
 
+  /// @brief From now on retries failed writes soon, as the process is about to exit.
+  void BeginStop();
+
   /// @brief Returns the number of changes that are not stored yet.
   std::size_t Pending() const;
 
@@ -94,6 +97,7 @@
     std::optional<StoreRevision> version;  // empty: not read yet
     std::vector<std::string> writers;
     bool running = false;
+    Timer* pause = nullptr;  // of the commit loop, after a failed write
   };
 
   bool ProbeInProgress() const;
@@ -117,6 +121,7 @@
   std::map<std::int64_t, Shard> shards_;
   std::uint64_t sequence_ = 0;
   bool failing_ = false;  // the latest call to the platform failed
+  bool stopping_ = false;
 };
 
 }  // namespace rudderloom
--- a/src/rudderloom/callers/frontend.cpp
+++ b/src/rudderloom/callers/frontend.cpp
@@ -92,6 +92,7 @@
   stopping_ = true;
   server_->CloseAfterAnswers();
   dispatcher_.BeginStop(deadline);
+  claims_.BeginStop();
 }
 
 void Frontend::InterruptCalls() {
--- a/src/rudderloom/claims/claim_keeper.cpp
+++ b/src/rudderloom/claims/claim_keeper.cpp
@@ -13,6 +13,7 @@
 constexpr std::size_t kMaxShardBytes = 900 * 1024;
 constexpr Duration kMinBackoff{50};
 constexpr Duration kMaxBackoff{2'000};
+constexpr Duration kStopBackoff{50};
 constexpr Duration kSettleLimit{1'500};
 constexpr Duration kSettlePause{50};
 
@@ -109,6 +110,15 @@
   }
 }
 
+void ClaimKeeper::BeginStop() {
+  stopping_ = true;
+  for (auto& [number, shard] : shards_) {
+    if (shard.pause != nullptr) {
+      shard.pause->cancel();
+    }
+  }
+}
+
 void ClaimKeeper::Resolve(Change& change, ClaimResult result) {
   *change.result = std::move(result);
   change.waiter->cancel();
@@ -128,8 +138,10 @@
       continue;
     }
     ExpireOverdue(shard, "the platform does not answer");
-    Timer pause(context_, backoff.Next());
+    Timer pause(context_, stopping_ ? kStopBackoff : backoff.Next());
+    shard.pause = &pause;
     co_await pause.async_wait(kAsTuple);
+    shard.pause = nullptr;
   }
   shard.running = false;
 }
