Don't forward an endpoint's error whose body broke off

What callers saw: by reading, an error response of an endpoint whose body broke off, for example because the stop interrupted it, was forwarded with an empty body as if it were whole. A stream that can't be resumed could get two error events if the interruption fell into the write of the first one.

Cause: ForwardError ignored the failure; the check for an interruption did not ask whether the stream had ended already.

Change: the failure ends the attempt, which is retried or answered like any other; an ended stream gets no second event.

--- a/src/rudderloom/callers/completion_call.cpp
+++ b/src/rudderloom/callers/completion_call.cpp
@@ -86,7 +86,7 @@
       unit_ = grant.unit;
       const AttemptEnd end = co_await Attempt(grant);
       shared_.dispatcher.Release(grant, ToRouteResult(end), end.first_byte);
-      if (end.failure && guard_.Interrupted()) {
+      if (end.failure && !end.caller_disconnected && guard_.Interrupted()) {
         co_await Fail(StoppingRefusal(state.may_have_run || !ProvesNotRun(*end.failure)));
         co_return;
       }
@@ -194,7 +194,7 @@
     if (response->Status() != 200) {
       end.failure = ClassifyStatus(*response, leaving);
       if (!end.failure) {
-        end.caller_disconnected = !co_await ForwardError(*response);
+        co_await ForwardError(*response, end);
       }
     } else if (response->Header(header::kRequestId) != info_.request_id) {
       // A response to another request must not reach this caller.
@@ -230,16 +230,18 @@
   }
 
   // Forwards an error response of the engine to the caller.
-  Awaitable<bool> ForwardError(HttpStream& response) {
+  Awaitable<void> ForwardError(HttpStream& response, AttemptEnd& end) {
     Reply reply;
     reply.status = response.Status();
     reply.content_type = response.Header("Content-Type");
     reply.headers.emplace_back(header::kRequestId, info_.request_id);
     auto body = co_await ReadFullBody(response);
-    if (auto* text = std::get_if<std::string>(&body)) {
-      reply.body = std::move(*text);
+    if (auto* failure = std::get_if<HttpFailure>(&body)) {
+      end.failure = ClassifyFailure(*failure, AttemptFailure::kBrokenMidAnswer);
+      co_return;
     }
-    co_return co_await exchange_.Send(std::move(reply));
+    reply.body = std::move(std::get<std::string>(body));
+    end.caller_disconnected = !co_await exchange_.Send(std::move(reply));
   }
 
   Awaitable<void> ForwardBody(HttpStream& response, AttemptEnd& end) {
--- a/src/rudderloom/callers/service_call.cpp
+++ b/src/rudderloom/callers/service_call.cpp
@@ -87,10 +87,11 @@
       co_await ReplyFromClaim(taken->claim, own_fingerprint);
       co_return false;
     }
-    Refusal refusal = StoppingRefusal(false);
-    if (!guard_.Interrupted()) {
-      refusal.reason = RefusalReason::kClaimsUnavailable;
-      refusal.detail = std::get<ClaimUnavailable>(result).message;
+    Refusal refusal;
+    refusal.reason = RefusalReason::kClaimsUnavailable;
+    refusal.detail = std::get<ClaimUnavailable>(result).message;
+    if (guard_.Interrupted()) {
+      refusal = StoppingRefusal(false);
     }
     co_await SendRefusal(shared_, exchange_, std::move(refusal), info_.request_id);
     co_return false;
