Serve pipelined requests on connections that close at a stop

What callers saw: a request sent right behind another one on the same connection got no answer once a stop had begun; unread data at the close could also reset the connection and cost the client the answer before it.

Cause: the response that announces the close ended the connection, whatever had been received behind its request.

Change: a response announces the close only if nothing has been received behind its request, and a connection that closes first discards what still arrives.

Evidence: stop_moments_process_test, "a further request on a connection"; fails without this change, passes with it.

--- a/include/rudderloom/http/server.hpp
+++ b/include/rudderloom/http/server.hpp
@@ -53,10 +53,12 @@
  public:
   /// @param closing Whether the server closes connections after their response; read when the
   /// response is sent.
+  /// @param received Data received after the request: a pipelined request, which is still served.
   HttpExchange(tcp::socket& socket,
                HttpRequest request,
                const HttpLimits& limits,
-               const bool& closing);
+               const bool& closing,
+               const beast::flat_buffer& received);
   HttpExchange(const HttpExchange&) = delete;
   HttpExchange& operator=(const HttpExchange&) = delete;
   ~HttpExchange();
@@ -104,6 +106,7 @@
   HttpRequest request_;
   const HttpLimits& limits_;
   const bool& closing_;
+  const beast::flat_buffer& received_;
   bool keep_alive_ = false;  // as announced in the response
   bool started_ = false;
   bool ended_ = false;
@@ -166,6 +169,7 @@
   Awaitable<bool> AwaitRequest(tcp::socket& socket, beast::flat_buffer& buffer);
   Awaitable<bool> ServeOne(tcp::socket& socket, beast::flat_buffer& buffer);
   Awaitable<void> Refuse(tcp::socket& socket, ReadFailure failure);
+  static Awaitable<void> DiscardInput(tcp::socket& socket);
 
   asio::io_context& context_;
   HttpLimits limits_;
--- a/src/rudderloom/http/server.cpp
+++ b/src/rudderloom/http/server.cpp
@@ -13,6 +13,7 @@
 
 constexpr std::size_t kReadBytes = 4096;
 constexpr Duration kAcceptRetryDelay{50};
+constexpr Duration kDiscardTime{500};
 // For a request that was sent before its client could see that the server stops.
 constexpr Duration kLastRequestWait{50};
 
@@ -43,8 +44,13 @@
 HttpExchange::HttpExchange(tcp::socket& socket,
                            HttpRequest request,
                            const HttpLimits& limits,
-                           const bool& closing)
-    : socket_(socket), request_(std::move(request)), limits_(limits), closing_(closing) {}
+                           const bool& closing,
+                           const beast::flat_buffer& received)
+    : socket_(socket),
+      request_(std::move(request)),
+      limits_(limits),
+      closing_(closing),
+      received_(received) {}
 
 HttpExchange::~HttpExchange() {
   if (watch_) {
@@ -53,7 +59,7 @@
 }
 
 bool HttpExchange::DecideKeepAlive() {
-  keep_alive_ = request_.keep_alive() && !closing_;
+  keep_alive_ = request_.keep_alive() && (!closing_ || received_.size() > 0);
   return keep_alive_;
 }
 
@@ -226,9 +232,12 @@
     while (co_await ServeOne(socket, buffer)) {
     }
   }
-  --connections_;
   boost::system::error_code ignored;
   socket.shutdown(tcp::socket::shutdown_send, ignored);
+  if (socket.available(ignored) > 0) {
+    co_await DiscardInput(socket);
+  }
+  --connections_;
 }
 
 // Waits up to the idle timeout for the first byte of a request, while the server stops only for one
@@ -278,7 +287,7 @@
     co_return false;
   }
   ++active_requests_;
-  HttpExchange exchange(socket, parser.release(), limits_, close_after_response_);
+  HttpExchange exchange(socket, parser.release(), limits_, close_after_response_, buffer);
   try {
     co_await handlers_.handle(exchange);
   } catch (const std::exception& error) {
@@ -296,14 +305,20 @@
   HttpRequest request;
   request.version(11);
   request.keep_alive(false);
-  HttpExchange exchange(socket, std::move(request), limits_, close_after_response_);
+  const beast::flat_buffer no_further_request;
+  HttpExchange exchange(socket, std::move(request), limits_, close_after_response_,
+                        no_further_request);
   Reply reply = handlers_.read_failure(failure);
   co_await exchange.Send(std::move(reply));
   boost::system::error_code ignored;
   socket.shutdown(tcp::socket::shutdown_send, ignored);
-  // Drain incoming data for a moment: closing with unread data would reset the connection, and the
-  // client could lose the response.
-  Watchdog watchdog(socket, Duration(500));
+  co_await DiscardInput(socket);
+}
+
+// Reads incoming data for a moment: closing with unread data would reset the connection, and the
+// client could lose the response.
+Awaitable<void> HttpServer::DiscardInput(tcp::socket& socket) {
+  Watchdog watchdog(socket, kDiscardTime);
   std::string discarded(kReadBytes, '\0');
   while (!watchdog.Expired()) {
     const auto [error, size] = co_await socket.async_read_some(asio::buffer(discarded), kAsTuple);
