End a stop of the own interface within its time, connections last

What callers saw: calls on kept connections got no answer in the last part of a stop, though the process still ran.

Cause: idle connections were closed together with the interruption of calls, and the last wait lasted until the bound itself.

Change: connections are closed last, a part of the final time is left for the exit, and a wait never goes beyond its deadline.

--- a/include/rudderloom/callers/frontend.hpp
+++ b/include/rudderloom/callers/frontend.hpp
@@ -51,8 +51,8 @@
   /// and the outcomes of claimed ones are recorded.
   void InterruptCalls();
 
-  /// @brief Closes the connections without a request in flight; requests that have been received in
-  /// part are refused.
+  /// @brief Refuses new calls, closes the connections without a request in flight and refuses
+  /// requests that have been received in part.
   void Close();
 
   /// @brief Number of requests in flight.
--- a/src/rudderloom/app/daemon.cpp
+++ b/src/rudderloom/app/daemon.cpp
@@ -24,6 +24,9 @@
 // at most a quarter of the stop time.
 constexpr Duration kMaxFinalTime{1'000};
 constexpr int kFinalTimeDivisor = 4;
+// Parts of the final time: to close connections, and for the process to exit.
+constexpr int kCloseTimeDivisor = 4;
+constexpr int kExitTimeDivisor = 8;
 // Time after the notice to read the calls that arrived within it.
 constexpr Duration kLastCallsTime{50};
 
@@ -178,8 +181,10 @@
   bool Stop() {
     LogLine("stopping").With("node", settings_.name);
     const Duration final_time = std::min(kMaxFinalTime, settings_.stop_time / kFinalTimeDivisor);
-    const TimePoint deadline = Now() + settings_.stop_notice + settings_.stop_time;
-    const TimePoint interrupt_at = deadline - final_time;
+    const TimePoint exit_by = Now() + settings_.stop_notice + settings_.stop_time;
+    const TimePoint interrupt_at = exit_by - final_time;
+    const TimePoint deadline = exit_by - final_time / kExitTimeDivisor;
+    const TimePoint close_at = deadline - final_time / kCloseTimeDivisor;
     asio::post(traffic_context_, [this, interrupt_at] { front_.BeginStop(interrupt_at); });
     actor_->Post(message::StopRequested{});
     BlockFor(settings_.stop_notice);
@@ -192,16 +197,18 @@
     });
     const std::size_t interrupted = CountUnfinished().calls;
     LogLine("ending_stop").With("node", settings_.name).With("interrupted_calls", interrupted);
-    asio::post(traffic_context_, [this] {
-      front_.InterruptCalls();
-      front_.Close();
-    });
+    asio::post(traffic_context_, [this] { front_.InterruptCalls(); });
     Unregister();
     Unfinished unfinished;
+    BlockUntil(close_at, [&] {
+      unfinished = CountUnfinished();
+      return unfinished.calls + unfinished.claims == 0 && unregistered_.load();
+    });
+    // Closed last, so that calls on kept connections are refused until then.
+    asio::post(traffic_context_, [this] { front_.Close(); });
     BlockUntil(deadline, [&] {
       unfinished = CountUnfinished();
-      return unfinished.calls + unfinished.claims + unfinished.connections == 0 &&
-             unregistered_.load();
+      return unfinished.calls + unfinished.claims + unfinished.connections == 0;
     });
     return interrupted + unfinished.claims == 0;
   }
--- a/src/rudderloom/app/wait.hpp
+++ b/src/rudderloom/app/wait.hpp
@@ -2,6 +2,8 @@
 #ifndef RUDDERLOOM_APP_WAIT_HPP
 #define RUDDERLOOM_APP_WAIT_HPP
 
+#include <algorithm>  // for max, min
+
 #include "rudderloom/base/clock.hpp"  // for Duration, TimePoint
 
 namespace rudderloom {
@@ -15,7 +17,7 @@
 template <class Condition>
 void BlockUntil(TimePoint deadline, Condition condition) {
   while (!condition() && Now() < deadline) {
-    BlockFor(kWaitInterval);
+    BlockFor(std::min(kWaitInterval, std::max(Duration(0), Between(Now(), deadline))));
   }
 }
 
