A recent claim may belong to a node that is not known yet; a stable order in its test

A call claimed by a node that another node does not know yet would have been reported there as of unknown outcome.

Cause: the other node took an owner outside its table for ended, though news of a new node takes up to a heartbeat or a watch. Now a claim that is not older than the time after which a silent member counts as down is in progress.

Found while tracing one failure of "a running call of a node that just started" in a series of runs beside load. The case waits for the claim now and checks the same.

Also a lint finding in the tests of the stop.

--- a/src/rudderloom/callers/service_call.cpp
+++ b/src/rudderloom/callers/service_call.cpp
@@ -103,11 +103,16 @@
     return UnixSeconds() + std::chrono::ceil<std::chrono::seconds>(left).count();
   }
 
-  // Whether the owner of the claim may still run its call and record the outcome.
+  // Whether the owner of the claim may still run its call and record the outcome. The owner of a
+  // recent claim may be a new node that is not known here yet.
   bool MayBeRunning(const Claim& claim) const {
     const auto& nodes = shared_.dispatcher.Current()->running_nodes;
-    return claim.MayBeRunning(UnixSeconds()) &&
-           (!nodes || nodes->contains(claim.OwnerIncarnation()));
+    const auto settle_time =
+        std::chrono::ceil<std::chrono::seconds>(shared_.settings.membership.silent_after);
+    const std::int64_t now = UnixSeconds();
+    const bool recent = now - claim.claimed_at <= settle_time.count();
+    return claim.MayBeRunning(now) &&
+           (recent || !nodes || nodes->contains(claim.OwnerIncarnation()));
   }
 
   // Replays the stored response of an earlier request with the same key, or reports its state.
--- a/tests/process/claim_stop_test.cpp
+++ b/tests/process/claim_stop_test.cpp
@@ -153,7 +153,7 @@
 
  private:
   std::string MakeSet() {
-    const std::string directory = Directory() + "/more";
+    std::string directory = Directory() + "/more";
     std::filesystem::create_directory(directory);
     std::ofstream(directory + "/all.json")
         << R"({"models": [{"name": "y", "version": "1", "pool": "q", "memory": "1GiB"}]})";
--- a/tests/process/stop_moments_test.cpp
+++ b/tests/process/stop_moments_test.cpp
@@ -142,6 +142,10 @@
   REQUIRE(cluster.WaitUntil(
       [&] { return cluster.Call(cluster.At("n3").Address(), "/readyz").status == 200; }));
   RawCaller caller(cluster.At("n3").Address(), ServiceCallBytes("desk", true, true));
+  REQUIRE(cluster.WaitUntil([&] {
+    const std::string metrics = cluster.Call(cluster.At("n3").Address(), "/metrics").body;
+    return metrics.find("rudderloom_claim_changes_total 1\n") != std::string::npos;
+  }));
   std::string first;
   int wrong = 0;
   const TimePoint began = Now();
