--- a/tests/process/stop_moments_test.cpp
+++ b/tests/process/stop_moments_test.cpp
@@ -317,6 +317,7 @@
     int twice = 0, stuck = 0;
     std::string silent_times;
     std::vector<Received> all;
+    all.reserve(callers.size());
     for (RawCaller& caller : callers) {
       all.push_back(caller.Receive(Duration(700)));
     }
