Test of the end of a stop: measure the node's own work under the address sanitizer

Seen here, sanitized, beside load 10: 1806 to 1827 ms of 1800 in six of six exits, so not rare. Cause, by runs with and without the search for leaks that follows main(): with detect_leaks=0 the same exits come after 1777 to 1783 ms, with it after 1818 to 1844 ms. Ruled out: a late deadline in the product, as "stopped", the node's last log line, comes after 1757 to 1763 ms (twelve exits).

Change: the bound stays at the documented 1800 ms. A sanitized node is measured up to that line, any other up to its exit. Both cases now also check that the process ends, with a documented status; they share one function.

--- a/tests/process/stop_moments_test.cpp
+++ b/tests/process/stop_moments_test.cpp
@@ -22,6 +22,28 @@
                       "X-Call-Id: " + id + "\r\nX-Caller: c\r\nIdempotency-Key: " + key + "\r\n");
 }
 
+// Whether the node has ended. With the address sanitizer: whether it has done all its work, as the
+// search for leaks follows.
+bool HasEnded(Program& node) {
+#ifdef __SANITIZE_ADDRESS__
+  return node.LogTail().find("event=stopped") != std::string::npos;
+#else
+  return node.Wait(Duration(0)) != -1;
+#endif
+}
+
+// Stops the node n1 and checks that it ends within the notice and the stop time.
+void CheckEndsInTime(StoppingCluster& cluster) {
+  const TimePoint sent = Now();
+  cluster.BeginStop();
+  while (!HasEnded(cluster.At("n1")) && Now() < sent + Duration(5'000)) {
+  }
+  const auto took = Between(sent, Now()).count();
+  MESSAGE("ended after ms: ", took, " of 1800");
+  CHECK(took <= 1'800);
+  CHECK(cluster.ExitsInTime());
+}
+
 const boost::json::object kOneShard{{"claims", {{"shards", 1}}}};
 
 // A claim's write that the platform has received but not handled when the node ends.
@@ -95,13 +117,7 @@
   RawCaller caller(cluster.Node(), ServiceCallBytes("desk", true, true));
   REQUIRE(cluster.WaitForCalls(1, 0));
   cluster.At("platform").Signal(SIGSTOP);
-  const TimePoint sent = Now();
-  cluster.BeginStop();
-  while (cluster.At("n1").Wait(Duration(0)) == -1 && Now() < sent + Duration(5'000)) {
-  }
-  const auto took = Between(sent, Now()).count();
-  MESSAGE("exit after ms: ", took, " of 1800");
-  CHECK(took <= 1'800);
+  CheckEndsInTime(cluster);
 }
 
 // A node that is short of processor time for the last part of its stop.
@@ -229,13 +245,7 @@
   RawCaller caller(cluster.Node(), ServiceCallBytes("desk", true, false));
   RawCaller partial(cluster.Node(), "GET / HTTP/1.1\r\nHost");
   REQUIRE(cluster.WaitForCalls(1, 0));
-  const TimePoint sent = Now();
-  cluster.BeginStop();
-  while (cluster.At("n1").Wait(Duration(0)) == -1 && Now() < sent + Duration(5'000)) {
-  }
-  const auto took = Between(sent, Now()).count();
-  MESSAGE("exit after ms: ", took, " of 1800");
-  CHECK(took <= 1'800);
+  CheckEndsInTime(cluster);
 }
 
 // The platform answers, within its call time but later than the final time of the stop.
