Settings: reject times beyond the range of time points

Cause: the range check of numbers with a unit was made for whole numbers only, and its limit, 10^9 hours, is beyond what a time point in nanoseconds holds.

--- a/include/rudderloom/base/json_reader.hpp
+++ b/include/rudderloom/base/json_reader.hpp
@@ -37,6 +37,10 @@
 std::variant<boost::json::object, JsonErrors> ParseJsonObject(std::string_view text,
                                                               const std::string& path);
 
+/// @brief Longest time in settings and options: sums of several still fit into a TimePoint.
+/// @ingroup base
+inline constexpr Duration kMaxSettingTime = std::chrono::hours(100'000);
+
 /// @brief Parses `"250ms"`, `"2.5s"`, `"10m"` or `"2h"`; empty when the unit or number is invalid.
 /// @ingroup base
 std::optional<Duration> ParseDuration(std::string_view text);
--- a/src/rudderloom/app/main.cpp
+++ b/src/rudderloom/app/main.cpp
@@ -99,8 +99,8 @@
   }
   options.wait = parsed.count("wait") > 0;
   const auto time = ParseDuration(parsed["wait-time"].as<std::string>());
-  if (!time) {
-    throw std::invalid_argument("--wait-time is a time such as 10s");
+  if (!time || *time > kMaxSettingTime) {
+    throw std::invalid_argument("--wait-time is a time such as 10s, at most 100000h");
   }
   options.wait_time = *time;
   return options;
--- a/src/rudderloom/base/json_reader.cpp
+++ b/src/rudderloom/base/json_reader.cpp
@@ -79,7 +79,8 @@
   std::string one("1");
   one += text.substr(unit);
   const auto factor = ParseWithUnit(one, kTimeUnits);
-  if (read.ec != std::errc() || read.ptr != text.data() + unit || !factor) {
+  if (read.ec != std::errc() || read.ptr != text.data() + unit || !factor ||
+      number > static_cast<double>(kMaxBeforeUnit)) {
     return std::nullopt;
   }
   return Duration(static_cast<Duration::rep>(number * static_cast<double>(*factor)));
@@ -185,6 +186,10 @@
     Fail(key, ToText(*found) + " is not a time such as \"250ms\", \"5s\", \"10m\" or \"2h\"");
     return fallback.value_or(Duration(0));
   }
+  if (*parsed > kMaxSettingTime) {
+    Fail(key, ToText(*found) + " is longer than 100000h");
+    return fallback.value_or(Duration(0));
+  }
   return *parsed;
 }
 
--- a/src/rudderloom/base/json_reader_test.cpp
+++ b/src/rudderloom/base/json_reader_test.cpp
@@ -21,11 +21,30 @@
   CHECK_FALSE(ParseDuration("5"));
   CHECK_FALSE(ParseDuration("5 s"));
   CHECK_FALSE(ParseDuration("-5s"));
+  CHECK_FALSE(ParseDuration("99999999999999999999h"));
+  CHECK_FALSE(ParseDuration("99999999999999999999.0h"));
   CHECK(ParseSize("64KiB") == 65536);
   CHECK_FALSE(ParseSize("64KB"));
   CHECK_FALSE(ParseSize("99999999999999999999GiB"));
 }
 
+// Guards against times that overflow when they are added to the current time.
+TEST_CASE("a time beyond the range of time points is an error with its path") {
+  for (const char* time : {"100001h", "100000.5h", "999999999.0h", "99999999999999999999.0h"}) {
+    CAPTURE(time);
+    const boost::json::object object{{"stop_time", time}};
+    JsonErrors errors;
+    ObjectReader reader(object, "", errors);
+    reader.Time("stop_time");
+    REQUIRE(errors.size() == 1);
+    CHECK(errors[0].path == "/stop_time");
+  }
+  const boost::json::object object{{"stop_time", "100000h"}};
+  JsonErrors errors;
+  CHECK(ObjectReader(object, "", errors).Time("stop_time") == kMaxSettingTime);
+  CHECK(errors.empty());
+}
+
 TEST_CASE("every error is reported with its JSON path") {
   const auto parsed = ParseJsonObject(R"({"port": 70000, "nam": 1, "list": [{"time": "5"}]})", "/");
   JsonErrors errors;
--- a/tests/process/configuration_test.cpp
+++ b/tests/process/configuration_test.cpp
@@ -1,7 +1,11 @@
 // Configuration and membership with nodes as real processes.
 #include <doctest/doctest.h>  // for TEST_CASE
 
-#include <csignal>  // for SIGSTOP
+#include <unistd.h>  // for getpid
+
+#include <csignal>     // for SIGSTOP
+#include <filesystem>  // for temp_directory_path
+#include <fstream>     // for ofstream
 
 #include "fakes/cells.hpp"      // for ProvedCell
 #include "process/cluster.hpp"  // for Cluster
@@ -185,6 +189,13 @@
   Cluster cluster;
   const auto [status, text] = cluster.RunCli({"check", "--settings", "/nonexistent.json"});
   CHECK(status == 2);
+  const std::string file =
+      std::filesystem::temp_directory_path() / ("settings-" + std::to_string(::getpid()) + ".json");
+  std::ofstream(file) << R"({"stop_time": "99999999999999999999.0h"})";
+  const auto [overflow, overflow_text] = cluster.RunCli({"check", "--settings", file});
+  CHECK(overflow == 2);
+  CHECK(overflow_text.find("/stop_time") != std::string::npos);
+  std::filesystem::remove(file);
   const auto [usage, usage_text] = cluster.RunCli({"frobnicate"});
   CHECK(usage == 64);
   const auto [version, version_text] = cluster.RunCli({"--version"});
