Store client: a list response without items or revision is an error

Seen by reading: a response to a list that is valid JSON but no list, as a proxy may send, counted as an empty list at revision 0. A follower would have dropped every node, lease and claim that it knew.

Cause: items and revision were optional for the client of our own interface; the client of the users' platform already asked for them.

Change: without an array of items, or without a revision, the list has failed with an unknown cause and is repeated.

--- a/src/rudderloom/store/object_store.cpp
+++ b/src/rudderloom/store/object_store.cpp
@@ -172,15 +172,19 @@
       co_return StoreError{StoreError::Kind::kUnknown, "response is not a list of objects"};
     }
     const json::value* items = value.as_object().if_contains("items");
-    if (items != nullptr && items->is_array()) {
-      for (const json::value& item : items->as_array()) {
-        list.objects.push_back(ParseObject(item));
-      }
+    if (items == nullptr || !items->is_array()) {
+      co_return StoreError{StoreError::Kind::kUnknown, "the list response has no \"items\" array"};
+    }
+    for (const json::value& item : items->as_array()) {
+      list.objects.push_back(ParseObject(item));
     }
     const json::value* metadata = value.as_object().if_contains("metadata");
     if (metadata != nullptr && metadata->is_object()) {
       list.version = ReadVersion(metadata->as_object());
     }
+    if (list.version.Number() == 0) {
+      co_return StoreError{StoreError::Kind::kUnknown, "the list response has no revision"};
+    }
     co_return list;
   }
 
