HTTP server: report clients that are too slow at the end of a stream

Seen by reading: a client that stops reading just before the final chunk was not counted in rudderloom_refusals_total{reason="slow_reader"}.

Cause: EndStream did not keep the watchdog's result, as the other writes do.

--- a/src/rudderloom/http/server.cpp
+++ b/src/rudderloom/http/server.cpp
@@ -115,6 +115,7 @@
   Watchdog watchdog(socket_, limits_.write_time);
   const auto last = http::make_chunk_last();
   const auto [error, size] = co_await asio::async_write(socket_, last, kAsTuple);
+  too_slow_ = watchdog.Expired();
   ended_ = !error;
   co_return !error;
 }
--- a/src/rudderloom/http/server_test.cpp
+++ b/src/rudderloom/http/server_test.cpp
@@ -147,5 +147,31 @@
   CHECK(test.RunUntil([&] { return test.Server().Connections() == 0; }));
 }
 
+// Guards against a client that stops reading just before the end and is not counted.
+TEST_CASE("a client that reads too slowly at the end of a stream is reported as too slow") {
+  asio::io_context context;
+  tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+  tcp::socket client(context);
+  client.connect(acceptor.local_endpoint());
+  tcp::socket socket = acceptor.accept();
+  HttpLimits limits;
+  limits.write_time = Duration(50);
+  const bool closing = false;
+  const beast::flat_buffer received;
+  HttpExchange exchange(socket, HttpRequest(), limits, closing, received);
+  socket.non_blocking(true);
+  const std::string filler(1'024, 'x');
+  boost::system::error_code full;
+  while (!full) {
+    socket.write_some(asio::buffer(filler), full);
+  }
+  bool ended = true;
+  asio::co_spawn(
+      context, [&]() -> Awaitable<void> { ended = co_await exchange.EndStream(); }, asio::detached);
+  context.run();
+  CHECK_FALSE(ended);
+  CHECK(exchange.TooSlow());
+}
+
 }  // namespace
 }  // namespace rudderloom
