Endpoints: tell processes apart that report no incarnation

What callers saw: a service whose only endpoint is restarted under its name was crashed by one request again and again, without a quarantine; and a service was not used again after a planned restart, by any node that had seen it leave.

Cause: a process was known by name and incarnation. Services may report no incarnation, so all their processes were one: their crashes counted as one, and `leaving` was remembered for the later ones.

Change: one function names a process, by its incarnation or else by its address. The text of engines that report an incarnation is unchanged, so that nodes of the earlier build understand it.

--- a/include/rudderloom/control/snapshot.hpp
+++ b/include/rudderloom/control/snapshot.hpp
@@ -22,7 +22,7 @@
   std::uint32_t id = 0;  ///< Unchanged while the endpoint is known to this process.
   std::string name;
   std::string address;
-  std::string incarnation;
+  std::string instance;  ///< See InstanceOf.
   std::string availability_zone;
   std::uint32_t slots = 1;
   std::uint32_t others_in_flight = 0;  ///< Requests of other entry nodes, as last reported.
--- a/include/rudderloom/membership/endpoint_table.hpp
+++ b/include/rudderloom/membership/endpoint_table.hpp
@@ -56,6 +56,11 @@
   std::uint32_t id = 0;  ///< Small index, stable while the endpoint is known.
 };
 
+/// @brief Identifies one process of an endpoint: `name#incarnation`, or `name#@address` for a
+/// service that reports no incarnation.
+/// @ingroup membership
+std::string InstanceOf(const EndpointState& state);
+
 /// @brief Decodes an endpoint object of the platform; returns nullopt when it is invalid.
 /// @ingroup membership
 std::optional<EndpointSpec> EndpointFromJson(const std::string& name,
@@ -80,11 +85,11 @@
   /// @brief Records an unanswered poll.
   void PollFailed(const std::string& name);
 
-  /// @brief Marks an instance as leaving, given as `name#incarnation` by an answer or a peer.
+  /// @brief Marks an instance as leaving, given as by InstanceOf, by an answer or a peer.
   /// @return True when this was not known yet.
-  bool MarkLeaving(const std::string& name_and_incarnation);
+  bool MarkLeaving(const std::string& instance);
 
-  /// @brief Returns all known leaving instances as `name#incarnation`, for peers.
+  /// @brief Returns all known leaving instances, for peers.
   std::vector<std::string> Leaving() const;
 
   /// @brief Returns true when the endpoint may get new work: it has reported, is not leaving and
--- a/include/rudderloom/membership/member_table.hpp
+++ b/include/rudderloom/membership/member_table.hpp
@@ -26,7 +26,7 @@
   std::uint64_t beat = 0;        ///< Incremented with each heartbeat of this incarnation.
   std::uint64_t generation = 0;  ///< Generation of its configuration in force.
   bool stopping = false;
-  std::vector<std::string> leaving;  ///< Leaving instances, as `endpoint#incarnation`.
+  std::vector<std::string> leaving;  ///< Leaving instances of endpoints, see InstanceOf.
   std::map<std::string, std::uint32_t> in_flight;  ///< Running requests by endpoint.
   std::map<std::string, std::uint32_t> demand;     ///< Running or waiting requests by unit name.
   std::map<std::string, std::uint64_t>
--- a/src/rudderloom/callers/call_context.cpp
+++ b/src/rudderloom/callers/call_context.cpp
@@ -111,7 +111,7 @@
   if (response.Header(header::kEndpointState) != "leaving") {
     return false;
   }
-  shared.on_endpoint_leaving(endpoint.name + "#" + endpoint.incarnation);
+  shared.on_endpoint_leaving(endpoint.instance);
   return true;
 }
 
--- a/src/rudderloom/callers/crash_guard.cpp
+++ b/src/rudderloom/callers/crash_guard.cpp
@@ -9,11 +9,11 @@
 // Equal to the duration of a quarantine.
 constexpr Duration kQuarantineRetryDelay{3'600'000};
 
-Awaitable<void> ReportIfExited(CallContext& shared, std::string address, std::string process_key) {
+Awaitable<void> ReportIfExited(CallContext& shared, std::string address, std::string instance) {
   const bool process_exited = co_await AwaitConnectionRefusal(shared.context, std::move(address),
                                                               kProbeTimeout, Now() + kCrashWindow);
   if (process_exited) {
-    shared.crashes.Ended(process_key, Now());
+    shared.crashes.Ended(instance, Now());
   }
 }
 
@@ -52,9 +52,8 @@
       *failure != AttemptFailure::kBrokenMidAnswer) {
     return;
   }
-  const std::string process_key = endpoint.name + "#" + endpoint.incarnation;
-  if (shared_.crashes.RecordFailure(process_key, Digest(), sent_at, Now())) {
-    asio::co_spawn(shared_.context, ReportIfExited(shared_, endpoint.address, process_key),
+  if (shared_.crashes.RecordFailure(endpoint.instance, Digest(), sent_at, Now())) {
+    asio::co_spawn(shared_.context, ReportIfExited(shared_, endpoint.address, endpoint.instance),
                    asio::detached);
   }
 }
--- a/src/rudderloom/control/control_state.cpp
+++ b/src/rudderloom/control/control_state.cpp
@@ -389,7 +389,7 @@
     view.id = state.id;
     view.name = name;
     view.address = state.spec.address;
-    view.incarnation = state.report.incarnation;
+    view.instance = InstanceOf(state);
     view.availability_zone = state.spec.availability_zone;
     view.slots = state.spec.slots;
     view.others_in_flight = OthersInFlight(name, now);
--- a/src/rudderloom/membership/endpoint_table.cpp
+++ b/src/rudderloom/membership/endpoint_table.cpp
@@ -12,12 +12,13 @@
 // Consecutive unanswered polls after which an endpoint counts as silent.
 constexpr std::uint32_t kMaxUnansweredPolls = 3;
 
-std::string Instance(const EndpointState& state) {
-  return state.spec.name + "#" + state.report.incarnation;
-}
-
 }  // namespace
 
+std::string InstanceOf(const EndpointState& state) {
+  const std::string& incarnation = state.report.incarnation;
+  return state.spec.name + "#" + (incarnation.empty() ? "@" + state.spec.address : incarnation);
+}
+
 std::optional<EndpointSpec> EndpointFromJson(const std::string& name, const json::object& spec) {
   EndpointSpec endpoint;
   endpoint.name = name;
@@ -98,9 +99,9 @@
   state.reported_at = now;
   state.failed_polls = 0;
   if (report.leaving) {
-    leaving_.insert(Instance(state));
+    leaving_.insert(InstanceOf(state));
   }
-  state.leaving_announced = leaving_.contains(Instance(state));
+  state.leaving_announced = leaving_.contains(InstanceOf(state));
 }
 
 void EndpointTable::PollFailed(const std::string& name) {
@@ -110,12 +111,12 @@
   }
 }
 
-bool EndpointTable::MarkLeaving(const std::string& name_and_incarnation) {
-  if (!leaving_.insert(name_and_incarnation).second) {
+bool EndpointTable::MarkLeaving(const std::string& instance) {
+  if (!leaving_.insert(instance).second) {
     return false;
   }
   for (auto& [name, state] : endpoints_) {
-    state.leaving_announced = state.leaving_announced || Instance(state) == name_and_incarnation;
+    state.leaving_announced = state.leaving_announced || InstanceOf(state) == instance;
   }
   return true;
 }
@@ -124,7 +125,7 @@
   std::vector<std::string> known;
   for (const auto& [name, state] : endpoints_) {
     if (state.leaving_announced) {
-      known.push_back(Instance(state));
+      known.push_back(InstanceOf(state));
     }
   }
   return known;
--- a/src/rudderloom/membership/membership_test.cpp
+++ b/src/rudderloom/membership/membership_test.cpp
@@ -128,6 +128,26 @@
   fakes::ProvedCell("node leaving", "load report late", "an endpoint is usable by its reports");
 }
 
+// Guards against a service that is never used again after a planned restart.
+TEST_CASE("a service that reports no incarnation is usable again at another address") {
+  EndpointTable table;
+  table.ApplyList({Spec("a")});
+  LoadReport report;
+  report.leaving = true;
+  table.ApplyReport("a", report, kStart);
+  const auto usable = [&] { return EndpointTable::Usable(table.Endpoints().at("a")); };
+  CHECK_FALSE(usable());
+  EndpointSpec restarted = Spec("a");
+  restarted.address = "10.0.0.1:2";
+  table.Put(restarted);
+  report.leaving = false;
+  table.ApplyReport("a", report, kStart);
+  CHECK(usable());
+  // A peer may not know yet that it has restarted.
+  CHECK_FALSE(table.MarkLeaving("a#@10.0.0.1:1"));
+  CHECK(usable());
+}
+
 TEST_CASE("an endpoint without the flag does not check fences, and invalid objects are rejected") {
   const auto spec = EndpointFromJson("a", {{"address", "10.0.0.1:1"}, {"pool", "p"}});
   REQUIRE(spec);
--- a/tests/process/quarantine_test.cpp
+++ b/tests/process/quarantine_test.cpp
@@ -22,7 +22,9 @@
 
 // Sends such a call through two nodes in turn, restarts the services that it crashes, and checks
 // how long it goes on.
-void CheckSoonQuarantined(int desk_count, std::int64_t exit_delay_ms) {
+void CheckSoonQuarantined(int desk_count,
+                          std::int64_t exit_delay_ms,
+                          const HeaderList& headers = {}) {
   Cluster cluster;
   cluster.StartPlatform();
   const auto start_desk = [&](int index) {
@@ -37,7 +39,7 @@
   cluster.Apply("n1", "set", kDeclarations);
   const std::vector<std::string> nodes{"n1", "n2"};
   const auto call = [&](const std::string& node, const std::string& path) {
-    return cluster.Call(cluster.At(node).Address(), "/services/desk" + path, {}, {}, "GET");
+    return cluster.Call(cluster.At(node).Address(), "/services/desk" + path, {}, headers, "GET");
   };
   for (const std::string& node : nodes) {
     REQUIRE(cluster.WaitUntil([&] { return call(node, "/slots").status == 200; }));
@@ -89,5 +91,11 @@
   CheckSoonQuarantined(kDeskCount, 150);
 }
 
+// Guards against crashes of one service under the same name that are counted as one.
+TEST_CASE("a call that crashes the only endpoint of a service is soon quarantined") {
+  // A call that waits for the endpoint gives up before the test restarts it.
+  CheckSoonQuarantined(1, 0, {{"X-Request-Timeout", "600ms"}});
+}
+
 }  // namespace
 }  // namespace rudderloom::tests
