Tests over processes: partial requests at a stop, several errors in settings

The fix of calls that outlast a stop refuses requests that were received in part on the platform's interface too, but only unit tests of the server covered it.

--- a/src/rudderloom/http/server.cpp
+++ b/src/rudderloom/http/server.cpp
@@ -182,7 +182,7 @@
 void HttpServer::RefusePartialRequests() {
   refuse_partial_requests_ = true;
   for (Watchdog* watchdog : reading_) {
-    watchdog->Expired();
+    watchdog->Expire();
   }
 }
 
--- a/tests/process/configuration_test.cpp
+++ b/tests/process/configuration_test.cpp
@@ -191,10 +191,13 @@
   CHECK(status == 2);
   const std::string file =
       std::filesystem::temp_directory_path() / ("settings-" + std::to_string(::getpid()) + ".json");
-  std::ofstream(file) << R"({"stop_time": "99999999999999999999.0h"})";
-  const auto [overflow, overflow_text] = cluster.RunCli({"check", "--settings", file});
-  CHECK(overflow == 2);
-  CHECK(overflow_text.find("/stop_time") != std::string::npos);
+  std::ofstream(file) << R"({"stop_time": "99999999999999999999.0h", "typo": 1})";
+  const auto [invalid, errors] = cluster.RunCli({"check", "--settings", file});
+  CHECK(invalid == 2);
+  for (const char* path : {"/stop_time: ", "/typo: ", "/node"}) {
+    CAPTURE(path);
+    CHECK(errors.find(path) != std::string::npos);
+  }
   std::filesystem::remove(file);
   const auto [usage, usage_text] = cluster.RunCli({"frobnicate"});
   CHECK(usage == 64);
--- a/tests/process/stop_test.cpp
+++ b/tests/process/stop_test.cpp
@@ -7,6 +7,7 @@
 #include <thread>   // for thread
 
 #include "process/fleet_cluster.hpp"  // for FleetCluster
+#include "process/raw_caller.hpp"     // for RawCaller
 
 namespace rudderloom::tests {
 namespace {
@@ -118,6 +119,22 @@
   CHECK(cluster.At("a").Wait(Duration(6'000)) == kRequestsCut);
 }
 
+// Guards against connections closed on requests that were received in part.
+TEST_CASE("a request received in part is refused at the end of a planned stop") {
+  FleetCluster cluster;
+  StartWithSuspendedEndpoint(cluster);
+  RawCaller caller(cluster.At("a").Address(),
+                   "POST /once/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 9\r\n\r\nbo");
+  // Connections are accepted in turn, so the node has this one once it has answered on a later one.
+  REQUIRE(cluster.ReadyStatus("a") == 200);
+  cluster.At("a").Signal(SIGTERM);
+  const Received received = caller.Receive(Duration(6'000));
+  INFO(received.Text());
+  CHECK(received.complete);
+  CHECK(received.response.status == 503);
+  CHECK(cluster.At("a").Wait(Duration(6'000)) == 0);
+}
+
 // Guards against destruction after the referenced objects on rudderloom's own interface.
 TEST_CASE(
     "a node of rudderloom's own interface cuts calls that outlast its stop and exits without a "
