Metrics: count connections to endpoints by their result

The counter rudderloom_endpoint_connects_total tells a node without links (none connected) from one that lost single endpoints.

--- a/src/rudderloom/forwarding/attempt.cpp
+++ b/src/rudderloom/forwarding/attempt.cpp
@@ -102,6 +102,7 @@
     CloseWhenInterrupted();
     SetResponseTimeout(kConnectTimeout);
     auto failure = co_await connection_->Connect(params_.endpoint.address);
+    CountConnect(failure);
     if (!failure) {
       co_return std::nullopt;
     }
@@ -114,6 +115,13 @@
     co_return result;
   }
 
+  void CountConnect(const std::optional<ConnectionFailure>& failure) {
+    const std::string_view result = !failure           ? "connected"
+                                    : failure->refused ? "refused"
+                                                       : "no_answer";
+    state_.metrics.Count({"rudderloom_endpoint_connects_total", "result", result});
+  }
+
   HttpRequest MakeRequest() const {
     const HttpRequest& original = exchange_.Request();
     HttpRequest request;
