Tests: nodes cut off from all endpoints, failing

Real processes: three nodes, four engines, three services, each endpoint behind a proxy that asks the kernel which node a connection comes from and cuts only some of them. Three kinds of cut (open and new connections reset; silent; open ones live, new ones reset), two of three nodes, and the holder of the lease. From 3 s after the cut, first attempts at cut nodes must be served at least two thirds as often as at the others; nothing that may run once runs twice; after the cut all are served.

--- a/tests/process/cluster.cpp
+++ b/tests/process/cluster.cpp
@@ -21,10 +21,9 @@
 constexpr Duration kPollInterval{50};
 constexpr std::size_t kLogTailLines = 60;
 
-// Blocks for one poll interval.
-void SleepPollInterval() {
+void SleepFor(Duration time) {
   asio::io_context context;
-  Timer timer(context, kPollInterval);
+  Timer timer(context, time);
   timer.wait();
 }
 
@@ -102,7 +101,7 @@
     if (Now() >= deadline) {
       return -1;
     }
-    SleepPollInterval();
+    SleepFor(kPollInterval);
   }
   return child_.exit_code();
 }
@@ -264,13 +263,17 @@
   return Call(At(name).Address(), "/stats").Json();
 }
 
+void Cluster::Sleep(Duration time) {
+  SleepFor(time);
+}
+
 bool Cluster::WaitUntil(const std::function<bool()>& condition, Duration timeout) {
   const TimePoint deadline = Now() + timeout;
   while (!condition()) {
     if (Now() >= deadline) {
       return false;
     }
-    SleepPollInterval();
+    SleepFor(kPollInterval);
   }
   return true;
 }
--- a/tests/process/cluster.hpp
+++ b/tests/process/cluster.hpp
@@ -33,6 +33,7 @@
 
   /// @brief Returns address number `index` of the ready line.
   std::string Address(std::size_t index = 0) const { return addresses_.at(index); }
+  int ProcessId() const { return child_.id(); }
   void Signal(int number);
   void Kill();
   /// @brief Waits for the process to end; returns its exit status, or -1 if it still runs.
@@ -83,6 +84,9 @@
   /// @brief Polls a condition; returns false if it does not hold in time.
   bool WaitUntil(const std::function<bool()>& condition, Duration timeout = Duration(20'000));
 
+  /// @brief Lets the processes run for this time.
+  void Sleep(Duration time);
+
   /// @brief Waits until a model is served through a node; returns false on timeout.
   bool WaitUntilServed(const std::string& node, const std::string& model);
 
--- a/tests/process/fleet_cluster.cpp
+++ b/tests/process/fleet_cluster.cpp
@@ -50,14 +50,52 @@
   Start("store", std::string(RUDDERLOOM_BINARIES) + kStandinPath, {"store"});
 }
 
+FleetCluster::~FleetCluster() = default;
+
+std::string FleetCluster::NodeOf(const LoopbackPorts& connection) {
+  const std::uint32_t inode = ClientSocketInode(connection);
+  const std::lock_guard lock(node_processes_mutex_);
+  for (const auto& [node, process] : node_processes_) {
+    if (HasSocket(process, inode)) {
+      return node;
+    }
+  }
+  return "";
+}
+
+Program& FleetCluster::StartStandin(const std::string& instance,
+                                    std::vector<std::string> arguments) {
+  if (!uses_link_proxies_) {
+    return Start(instance, std::string(RUDDERLOOM_BINARIES) + kStandinPath, arguments);
+  }
+  auto proxy = std::make_unique<LinkProxy>(
+      [this](const LoopbackPorts& connection) { return NodeOf(connection); });
+  arguments.insert(arguments.end(), {"--advertise", proxy->Address()});
+  Program& program = Start(instance, std::string(RUDDERLOOM_BINARIES) + kStandinPath, arguments);
+  proxy->SetTarget(program.Address());
+  link_proxies_[instance] = std::move(proxy);
+  return program;
+}
+
+void FleetCluster::CutLinks(const std::set<std::string>& nodes, LinkCut how) {
+  for (const auto& [endpoint, proxy] : link_proxies_) {
+    proxy->Cut(nodes, how);
+  }
+}
+
+void FleetCluster::RestoreLinks() {
+  for (const auto& [endpoint, proxy] : link_proxies_) {
+    proxy->Restore();
+  }
+}
+
 Program& FleetCluster::StartEngine(const std::string& instance,
                                    const std::string& models,
                                    int slots) {
   endpoints_.push_back(instance);
-  return Start(
-      instance, std::string(RUDDERLOOM_BINARIES) + kStandinPath,
-      {"engine", "--store", At("store").Address(), "--instance", instance, "--service", "pool",
-       "--models", models, "--memory-mb", "200", "--slots", std::to_string(slots)});
+  return StartStandin(instance, {"engine", "--store", At("store").Address(), "--instance", instance,
+                                 "--service", "pool", "--models", models, "--memory-mb", "200",
+                                 "--slots", std::to_string(slots)});
 }
 
 Program& FleetCluster::StartPlainService(const std::string& instance,
@@ -65,9 +103,8 @@
   if (std::find(endpoints_.begin(), endpoints_.end(), instance) == endpoints_.end()) {
     endpoints_.push_back(instance);
   }
-  return Start(instance, std::string(RUDDERLOOM_BINARIES) + kStandinPath,
-               {"service", "--store", At("store").Address(), "--instance", instance, "--service",
-                "desk", "--crash-body", crash_body});
+  return StartStandin(instance, {"service", "--store", At("store").Address(), "--instance",
+                                 instance, "--service", "desk", "--crash-body", crash_body});
 }
 
 Program& FleetCluster::StartFleetNode(const std::string& name, int group_size) {
@@ -84,8 +121,11 @@
       {"bounds", json::object{{"lease", "600ms"}, {"grace", "5s"}, {"configuration", "4s"}}}};
   const std::string path = SettingsPath(name);
   std::ofstream(path) << json::serialize(settings);
-  return Start(name, std::string(RUDDERLOOM_BINARIES) + "/rudderloom/app/rudderloom",
-               {"daemon", "--settings", path});
+  Program& node = Start(name, std::string(RUDDERLOOM_BINARIES) + "/rudderloom/app/rudderloom",
+                        {"daemon", "--settings", path});
+  const std::lock_guard lock(node_processes_mutex_);
+  node_processes_[name] = node.ProcessId();
+  return node;
 }
 
 std::string FleetCluster::SettingsPath(const std::string& node) const {
--- a/tests/process/fleet_cluster.hpp
+++ b/tests/process/fleet_cluster.hpp
@@ -2,7 +2,10 @@
 #ifndef RUDDERLOOM_TESTS_PROCESS_FLEET_CLUSTER_HPP
 #define RUDDERLOOM_TESTS_PROCESS_FLEET_CLUSTER_HPP
 
-#include "process/cluster.hpp"  // for Cluster
+#include <mutex>  // for mutex
+
+#include "process/cluster.hpp"     // for Cluster
+#include "process/link_proxy.hpp"  // for LinkProxy
 
 namespace rudderloom::tests {
 
@@ -20,6 +23,13 @@
 class FleetCluster : public Cluster {
  public:
   FleetCluster();
+  ~FleetCluster();
+
+  /// @brief Starts the endpoints that follow behind proxies that can cut their links to nodes.
+  void UseLinkProxies() { uses_link_proxies_ = true; }
+  /// @brief Cuts the links between these nodes and all endpoints; nodes reach all else.
+  void CutLinks(const std::set<std::string>& nodes, LinkCut how);
+  void RestoreLinks();
 
   Program& StartEngine(const std::string& instance, const std::string& models, int slots = 8);
   /// @brief Starts a service that a request with `crash_body` crashes; if empty, none does. The id
@@ -47,8 +57,14 @@
  private:
   Awaitable<void> Exchange(FleetRequest call, Response& response);
   std::string SettingsPath(const std::string& node) const;
+  Program& StartStandin(const std::string& instance, std::vector<std::string> arguments);
+  std::string NodeOf(const LoopbackPorts& connection);
 
   std::vector<std::string> endpoints_;
+  bool uses_link_proxies_ = false;
+  std::map<std::string, std::unique_ptr<LinkProxy>> link_proxies_;  // by endpoint
+  std::mutex node_processes_mutex_;
+  std::map<std::string, int> node_processes_;  // process id by node
 };
 
 /// @brief Returns the complete stream that an engine sends for a request.
