--- a/include/rudderloom/dissemination/digest.hpp
+++ b/include/rudderloom/dissemination/digest.hpp
@@ -68,6 +68,9 @@
   /// @brief Remaining load times of the units in the asking node's report, counted from when the
   /// holder created the digest.
   LoadsDue loads_due;
+  /// @brief Nodes that forward requests; only for a node that needs them.
+  GatewayList gateways;
+  bool gateways_wanted = false;  ///< Some node needs them; relays name all of their group.
 };
 
 /// @brief Adds the transit time to the ages of a digest and its contents.
--- a/include/rudderloom/dissemination/digest_source.hpp
+++ b/include/rudderloom/dissemination/digest_source.hpp
@@ -31,6 +31,7 @@
   std::shared_ptr<const GrantBasis> grants;               ///< Null: unknown to this node.
   std::shared_ptr<const QuarantineTable> quarantine;      ///< Null: no requests are quarantined.
   LimitTable limits;
+  GatewayList gateways;                  ///< As known to this node.
   std::optional<PermitBasis> permits;    ///< Empty: this node grants no permits.
   std::shared_ptr<const Roster> roster;  ///< Null at a relay.
   /// @brief Maximum number of nodes that are answered; others are refused. Empty: unlimited.
--- a/include/rudderloom/dissemination/group_counts.hpp
+++ b/include/rudderloom/dissemination/group_counts.hpp
@@ -26,11 +26,15 @@
 
   /// @brief Returns the group's total counts under this node's name; empty before its own first
   /// counts. The offered load is reset by each call, so it is reported once.
-  std::optional<NodeCounts> Take(TimePoint now);
+  /// @param max_gateways Maximum number of gateways that are named.
+  std::optional<NodeCounts> Take(TimePoint now, std::size_t max_gateways);
 
   /// @brief Returns the loads that the group and each of its nodes put on endpoints.
   LoadSums Sums(TimePoint now) const;
 
+  /// @brief Returns the gateways among the group.
+  GatewayList Gateways(TimePoint now) const;
+
   /// @brief Returns true if other nodes report to this one.
   bool HasMembers(TimePoint now) const;
 
@@ -45,6 +49,8 @@
     std::map<UnitName, UnitCount> units;
     std::shared_ptr<const LoadTable> loads;
     TimePoint heard_at;
+    bool needs_gateways = false;
+    GatewayList gateways;
   };
 
   void AddOffered(const NodeCounts& counts);
--- a/include/rudderloom/fleet/fleet_settings.hpp
+++ b/include/rudderloom/fleet/fleet_settings.hpp
@@ -20,6 +20,7 @@
   std::string readiness;
   std::string peers;
   std::string metrics;  ///< Empty: no metrics endpoint.
+  std::string gateway;  ///< For requests of nodes that are cut off from endpoints; empty: none.
 };
 
 /// @brief Time limits and other bounds that the deployment guarantees.
--- a/include/rudderloom/fleet/fleet_state.hpp
+++ b/include/rudderloom/fleet/fleet_state.hpp
@@ -140,8 +140,15 @@
   bool UpdateDeputy(TimePoint now);
   std::optional<PermitBasis> MakePermitBasis() const;
   TimePoint HolderPermitsUntil() const;
+  void RecordReach(const NodeCounts& own, TimePoint now);
+  void UpdateOwnGateways(TimePoint now);
+  void ApplyGateways(const HolderDigest& digest);
+  GatewayList Gateways() const;
+  GatewayList GatewaysToAnnounce(TimePoint now) const;
+  bool UpdatePublishedGateways(TimePoint now);
   std::uint32_t CountNodes(TimePoint now) const;
   void LogLag(TimePoint now);
+  bool AnotherNodeReachesEndpoints(TimePoint now) const;
   bool ShouldResign(TimePoint now) const;
   void ContinueHolding(FleetEffects& effects, TimePoint now);
   void UpdateResignation(TimePoint now);
@@ -221,7 +228,12 @@
   QuarantineListPtr quarantine_;          // As last published to request handling.
   LimitExchange limits_;
   TimePoint limits_expired_at_;
-  std::optional<TimePoint> deputy_since_;  // Set while this node is the deputy.
+  std::optional<TimePoint> cut_off_since_;  // Set while this node reaches no endpoint.
+  bool needs_gateways_ = false;             // This node does not reach all endpoints.
+  GatewayList received_gateways_;           // From the last answer that named any.
+  bool gateways_wanted_ = false;            // As the holder: a node does not reach all endpoints.
+  GatewayList published_gateways_;          // As last published to nodes that report here.
+  std::optional<TimePoint> deputy_since_;   // Set while this node is the deputy.
   std::optional<ReceivedDigest> received_;
   std::uint64_t newest_routes_ = 0;         // Newest version reported by any peer.
   std::optional<TimePoint> routes_behind_;  // When a peer was found to have a newer configuration.
--- a/include/rudderloom/fleet/fleet_view.hpp
+++ b/include/rudderloom/fleet/fleet_view.hpp
@@ -13,6 +13,7 @@
 #include "rudderloom/endpoint_limits/endpoint_limit.hpp"  // for EndpointLimitsPtr
 #include "rudderloom/fleet/endpoint_key.hpp"              // for EndpointKey
 #include "rudderloom/fleet/endpoint_record.hpp"           // for EndpointRecord
+#include "rudderloom/fleet/gateway.hpp"                   // for GatewayList
 #include "rudderloom/placement/load_forecast.hpp"         // for LoadForecastPtr
 #include "rudderloom/quarantine/crash_news.hpp"           // for QuarantineListPtr
 #include "rudderloom/quota/spending.hpp"                  // for QuotaSnapshotPtr
@@ -73,6 +74,7 @@
   TimePoint holder_permits_until;
   std::string deputy;             ///< Address of the holder's deputy; empty: unknown.
   LoadForecastPtr load_forecast;  ///< Null: no forecast.
+  GatewayList gateways;           ///< Known only while this node lacks links to endpoints.
   QuarantineListPtr quarantine;   ///< Requests that crash the endpoints that run them; null: none.
 };
 
--- a/include/rudderloom/forwarding/endpoint_connection.hpp
+++ b/include/rudderloom/forwarding/endpoint_connection.hpp
@@ -105,6 +105,9 @@
   /// its timeout.
   void DropIdleSince(const std::string& instance, TimePoint since);
 
+  /// @brief Drops all connections.
+  void Clear() { idle_.clear(); }
+
   /// @brief Drops connections of endpoints that are not in `instances`, and those that have
   /// expired.
   void Trim(const std::vector<std::string>& instances, TimePoint now);
--- /dev/null
+++ b/include/rudderloom/forwarding/endpoint_reach.hpp
@@ -0,0 +1,77 @@
+/// @file
+/// Detects whether this node has lost its links to the endpoints.
+#ifndef RUDDERLOOM_FORWARDING_ENDPOINT_REACH_HPP
+#define RUDDERLOOM_FORWARDING_ENDPOINT_REACH_HPP
+
+#include <cstdint>  // for uint32_t
+#include <map>      // for map
+#include <set>      // for set
+#include <string>   // for string
+
+#include "rudderloom/base/clock.hpp"  // for TimePoint
+
+namespace rudderloom {
+
+/// @brief Distinguishes lost links of this node from endpoints that have failed. Does no I/O; time
+/// is passed in.
+///
+/// An endpoint that has crashed fails alone. A node whose links are cut fails at one endpoint after
+/// the other, and reaches none in between. Only new connections show this: open ones may go on
+/// while new ones are refused.
+///
+/// Taking a failed endpoint for a lost link costs one request to a peer; the reverse costs callers
+/// their answers.
+/// @ingroup forwarding
+class EndpointReach {
+ public:
+  /// @brief Records that a new connection to the endpoint has carried an answer.
+  void Reached(const std::string& instance, TimePoint now);
+
+  /// @brief Records that a connection to the endpoint could not be opened, or ended or stayed
+  /// silent without having carried an answer.
+  /// @param endpoint_count Number of endpoints that are known.
+  /// @return True if this shows that the node is cut off from all endpoints.
+  bool Failed(const std::string& instance, std::size_t endpoint_count, TimePoint now);
+
+  /// @brief True while this node is cut off from all endpoints.
+  bool CutOff() const { return cut_off_; }
+
+  /// @brief True if requests for the endpoint must go through another node.
+  bool NeedsGateway(const std::string& instance, TimePoint now) const;
+
+  /// @brief True if requests for any endpoint may have to go through another node.
+  bool NeedsGateways(TimePoint now) const;
+
+  /// @brief Records that another node could not reach the endpoint either.
+  void GatewayFailed(const std::string& instance, TimePoint now);
+
+  /// @brief True if other endpoints should be probed, to tell a failed endpoint from a lost link.
+  /// Then it returns false for a while.
+  bool TakeVerificationDue(TimePoint now);
+
+  /// @brief True if an endpoint was reached after `moment`.
+  bool ReachedSince(TimePoint moment) const { return reached_at_ > moment; }
+
+  /// @brief Drops endpoints that have not failed lately.
+  void Trim(TimePoint now);
+
+ private:
+  struct Failures {
+    std::uint32_t consecutive = 0;
+    TimePoint last_at;
+    TimePoint gateways_fail_until;
+  };
+
+  static bool FailsRepeatedly(const Failures& failures, TimePoint now);
+
+  std::map<std::string, Failures> failures_;  // by instance
+  // Instances that failed since an endpoint was last reached.
+  std::map<std::string, TimePoint> failed_in_a_row_;
+  bool cut_off_ = false;
+  TimePoint reached_at_;
+  TimePoint verified_at_;
+};
+
+}  // namespace rudderloom
+
+#endif
--- a/include/rudderloom/forwarding/forwarder.hpp
+++ b/include/rudderloom/forwarding/forwarder.hpp
@@ -4,10 +4,12 @@
 #define RUDDERLOOM_FORWARDING_FORWARDER_HPP
 
 #include <functional>  // for function
+#include <list>        // for list
 #include <map>         // for map
 #include <memory>      // for unique_ptr
 #include <optional>    // for optional
 #include <string>      // for string
+#include <vector>      // for vector
 
 #include "rudderloom/base/log_rate_limiter.hpp"           // for LogRateLimiter
 #include "rudderloom/endpoint_limits/limit_watch.hpp"     // for LimitWatch
@@ -15,6 +17,8 @@
 #include "rudderloom/forwarding/balancer.hpp"             // for Balancer
 #include "rudderloom/http/call_guard.hpp"                 // for CallGuards
 #include "rudderloom/forwarding/endpoint_connection.hpp"  // for ConnectionPool
+#include "rudderloom/forwarding/endpoint_reach.hpp"       // for EndpointReach
+#include "rudderloom/forwarding/gateway_choice.hpp"       // for GatewayChoice
 #include "rudderloom/forwarding/missing_units.hpp"        // for MissingUnits
 #include "rudderloom/forwarding/retry_budget.hpp"         // for RetryBudget
 #include "rudderloom/forwarding/view_source.hpp"          // for ViewSource
@@ -47,6 +51,26 @@
                        const PermitRequest& ask,
                        std::function<void(std::optional<PermitAnswer>)> done)>;
 
+/// @brief A request that was sent to an endpoint and has no answer yet.
+/// @ingroup forwarding
+struct PendingAnswer {
+  EndpointRecord endpoint;
+  TimePoint sent_at;
+  bool may_withdraw = false;  ///< It may be sent to another endpoint.
+  CallGuard* guard = nullptr;
+};
+
+/// @brief In the order in which they were sent.
+/// @ingroup forwarding
+using PendingAnswers = std::list<PendingAnswer>;
+
+/// @brief An endpoint whose host refused a connection, to be confirmed by reaching another one.
+/// @ingroup forwarding
+struct UnconfirmedEnd {
+  std::string instance;
+  TimePoint seen_at;
+};
+
 /// @brief State shared by all requests of this node. Owned by the traffic thread.
 /// @ingroup forwarding
 struct ForwardingState {
@@ -75,6 +99,13 @@
   /// @brief Upper bound on the deadline of requests that arrive during a planned stop.
   TimePoint stop_deadline = TimePoint::max();
   CallGuards guards = {};  ///< Guards of the requests in flight.
+  EndpointReach reach = {};
+  GatewayChoice gateways = {};
+  ConnectionPool gateway_pool = {};  ///< By address of the gateway.
+  Gateway own_gateway = {};          ///< The address is empty if this node is no gateway.
+  PendingAnswers pending_answers = {};
+  TimePoint answered_at = {};  ///< When an endpoint last sent something.
+  std::vector<UnconfirmedEnd> unconfirmed_ends = {};
 };
 
 /// @brief Handles one request. On return, the exchange has been answered or aborted.
--- a/include/rudderloom/forwarding/frontend.hpp
+++ b/include/rudderloom/forwarding/frontend.hpp
@@ -41,10 +41,12 @@
   void InterruptRequests();
 
   /// @brief Number of requests in progress.
-  std::uint64_t Active() const { return server_->Active(); }
+  std::uint64_t Active() const { return server_->Active() + gateway_server_->Active(); }
 
-  /// @brief Number of open connections from clients.
-  std::uint64_t Connections() const { return server_->Connections(); }
+  /// @brief Number of open connections from clients and nodes.
+  std::uint64_t Connections() const {
+    return server_->Connections() + gateway_server_->Connections();
+  }
 
  private:
   bool Ready() const;
@@ -60,6 +62,7 @@
   Metrics& metrics_;
   ForwardingState state_;
   std::shared_ptr<HttpServer> server_;
+  std::shared_ptr<HttpServer> gateway_server_;  // requests of other nodes
   std::shared_ptr<HttpServer> readiness_;
   std::shared_ptr<HttpServer> metrics_server_;
   std::function<void(NodeCounts)> on_sample_;
--- a/include/rudderloom/forwarding/header_codec.hpp
+++ b/include/rudderloom/forwarding/header_codec.hpp
@@ -85,6 +85,9 @@
   virtual AnswerMetadata ReadAnswer(const AnswerHead& head, const std::string& endpoint) const = 0;
   virtual void Write(const ForwardMetadata& terms, HttpRequest& request) const = 0;
 
+  /// @brief Returns a request that every endpoint answers without running anything.
+  virtual HttpRequest MakeProbe(const std::string& address) const = 0;
+
   /// @brief Returns the headers of a refusal: the request id and when to retry.
   virtual HeaderList RefusalHeaders(const std::string& request_id,
                                     std::optional<Duration> retry_delay) const = 0;
--- a/include/rudderloom/placement/demand.hpp
+++ b/include/rudderloom/placement/demand.hpp
@@ -54,6 +54,9 @@
   std::uint64_t quarantine_seen = 0;  ///< Quarantine version known to the node.
   SentLimits limits;                  ///< Endpoint limits observed recently.
   std::uint64_t limits_seen = 0;      ///< Version of the limit table known to the node.
+  bool reaches_endpoints = true;      ///< False if the node is cut off from all endpoints.
+  bool needs_gateways = false;        ///< The node, or one it represents, lacks links to endpoints.
+  GatewayList gateways;               ///< The node's own, and some of those that it represents.
 };
 
 /// @brief Merges the offered load, spending, crashes and limits from a node's earlier, unreported
@@ -73,6 +76,9 @@
   std::string availability_zone;
   double processor_share = 1.0;         ///< Fraction of one core available to the node.
   std::uint32_t represented_nodes = 1;  ///< Number of nodes it reports for, including itself.
+  bool reaches_endpoints = true;        ///< False if it is cut off from all endpoints.
+  bool needs_gateways = false;          ///< One of them does not reach all endpoints.
+  GatewayList gateways = {};            ///< Of the nodes it reports for.
 };
 
 /// @brief Demand for one unit.
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -66,6 +66,12 @@
   limits @1 :List(EndpointLimit);
 }
 
+# A node that forwards requests for nodes without links to endpoints.
+struct Gateway {
+  address @0 :Text;
+  key @1 :Text;
+}
+
 struct NodeCounts {
   node @0 :Text;
   incarnation @1 :Text;
@@ -85,6 +91,9 @@
   quarantineSeen @15 :UInt64;  # version of the quarantine that the node knows
   endpointsSeenEra @16 :Int64 = -1;  # of `endpointsSeen`; below 0: the node knows of no eras
   limits @17 :EndpointLimits;        # observed there lately; null: none, and no table is known
+  cutOff @18 :Bool;                  # the node reaches no endpoint
+  needsGateways @19 :Bool;           # the node, or one that it stands for, lacks links to some
+  gateways @20 :List(Gateway);       # the node, or some of those that it stands for
 }
 
 struct ServedModel {
@@ -265,6 +274,8 @@
   crashNews @20 :CrashNews;  # of who answers, if that is not the holder; null: none
   limits @21 :EndpointLimits;  # null: as the asking node knows them
   loadsDue @22 :List(LoadDue);  # of units that the asking node's report names
+  gateways @23 :List(Gateway);  # only where the asking node's report needs them
+  gatewaysWanted @24 :Bool;     # some node needs them: relays name all of their group
 }
 
 enum SpendVerdict {
--- a/src/rudderloom/app/fleet_daemon.cpp
+++ b/src/rudderloom/app/fleet_daemon.cpp
@@ -95,7 +95,8 @@
         .With("callers", listen.callers)
         .With("peers", listen.peers);
     std::cout << "ready callers=" << listen.callers << " readiness=" << listen.readiness
-              << " peers=" << listen.peers << " metrics=" << listen.metrics << std::endl;
+              << " peers=" << listen.peers << " metrics=" << listen.metrics
+              << " gateway=" << listen.gateway << std::endl;
     ServeUntilStopped();
     const bool clean = Stop();
     // Everything that posts to the actor must stop before the actor is destroyed.
--- a/src/rudderloom/dissemination/digest_source.cpp
+++ b/src/rudderloom/dissemination/digest_source.cpp
@@ -70,8 +70,17 @@
                         : StoreRevision(log.Version().Era(), asking.endpoints_seen.Number());
 }
 
-HolderDigest HolderOnlyDigest(const DigestSource& statement) {
+GatewayList GatewaysFor(const DigestSource& statement, const NodeCounts& asking) {
+  if (!asking.needs_gateways) {
+    return {};
+  }
+  const std::size_t count = asking.represented_nodes > 1 ? kMaxRelayedGateways : kMaxGateways;
+  return SelectGateways(statement.gateways, asking.node, count);
+}
+
+HolderDigest HolderOnlyDigest(const DigestSource& statement, const NodeCounts& asking) {
   HolderDigest digest;
+  digest.gateways = GatewaysFor(statement, asking);
   digest.holder = statement.common.holder;
   digest.epoch = statement.common.epoch;
   digest.crash_news = statement.common.crash_news;
@@ -92,10 +101,11 @@
 
 HolderDigest DigestFor(const DigestSource& statement, const NodeCounts& asking, TimePoint now) {
   if (!statement.common.is_authoritative || Refuses(statement, asking)) {
-    return HolderOnlyDigest(statement);
+    return HolderOnlyDigest(statement, asking);
   }
   HolderDigest digest = statement.common;
   digest.age = Between(statement.made_at, now);
+  digest.gateways = GatewaysFor(statement, asking);
   if (statement.roster) {
     digest.relay = statement.roster->RelayFor(asking);
     digest.is_relay = statement.roster->IsRelay(asking.node);
--- a/src/rudderloom/dissemination/group_counts.cpp
+++ b/src/rudderloom/dissemination/group_counts.cpp
@@ -26,10 +26,11 @@
   for (const auto& [unit, count] : counts.units) {
     waiting_ = waiting_ || count.waiting > 0;
   }
-  members_[counts.node] = {counts.units, std::make_shared<const LoadTable>(counts.loads), now};
+  members_[counts.node] = {counts.units, std::make_shared<const LoadTable>(counts.loads), now,
+                           counts.needs_gateways, counts.gateways};
 }
 
-std::optional<NodeCounts> GroupCounts::Take(TimePoint now) {
+std::optional<NodeCounts> GroupCounts::Take(TimePoint now, std::size_t max_gateways) {
   if (!own_) {
     return std::nullopt;
   }
@@ -48,8 +49,10 @@
       summed.running += count.running;
       summed.waiting += count.waiting;
     }
+    sum.needs_gateways = sum.needs_gateways || member.needs_gateways;
     ++sum.represented_nodes;
   }
+  sum.gateways = SelectGateways(Gateways(now), sum.node, max_gateways);
   for (const auto& [unit, offered] : offered_) {
     sum.units[unit].offered += offered;
   }
@@ -58,6 +61,19 @@
   return sum;
 }
 
+GatewayList GroupCounts::Gateways(TimePoint now) const {
+  GatewayList gateways;
+  if (own_) {
+    gateways = own_->gateways;
+  }
+  for (const auto& [name, member] : members_) {
+    if (AreCountsCurrent(member.heard_at, now)) {
+      gateways.insert(gateways.end(), member.gateways.begin(), member.gateways.end());
+    }
+  }
+  return gateways;
+}
+
 LoadSums GroupCounts::Sums(TimePoint now) const {
   LoadSums sums;
   if (own_) {
--- a/src/rudderloom/dissemination/group_counts_test.cpp
+++ b/src/rudderloom/dissemination/group_counts_test.cpp
@@ -22,11 +22,11 @@
 
 TEST_CASE("a group's counts are the sums of its members' counts under the reporting node's name") {
   GroupCounts group;
-  CHECK_FALSE(group.Take(At(0)));
+  CHECK_FALSE(group.Take(At(0), 4));
   group.RecordOwn(CountsOf("n1", 1, 10));
   group.RecordMember(CountsOf("n2", 2, 20), At(0));
   group.RecordMember(CountsOf("n3", 4, 40), At(0));
-  const auto sum = group.Take(At(100));
+  const auto sum = group.Take(At(100), 4);
   REQUIRE(sum);
   CHECK(sum->node == "n1");
   CHECK(sum->represented_nodes == 3);
@@ -39,10 +39,10 @@
   group.RecordOwn(CountsOf("n1", 1, 10));
   group.RecordMember(CountsOf("n2", 1, 20), At(0));
   group.RecordMember(CountsOf("n2", 1, 30), At(100));
-  CHECK(group.Take(At(110))->units.at(kModel).offered == Duration(60));
-  CHECK(group.Take(At(120))->units.at(kModel).offered == Duration(0));
+  CHECK(group.Take(At(110), 4)->units.at(kModel).offered == Duration(60));
+  CHECK(group.Take(At(120), 4)->units.at(kModel).offered == Duration(0));
   group.RecordOwn(CountsOf("n1", 1, 5));
-  CHECK(group.Take(At(130))->units.at(kModel) == UnitCount{2, 0, Duration(5)});
+  CHECK(group.Take(At(130), 4)->units.at(kModel) == UnitCount{2, 0, Duration(5)});
 }
 
 TEST_CASE("a node that stops reporting is dropped, but its offered load is kept") {
@@ -51,7 +51,7 @@
   group.RecordMember(CountsOf("n2", 5, 20), At(0));
   CHECK(group.HasMembers(At(1'000)));
   CHECK_FALSE(group.HasMembers(At(5'000)));
-  const auto sum = group.Take(At(5'000));
+  const auto sum = group.Take(At(5'000), 4);
   CHECK(sum->represented_nodes == 1);
   CHECK(sum->units.at(kModel) == UnitCount{1, 0, Duration(20)});
 }
@@ -63,7 +63,7 @@
   relay.represented_nodes = 16;
   group.RecordMember(relay, At(0));
   CHECK_FALSE(group.HasMembers(At(0)));
-  CHECK(group.Take(At(10))->loads.at(kEndpoint).requests == 1);
+  CHECK(group.Take(At(10), 4)->loads.at(kEndpoint).requests == 1);
 }
 
 TEST_CASE("waiting requests of a member are signalled immediately and only once") {
@@ -73,7 +73,7 @@
   waiting.units[kModel].waiting = 1;
   group.RecordMember(waiting, At(0));
   CHECK(group.Waiting());
-  group.Take(At(10));
+  group.Take(At(10), 4);
   CHECK_FALSE(group.Waiting());
 }
 
--- a/src/rudderloom/fleet/fleet_dissemination.cpp
+++ b/src/rudderloom/fleet/fleet_dissemination.cpp
@@ -27,6 +27,9 @@
 // without a relay have found it (at startup they check every 250 ms) and reported, and it can
 // assign them to relays. Earlier, it would mistake the fleet for a small one.
 constexpr Duration kRosterDelay{400};
+// Gateways that a relay names of its group, while no node of the fleet needs any and otherwise.
+constexpr std::size_t kMinReportedGateways = 4;
+constexpr std::size_t kMaxReportedGateways = 24;
 
 Duration RelayReportInterval(double processor_share) {
   const Duration pause(static_cast<Duration::rep>(kRelayReportCoreMilliseconds / processor_share));
@@ -50,8 +53,9 @@
   const bool relays = ActsAsRelay(now);
   if (relays && statement_due) {
     effects.statement = MakeRelayStatement(now);
-  } else if (!relays && (was_relay_ || published_holder_ != upstream_.Holder() ||
-                         UpdatePublishedNews(now) || deputy_changed)) {
+  } else if (!relays &&
+             (was_relay_ || published_holder_ != upstream_.Holder() || UpdatePublishedNews(now) ||
+              UpdatePublishedGateways(now) || deputy_changed)) {
     effects.statement = MakeStatement(now);
   }
   published_holder_ = upstream_.Holder();
@@ -121,7 +125,8 @@
   if (!ReportDue(to, now)) {
     return;
   }
-  NodeCounts counts = *group_.Take(now);
+  const bool wanted = received_ && received_->digest.gateways_wanted;
+  NodeCounts counts = *group_.Take(now, wanted ? kMaxReportedGateways : kMinReportedGateways);
   counts.address = settings_.listen.peers;
   counts.availability_zone = settings_.availability_zone;
   counts.processor_share = settings_.processor_share;
@@ -149,6 +154,7 @@
 void FleetState::On(const fleet_message::DigestReceived& received, TimePoint now) {
   const HolderDigest& digest = received.digest;
   ApplyPeerCrashNews(digest.crash_news, now);
+  ApplyGateways(digest);
   spending_.MarkDelivered(received.report_number);
   const std::string previous_address = upstream_.Address();
   const bool accepted = upstream_.HandleAnswer(received.from, digest, now);
@@ -244,6 +250,7 @@
   common.is_authoritative = holds_lease_;
   common.epoch = holds_lease_ ? lease_.Epoch() : upstream_.Epoch();
   common.holder = holds_lease_ ? settings_.listen.peers : upstream_.Holder();
+  statement->gateways = GatewaysToAnnounce(now);
   if (!holds_lease_) {
     common.crash_news = news_log_.Current(now);
     statement->grants = MakeRelayGrantBasis();
@@ -258,6 +265,7 @@
   statement->limits = limits_.Table(now);
   statement->permits = MakePermitBasis();
   common.nodes = live_nodes_;
+  common.gateways_wanted = gateways_wanted_;
   common.renewals_fail = lease_.IsRenewalOverdue(now);
   common.relay_pause = RelayReportInterval(settings_.processor_share);
   statement->loads = sums_;
@@ -280,6 +288,7 @@
   statement->common.standby = false;
   statement->common.crash_news = news_log_.Current(now);
   statement->made_at = received_->made_at;
+  statement->gateways = GatewaysToAnnounce(now);
   statement->loads = group_.Sums(now);
   for (const auto& [endpoint, load] : received_->digest.loads) {
     statement->loads.all[endpoint] += load;
--- a/src/rudderloom/fleet/fleet_settings.cpp
+++ b/src/rudderloom/fleet/fleet_settings.cpp
@@ -29,6 +29,7 @@
   listen.readiness = ReadAddress(reader, "readiness", true);
   listen.peers = ReadAddress(reader, "peers", true);
   listen.metrics = ReadAddress(reader, "metrics", false);
+  listen.gateway = ReadAddress(reader, "gateway", false);
 }
 
 void ReadBounds(ObjectReader& reader, FleetBounds& bounds) {
--- a/src/rudderloom/fleet/fleet_state.cpp
+++ b/src/rudderloom/fleet/fleet_state.cpp
@@ -226,6 +226,7 @@
   spending_.RecordOwn(sampled.counts.spending);
   RecordCrashNews(sampled.counts.crash_news, now);
   RecordLimits(sampled.counts.limits, now);
+  RecordReach(sampled.counts, now);
   for (const auto& [unit, count] : sampled.counts.units) {
     report_urgent_ = report_urgent_ || count.waiting > 0;
   }
@@ -272,6 +273,7 @@
   }
   ExpireQuarantine(now);
   ExpireLimits(now);
+  UpdateOwnGateways(now);
 }
 
 LoadTable FleetState::OtherLoads(TimePoint now) const {
@@ -317,6 +319,7 @@
   view->limits = limits_.ForTraffic();
   view->holder_permits_until = HolderPermitsUntil();
   view->deputy = Deputy();
+  view->gateways = Gateways();
   view->load_forecast = CurrentForecast(now);
   const LoadTable loads = OtherLoads(now);
   const bool placed = holds_lease_ || DigestFresh(now);
--- a/src/rudderloom/forwarding/attempt.cpp
+++ b/src/rudderloom/forwarding/attempt.cpp
@@ -3,13 +3,14 @@
 #include <algorithm>  // for max
 #include <utility>    // for move
 
-#include "forwarding/limit_check.hpp"  // for RecordLimit, CountLimitedSend
+#include "forwarding/endpoint_link.hpp"    // for EndpointLink
+#include "forwarding/gateway_headers.hpp"  // for kGatewayConnectionRefused
+#include "forwarding/hop_by_hop.hpp"       // for IsHopByHop, EndToEndHeaders
 
 namespace rudderloom {
 
 namespace {
 
-constexpr Duration kConnectTimeout{350};
 // Shortens the endpoint's deadline so that its timeout answer arrives before this node's own
 // timeout.
 constexpr Duration kEndpointDeadlineMargin{10};
@@ -19,23 +20,6 @@
 constexpr unsigned kTooManyRequests = 429;
 constexpr unsigned kUnavailable = 503;
 
-bool IsHopByHop(http::field field) {
-  switch (field) {
-    case http::field::connection:
-    case http::field::keep_alive:
-    case http::field::proxy_connection:
-    case http::field::te:
-    case http::field::trailer:
-    case http::field::transfer_encoding:
-    case http::field::content_length:
-    case http::field::upgrade:
-    case http::field::expect:
-      return true;
-    default:
-      return false;
-  }
-}
-
 // Statuses that guarantee to the client that its request has not run.
 bool PromisesNotRun(unsigned status) {
   return status == kRequestTimeout || status == kMisdirected || status == kTooManyRequests ||
@@ -46,40 +30,34 @@
   return status / 100 == 2;
 }
 
-HeaderList EndToEndHeaders(const AnswerHead& head) {
-  HeaderList headers;
-  for (const auto& field : head) {
-    if (!IsHopByHop(field.name()) && field.name() != http::field::content_type) {
-      headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
-    }
-  }
-  return headers;
-}
-
 class Attempt {
  public:
   Attempt(ForwardingState& state, HttpExchange& exchange, CallGuard& guard, AttemptParams params)
-      : state_(state), exchange_(exchange), guard_(guard), params_(std::move(params)) {}
-  Attempt(const Attempt&) = delete;
-  Attempt& operator=(const Attempt&) = delete;
-  ~Attempt() { guard_.SetCancel({}); }
+      : state_(state),
+        exchange_(exchange),
+        guard_(guard),
+        params_(std::move(params)),
+        link_(state, guard, params_.endpoint) {}
 
   Awaitable<AttemptResult> Run() {
-    if (auto failure = co_await Connect()) {
-      co_return std::move(*failure);
-    }
-    params_.on_sent();
-    sent_at_ = Now();
-    CountLimitedSend(state_, params_.endpoint);
-    connection_->StartRequest(MakeRequest());
-    SetResponseTimeout(params_.answer_timeout);
-    if (auto failure = co_await ReadMatchingHead()) {
-      co_return std::move(*failure);
+    auto failure = co_await Connect();
+    while (!failure) {
+      params_.on_sent();
+      HttpRequest request = MakeRequest();
+      link_.Send(std::move(request), params_.answer_timeout.has_value());
+      SetResponseTimeout(params_.answer_timeout);
+      failure = co_await ReadMatchingHead();
+      if (failure) {
+        break;
+      }
+      if (link_.GatewayRefusal().empty()) {
+        AttemptResult result = co_await HandleAnswer();
+        link_.Release();
+        co_return result;
+      }
+      failure = co_await TryNextGateway();
     }
-    AttemptResult result = co_await HandleAnswer();
-    guard_.SetCancel({});
-    state_.pool.Put(params_.endpoint.instance, std::move(connection_), Now());
-    co_return result;
+    co_return std::move(*failure);
   }
 
  private:
@@ -87,39 +65,59 @@
     guard_.SetResponseDeadline(limit ? std::optional(Now() + *limit) : std::nullopt);
   }
 
-  void CloseWhenInterrupted() {
-    guard_.SetCancel([connection = connection_.get()] { connection->Close(); });
+  // Goes through another node if this one can't reach the endpoint.
+  Awaitable<std::optional<AttemptResult>> Connect() {
+    if (!UsesGateway()) {
+      const auto failure = co_await link_.Connect();
+      if (!failure) {
+        co_return std::nullopt;
+      }
+      guard_.ClearSilence();
+      if (guard_.Interrupted() || !UsesGateway()) {
+        co_return NotConnected("connect", *failure);
+      }
+    }
+    co_return co_await ConnectToGateway();
   }
 
-  Awaitable<std::optional<AttemptResult>> Connect() {
-    connection_ = state_.pool.Take(params_.endpoint.instance, Now());
-    if (connection_) {
-      reused_ = true;
-      CloseWhenInterrupted();
-      co_return std::nullopt;
+  bool UsesGateway() const { return state_.reach.NeedsGateway(params_.endpoint.instance, Now()); }
+
+  Awaitable<std::optional<AttemptResult>> ConnectToGateway() {
+    const auto failure = co_await link_.ConnectToGateway();
+    if (failure) {
+      state_.reach.GatewayFailed(params_.endpoint.instance, Now());
+      co_return NotConnected("gateway", *failure);
     }
-    connection_ = std::make_unique<EndpointConnection>(state_.context);
-    CloseWhenInterrupted();
-    SetResponseTimeout(kConnectTimeout);
-    auto failure = co_await connection_->Connect(params_.endpoint.address);
-    CountConnect(failure);
-    if (!failure) {
-      co_return std::nullopt;
+    co_return std::nullopt;
+  }
+
+  // The gateway has not sent the request, so it may go through another one.
+  Awaitable<std::optional<AttemptResult>> TryNextGateway() {
+    params_.on_connecting();
+    const std::string refusal(link_.GatewayRefusal());
+    link_.GatewayRefused();
+    if (refusal != kGatewayUnreachable && refusal != kGatewayConnectionRefused) {
+      co_return co_await ConnectToGateway();
     }
-    guard_.SetCancel({});
-    AttemptResult result;
-    result.outcome = AttemptOutcome::kNotConnected;
-    result.reason = "connect";
-    result.refused = failure->refused;
-    result.error = failure->message;
-    co_return result;
+    // A node with links of its own can't reach the endpoint either.
+    state_.reach.GatewayFailed(params_.endpoint.instance, Now());
+    ConnectionFailure failure;
+    failure.message = "gateway: " + refusal;
+    failure.refused = refusal == kGatewayConnectionRefused;
+    co_return NotConnected("gateway", failure);
   }
 
-  void CountConnect(const std::optional<ConnectionFailure>& failure) {
-    const std::string_view result = !failure           ? "connected"
-                                    : failure->refused ? "refused"
-                                                       : "no_answer";
-    state_.metrics.Count({"rudderloom_endpoint_connects_total", "result", result});
+  AttemptResult NotConnected(std::string_view reason, const ConnectionFailure& failure) const {
+    AttemptResult result;
+    result.outcome = AttemptOutcome::kNotConnected;
+    result.reason = reason;
+    result.refused = failure.refused;
+    result.error = failure.message;
+    result.through_gateway = reason == "gateway";
+    if (state_.reach.CutOff()) {
+      result.feedback = EndpointFeedback::kNeutral;
+    }
+    return result;
   }
 
   HttpRequest MakeRequest() const {
@@ -174,47 +172,25 @@
     AttemptResult result = Fail(outcome, reason);
     result.broken = guard_.Cause() == Interruption::kNone;
     result.error = failure.message;
-    result.sent_at = sent_at_;
+    result.sent_at = link_.SentAt();
+    result.through_gateway = link_.ThroughGateway();
     return result;
   }
 
-  // A reused connection gave no answer. Connections that have been idle since then may be dead too.
-  void DropSuspectConnections() {
-    const Interruption cause = guard_.Cause();
-    if (reused_ &&
-        (cause == Interruption::kEndpointSilent || cause == Interruption::kDeadlineExceeded)) {
-      state_.pool.DropIdleSince(params_.endpoint.instance, sent_at_);
-    }
-  }
-
   // Reads answer headers until the one for this request.
   Awaitable<std::optional<AttemptResult>> ReadMatchingHead() {
     const bool head_only = exchange_.Request().method() == http::verb::head;
-    while (true) {
-      auto read = co_await connection_->ReadHead(head_only);
-      if (std::holds_alternative<ConnectionFailure>(read)) {
-        DropSuspectConnections();
-        co_return ConnectionBroken(AttemptOutcome::kFailed, "cut_before_answer",
-                                   std::get<ConnectionFailure>(read));
-      }
-      status_ = connection_->Head().result_int();
-      if (status_ / 100 == 1) {
-        continue;
-      }
-      terms_ = state_.dialect.ReadAnswer(connection_->Head(), params_.endpoint.id);
-      const bool mismatched = !terms_.request_id.empty() && terms_.request_id != params_.terms->id;
-      if (!mismatched) {
-        RecordLimit(state_, params_.endpoint, terms_, sent_at_);
-        break;
-      }
-      state_.metrics.Count({"rudderloom_foreign_answers_total"});
-      connection_->ForbidReuse();
-      if (const auto failure = co_await connection_->SkipBody()) {
-        co_return ConnectionBroken(AttemptOutcome::kFailed, "cut_after_foreign_answer", *failure);
-      }
+    auto read = co_await link_.ReadHead(params_.terms->id, head_only);
+    if (const auto* failure = std::get_if<LinkFailure>(&read)) {
+      co_return ConnectionBroken(AttemptOutcome::kFailed, failure->reason, failure->connection);
+    }
+    if (!link_.GatewayRefusal().empty()) {
+      co_return std::nullopt;
     }
+    terms_ = std::get<AnswerMetadata>(std::move(read));
+    status_ = link_.Connection().Head().result_int();
     if (IsSuccess(status_) && (!terms_.is_signed || terms_.request_id.empty())) {
-      connection_->ForbidReuse();
+      link_.Connection().ForbidReuse();
       co_return Fail(AttemptOutcome::kFailed, "unsigned_answer");
     }
     co_return std::nullopt;
@@ -226,12 +202,12 @@
     }
     Reply reply;
     reply.status = status_;
-    const auto& head = connection_->Head();
+    const auto& head = link_.Connection().Head();
     const auto type = head[http::field::content_type];
     reply.content_type.assign(type.data(), type.size());
     reply.headers = EndToEndHeaders(head);
     while (true) {
-      auto chunk = co_await connection_->ReadSome();
+      auto chunk = co_await link_.ReadSome();
       if (std::holds_alternative<ConnectionFailure>(chunk)) {
         co_return ConnectionBroken(
             terms_.not_run ? AttemptOutcome::kNotRun : AttemptOutcome::kFailed, "cut_within_answer",
@@ -288,7 +264,7 @@
     const bool resumable = params_.answer_timeout.has_value();
     EventFramer framer;
     while (true) {
-      auto chunk = co_await connection_->ReadSome();
+      auto chunk = co_await link_.ReadSome();
       if (std::holds_alternative<ConnectionFailure>(chunk)) {
         co_return ConnectionBroken(AttemptOutcome::kFailed, "cut_within_stream",
                                    std::get<ConnectionFailure>(chunk));
@@ -302,7 +278,7 @@
       }
       std::string events;
       if (!CollectEvents(framer, events)) {
-        connection_->ForbidReuse();
+        link_.Connection().ForbidReuse();
         co_return Fail(AttemptOutcome::kFailed, "gap_in_stream");
       }
       if (events.empty()) {
@@ -315,7 +291,7 @@
       }
     }
     if (framer.HasPartial()) {
-      connection_->ForbidReuse();
+      link_.Connection().ForbidReuse();
       co_return Fail(AttemptOutcome::kFailed, "torn_stream");
     }
     co_return co_await FinishStream();
@@ -341,7 +317,7 @@
       co_return true;
     }
     params_.stream->started = true;
-    const AnswerHead& head = connection_->Head();
+    const AnswerHead& head = link_.Connection().Head();
     const auto type = head[http::field::content_type];
     co_return co_await exchange_.StartStream(status_, std::string(type), EndToEndHeaders(head));
   }
@@ -374,11 +350,9 @@
   HttpExchange& exchange_;
   CallGuard& guard_;
   AttemptParams params_;
-  std::unique_ptr<EndpointConnection> connection_;
+  EndpointLink link_;
   unsigned status_ = 0;
   AnswerMetadata terms_;
-  bool reused_ = false;  // the connection has carried another request before
-  TimePoint sent_at_;
 };
 
 }  // namespace
--- a/src/rudderloom/forwarding/attempt.hpp
+++ b/src/rudderloom/forwarding/attempt.hpp
@@ -47,6 +47,7 @@
   std::optional<Duration> answer_timeout;  // until the answer starts; empty: no limit
   Duration event_timeout{0};               // between chunks of a stream that can be resumed
   StreamState* stream = nullptr;
+  std::function<void()> on_connecting;      // called when another connection is opened
   std::function<void()> on_sent;            // called when the request is about to be written
   std::function<void()> on_answer_started;  // called when the answer starts
 };
@@ -60,14 +61,15 @@
 
 struct AttemptResult {
   AttemptOutcome outcome = AttemptOutcome::kFailed;
-  std::string_view reason;    // for counters and logs
-  unsigned status = 0;        // of the endpoint's answer; 0 if there was none
-  bool not_resident = false;  // the endpoint does not hold the model or adapter
-  bool silent = false;        // abandoned because the endpoint sent nothing
-  bool refused = false;       // no process listens at the endpoint's address
-  bool broken = false;        // the connection ended before the answer was complete
-  std::string error;          // network error message; empty for none
-  TimePoint sent_at;          // when writing the request started
+  std::string_view reason;       // for counters and logs
+  unsigned status = 0;           // of the endpoint's answer; 0 if there was none
+  bool not_resident = false;     // the endpoint does not hold the model or adapter
+  bool silent = false;           // abandoned because the endpoint sent nothing
+  bool refused = false;          // no process listens at the endpoint's address
+  bool broken = false;           // the connection ended before the answer was complete
+  bool through_gateway = false;  // another node was to forward the request
+  std::string error;             // network error message; empty for none
+  TimePoint sent_at;             // when writing the request started
   EndpointFeedback feedback = EndpointFeedback::kFailed;
   std::optional<Reply> reply;  // an error answer that may be forwarded to the client
 };
--- a/src/rudderloom/forwarding/crash_check.cpp
+++ b/src/rudderloom/forwarding/crash_check.cpp
@@ -1,11 +1,16 @@
 #include "forwarding/crash_check.hpp"
 
+#include <utility>  // for exchange
+
 #include "rudderloom/http/connection_probe.hpp"  // for AwaitConnectionRefusal
 
 namespace rudderloom {
 
 namespace {
 
+// An endpoint reached so shortly before shows that this node has not lost its links.
+constexpr Duration kConfirmedBy{200};
+
 void RequestSampleIfNews(ForwardingState& state) {
   if (state.crashes.HasObservations()) {
     state.sample_soon();
@@ -33,7 +38,21 @@
 }
 
 void RecordEndpointEnd(ForwardingState& state, const EndpointRecord& endpoint) {
-  state.crashes.Ended(endpoint.instance, Now());
+  const TimePoint now = Now();
+  if (state.reach.CutOff()) {
+    return;
+  }
+  state.unconfirmed_ends.push_back({endpoint.instance, now});
+  const bool is_only_endpoint = state.views.Current()->endpoints.size() <= 1;
+  if (is_only_endpoint || state.reach.ReachedSince(now - kConfirmedBy)) {
+    ConfirmEndpointEnds(state);
+  }
+}
+
+void ConfirmEndpointEnds(ForwardingState& state) {
+  for (const UnconfirmedEnd& end : std::exchange(state.unconfirmed_ends, {})) {
+    state.crashes.Ended(end.instance, end.seen_at);
+  }
   RequestSampleIfNews(state);
 }
 
--- a/src/rudderloom/forwarding/crash_check.hpp
+++ b/src/rudderloom/forwarding/crash_check.hpp
@@ -13,9 +13,13 @@
                            const RequestDigest& request,
                            TimePoint sent_at);
 
-// Records that no process listens at the endpoint's address.
+// Records that no process listens at the endpoint's address. A node that has lost its links to all
+// endpoints may see the same, so this only counts once another endpoint has been reached.
 void RecordEndpointEnd(ForwardingState& state, const EndpointRecord& endpoint);
 
+// Counts the ends recorded so far, as an endpoint was reached.
+void ConfirmEndpointEnds(ForwardingState& state);
+
 // Records a complete answer, which clears the request of suspicion of crashing endpoints.
 void RecordAnswered(ForwardingState& state, const RequestDigest& request);
 
--- /dev/null
+++ b/src/rudderloom/forwarding/endpoint_reach.cpp
@@ -0,0 +1,83 @@
+#include "rudderloom/forwarding/endpoint_reach.hpp"
+
+#include <algorithm>  // for any_of, clamp
+
+namespace rudderloom {
+
+namespace {
+
+// Endpoints that must fail in a row. One or two may crash at the same time.
+constexpr std::size_t kFailuresWhenCutOff = 3;
+constexpr std::size_t kMinFailuresWhenCutOff = 2;
+constexpr Duration kFailureMemory{3'000};
+// Consecutive failures of one endpoint after which another node is tried.
+constexpr std::uint32_t kFailuresBeforeGateway = 2;
+// Time after a failure until the endpoint is tried directly again.
+constexpr Duration kDirectRetryDelay{1'000};
+constexpr Duration kVerificationInterval{300};
+// An endpoint that was reached so recently makes a verification unnecessary.
+constexpr Duration kRecentlyReached{200};
+
+}  // namespace
+
+void EndpointReach::Reached(const std::string& instance, TimePoint now) {
+  failures_.erase(instance);
+  failed_in_a_row_.clear();
+  reached_at_ = now;
+  if (cut_off_) {
+    cut_off_ = false;
+    failures_.clear();
+  }
+}
+
+bool EndpointReach::Failed(const std::string& instance, std::size_t endpoint_count, TimePoint now) {
+  Failures& failures = failures_[instance];
+  ++failures.consecutive;
+  failures.last_at = now;
+  failed_in_a_row_[instance] = now;
+  std::erase_if(failed_in_a_row_,
+                [&](const auto& entry) { return now - entry.second > kFailureMemory; });
+  const std::size_t needed =
+      std::clamp(endpoint_count, kMinFailuresWhenCutOff, kFailuresWhenCutOff);
+  if (cut_off_ || failed_in_a_row_.size() < needed) {
+    return false;
+  }
+  cut_off_ = true;
+  return true;
+}
+
+bool EndpointReach::FailsRepeatedly(const Failures& failures, TimePoint now) {
+  return failures.consecutive >= kFailuresBeforeGateway &&
+         now - failures.last_at < kDirectRetryDelay && now >= failures.gateways_fail_until;
+}
+
+bool EndpointReach::NeedsGateway(const std::string& instance, TimePoint now) const {
+  const auto found = failures_.find(instance);
+  return cut_off_ || (found != failures_.end() && FailsRepeatedly(found->second, now));
+}
+
+bool EndpointReach::NeedsGateways(TimePoint now) const {
+  return cut_off_ || std::any_of(failures_.begin(), failures_.end(), [&](const auto& entry) {
+           return FailsRepeatedly(entry.second, now);
+         });
+}
+
+void EndpointReach::GatewayFailed(const std::string& instance, TimePoint now) {
+  failures_[instance].gateways_fail_until = now + kDirectRetryDelay;
+}
+
+bool EndpointReach::TakeVerificationDue(TimePoint now) {
+  if (cut_off_ || now - verified_at_ < kVerificationInterval ||
+      now - reached_at_ < kRecentlyReached) {
+    return false;
+  }
+  verified_at_ = now;
+  return true;
+}
+
+void EndpointReach::Trim(TimePoint now) {
+  std::erase_if(failures_,
+                [&](const auto& entry) { return now - entry.second.last_at > kFailureMemory; });
+}
+
+}  // namespace rudderloom
--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -235,6 +235,7 @@
     params.on_answer_started = [&] {
       state_.balancer.AnswerStarted(endpoint.instance, added_load);
     };
+    params.on_connecting = [this] { attempt_connecting_ = true; };
     params.on_sent = [this] { attempt_connecting_ = false; };
     attempt_instance_ = endpoint.instance;
     attempt_connecting_ = true;
@@ -336,7 +337,7 @@
   void UpdateCrashWatch(const EndpointRecord& endpoint, const AttemptResult& result) {
     if (result.refused) {
       RecordEndpointEnd(state_, endpoint);
-    } else if (result.broken) {
+    } else if (result.broken && !result.through_gateway) {
       RecordConnectionBreak(state_, endpoint, checks_.Digest(), result.sent_at);
     } else if (result.outcome == AttemptOutcome::kAnswered) {
       RecordAnswered(state_, checks_.Digest());
--- a/src/rudderloom/forwarding/frontend.cpp
+++ b/src/rudderloom/forwarding/frontend.cpp
@@ -1,12 +1,17 @@
 #include "rudderloom/forwarding/frontend.hpp"
 
-#include <set>  // for set
+#include <array>   // for array
+#include <random>  // for random_device
+#include <set>     // for set
 
-#include "forwarding/crash_check.hpp"           // for RecordCleared
-#include "forwarding/quarantine_page.hpp"       // for AnswerQuarantinePage
-#include "rudderloom/base/log_line.hpp"         // for LogLine
-#include "rudderloom/base/stable_fraction.hpp"  // for StableFraction
-#include "rudderloom/http/pause.hpp"            // for PauseFor
+#include "forwarding/crash_check.hpp"                // for RecordCleared
+#include "forwarding/quarantine_page.hpp"            // for AnswerQuarantinePage
+#include "forwarding/reach_watch.hpp"                // for WatchReach
+#include "rudderloom/base/hex.hpp"                   // for ToHex
+#include "rudderloom/base/log_line.hpp"              // for LogLine
+#include "rudderloom/base/stable_fraction.hpp"       // for StableFraction
+#include "rudderloom/forwarding/gateway_server.hpp"  // for ForwardForNode
+#include "rudderloom/http/pause.hpp"                 // for PauseFor
 
 namespace rudderloom {
 
@@ -52,6 +57,25 @@
   return http;
 }
 
+// Requests of other nodes are client requests with a few more headers.
+HttpLimits GatewayLimitsOf(const ClientLimits& limits) {
+  constexpr std::uint32_t kNodeHeaderBytes = 4 * 1024;
+  HttpLimits http;
+  http.header_bytes = limits.header_bytes + kNodeHeaderBytes;
+  http.body_bytes = limits.body_bytes;
+  return http;
+}
+
+std::string RandomKey() {
+  constexpr std::size_t kKeyBytes = 16;
+  std::random_device device;
+  std::array<std::uint8_t, kKeyBytes> key{};
+  for (std::uint8_t& byte : key) {
+    byte = static_cast<std::uint8_t>(device());
+  }
+  return ToHex(key);
+}
+
 // Listens on `ip:port` and returns the bound address; port 0 lets the kernel choose one.
 std::string Listen(HttpServer& server, const std::string& address) {
   const std::size_t colon = address.rfind(':');
@@ -96,6 +120,8 @@
              std::move(ask_holder),
              std::move(ask_for_permit)},
       server_(MakeServer([this](HttpExchange& exchange) { return Forward(state_, exchange); })),
+      gateway_server_(
+          MakeServer([this](HttpExchange& exchange) { return ForwardForNode(state_, exchange); })),
       readiness_(MakeServer([this](HttpExchange& exchange) { return AnswerReadiness(exchange); })),
       metrics_server_(
           MakeServer([this](HttpExchange& exchange) { return AnswerMetrics(exchange); })),
@@ -120,6 +146,11 @@
   if (!settings_.listen.metrics.empty()) {
     bound.metrics = Listen(*metrics_server_, settings_.listen.metrics);
   }
+  if (!settings_.listen.gateway.empty()) {
+    bound.gateway = Listen(*gateway_server_, settings_.listen.gateway);
+    state_.own_gateway = {bound.gateway, RandomKey()};
+  }
+  asio::co_spawn(context_, WatchReach(state_), asio::detached);
   asio::co_spawn(context_, TrimLoop(), asio::detached);
   asio::co_spawn(context_, SampleLoop(), asio::detached);
   return bound;
@@ -146,6 +177,11 @@
   counts.spending = state_.quota.Take(Now());
   counts.crash_news = state_.crashes.Take();
   counts.limits = ToSentLimits(state_.limits.Take(), Now());
+  counts.reaches_endpoints = !state_.reach.CutOff();
+  counts.needs_gateways = state_.reach.NeedsGateways(Now());
+  if (counts.reaches_endpoints && !stopping_ && !state_.own_gateway.address.empty()) {
+    counts.gateways = {state_.own_gateway};
+  }
   std::erase_if(state_.units, [](const auto& entry) {
     return entry.second.running == 0 && entry.second.waiting == 0;
   });
@@ -158,6 +194,7 @@
 void FleetFrontend::SetView(FleetViewPtr view) {
   if (view->routes) {
     server_->SetLimits(LimitsOf(view->routes->Limits()));
+    gateway_server_->SetLimits(GatewayLimitsOf(view->routes->Limits()));
   }
   state_.quota.ApplyDigest(view->quota, Now());
   state_.limits.Received(view->limits);
@@ -171,11 +208,14 @@
   state_.stop_deadline = stop_deadline;
   state_.stopping = true;
   state_.views.WakeAll();
+  state_.sample_soon();
   server_->CloseAfterAnswers();
+  gateway_server_->CloseAfterAnswers();
 }
 
 void FleetFrontend::StopAccepting() {
   server_->Stop();
+  gateway_server_->Stop();
 }
 
 void FleetFrontend::InterruptRequests() {
@@ -183,6 +223,7 @@
     guard->ExpireDeadline();
   }
   server_->RefusePartialRequests();
+  gateway_server_->RefusePartialRequests();
 }
 
 bool FleetFrontend::Ready() const {
@@ -222,6 +263,13 @@
       instances.push_back(endpoint.record.instance);
     }
     state_.pool.Trim(instances, Now());
+    std::vector<std::string> gateways;
+    for (const Gateway& gateway : view->gateways) {
+      gateways.push_back(gateway.address);
+    }
+    state_.gateway_pool.Trim(gateways, Now());
+    state_.gateways.Trim(Now());
+    state_.reach.Trim(Now());
     state_.balancer.Trim(*view, Now());
     state_.missing.Trim(Now());
     state_.crashes.Trim(Now());
--- /dev/null
+++ b/src/rudderloom/forwarding/gateway_server.cpp
@@ -0,0 +1,164 @@
+#include "rudderloom/forwarding/gateway_server.hpp"
+
+#include <algorithm>  // for find_if
+#include <utility>    // for move
+
+#include "forwarding/endpoint_link.hpp"    // for EndpointLink
+#include "forwarding/gateway_headers.hpp"  // for kGatewayKeyHeader
+#include "forwarding/hop_by_hop.hpp"       // for EndToEndHeaders
+#include "rudderloom/base/log_line.hpp"    // for LogLine
+
+namespace rudderloom {
+
+namespace {
+
+constexpr unsigned kForbidden = 403;
+constexpr unsigned kUnavailable = 503;
+constexpr Duration kDefaultDeadline{30'000};
+// The node that asked gives up first, so that this one never cuts an answer off.
+constexpr Duration kDeadlineMargin{200};
+
+std::string HeaderOf(const HttpRequest& request, const char* name) {
+  const auto value = request[name];
+  return {value.data(), value.size()};
+}
+
+class GatewayExchange {
+ public:
+  GatewayExchange(ForwardingState& state, HttpExchange& exchange)
+      : state_(state), exchange_(exchange), terms_(state.dialect.ReadRequest(exchange.Request())) {}
+
+  Awaitable<void> Run() {
+    const HttpRequest& request = exchange_.Request();
+    const Gateway& own = state_.own_gateway;
+    if (own.key.empty() || HeaderOf(request, kGatewayKeyHeader) != own.key) {
+      co_await Refuse(kGatewayUnknownKey);
+      co_return;
+    }
+    if (state_.stopping || state_.reach.CutOff()) {
+      co_await Refuse(kGatewayUnavailable);
+      co_return;
+    }
+    const auto endpoint = FindEndpoint(HeaderOf(request, kGatewayEndpointHeader));
+    if (!endpoint) {
+      co_await Refuse(kGatewayUnknownEndpoint);
+      co_return;
+    }
+    const Duration time_left = terms_.deadline.value_or(kDefaultDeadline) + kDeadlineMargin;
+    CallGuard guard(state_.context, state_.guards,
+                    std::min(Now() + time_left, state_.stop_deadline), [this] { return !sent_; });
+    exchange_.WatchPeer([&guard] { guard.ClientDisconnected(); });
+    EndpointLink link(state_, guard, *endpoint);
+    co_await Forward(link, guard);
+    exchange_.StopWatching();
+  }
+
+ private:
+  std::optional<EndpointRecord> FindEndpoint(const std::string& instance) const {
+    const FleetViewPtr view = state_.views.Current();
+    const auto found = std::find_if(
+        view->endpoints.begin(), view->endpoints.end(),
+        [&](const FleetEndpoint& endpoint) { return endpoint.record.instance == instance; });
+    return found == view->endpoints.end() ? std::nullopt : std::optional(found->record);
+  }
+
+  Awaitable<void> Forward(EndpointLink& link, CallGuard& guard) {
+    const auto failure = co_await link.Connect();
+    if (failure) {
+      co_await Refuse(failure->refused ? kGatewayConnectionRefused : kGatewayUnreachable);
+      co_return;
+    }
+    sent_ = true;
+    guard.SetResponseDeadline(std::nullopt);
+    HttpRequest request = WithoutGatewayHeaders();
+    link.Send(std::move(request), false);
+    const bool head_only = exchange_.Request().method() == http::verb::head;
+    auto read = co_await link.ReadHead(terms_.id, head_only);
+    if (std::holds_alternative<LinkFailure>(read)) {
+      Abort("cut_before_answer");
+      co_return;
+    }
+    const bool complete = co_await RelayAnswer(link);
+    if (!complete) {
+      Abort("cut_within_answer");
+      co_return;
+    }
+    RecordEnd("answered");
+    link.Release();
+  }
+
+  HttpRequest WithoutGatewayHeaders() const {
+    HttpRequest request = exchange_.Request();
+    for (const char* name : kGatewayHeaders) {
+      request.erase(name);
+    }
+    EraseHopByHop(request);
+    request.prepare_payload();
+    return request;
+  }
+
+  Awaitable<bool> RelayAnswer(EndpointLink& link) {
+    const AnswerHead& head = link.Connection().Head();
+    const auto type = head[http::field::content_type];
+    HeaderList headers = EndToEndHeaders(head);
+    std::erase_if(headers, [](const auto& header) {
+      return beast::iequals(header.first, kGatewayRefusalHeader);
+    });
+    const std::string content_type(type);
+    const unsigned status = head.result_int();
+    bool delivered = co_await exchange_.StartStream(status, content_type, std::move(headers));
+    while (delivered) {
+      auto chunk = co_await link.ReadSome();
+      if (std::holds_alternative<ConnectionFailure>(chunk)) {
+        co_return false;
+      }
+      if (std::holds_alternative<EndpointConnection::End>(chunk)) {
+        co_return co_await exchange_.EndStream();
+      }
+      const std::string& data = std::get<std::string>(chunk);
+      delivered = co_await exchange_.WriteChunk(data);
+    }
+    co_return false;
+  }
+
+  // The node that asked sees that the answer is not complete.
+  void Abort(std::string_view result) {
+    RecordEnd(result);
+    exchange_.Abort();
+  }
+
+  void RecordEnd(std::string_view result) {
+    state_.metrics.Count({"rudderloom_gateway_requests_total", "result", result});
+    if (state_.log_quota.Allows(Now())) {
+      LogLine("gateway_request")
+          .With("request_id", terms_.id)
+          .With("endpoint", HeaderOf(exchange_.Request(), kGatewayEndpointHeader))
+          .With("result", result)
+          .With("ms", Between(arrived_, Now()).count());
+    }
+  }
+
+  // Answers that the request was not sent.
+  Awaitable<void> Refuse(std::string_view reason) {
+    RecordEnd(reason);
+    Reply reply;
+    reply.status = reason == kGatewayUnknownKey ? kForbidden : kUnavailable;
+    reply.headers = {{kGatewayRefusalHeader, std::string(reason)}};
+    co_await exchange_.Send(std::move(reply));
+  }
+
+  ForwardingState& state_;
+  HttpExchange& exchange_;
+  const RequestMetadata terms_;
+  const TimePoint arrived_ = Now();
+  bool sent_ = false;  // the endpoint may have received the request
+};
+
+}  // namespace
+
+Awaitable<void> ForwardForNode(ForwardingState& state, HttpExchange& exchange) {
+  GatewayExchange gateway(state, exchange);
+  co_await gateway.Run();
+}
+
+}  // namespace rudderloom
--- /dev/null
+++ b/src/rudderloom/forwarding/reach_watch.cpp
@@ -0,0 +1,151 @@
+#include "forwarding/reach_watch.hpp"
+
+#include <utility>  // for exchange
+
+#include "forwarding/crash_check.hpp"      // for ConfirmEndpointEnds
+#include "rudderloom/base/log_line.hpp"    // for LogLine
+#include "rudderloom/http/call_guard.hpp"  // for CallGuard
+#include "rudderloom/http/pause.hpp"       // for PauseFor
+
+namespace rudderloom {
+
+namespace {
+
+constexpr Duration kWatchInterval{200};
+constexpr Duration kProbeInterval{400};  // while the node is cut off
+constexpr Duration kReachProbeTimeout{350};
+// No endpoint has sent anything for this long, although requests wait: longer than a busy engine
+// pauses.
+constexpr Duration kMaxSilence{800};
+constexpr int kVerificationProbes = 2;
+// A request without an answer for this long is sent elsewhere once the node is cut off.
+constexpr Duration kMinAnswerWait{500};
+
+void SetReachable(ForwardingState& state, bool reachable) {
+  state.metrics.Set({"rudderloom_endpoints_reachable"}, reachable ? 1.0 : 0.0);
+  LogLine(reachable ? "endpoints_reachable" : "endpoints_unreachable",
+          reachable ? Severity::kInfo : Severity::kWarning)
+      .With("endpoints", state.views.Current()->endpoints.size());
+  state.sample_soon();
+}
+
+// Its connections are of no use, and requests that wait on them would wait for nothing.
+void HandleCutOff(ForwardingState& state) {
+  SetReachable(state, false);
+  state.pool.Clear();
+  state.unconfirmed_ends.clear();
+  const TimePoint now = Now();
+  // Expiring a deadline may end the wait and remove its entry.
+  std::vector<CallGuard*> withdrawn;
+  for (const PendingAnswer& pending : state.pending_answers) {
+    if (pending.may_withdraw && now - pending.sent_at >= kMinAnswerWait) {
+      withdrawn.push_back(pending.guard);
+    }
+  }
+  for (CallGuard* guard : withdrawn) {
+    guard->SetResponseDeadline(now);
+  }
+}
+
+// Any answer shows that the endpoint can be reached.
+Awaitable<bool> AnswersProbe(ForwardingState& state, std::string address) {
+  CallGuard guard(state.context, state.guards, Now() + kReachProbeTimeout, [] { return true; });
+  EndpointConnection connection(state.context);
+  guard.SetCancel([&connection] { connection.Close(); });
+  const auto failure = co_await connection.Connect(address);
+  bool answered = false;
+  if (!failure) {
+    const HttpRequest request = state.dialect.MakeProbe(address);
+    connection.StartRequest(request);
+    const auto head = co_await connection.ReadHead(false);
+    answered = std::holds_alternative<EndpointConnection::End>(head);
+  }
+  guard.SetCancel({});
+  state.metrics.Count({"rudderloom_reach_probes_total", "result", answered ? "ok" : "failed"});
+  co_return answered;
+}
+
+Awaitable<void> Probe(ForwardingState& state, EndpointRecord endpoint) {
+  const bool answered = co_await AnswersProbe(state, endpoint.address);
+  if (answered) {
+    RecordReached(state, endpoint.instance);
+  } else {
+    RecordUnreachable(state, endpoint);
+  }
+}
+
+void StartProbe(ForwardingState& state, const EndpointRecord& endpoint) {
+  asio::co_spawn(state.context, Probe(state, endpoint), asio::detached);
+}
+
+// Endpoints with a rate limit are left alone.
+std::optional<EndpointRecord> ChooseProbeTarget(ForwardingState& state,
+                                                const std::string& except = {}) {
+  const FleetViewPtr view = state.views.Current();
+  const std::size_t count = view->endpoints.size();
+  const std::size_t first = count == 0 ? 0 : state.random() % count;
+  for (std::size_t i = 0; i < count; ++i) {
+    const EndpointRecord& record = view->endpoints[(first + i) % count].record;
+    if (record.instance != except && !state.limits.LimitOf(KeyOf(record.instance))) {
+      return record;
+    }
+  }
+  return std::nullopt;
+}
+
+// The endpoint that has kept a request waiting while none has sent anything.
+std::optional<EndpointRecord> SilentEndpoint(const ForwardingState& state, TimePoint now) {
+  if (state.pending_answers.empty()) {
+    return std::nullopt;
+  }
+  const PendingAnswer& oldest = state.pending_answers.front();
+  const bool silent = now - oldest.sent_at >= kMaxSilence && now - state.answered_at >= kMaxSilence;
+  return silent ? std::optional(oldest.endpoint) : std::nullopt;
+}
+
+}  // namespace
+
+void RecordReached(ForwardingState& state, const std::string& instance) {
+  const bool was_cut_off = state.reach.CutOff();
+  state.reach.Reached(instance, Now());
+  ConfirmEndpointEnds(state);
+  if (was_cut_off) {
+    SetReachable(state, true);
+  }
+}
+
+void RecordUnreachable(ForwardingState& state, const EndpointRecord& endpoint) {
+  const TimePoint now = Now();
+  if (state.reach.Failed(endpoint.instance, state.views.Current()->endpoints.size(), now)) {
+    HandleCutOff(state);
+    return;
+  }
+  if (!state.reach.TakeVerificationDue(now)) {
+    return;
+  }
+  for (int i = 0; i < kVerificationProbes; ++i) {
+    if (const auto other = ChooseProbeTarget(state, endpoint.instance)) {
+      StartProbe(state, *other);
+    }
+  }
+}
+
+Awaitable<void> WatchReach(ForwardingState& state) {
+  TimePoint probed_at;
+  while (true) {
+    co_await PauseFor(state.context, kWatchInterval);
+    const TimePoint now = Now();
+    std::optional<EndpointRecord> target;
+    if (state.reach.CutOff() && now - probed_at >= kProbeInterval) {
+      target = ChooseProbeTarget(state);
+    } else if (now - probed_at >= kMaxSilence) {
+      target = SilentEndpoint(state, now);
+    }
+    if (target) {
+      probed_at = now;
+      StartProbe(state, *target);
+    }
+  }
+}
+
+}  // namespace rudderloom
--- a/src/rudderloom/peers/fleet_codec.cpp
+++ b/src/rudderloom/peers/fleet_codec.cpp
@@ -10,6 +10,7 @@
 #include "peers/configuration_codec.hpp"  // for Write, Read
 #include "peers/crash_codec.hpp"          // for WriteNews, ReadNews
 #include "peers/forecast_codec.hpp"       // for WriteLoadsDue, ReadLoadsDue
+#include "peers/gateway_codec.hpp"        // for WriteGateways, ReadGateways
 #include "peers/quarantine_codec.hpp"     // for WriteQuarantine, ReadQuarantine
 
 namespace rudderloom {
@@ -239,6 +240,11 @@
   if (!counts.limits.empty() || counts.limits_seen != 0) {
     WriteLimits(counts.limits_seen, counts.limits, out.initLimits());
   }
+  out.setCutOff(!counts.reaches_endpoints);
+  out.setNeedsGateways(counts.needs_gateways);
+  if (!counts.gateways.empty()) {
+    WriteGateways(counts.gateways, out.initGateways(counts.gateways.size()));
+  }
   auto units = out.initUnits(counts.units.size());
   unsigned index = 0;
   for (const auto& [unit, count] : counts.units) {
@@ -272,6 +278,9 @@
   counts.quarantine_seen = in.getQuarantineSeen();
   counts.limits = ReadLimits(in.getLimits().getLimits());
   counts.limits_seen = in.getLimits().getVersion();
+  counts.reaches_endpoints = !in.getCutOff();
+  counts.needs_gateways = in.getNeedsGateways();
+  counts.gateways = ReadGateways(in.getGateways());
   for (const auto entry : in.getUnits()) {
     const UnitName unit{entry.getService().cStr(), entry.getModel().cStr(),
                         entry.getAdapter().cStr()};
@@ -288,11 +297,15 @@
   if (!digest.crash_news.Empty()) {
     WriteNews(digest.crash_news, out.initCrashNews());
   }
+  if (!digest.gateways.empty()) {
+    WriteGateways(digest.gateways, out.initGateways(digest.gateways.size()));
+  }
   if (!digest.is_authoritative) {
     return;
   }
   out.setAgeMs(digest.age.count());
   out.setNodes(digest.nodes);
+  out.setGatewaysWanted(digest.gateways_wanted);
   out.setRelay(digest.relay);
   out.setIsRelay(digest.is_relay);
   out.setRelayPauseMs(static_cast<std::uint32_t>(digest.relay_pause.count()));
@@ -326,8 +339,10 @@
   digest.epoch = in.getEpoch();
   digest.holder = in.getHolder().cStr();
   digest.crash_news = ReadNews(in.getCrashNews());
+  digest.gateways = ReadGateways(in.getGateways());
   digest.age = Duration(in.getAgeMs());
   digest.nodes = in.getNodes();
+  digest.gateways_wanted = in.getGatewaysWanted();
   digest.relay = in.getRelay().cStr();
   digest.is_relay = in.getIsRelay();
   digest.relay_pause = Duration(in.getRelayPauseMs());
--- a/src/rudderloom/placement/demand.cpp
+++ b/src/rudderloom/placement/demand.cpp
@@ -36,10 +36,12 @@
 }
 
 void DemandTracker::RecordCounts(const NodeCounts& counts, TimePoint now) {
-  nodes_[counts.node] = {counts.units, std::make_shared<const LoadTable>(counts.loads),
-                         ReportingNode{counts.node, counts.address, counts.availability_zone,
-                                       counts.processor_share, counts.represented_nodes},
-                         now};
+  nodes_[counts.node] = {
+      counts.units, std::make_shared<const LoadTable>(counts.loads),
+      ReportingNode{counts.node, counts.address, counts.availability_zone, counts.processor_share,
+                    counts.represented_nodes, counts.reaches_endpoints, counts.needs_gateways,
+                    counts.gateways},
+      now};
   for (const auto& [unit, count] : counts.units) {
     if (count.running + count.waiting > 0 || count.offered > Duration(0)) {
       units_[unit].last_requested_at = now;
--- a/tests/fakes/fleet_world.cpp
+++ b/tests/fakes/fleet_world.cpp
@@ -206,6 +206,11 @@
   }
   counts.crash_news = std::exchange(node.crash_news, {});
   counts.limits = std::exchange(node.limits, {});
+  counts.reaches_endpoints = !node.cut_from_endpoints;
+  counts.needs_gateways = node.cut_from_endpoints;
+  if (counts.reaches_endpoints) {
+    counts.gateways = {{node.name + ":2", "key of " + node.name}};
+  }
   HandleMessage(node, fleet_message::NodeSampled{counts});
 }
 
--- a/tests/fakes/fleet_world.hpp
+++ b/tests/fakes/fleet_world.hpp
@@ -50,6 +50,11 @@
   void Suspend(int node, int milliseconds, int clock_lag_ms = 0);
   void CutFromStore(int node, bool cut) { NodeAt(node).cut_from_store = cut; }
   void CutFromNodes(int node, bool cut) { NodeAt(node).cut_from_nodes = cut; }
+  /// @brief Cuts the links of the node to all endpoints. The node notices at its next sample.
+  void CutFromEndpoints(int node, bool cut) { NodeAt(node).cut_from_endpoints = cut; }
+  bool IsCutFromEndpoints(int node) const { return NodeAt(node).cut_from_endpoints; }
+  /// @brief Returns the number of the node with this gateway.
+  int NodeOfGateway(const Gateway& gateway) const;
   void SetStoreDown(bool down) { store_down_ = down; }
   /// @brief Restores the store to its state `age` milliseconds ago. Its revisions go back and are
   /// assigned again. The lost writes of the operator and the endpoints are repeated after
@@ -150,6 +155,7 @@
     std::uint64_t routes_version = 0;
     bool cut_from_store = false;
     bool cut_from_nodes = false;
+    bool cut_from_endpoints = false;
     int suspended_until = 0;
     int clock_lag_ms = 0;
     bool holds_lease = false;
--- a/tests/fakes/fleet_world_views.cpp
+++ b/tests/fakes/fleet_world_views.cpp
@@ -33,6 +33,10 @@
   ScheduleOnNode(NodeAt(node), kSampleDelayMs, [this, node] { Sample(NodeAt(node)); });
 }
 
+int FleetWorld::NodeOfGateway(const Gateway& gateway) const {
+  return std::stoi(gateway.address.substr(1));
+}
+
 void FleetWorld::Observe(int node, const SentLimits& limits) {
   for (const auto& [endpoint, limit] : limits) {
     NodeAt(node).limits[endpoint] = limit;
--- a/tests/process/fleet_cluster.cpp
+++ b/tests/process/fleet_cluster.cpp
@@ -116,7 +116,8 @@
       {"listen", json::object{{"callers", any_port},
                               {"readiness", any_port},
                               {"peers", any_port},
-                              {"metrics", any_port}}},
+                              {"metrics", any_port},
+                              {"gateway", any_port}}},
       {"store", json::object{{"address", At("store").Address()}, {"call_time", "500ms"}}},
       {"bounds", json::object{{"lease", "600ms"}, {"grace", "5s"}, {"configuration", "4s"}}}};
   const std::string path = SettingsPath(name);
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -89,9 +89,12 @@
             "store": {"address": self.proxies[name].address, "call_time": "500ms"},
             "bounds": {"lease": "900ms", "grace": f"{STOP_SECONDS}s"},
         }
+        daemon = self.daemons.get(name, self.daemon)
+        if daemon == self.daemon:  # an earlier build rejects settings that it does not know
+            settings["listen"]["gateway"] = loopback
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(settings))
-        self.start(name, [self.daemons.get(name, self.daemon), "daemon", "--settings", str(path)])
+        self.start(name, [daemon, "daemon", "--settings", str(path)])
 
     def write_configuration(self, extra_prefix=None):
         """Writes the next version; `extra_prefix` adds a route that no earlier version has."""
