Give the lease up while cut off from all endpoints

A holder that reaches no endpoint can send no orders and reads no reports, so no model is loaded for as long as the cut lasts: partition_process_test 5 waited 20 s for another holder. Orders can't go through another node, as they would reach endpoints from two machines.

The holder gives the lease up after 0.6 s without links if another node reaches endpoints; nodes without links let others take it first, and are chosen as relays and standbys last. A fleet that is cut off as a whole keeps its holder.

Evidence: partition_process_test 5 and fleet_gateways_test (the holder cut off among 8, 60 and 300 nodes) failed without this and pass.

--- a/src/rudderloom/dissemination/roster.cpp
+++ b/src/rudderloom/dissemination/roster.cpp
@@ -27,7 +27,11 @@
 }
 
 void Roster::Update(std::vector<ReportingNode> nodes) {
+  // A standby without links to endpoints could send no orders.
   std::sort(nodes.begin(), nodes.end(), [](const ReportingNode& left, const ReportingNode& right) {
+    if (left.reaches_endpoints != right.reaches_endpoints) {
+      return left.reaches_endpoints;
+    }
     return left.processor_share != right.processor_share
                ? left.processor_share > right.processor_share
                : left.name < right.name;
--- a/src/rudderloom/fleet/fleet_lease.cpp
+++ b/src/rudderloom/fleet/fleet_lease.cpp
@@ -1,5 +1,5 @@
 // Lease handling of the control state: reads, takes, renews and gives up the lease.
-#include <algorithm>  // for max
+#include <algorithm>  // for any_of, max
 
 #include "rudderloom/base/log_line.hpp"         // for LogLine
 #include "rudderloom/base/stable_fraction.hpp"  // for StableFraction
@@ -41,6 +41,8 @@
 // all nodes arrive at once. Also the minimum time between two handovers in a fleet that is
 // overloaded as a whole.
 constexpr Duration kMinHoldTime{4'000};
+// By then the node has probed an endpoint once more.
+constexpr Duration kCutOffBeforeResigning{600};
 // Half of the lag at which a holder resigns.
 constexpr Duration kLagLogThreshold{100};
 constexpr Duration kLagLogInterval{1'000};
@@ -68,10 +70,20 @@
   return pause * std::max(1U, live_nodes_ / kFullRateCheckers);
 }
 
+// A holder without links to endpoints can't deliver orders, and reads no reports.
+bool FleetState::AnotherNodeReachesEndpoints(TimePoint now) const {
+  const auto nodes = board_.ReportingNodes(settings_.name, now);
+  return std::any_of(nodes.begin(), nodes.end(),
+                     [](const ReportingNode& node) { return node.reaches_endpoints; });
+}
+
 // A node keeps renewing its lease long after its other work is too late to be of use. A holder
 // slowed down 8 times beside 85 nodes sent no orders for up to 10 s at a time, and took its own
 // lapsed lease back before others could be sure that it was free.
 bool FleetState::ShouldResign(TimePoint now) const {
+  if (holds_lease_ && cut_off_since_ && now - *cut_off_since_ >= kCutOffBeforeResigning) {
+    return AnotherNodeReachesEndpoints(now);
+  }
   return holds_lease_ && lag_.Overloaded() && now - held_since_ >= kMinHoldTime &&
          !board_.ReportingNodes(settings_.name, now).empty();
 }
@@ -84,7 +96,8 @@
     resigned_at_ = now;
     LogLine("lease_resigned", Severity::kWarning)
         .With("epoch", lease_.Epoch())
-        .With("mean_lag_ms", lag_.Mean().count());
+        .With("mean_lag_ms", lag_.Mean().count())
+        .With("reaches_endpoints", cut_off_since_ ? "no" : "yes");
   }
   if (placement_.HasOrdersInFlight()) {
     return;
@@ -100,7 +113,7 @@
 // How long this node lets others take a free lease first.
 Duration FleetState::LeaseYield(TimePoint now) const {
   const bool cooling_down = resigned_at_ && now - *resigned_at_ < kResignationCooldown;
-  if (cooling_down || lag_.Overloaded()) {
+  if (cooling_down || lag_.Overloaded() || cut_off_since_) {
     return kOverloadedYield;
   }
   return received_ && !received_->digest.standby ? kStandbyYield : Duration(0);
