Send only where a slot is free while endpoints crash from rejections

Endpoints may announce in all their answers how many rejections a second each tolerates before it crashes. The header was not read: a node goes on sending to an endpoint that is full as far as known, and again 0.4 s after a rejection.

RejectionWatch keeps what a service's endpoints announce. Until it ends, an endpoint whose slots are taken as far as known gets no request: it waits at the node for up to half of its goal, or is refused with a time to come back. Values that are no number of 0 or more are counted and change nothing.

Evidence: platform_forwarding_test (with the checks of slots and pauses taken out of the balancer two cases fail), endpoint_limits_test.

--- a/include/rudderloom/forwarding/balancer.hpp
+++ b/include/rudderloom/forwarding/balancer.hpp
@@ -11,11 +11,13 @@
 #include <string>    // for string
 #include <vector>    // for vector
 
-#include "rudderloom/endpoint_limits/limit_watch.hpp"  // for LimitWatch
-#include "rudderloom/fleet/fleet_view.hpp"             // for FleetView
-#include "rudderloom/forwarding/admission.hpp"         // for StartForecast
-#include "rudderloom/forwarding/header_codec.hpp"      // for RequestMetadata
-#include "rudderloom/forwarding/service_times.hpp"     // for ServiceTimes
+#include "rudderloom/endpoint_limits/endpoint_pauses.hpp"  // for EndpointPauses
+#include "rudderloom/endpoint_limits/limit_watch.hpp"      // for LimitWatch
+#include "rudderloom/endpoint_limits/rejection_watch.hpp"  // for RejectionWatch
+#include "rudderloom/fleet/fleet_view.hpp"                 // for FleetView
+#include "rudderloom/forwarding/admission.hpp"             // for StartForecast
+#include "rudderloom/forwarding/header_codec.hpp"          // for RequestMetadata
+#include "rudderloom/forwarding/service_times.hpp"         // for ServiceTimes
 
 namespace rudderloom {
 
@@ -24,9 +26,11 @@
 struct BalancerQuery {
   const std::string& service;
   const RequestMetadata& terms;
-  const std::set<std::string>& excluded;  ///< Instances that failed this request.
-  const LimitWatch* limits = nullptr;     ///< Null when no endpoint has a rate limit.
-  bool skip_limited = false;              ///< Excludes endpoints with a rate limit.
+  const std::set<std::string>& excluded;       ///< Instances that failed this request.
+  const LimitWatch* limits = nullptr;          ///< Null when no endpoint has a rate limit.
+  bool skip_limited = false;                   ///< Excludes endpoints with a rate limit.
+  const RejectionWatch* rejections = nullptr;  ///< Null when endpoints tolerate rejections.
+  const EndpointPauses* pauses = nullptr;      ///< Null when no endpoint is paused.
 };
 
 /// @brief Why no endpoint can take a request.
@@ -35,6 +39,8 @@
   kNoEndpoints,  ///< The service has no endpoint that accepts requests.
   kNotResident,  ///< None of its endpoints holds the model or adapter.
   kRateLimited,  ///< The candidates have reached their rate limit.
+  kFull,         ///< The candidates have no free slot, and tolerate no more rejections.
+  kPaused,       ///< The candidates must get no requests for a while.
 };
 
 /// @brief The chosen endpoint and the load that the request adds to it.
@@ -140,6 +146,8 @@
   struct Candidates {
     std::vector<Candidate> usable;
     bool any_rate_limited = false;  // an endpoint was excluded for its rate limit
+    bool any_full = false;          // an endpoint was excluded that would reject the request
+    bool any_paused = false;        // an endpoint was excluded for its pause
   };
 
   Candidates FindCandidates(const FleetView& view,
--- a/include/rudderloom/forwarding/forwarder.hpp
+++ b/include/rudderloom/forwarding/forwarder.hpp
@@ -11,22 +11,24 @@
 #include <string>      // for string
 #include <vector>      // for vector
 
-#include "rudderloom/base/log_rate_limiter.hpp"           // for LogRateLimiter
-#include "rudderloom/endpoint_limits/limit_watch.hpp"     // for LimitWatch
-#include "rudderloom/endpoint_limits/permit_book.hpp"     // for PermitRequest
-#include "rudderloom/forwarding/balancer.hpp"             // for Balancer
-#include "rudderloom/http/call_guard.hpp"                 // for CallGuards
-#include "rudderloom/forwarding/endpoint_connection.hpp"  // for ConnectionPool
-#include "rudderloom/forwarding/endpoint_reach.hpp"       // for EndpointReach
-#include "rudderloom/forwarding/gateway_choice.hpp"       // for GatewayChoice
-#include "rudderloom/forwarding/missing_units.hpp"        // for MissingUnits
-#include "rudderloom/forwarding/retry_budget.hpp"         // for RetryBudget
-#include "rudderloom/forwarding/view_source.hpp"          // for ViewSource
-#include "rudderloom/http/server.hpp"                     // for HttpExchange
-#include "rudderloom/placement/demand.hpp"                // for UnitCount
-#include "rudderloom/quarantine/crash_watch.hpp"          // for CrashWatch
-#include "rudderloom/quota/quota_account.hpp"             // for QuotaAccount
-#include "rudderloom/telemetry/metrics.hpp"               // for Metrics
+#include "rudderloom/base/log_rate_limiter.hpp"            // for LogRateLimiter
+#include "rudderloom/endpoint_limits/endpoint_pauses.hpp"  // for EndpointPauses
+#include "rudderloom/endpoint_limits/limit_watch.hpp"      // for LimitWatch
+#include "rudderloom/endpoint_limits/permit_book.hpp"      // for PermitRequest
+#include "rudderloom/endpoint_limits/rejection_watch.hpp"  // for RejectionWatch
+#include "rudderloom/forwarding/balancer.hpp"              // for Balancer
+#include "rudderloom/http/call_guard.hpp"                  // for CallGuards
+#include "rudderloom/forwarding/endpoint_connection.hpp"   // for ConnectionPool
+#include "rudderloom/forwarding/endpoint_reach.hpp"        // for EndpointReach
+#include "rudderloom/forwarding/gateway_choice.hpp"        // for GatewayChoice
+#include "rudderloom/forwarding/missing_units.hpp"         // for MissingUnits
+#include "rudderloom/forwarding/retry_budget.hpp"          // for RetryBudget
+#include "rudderloom/forwarding/view_source.hpp"           // for ViewSource
+#include "rudderloom/http/server.hpp"                      // for HttpExchange
+#include "rudderloom/placement/demand.hpp"                 // for UnitCount
+#include "rudderloom/quarantine/crash_watch.hpp"           // for CrashWatch
+#include "rudderloom/quota/quota_account.hpp"              // for QuotaAccount
+#include "rudderloom/telemetry/metrics.hpp"                // for Metrics
 
 namespace rudderloom {
 
@@ -99,6 +101,8 @@
   /// @brief Upper bound on the deadline of requests that arrive during a planned stop.
   TimePoint stop_deadline = TimePoint::max();
   CallGuards guards = {};  ///< Guards of the requests in flight.
+  RejectionWatch rejections = {};
+  EndpointPauses pauses = {};
   EndpointReach reach = {};
   GatewayChoice gateways = {};
   ConnectionPool gateway_pool = {};  ///< By address of the gateway.
--- a/include/rudderloom/forwarding/header_codec.hpp
+++ b/include/rudderloom/forwarding/header_codec.hpp
@@ -67,6 +67,8 @@
   bool wrong_instance = false;  ///< Another endpoint now listens at the address.
   bool not_resident = false;    ///< The endpoint does not hold the model or adapter.
   std::string weights_version;
+  /// @brief Rejections per second that the endpoint tolerates before it crashes.
+  LimitAnnouncement tolerated_rejections;
   LimitAnnouncement limit;  ///< The endpoint's rate limit on requests from all nodes together.
 };
 
--- a/src/rudderloom/forwarding/balancer.cpp
+++ b/src/rudderloom/forwarding/balancer.cpp
@@ -73,6 +73,15 @@
   return 0.0;
 }
 
+// An endpoint that crashes from rejections gets a request only if a slot is free for it.
+bool MayReject(const BalancerQuery& query,
+               const EndpointRecord& record,
+               const EndpointLoad& load,
+               TimePoint now) {
+  return query.rejections != nullptr && query.rejections->NeedsFreeSlot(record.service, now) &&
+         load.requests >= record.slots;
+}
+
 std::string UnitOf(const RequestMetadata& terms) {
   return terms.model + "/" + terms.adapter;
 }
@@ -138,14 +147,23 @@
       found.any_rate_limited = true;
       continue;
     }
+    EndpointLoad load = own.load;
+    load += listed_endpoint.other_nodes_load;
+    if (query.pauses != nullptr && query.pauses->Paused(KeyOf(record.instance), now)) {
+      found.any_paused = true;
+      continue;
+    }
+    if (MayReject(query, record, load, now)) {
+      found.any_full = true;
+      continue;
+    }
     Candidate candidate;
     candidate.index = index;
     candidate.rate_limited = rate_limited;
     candidate.base_cost += LimitCost(standing);
     candidate.slots = record.slots;
     candidate.own = own.load;
-    candidate.load = own.load;
-    candidate.load += listed_endpoint.other_nodes_load;
+    candidate.load = load;
     candidate.base_cost += record.availability_zone != availability_zone_ ? kOtherZoneCost : 0.0;
     candidate.base_cost += now < own.avoid_until ? kAvoidCost : 0.0;
     candidate.base_cost += listed_endpoint.last_resort ? kLastResortCost : 0.0;
@@ -267,7 +285,10 @@
   Candidates found = FindCandidates(view, query, listed->second, now);
   std::vector<Candidate>& candidates = found.usable;
   if (candidates.empty()) {
-    return found.any_rate_limited ? NoEndpointReason::kRateLimited : NoEndpointReason::kNotResident;
+    return found.any_rate_limited ? NoEndpointReason::kRateLimited
+           : found.any_full       ? NoEndpointReason::kFull
+           : found.any_paused     ? NoEndpointReason::kPaused
+                                  : NoEndpointReason::kNotResident;
   }
   RequestCosts costs;
   costs.is_model_request = !query.terms.model.empty();
--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -27,6 +27,10 @@
 // For rate-limited endpoints. Each permit request takes about 5 ms; after the last one only
 // endpoints without a limit are used.
 constexpr std::uint32_t kMaxPermitRequests = 4;
+// At endpoints that crash from rejections, requests wait for a free slot here, for this part of
+// their goal.
+constexpr int kFreeSlotWaitDivisor = 2;
+constexpr Duration kFreeSlotCheckInterval{20};
 constexpr double kAnswerTimeoutGoals = 2.5;
 constexpr int kEventTimeoutPauses = 4;
 constexpr unsigned kTooManyRequests = 429;
@@ -87,8 +91,13 @@
         co_await Refuse(ForwardRefusal::kQuarantined);
         co_return;
       }
-      const BalancerQuery query{service_, terms_, tried_.Excluded(), &state_.limits,
-                                permit_requests_ >= kMaxPermitRequests};
+      const BalancerQuery query{service_,
+                                terms_,
+                                tried_.Excluded(),
+                                &state_.limits,
+                                permit_requests_ >= kMaxPermitRequests,
+                                &state_.rejections,
+                                &state_.pauses};
       auto chosen = state_.balancer.Choose(*view, query, Now());
       if (auto* none = std::get_if<NoEndpointReason>(&chosen)) {
         if (!co_await AwaitEndpoint(*none)) {
@@ -181,6 +190,9 @@
       co_await Refuse(ForwardRefusal::kEndpointLimit);
       co_return false;
     }
+    if (reason == NoEndpointReason::kFull || reason == NoEndpointReason::kPaused) {
+      co_return co_await AwaitFreeSlot(reason);
+    }
     const bool may_become_resident = !terms_.model.empty() && !state_.stopping;
     const TimePoint expected_at = may_become_resident ? ExpectedResidency() : TimePoint::max();
     if (!may_become_resident || expected_at > LatestStart() || Now() >= LatestStart()) {
@@ -194,6 +206,39 @@
     co_return !co_await HandleInterruption();
   }
 
+  // Waits for an endpoint that may be used as long as the answer can still be in time. Returns
+  // false once the request has been answered.
+  Awaitable<bool> AwaitFreeSlot(NoEndpointReason reason) {
+    const TimePoint now = Now();
+    const TimePoint latest =
+        std::min(LatestStart(), arrived_ + route_->goal / kFreeSlotWaitDivisor);
+    const Duration pause = reason == NoEndpointReason::kPaused ? ShortestPause(now) : Duration(0);
+    if (state_.stopping || now + std::max(pause, kFreeSlotCheckInterval) > latest) {
+      retry_delay_ = std::max(pause, kMinRetryDelay);
+      co_await Refuse(ForwardRefusal::kOverloaded);
+      co_return false;
+    }
+    guard_->WaitTimer().expires_after(kFreeSlotCheckInterval);
+    co_await guard_->WaitTimer().async_wait(kAsTuple);
+    co_return !co_await HandleInterruption();
+  }
+
+  // Until the first endpoint of the service that holds the model may be used again.
+  Duration ShortestPause(TimePoint now) const {
+    Duration shortest = kMaxRetryDelay;
+    for (const FleetEndpoint& endpoint : state_.views.Current()->endpoints) {
+      const EndpointRecord& record = endpoint.record;
+      const bool is_candidate =
+          record.service == service_ &&
+          (terms_.model.empty() || FindModel(record.models, terms_.model) != nullptr);
+      const Duration pause = state_.pauses.Remaining(KeyOf(record.instance), now);
+      if (is_candidate && pause > Duration(0)) {
+        shortest = std::min(shortest, pause);
+      }
+    }
+    return shortest;
+  }
+
   ForwardRefusal RefusalWithoutEndpoint(NoEndpointReason reason) const {
     if (!tried_.Excluded().empty()) {
       return last_refusal_;
@@ -278,7 +323,9 @@
     std::set<std::string> excluded = tried_.Excluded();
     excluded.insert(attempt_instance_);
     constexpr bool kSkipLimited = true;
-    const BalancerQuery query{service_, terms_, excluded, &state_.limits, kSkipLimited};
+    const BalancerQuery query{service_,       terms_,       excluded,
+                              &state_.limits, kSkipLimited, &state_.rejections,
+                              &state_.pauses};
     const FleetViewPtr view = state_.views.Current();
     const auto other = state_.balancer.Choose(*view, query, Now());
     if (std::holds_alternative<NoEndpointReason>(other)) {
@@ -316,6 +363,12 @@
       co_await Refuse(last_refusal_);
       co_return false;
     }
+    if (result.outcome == AttemptOutcome::kNotRun && result.feedback == EndpointFeedback::kShed) {
+      const TimePoint now = Now();
+      const Duration pause =
+          state_.rejections.PauseAfterRejection(service_, state_.views.Current()->live_nodes, now);
+      state_.pauses.Pause(KeyOf(endpoint.instance), now + pause);
+    }
     ++attempts_;
     const bool not_run = result.outcome == AttemptOutcome::kNotRun;
     may_have_run_ = may_have_run_ || !not_run;
@@ -393,8 +446,9 @@
     if (!not_run) {
       return std::nullopt;
     }
-    const Duration delay =
-        refusal == ForwardRefusal::kOverloaded ? last_choice_.forecast.if_deferred : retry_delay_;
+    const Duration delay = refusal == ForwardRefusal::kOverloaded
+                               ? std::max(retry_delay_, last_choice_.forecast.if_deferred)
+                               : retry_delay_;
     return std::clamp(delay, kMinRetryDelay, kMaxRetryDelay);
   }
 
--- a/src/rudderloom/forwarding/frontend.cpp
+++ b/src/rudderloom/forwarding/frontend.cpp
@@ -270,6 +270,8 @@
     state_.gateway_pool.Trim(gateways, Now());
     state_.gateways.Trim(Now());
     state_.reach.Trim(Now());
+    state_.rejections.Trim(Now());
+    state_.pauses.Trim(Now());
     state_.balancer.Trim(*view, Now());
     state_.missing.Trim(Now());
     state_.crashes.Trim(Now());
--- a/src/rudderloom/forwarding/limit_check.cpp
+++ b/src/rudderloom/forwarding/limit_check.cpp
@@ -21,6 +21,25 @@
   return now < view.holder_permits_until ? view.quota_holder : view.deputy;
 }
 
+void RecordToleratedRejections(ForwardingState& state,
+                               const EndpointRecord& endpoint,
+                               const AnswerMetadata& answer,
+                               TimePoint sent_at) {
+  const LimitAnnouncement& tolerated = answer.tolerated_rejections;
+  if (tolerated.kind == LimitAnnouncement::Kind::kUnreadable) {
+    state.metrics.Count({"rudderloom_endpoint_limits_unreadable_total"});
+  }
+  const bool known = state.rejections.NeedsFreeSlot(endpoint.service, Now());
+  state.rejections.Answered(endpoint.service, tolerated, answer.is_signed, sent_at, Now());
+  if (state.rejections.NeedsFreeSlot(endpoint.service, Now()) != known) {
+    LogLine("endpoint_rejection_limit")
+        .With("service", endpoint.service)
+        .With("endpoint", endpoint.instance)
+        .With("rejections_per_second",
+              known ? "none" : std::to_string(tolerated.requests_per_second));
+  }
+}
+
 // The endpoint may have started to drain during the wait.
 bool StillUsable(const FleetView& view, const std::string& instance) {
   return std::any_of(
@@ -35,6 +54,9 @@
                  const AnswerMetadata& answer,
                  TimePoint sent_at) {
   // A refusal without a limit does not mean that the endpoint has none.
+  if (!answer.wrong_instance) {
+    RecordToleratedRejections(state, endpoint, answer, sent_at);
+  }
   const bool announces_none = answer.limit.kind == LimitAnnouncement::Kind::kNone;
   if (answer.wrong_instance || (announces_none && !answer.is_signed)) {
     return;
