--- a/include/rudderloom/forwarding/header_codec.hpp
+++ b/include/rudderloom/forwarding/header_codec.hpp
@@ -67,6 +67,9 @@
   bool wrong_instance = false;  ///< Another endpoint now listens at the address.
   bool not_resident = false;    ///< The endpoint does not hold the model or adapter.
   std::string weights_version;
+  /// @brief Time for which a rejection asks this node not to send anything; empty if it doesn't.
+  std::optional<Duration> retry_after;
+  bool has_unreadable_retry_after = false;  ///< A rejection names a time that can't be read.
   /// @brief Rejections per second that the endpoint tolerates before it crashes.
   LimitAnnouncement tolerated_rejections;
   LimitAnnouncement limit;  ///< The endpoint's rate limit on requests from all nodes together.
--- a/src/rudderloom/forwarding/attempt.cpp
+++ b/src/rudderloom/forwarding/attempt.cpp
@@ -226,6 +226,7 @@
     result.status = status_;
     if (terms_.not_run) {
       result.outcome = AttemptOutcome::kNotRun;
+      result.retry_after = terms_.retry_after;
       result.reason = terms_.wrong_instance ? "wrong_instance"
                       : terms_.not_resident ? "not_resident"
                                             : "shed";
--- a/src/rudderloom/forwarding/attempt.hpp
+++ b/src/rudderloom/forwarding/attempt.hpp
@@ -61,15 +61,16 @@
 
 struct AttemptResult {
   AttemptOutcome outcome = AttemptOutcome::kFailed;
-  std::string_view reason;       // for counters and logs
-  unsigned status = 0;           // of the endpoint's answer; 0 if there was none
-  bool not_resident = false;     // the endpoint does not hold the model or adapter
-  bool silent = false;           // abandoned because the endpoint sent nothing
-  bool refused = false;          // no process listens at the endpoint's address
-  bool broken = false;           // the connection ended before the answer was complete
-  bool through_gateway = false;  // another node was to forward the request
-  std::string error;             // network error message; empty for none
-  TimePoint sent_at;             // when writing the request started
+  std::string_view reason;              // for counters and logs
+  unsigned status = 0;                  // of the endpoint's answer; 0 if there was none
+  bool not_resident = false;            // the endpoint does not hold the model or adapter
+  bool silent = false;                  // abandoned because the endpoint sent nothing
+  bool refused = false;                 // no process listens at the endpoint's address
+  bool broken = false;                  // the connection ended before the answer was complete
+  bool through_gateway = false;         // another node was to forward the request
+  std::optional<Duration> retry_after;  // for which the endpoint wants no requests
+  std::string error;                    // network error message; empty for none
+  TimePoint sent_at;                    // when writing the request started
   EndpointFeedback feedback = EndpointFeedback::kFailed;
   std::optional<Reply> reply;  // an error answer that may be forwarded to the client
 };
--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -347,7 +347,8 @@
     }
     if (state_.log_quota.Allows(Now())) {
       LogFailedAttempt({terms_.id, checks_.Digest(), endpoint.instance, result.reason, result.error,
-                        result.status, attempts_ + 1, Between(arrived_, Now())});
+                        result.status, result.retry_after, attempts_ + 1,
+                        Between(arrived_, Now())});
     }
     const bool answered = co_await HandleInterruption();
     if (answered) {
--- a/src/rudderloom/forwarding/request_end.cpp
+++ b/src/rudderloom/forwarding/request_end.cpp
@@ -21,8 +21,11 @@
 }  // namespace
 
 void LogFailedAttempt(const FailedAttempt& failed) {
-  LogLine("attempt_failed")
-      .With("request_id", failed.request_id)
+  LogLine line("attempt_failed");
+  if (failed.retry_after) {
+    line.With("retry_after_ms", failed.retry_after->count());
+  }
+  line.With("request_id", failed.request_id)
       .With("request", TextOf(failed.request))
       .With("endpoint", failed.endpoint)
       .With("reason", failed.reason)
--- a/src/rudderloom/forwarding/request_end.hpp
+++ b/src/rudderloom/forwarding/request_end.hpp
@@ -34,8 +34,9 @@
   const RequestDigest& request;  // equal for all attempts of the client
   std::string_view endpoint;
   std::string_view reason;
-  std::string_view error;  // network error message; empty for none
-  unsigned status = 0;     // of the endpoint's answer; 0 for none
+  std::string_view error;               // network error message; empty for none
+  unsigned status = 0;                  // of the endpoint's answer; 0 for none
+  std::optional<Duration> retry_after;  // as the endpoint asked
   std::uint32_t attempt = 0;
   Duration since_arrival{0};
 };
