Send nothing to an endpoint for as long as its rejection asks

Cause: Retry-After was not read; a rejection raised the endpoint's cost for 0.4 s, and a cost excludes nobody. Class: a promise that the other side states in its answer, treated as a hint of one's own.

Change: a 429 or 503 with Retry-After pauses the endpoint at this node (EndpointPauses, by instance, so that a restarted one owes nothing; the longest of several times holds). Choice, retries, resumed streams, requests that waited for a permit, probes, and requests forwarded for other nodes leave it out. A request that only paused endpoints could take waits if the pause ends within half of its goal, and is refused at once with the time until then otherwise; it was held until its client gave up before.

--- a/src/rudderloom/forwarding/attempt.cpp
+++ b/src/rudderloom/forwarding/attempt.cpp
@@ -95,7 +95,9 @@
   Awaitable<std::optional<AttemptResult>> TryNextGateway() {
     params_.on_connecting();
     const std::string refusal(link_.GatewayRefusal());
-    link_.GatewayRefused();
+    if (refusal != kGatewayEndpointPaused) {
+      link_.GatewayRefused();
+    }
     if (refusal != kGatewayUnreachable && refusal != kGatewayConnectionRefused) {
       co_return co_await ConnectToGateway();
     }
--- a/src/rudderloom/forwarding/balancer.cpp
+++ b/src/rudderloom/forwarding/balancer.cpp
@@ -133,7 +133,14 @@
   for (const std::uint32_t index : listed) {
     const FleetEndpoint& listed_endpoint = view.endpoints[index];
     const EndpointRecord& record = listed_endpoint.record;
-    if (query.excluded.contains(record.instance) || !Holds(record, query.terms)) {
+    if (!Holds(record, query.terms)) {
+      continue;
+    }
+    if (query.pauses != nullptr && query.pauses->Paused(KeyOf(record.instance), now)) {
+      found.any_paused = true;
+      continue;
+    }
+    if (query.excluded.contains(record.instance)) {
       continue;
     }
     const Endpoint& own = endpoints_[record.instance];
@@ -149,10 +156,6 @@
     }
     EndpointLoad load = own.load;
     load += listed_endpoint.other_nodes_load;
-    if (query.pauses != nullptr && query.pauses->Paused(KeyOf(record.instance), now)) {
-      found.any_paused = true;
-      continue;
-    }
     if (MayReject(query, record, load, now)) {
       found.any_full = true;
       continue;
--- a/src/rudderloom/forwarding/gateway_headers.hpp
+++ b/src/rudderloom/forwarding/gateway_headers.hpp
@@ -20,6 +20,8 @@
 constexpr std::string_view kGatewayUnknownKey = "unknown_key";
 constexpr std::string_view kGatewayUnknownEndpoint = "unknown_endpoint";
 constexpr std::string_view kGatewayUnavailable = "unavailable";  // stopping, or cut off itself
+// The endpoint has asked the gateway for a pause.
+constexpr std::string_view kGatewayEndpointPaused = "endpoint_paused";
 constexpr std::string_view kGatewayUnreachable = "unreachable";  // no connection to the endpoint
 // The host of the endpoint refused the connection: its process has ended.
 constexpr std::string_view kGatewayConnectionRefused = "connection_refused";
--- a/src/rudderloom/forwarding/gateway_server.cpp
+++ b/src/rudderloom/forwarding/gateway_server.cpp
@@ -44,6 +44,10 @@
       co_await Refuse(kGatewayUnknownEndpoint);
       co_return;
     }
+    if (state_.pauses.Paused(KeyOf(endpoint->instance), Now())) {
+      co_await Refuse(kGatewayEndpointPaused);
+      co_return;
+    }
     const Duration time_left = terms_.deadline.value_or(kDefaultDeadline) + kDeadlineMargin;
     CallGuard guard(state_.context, state_.guards,
                     std::min(Now() + time_left, state_.stop_deadline), [this] { return !sent_; });
--- a/src/rudderloom/forwarding/limit_check.cpp
+++ b/src/rudderloom/forwarding/limit_check.cpp
@@ -40,11 +40,25 @@
   }
 }
 
-// The endpoint may have started to drain during the wait.
-bool StillUsable(const FleetView& view, const std::string& instance) {
-  return std::any_of(
-      view.endpoints.begin(), view.endpoints.end(),
-      [&](const FleetEndpoint& endpoint) { return endpoint.record.instance == instance; });
+void RecordRetryAfter(ForwardingState& state,
+                      const EndpointRecord& endpoint,
+                      const AnswerMetadata& answer) {
+  if (answer.has_unreadable_retry_after) {
+    state.metrics.Count({"rudderloom_endpoint_limits_unreadable_total"});
+  }
+  if (answer.retry_after) {
+    state.metrics.Count({"rudderloom_endpoint_pauses_total", "service", endpoint.service});
+    state.pauses.Pause(KeyOf(endpoint.instance), Now() + *answer.retry_after);
+  }
+}
+
+// The endpoint may have started to drain during the wait, or have asked for a pause.
+bool StillUsable(const ForwardingState& state, const std::string& instance) {
+  const FleetViewPtr& view = state.views.Current();
+  return !state.pauses.Paused(KeyOf(instance), Now()) &&
+         std::any_of(
+             view->endpoints.begin(), view->endpoints.end(),
+             [&](const FleetEndpoint& endpoint) { return endpoint.record.instance == instance; });
 }
 
 }  // namespace
@@ -56,6 +70,7 @@
   // A refusal without a limit does not mean that the endpoint has none.
   if (!answer.wrong_instance) {
     RecordToleratedRejections(state, endpoint, answer, sent_at);
+    RecordRetryAfter(state, endpoint, answer);
   }
   const bool announces_none = answer.limit.kind == LimitAnnouncement::Kind::kNone;
   if (answer.wrong_instance || (announces_none && !answer.is_signed)) {
@@ -113,8 +128,7 @@
     guard.WaitTimer().expires_after(answer->wait);
     co_await guard.WaitTimer().async_wait(kAsTuple);
   }
-  co_return guard.Cause() ==
-      Interruption::kNone&& StillUsable(*state.views.Current(), endpoint.instance);
+  co_return guard.Cause() == Interruption::kNone&& StillUsable(state, endpoint.instance);
 }
 
 void CountLimitedSend(ForwardingState& state, const EndpointRecord& endpoint) {
--- a/src/rudderloom/forwarding/reach_watch.cpp
+++ b/src/rudderloom/forwarding/reach_watch.cpp
@@ -78,7 +78,7 @@
   asio::co_spawn(state.context, Probe(state, endpoint), asio::detached);
 }
 
-// Endpoints with a rate limit are left alone.
+// Endpoints that are paused or have a rate limit are left alone.
 std::optional<EndpointRecord> ChooseProbeTarget(ForwardingState& state,
                                                 const std::string& except = {}) {
   const FleetViewPtr view = state.views.Current();
@@ -86,7 +86,9 @@
   const std::size_t first = count == 0 ? 0 : state.random() % count;
   for (std::size_t i = 0; i < count; ++i) {
     const EndpointRecord& record = view->endpoints[(first + i) % count].record;
-    if (record.instance != except && !state.limits.LimitOf(KeyOf(record.instance))) {
+    const EndpointKey key = KeyOf(record.instance);
+    if (record.instance != except && !state.limits.LimitOf(key) &&
+        !state.pauses.Paused(key, Now())) {
       return record;
     }
   }
