Send nothing to endpoints that say that they are leaving

An endpoint that leaves may say so in its answers (Server-Leaving: 1) before the platform's list does, or instead of it. The header was not read, so the node went on sending until the list told it.

The node notes the instance and sends it nothing more, neither for its own callers nor as a gateway; requests that waited for a permit check again. Other values are counted and change nothing. A restarted endpoint is another instance.

--- a/include/rudderloom/forwarding/balancer.hpp
+++ b/include/rudderloom/forwarding/balancer.hpp
@@ -30,7 +30,9 @@
   const LimitWatch* limits = nullptr;          ///< Null when no endpoint has a rate limit.
   bool skip_limited = false;                   ///< Excludes endpoints with a rate limit.
   const RejectionWatch* rejections = nullptr;  ///< Null when endpoints tolerate rejections.
-  const EndpointPauses* pauses = nullptr;      ///< Null when no endpoint is paused.
+  /// @brief Instances that are leaving; null for none.
+  const std::map<std::string, TimePoint>* leaving = nullptr;
+  const EndpointPauses* pauses = nullptr;  ///< Null when no endpoint is paused.
 };
 
 /// @brief Why no endpoint can take a request.
--- a/include/rudderloom/forwarding/forwarder.hpp
+++ b/include/rudderloom/forwarding/forwarder.hpp
@@ -103,6 +103,9 @@
   CallGuards guards = {};  ///< Guards of the requests in flight.
   RejectionWatch rejections = {};
   EndpointPauses pauses = {};
+  /// @brief Instances that have told this node that they are leaving, and when they last did. The
+  /// platform's list may tell it later, or never.
+  std::map<std::string, TimePoint> leaving = {};
   EndpointReach reach = {};
   GatewayChoice gateways = {};
   ConnectionPool gateway_pool = {};  ///< By address of the gateway.
--- a/include/rudderloom/forwarding/header_codec.hpp
+++ b/include/rudderloom/forwarding/header_codec.hpp
@@ -67,6 +67,8 @@
   bool wrong_instance = false;  ///< Another endpoint now listens at the address.
   bool not_resident = false;    ///< The endpoint does not hold the model or adapter.
   std::string weights_version;
+  bool leaving = false;  ///< The endpoint is about to end and takes no further requests.
+  bool has_unreadable_leaving = false;  ///< The answer says something else about it.
   /// @brief Time for which a rejection asks this node not to send anything; empty if it doesn't.
   std::optional<Duration> retry_after;
   bool has_unreadable_retry_after = false;  ///< A rejection names a time that can't be read.
--- a/src/rudderloom/forwarding/balancer.cpp
+++ b/src/rudderloom/forwarding/balancer.cpp
@@ -140,7 +140,8 @@
       found.any_paused = true;
       continue;
     }
-    if (query.excluded.contains(record.instance)) {
+    const bool leaves = query.leaving != nullptr && query.leaving->contains(record.instance);
+    if (leaves || query.excluded.contains(record.instance)) {
       continue;
     }
     const Endpoint& own = endpoints_[record.instance];
--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -91,13 +91,8 @@
         co_await Refuse(ForwardRefusal::kQuarantined);
         co_return;
       }
-      const BalancerQuery query{service_,
-                                terms_,
-                                tried_.Excluded(),
-                                &state_.limits,
-                                permit_requests_ >= kMaxPermitRequests,
-                                &state_.rejections,
-                                &state_.pauses};
+      const BalancerQuery query =
+          MakeQuery(tried_.Excluded(), permit_requests_ >= kMaxPermitRequests);
       auto chosen = state_.balancer.Choose(*view, query, Now());
       if (auto* none = std::get_if<NoEndpointReason>(&chosen)) {
         if (!co_await AwaitEndpoint(*none)) {
@@ -130,6 +125,16 @@
     }
   }
 
+  BalancerQuery MakeQuery(const std::set<std::string>& excluded, bool skip_limited) const {
+    BalancerQuery query{service_, terms_, excluded};
+    query.limits = &state_.limits;
+    query.skip_limited = skip_limited;
+    query.rejections = &state_.rejections;
+    query.pauses = &state_.pauses;
+    query.leaving = &state_.leaving;
+    return query;
+  }
+
   // Decides about admission of a model request. Requests that have started or been attempted are
   // not refused.
   Admission CheckAdmission() const {
@@ -323,9 +328,7 @@
     std::set<std::string> excluded = tried_.Excluded();
     excluded.insert(attempt_instance_);
     constexpr bool kSkipLimited = true;
-    const BalancerQuery query{service_,       terms_,       excluded,
-                              &state_.limits, kSkipLimited, &state_.rejections,
-                              &state_.pauses};
+    const BalancerQuery query = MakeQuery(excluded, kSkipLimited);
     const FleetViewPtr view = state_.views.Current();
     const auto other = state_.balancer.Choose(*view, query, Now());
     if (std::holds_alternative<NoEndpointReason>(other)) {
--- a/src/rudderloom/forwarding/frontend.cpp
+++ b/src/rudderloom/forwarding/frontend.cpp
@@ -19,6 +19,8 @@
 
 constexpr Duration kTrimInterval{1'000};
 constexpr Duration kSampleInterval{200};
+// An instance that is leaving never comes back under its name.
+constexpr Duration kLeavingRetention{600'000};
 constexpr Duration kMinSampleInterval{15};
 // A node on a 10 Mbit/s link takes half a second to read a configuration of 1,700 routes.
 constexpr Duration kStartupConfigurationWait{1'200};
@@ -272,6 +274,9 @@
     state_.reach.Trim(Now());
     state_.rejections.Trim(Now());
     state_.pauses.Trim(Now());
+    std::erase_if(state_.leaving, [now = Now()](const auto& entry) {
+      return now - entry.second > kLeavingRetention;
+    });
     state_.balancer.Trim(*view, Now());
     state_.missing.Trim(Now());
     state_.crashes.Trim(Now());
--- a/src/rudderloom/forwarding/gateway_server.cpp
+++ b/src/rudderloom/forwarding/gateway_server.cpp
@@ -40,7 +40,7 @@
       co_return;
     }
     const auto endpoint = FindEndpoint(HeaderOf(request, kGatewayEndpointHeader));
-    if (!endpoint) {
+    if (!endpoint || state_.leaving.contains(endpoint->instance)) {
       co_await Refuse(kGatewayUnknownEndpoint);
       co_return;
     }
--- a/src/rudderloom/forwarding/limit_check.cpp
+++ b/src/rudderloom/forwarding/limit_check.cpp
@@ -52,10 +52,26 @@
   }
 }
 
+void RecordLeaving(ForwardingState& state,
+                   const EndpointRecord& endpoint,
+                   const AnswerMetadata& answer) {
+  if (answer.has_unreadable_leaving) {
+    state.metrics.Count({"rudderloom_endpoint_limits_unreadable_total"});
+  }
+  if (!answer.leaving) {
+    return;
+  }
+  const bool is_new = state.leaving.insert_or_assign(endpoint.instance, Now()).second;
+  if (is_new) {
+    state.metrics.Count({"rudderloom_endpoints_leaving_total"});
+    LogLine("endpoint_leaving").With("endpoint", endpoint.instance).With("source", "answer");
+  }
+}
+
 // The endpoint may have started to drain during the wait, or have asked for a pause.
 bool StillUsable(const ForwardingState& state, const std::string& instance) {
   const FleetViewPtr& view = state.views.Current();
-  return !state.pauses.Paused(KeyOf(instance), Now()) &&
+  return !state.leaving.contains(instance) && !state.pauses.Paused(KeyOf(instance), Now()) &&
          std::any_of(
              view->endpoints.begin(), view->endpoints.end(),
              [&](const FleetEndpoint& endpoint) { return endpoint.record.instance == instance; });
@@ -71,6 +87,7 @@
   if (!answer.wrong_instance) {
     RecordToleratedRejections(state, endpoint, answer, sent_at);
     RecordRetryAfter(state, endpoint, answer);
+    RecordLeaving(state, endpoint, answer);
   }
   const bool announces_none = answer.limit.kind == LimitAnnouncement::Kind::kNone;
   if (answer.wrong_instance || (announces_none && !answer.is_signed)) {
--- a/src/rudderloom/forwarding/reach_watch.cpp
+++ b/src/rudderloom/forwarding/reach_watch.cpp
@@ -87,8 +87,8 @@
   for (std::size_t i = 0; i < count; ++i) {
     const EndpointRecord& record = view->endpoints[(first + i) % count].record;
     const EndpointKey key = KeyOf(record.instance);
-    if (record.instance != except && !state.limits.LimitOf(key) &&
-        !state.pauses.Paused(key, Now())) {
+    if (record.instance != except && !state.leaving.contains(record.instance) &&
+        !state.limits.LimitOf(key) && !state.pauses.Paused(key, Now())) {
       return record;
     }
   }
