Don't take lost answers for lost links

A connection that ends during a request is no failure of a link any more. It starts a probe of that endpoint, whose failure counts, and which in turn probes others. A host that accepts connections and resets them is still noticed (partition_process_test).

--- a/include/rudderloom/forwarding/endpoint_reach.hpp
+++ b/include/rudderloom/forwarding/endpoint_reach.hpp
@@ -27,8 +27,8 @@
   /// @brief Records that a new connection to the endpoint has carried an answer.
   void Reached(const std::string& instance, TimePoint now);
 
-  /// @brief Records that a connection to the endpoint could not be opened, or ended or stayed
-  /// silent without having carried an answer.
+  /// @brief Records that a connection to the endpoint could not be opened, or that a probe got no
+  /// answer. A connection that ends during a request does not count: endpoints lose answers too.
   /// @param endpoint_count Number of endpoints that are known.
   /// @return True if this shows that the node is cut off from all endpoints.
   bool Failed(const std::string& instance, std::size_t endpoint_count, TimePoint now);
@@ -49,6 +49,10 @@
   /// Then it returns false for a while.
   bool TakeVerificationDue(TimePoint now);
 
+  /// @brief True if an endpoint whose connection broke should be probed. Then it returns false for
+  /// a while.
+  bool TakeProbeDue(TimePoint now);
+
   /// @brief True if an endpoint was reached after `moment`.
   bool ReachedSince(TimePoint moment) const { return reached_at_ > moment; }
 
@@ -62,6 +66,7 @@
     TimePoint gateways_fail_until;
   };
 
+  bool TakeDue(TimePoint& last_at, TimePoint now) const;
   static bool FailsRepeatedly(const Failures& failures, TimePoint now);
 
   std::map<std::string, Failures> failures_;  // by instance
@@ -70,6 +75,7 @@
   bool cut_off_ = false;
   TimePoint reached_at_;
   TimePoint verified_at_;
+  TimePoint probed_at_;
 };
 
 }  // namespace rudderloom
--- a/src/rudderloom/forwarding/endpoint_link.cpp
+++ b/src/rudderloom/forwarding/endpoint_link.cpp
@@ -5,7 +5,7 @@
 
 #include "forwarding/gateway_headers.hpp"  // for kGatewayKeyHeader
 #include "forwarding/limit_check.hpp"      // for RecordLimit, CountLimitedSend
-#include "forwarding/reach_watch.hpp"      // for RecordReached, RecordUnreachable
+#include "forwarding/reach_watch.hpp"      // for ProbeAfterBreak, RecordReached
 
 namespace rudderloom {
 
@@ -148,9 +148,8 @@
   if (reused_ && timed_out) {
     state_.pool.DropIdleSince(endpoint_.instance, sent_at_);
   }
-  // A host may accept connections and reset them only then.
-  if (!reused_ && cause == Interruption::kNone) {
-    RecordUnreachable(state_, endpoint_);
+  if (cause == Interruption::kNone) {
+    ProbeAfterBreak(state_, endpoint_);
   }
 }
 
--- a/src/rudderloom/forwarding/endpoint_reach.cpp
+++ b/src/rudderloom/forwarding/endpoint_reach.cpp
@@ -66,15 +66,22 @@
   failures_[instance].gateways_fail_until = now + kDirectRetryDelay;
 }
 
-bool EndpointReach::TakeVerificationDue(TimePoint now) {
-  if (cut_off_ || now - verified_at_ < kVerificationInterval ||
-      now - reached_at_ < kRecentlyReached) {
+bool EndpointReach::TakeDue(TimePoint& last_at, TimePoint now) const {
+  if (cut_off_ || now - last_at < kVerificationInterval || now - reached_at_ < kRecentlyReached) {
     return false;
   }
-  verified_at_ = now;
+  last_at = now;
   return true;
 }
 
+bool EndpointReach::TakeVerificationDue(TimePoint now) {
+  return TakeDue(verified_at_, now);
+}
+
+bool EndpointReach::TakeProbeDue(TimePoint now) {
+  return TakeDue(probed_at_, now);
+}
+
 void EndpointReach::Trim(TimePoint now) {
   std::erase_if(failures_,
                 [&](const auto& entry) { return now - entry.second.last_at > kFailureMemory; });
--- a/src/rudderloom/forwarding/reach_watch.cpp
+++ b/src/rudderloom/forwarding/reach_watch.cpp
@@ -132,6 +132,13 @@
   }
 }
 
+void ProbeAfterBreak(ForwardingState& state, const EndpointRecord& endpoint) {
+  // A node with a single endpoint is never taken for cut off.
+  if (state.views.Current()->endpoints.size() > 1 && state.reach.TakeProbeDue(Now())) {
+    StartProbe(state, endpoint);
+  }
+}
+
 Awaitable<void> WatchReach(ForwardingState& state) {
   TimePoint probed_at;
   while (true) {
--- a/src/rudderloom/forwarding/reach_watch.hpp
+++ b/src/rudderloom/forwarding/reach_watch.hpp
@@ -12,6 +12,10 @@
 // clear yet whether the endpoint or this node has failed.
 void RecordUnreachable(ForwardingState& state, const EndpointRecord& endpoint);
 
+// A connection broke before its answer: probes the endpoint, as its host may accept connections and
+// reset them only then.
+void ProbeAfterBreak(ForwardingState& state, const EndpointRecord& endpoint);
+
 // Probes endpoints while none answers, and while this node is cut off, so that it notices both.
 // Runs as long as the node.
 Awaitable<void> WatchReach(ForwardingState& state);
