--- a/src/rudderloom/forwarding/endpoint_link.cpp
+++ b/src/rudderloom/forwarding/endpoint_link.cpp
@@ -4,7 +4,7 @@
 #include <utility>    // for move
 
 #include "forwarding/gateway_headers.hpp"  // for kGatewayKeyHeader
-#include "forwarding/limit_check.hpp"      // for RecordLimit, CountLimitedSend
+#include "forwarding/limit_check.hpp"      // for CountLimitedSend, RecordAnnouncements
 #include "forwarding/reach_watch.hpp"      // for ProbeAfterBreak, RecordReached
 
 namespace rudderloom {
@@ -176,7 +176,7 @@
     const AnswerMetadata answer = state_.dialect.ReadAnswer(connection_->Head(), endpoint_.id);
     if (answer.request_id.empty() || answer.request_id == request_id) {
       StopWaiting();
-      RecordLimit(state_, endpoint_, answer, sent_at_);
+      RecordAnnouncements(state_, endpoint_, answer, sent_at_);
       co_return answer;
     }
     state_.metrics.Count({"rudderloom_foreign_answers_total"});
--- a/src/rudderloom/forwarding/limit_check.cpp
+++ b/src/rudderloom/forwarding/limit_check.cpp
@@ -68,29 +68,13 @@
   }
 }
 
-// The endpoint may have started to drain during the wait, or have asked for a pause.
-bool StillUsable(const ForwardingState& state, const std::string& instance) {
-  const FleetViewPtr& view = state.views.Current();
-  return !state.leaving.contains(instance) && !state.pauses.Paused(KeyOf(instance), Now()) &&
-         std::any_of(
-             view->endpoints.begin(), view->endpoints.end(),
-             [&](const FleetEndpoint& endpoint) { return endpoint.record.instance == instance; });
-}
-
-}  // namespace
-
 void RecordLimit(ForwardingState& state,
                  const EndpointRecord& endpoint,
                  const AnswerMetadata& answer,
                  TimePoint sent_at) {
   // A refusal without a limit does not mean that the endpoint has none.
-  if (!answer.wrong_instance) {
-    RecordToleratedRejections(state, endpoint, answer, sent_at);
-    RecordRetryAfter(state, endpoint, answer);
-    RecordLeaving(state, endpoint, answer);
-  }
   const bool announces_none = answer.limit.kind == LimitAnnouncement::Kind::kNone;
-  if (answer.wrong_instance || (announces_none && !answer.is_signed)) {
+  if (announces_none && !answer.is_signed) {
     return;
   }
   if (answer.limit.kind == LimitAnnouncement::Kind::kUnreadable) {
@@ -109,6 +93,30 @@
       .With("source", "answer");
 }
 
+// The endpoint may have started to drain during the wait, or have asked for a pause.
+bool StillUsable(const ForwardingState& state, const std::string& instance) {
+  const FleetViewPtr& view = state.views.Current();
+  return !state.leaving.contains(instance) && !state.pauses.Paused(KeyOf(instance), Now()) &&
+         std::any_of(
+             view->endpoints.begin(), view->endpoints.end(),
+             [&](const FleetEndpoint& endpoint) { return endpoint.record.instance == instance; });
+}
+
+}  // namespace
+
+void RecordAnnouncements(ForwardingState& state,
+                         const EndpointRecord& endpoint,
+                         const AnswerMetadata& answer,
+                         TimePoint sent_at) {
+  if (answer.wrong_instance) {
+    return;
+  }
+  RecordToleratedRejections(state, endpoint, answer, sent_at);
+  RecordRetryAfter(state, endpoint, answer);
+  RecordLeaving(state, endpoint, answer);
+  RecordLimit(state, endpoint, answer, sent_at);
+}
+
 Awaitable<bool> AcquirePermit(ForwardingState& state,
                               CallGuard& guard,
                               EndpointRecord endpoint,
--- a/src/rudderloom/forwarding/limit_check.hpp
+++ b/src/rudderloom/forwarding/limit_check.hpp
@@ -7,11 +7,12 @@
 
 namespace rudderloom {
 
-// Records the limit announced in an endpoint's answer to a request that was sent at `sent_at`.
-void RecordLimit(ForwardingState& state,
-                 const EndpointRecord& endpoint,
-                 const AnswerMetadata& answer,
-                 TimePoint sent_at);
+// Records what an endpoint announces in its answer to a request that was sent at `sent_at`: limits,
+// a pause, or that it is leaving.
+void RecordAnnouncements(ForwardingState& state,
+                         const EndpointRecord& endpoint,
+                         const AnswerMetadata& answer,
+                         TimePoint sent_at);
 
 // Asks for a permit if the endpoint has a limit, and waits until the request may be sent. Returns
 // false if it may not be sent or the wait was interrupted.
