--- a/src/rudderloom/forwarding/attempt.cpp
+++ b/src/rudderloom/forwarding/attempt.cpp
@@ -80,12 +80,7 @@
     co_return co_await ConnectToGateway();
   }
 
-  // Without gateways, an endpoint that fails repeatedly is tried directly again.
-  bool UsesGateway() const {
-    const bool any_gateway = !state_.views.Current()->gateways.empty();
-    return state_.reach.CutOff() ||
-           (any_gateway && state_.reach.NeedsGateway(params_.endpoint.instance, Now()));
-  }
+  bool UsesGateway() const { return state_.reach.CutOff(); }
 
   Awaitable<std::optional<AttemptResult>> ConnectToGateway() {
     const auto failure = co_await link_.ConnectToGateway();
