Refuse requests that may outlast a planned stop once its notice is over

Callers saw a stream cut in the middle of its answer by a node that had been told to stop six seconds before the caller sent the request.

Cause: a stream that began before SIGTERM has a header that says nothing of closing. When it ends during the stop, its client sends the next request on the same connection; the server serves requests that are on their way for 50 ms after each answer, and nothing weighed the time that the answer needs against the 7.0 s that such requests have. Our own interface refuses calls after the notice, the platform's did not.

Change: once the notice is over, a request whose own deadline lies beyond the end of the stop is refused at once: 503, Retry-After: 0 as other nodes can serve it, Connection: close. It charges no quota and reaches no endpoint. Requests with a shorter deadline are served as before, so none is cut.

--- a/include/rudderloom/forwarding/forwarder.hpp
+++ b/include/rudderloom/forwarding/forwarder.hpp
@@ -100,6 +100,9 @@
   PermitRequestFunction ask_for_permit;
   /// @brief Upper bound on the deadline of requests that arrive during a planned stop.
   TimePoint stop_deadline = TimePoint::max();
+  /// @brief Planned stop: the load balancer has been given its notice. Requests on open connections
+  /// are refused unless their own deadline ends before `stop_deadline`.
+  bool notice_over = false;
   CallGuards guards = {};  ///< Guards of the requests in flight.
   RejectionWatch rejections = {};
   EndpointPauses pauses = {};
--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -57,8 +57,7 @@
     }
     service_ = ChooseService(*route_, state_.random());
     state_.retries.CountRequest(service_, arrived_);
-    const Duration timeout = std::min(route_->timeout, terms_.deadline.value_or(kDefaultDeadline));
-    deadline_at_ = std::min(arrived_ + timeout, state_.stop_deadline);
+    deadline_at_ = std::min(arrived_ + checks_.TimeLimit(), state_.stop_deadline);
     CountDemand();
     CallGuard guard(state_.context, state_.guards, deadline_at_,
                     [this] { return MayAbandonEndpoint(); });
@@ -450,6 +449,9 @@
     if (!not_run) {
       return std::nullopt;
     }
+    if (refusal == ForwardRefusal::kStopping) {
+      return Duration(0);  // other nodes can serve it at once
+    }
     const Duration delay = refusal == ForwardRefusal::kOverloaded
                                ? std::max(retry_delay_, last_choice_.forecast.if_deferred)
                                : retry_delay_;
--- a/src/rudderloom/forwarding/frontend.cpp
+++ b/src/rudderloom/forwarding/frontend.cpp
@@ -216,6 +216,7 @@
 }
 
 void FleetFrontend::StopAccepting() {
+  state_.notice_over = true;
   server_->Stop();
   gateway_server_->Stop();
 }
--- a/src/rudderloom/forwarding/request_checks.cpp
+++ b/src/rudderloom/forwarding/request_checks.cpp
@@ -32,12 +32,25 @@
   if (caller_.standing == CallerStatus::kUnknown) {
     co_return ForwardRefusal::kUnknownKey;
   }
+  if (MayOutlastStop()) {
+    co_return ForwardRefusal::kStopping;
+  }
   if (Quarantined(*state_.views.Current())) {
     co_return ForwardRefusal::kQuarantined;
   }
   co_return co_await CheckQuota();
 }
 
+Duration RequestChecks::TimeLimit() const {
+  return std::min(route_->timeout, terms_.deadline.value_or(kDefaultDeadline));
+}
+
+// The client of a stream that began before the stop may send its next request just before the node
+// exits, as the header of the stream did not announce that the connection closes.
+bool RequestChecks::MayOutlastStop() const {
+  return state_.notice_over && arrived_ + TimeLimit() > state_.stop_deadline;
+}
+
 Awaitable<std::optional<ForwardRefusal>> RequestChecks::CheckQuota() {
   if (caller_.customer == nullptr || !caller_.customer->quota.Limited()) {
     co_return std::nullopt;
--- a/src/rudderloom/forwarding/request_checks.hpp
+++ b/src/rudderloom/forwarding/request_checks.hpp
@@ -34,6 +34,8 @@
   const RouteTablePtr& Routes() const { return routes_; }
   // Null when the request has no route.
   const Route* MatchedRoute() const { return route_; }
+  // How long the request may take from its arrival, by its route and its client.
+  Duration TimeLimit() const;
   std::uint32_t Priority() const { return PriorityOf(caller_, *route_); }
   // The customer's name; empty for none.
   std::string_view Customer() const;
@@ -57,6 +59,7 @@
   void MarkMayHaveRun() { quota_grant_.MarkMayHaveRun(); }
 
  private:
+  bool MayOutlastStop() const;
   Awaitable<void> AwaitConfiguration();
   Awaitable<void> AwaitQuotaState();
   Awaitable<void> AwaitView(bool (*predicate)(const FleetView&));
--- a/tests/process/fleet_cluster.cpp
+++ b/tests/process/fleet_cluster.cpp
@@ -91,11 +91,13 @@
 
 Program& FleetCluster::StartEngine(const std::string& instance,
                                    const std::string& models,
-                                   int slots) {
+                                   int slots,
+                                   Duration event_time) {
   endpoints_.push_back(instance);
-  return StartStandin(instance, {"engine", "--store", At("store").Address(), "--instance", instance,
-                                 "--service", "pool", "--models", models, "--memory-mb", "200",
-                                 "--slots", std::to_string(slots)});
+  return StartStandin(
+      instance, {"engine", "--store", At("store").Address(), "--instance", instance, "--service",
+                 "pool", "--models", models, "--memory-mb", "200", "--slots", std::to_string(slots),
+                 "--work-ms", std::to_string(event_time.count())});
 }
 
 Program& FleetCluster::StartPlainService(const std::string& instance,
--- a/tests/process/fleet_cluster.hpp
+++ b/tests/process/fleet_cluster.hpp
@@ -31,7 +31,11 @@
   void CutLinks(const std::set<std::string>& nodes, LinkCut how);
   void RestoreLinks();
 
-  Program& StartEngine(const std::string& instance, const std::string& models, int slots = 8);
+  /// @brief Starts an engine that takes `event_time` for each of a stream's eight events.
+  Program& StartEngine(const std::string& instance,
+                       const std::string& models,
+                       int slots = 8,
+                       Duration event_time = Duration(10));
   /// @brief Starts a service that a request with `crash_body` crashes; if empty, none does. The id
   /// of a service that has ended restarts it.
   Program& StartPlainService(const std::string& instance, const std::string& crash_body = {});
--- a/tests/process/stop_test.cpp
+++ b/tests/process/stop_test.cpp
@@ -135,6 +135,68 @@
   CHECK(cluster.At("a").Wait(Duration(6'000)) == 0);
 }
 
+// A request as a client sends it, with the deadline that it states.
+std::string FleetRequestBytes(const std::string& path,
+                              const std::string& id,
+                              const std::string& model,
+                              Duration deadline) {
+  std::string headers = "Host: h.example\r\nRequest-Id: " + id +
+                        "\r\nDeadline-Ms: " + std::to_string(deadline.count()) + "\r\n";
+  if (!model.empty()) {
+    headers += "Model: " + model + "\r\nToken-Count: 10,40\r\nPrompt-Prefix: ab:6,cd:4\r\n";
+  }
+  return "POST " + path + " HTTP/1.1\r\n" + headers + "Content-Length: 4\r\n\r\nbody";
+}
+
+// Guards against streams that a stopping node starts too late and cuts at the end of its stop.
+TEST_CASE("a request on a connection kept by a stream is served whole or refused during a stop") {
+  constexpr Duration kEventTime{430};
+  constexpr Duration kDeadline{5'000};
+  constexpr Duration kShortDeadline{400};
+  FleetCluster cluster;
+  cluster.Configure(1);
+  cluster.StartPlainService("d1");
+  cluster.StartEngine("e1", "m,n", 8, kEventTime);
+  cluster.StartFleetNode("a");
+  REQUIRE(cluster.WaitUntil([&] { return cluster.ReadyStatus("a") == 200; }));
+  REQUIRE(cluster.WaitUntil([&] {
+    return cluster.Send({"a", "/safe/x", "warm", ""}).status == 200 &&
+           cluster.Send({"a", "/stream/x", "warm-model", "m"}).status == 200;
+  }));
+  const std::string node = cluster.At("a").Address();
+  RawCaller streaming(node, FleetRequestBytes("/stream/x", "first-0", "m", kDeadline));
+  RawCaller plain(node, FleetRequestBytes("/stream/x", "first-1", "m", kDeadline));
+  RawCaller unsafe(node, FleetRequestBytes("/stream/x", "first-2", "m", kDeadline));
+  for (RawCaller* caller : {&streaming, &plain, &unsafe}) {
+    REQUIRE(caller->ReceiveText("first-"));
+  }
+  // The streams have begun, and end after the node has stopped to accept connections.
+  cluster.At("a").Signal(SIGTERM);
+  for (RawCaller* caller : {&streaming, &plain, &unsafe}) {
+    CHECK(caller->Receive(kDeadline).complete);
+  }
+  CHECK_FALSE(Accepts(node));
+  streaming.Send(FleetRequestBytes("/stream/x", "late-stream", "m", kDeadline));
+  plain.Send(FleetRequestBytes("/safe/x", "late-safe", "", kShortDeadline));
+  unsafe.Send(FleetRequestBytes("/once/x", "late-once", "", kDeadline));
+  const Received refused_stream = streaming.Receive(kDeadline);
+  const Received served = plain.Receive(kDeadline);
+  const Received refused_once = unsafe.Receive(kDeadline);
+  for (const Received& refused : {refused_stream, refused_once}) {
+    INFO(refused.Text());
+    CHECK(refused.complete);
+    CHECK(refused.response.status == 503);
+    CHECK(refused.response.Header("Connection") == "close");
+    CHECK_FALSE(refused.response.Header("Retry-After").empty());
+  }
+  CHECK(served.complete);
+  CHECK(served.response.status == 200);
+  const auto runs = cluster.RunCounts();
+  CHECK_FALSE(runs.contains("late-stream"));
+  CHECK_FALSE(runs.contains("late-once"));
+  CHECK(cluster.At("a").Wait(Duration(6'000)) == 0);
+}
+
 // Guards against destruction after the referenced objects on rudderloom's own interface.
 TEST_CASE(
     "a node of rudderloom's own interface cuts calls that outlast its stop and exits without a "
