Refuse at once what the only endpoint of a model rejects as full

Cause: a rejected request excludes the endpoint from its next choice, and no endpoint left was taken for a missing model.

Change: endpoints that rejected the request for lack of room are told apart (Outcome::kFull). With one of them among those tried, a request waits only for a load that the lease holder announces, and is refused at once otherwise, with the time until that endpoint is expected to take a request. Started streams wait as before, as a refusal would cut them.

Ruled out: the pause after a rejection (it names another reason and has its own wait), the retry budget (the first repeat is granted in the test).

--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -172,7 +172,9 @@
     const TimePoint estimated = state_.missing.RecordMissing(units.back(), service, Now());
     const auto announced = FindExpected(state_.views.Current()->load_forecast, units.back());
     if (!announced) {
-      return estimated;
+      // A full endpoint holds them, so nothing is missing that would be loaded. A started stream is
+      // not cut while another endpoint may still turn up.
+      return tried_.AnyFull() && !stream_.started ? TimePoint::max() : estimated;
     }
     if (!waiting_ahead_) {
       waiting_ahead_ = std::max(announced->waiting, state_.units[units.back()].waiting);
@@ -183,6 +185,11 @@
            BacklogTime(state_.balancer.Times(), service_, terms_, *waiting_ahead_, slots);
   }
 
+  // Time until an endpoint that rejected the request as full is expected to take one like it.
+  Duration FullEndpointDelay() const {
+    return std::max(kMinRetryDelay, last_choice_.forecast.if_deferred);
+  }
+
   // No endpoint can take the request: readmits one that failed, or waits for a new view. Returns
   // false once the request has been answered.
   Awaitable<bool> AwaitEndpoint(NoEndpointReason reason) {
@@ -200,7 +207,9 @@
     const bool may_become_resident = !terms_.model.empty() && !state_.stopping;
     const TimePoint expected_at = may_become_resident ? ExpectedResidency() : TimePoint::max();
     if (!may_become_resident || expected_at > LatestStart() || Now() >= LatestStart()) {
-      retry_delay_ = may_become_resident ? Between(Now(), expected_at) : kMinRetryDelay;
+      retry_delay_ = tried_.AnyFull()      ? FullEndpointDelay()
+                     : may_become_resident ? Between(Now(), expected_at)
+                                           : kMinRetryDelay;
       state_.sample_soon();
       co_await Refuse(RefusalWithoutEndpoint(reason));
       co_return false;
--- a/src/rudderloom/forwarding/tried_endpoints.cpp
+++ b/src/rudderloom/forwarding/tried_endpoints.cpp
@@ -9,9 +9,9 @@
   outcomes_[instance] = outcome;
 }
 
-bool TriedEndpoints::AnyUnreachable() const {
+bool TriedEndpoints::AnyExcluded(Outcome outcome) const {
   return std::any_of(outcomes_.begin(), outcomes_.end(), [&](const auto& entry) {
-    return entry.second == Outcome::kUnreachable && excluded_.contains(entry.first);
+    return entry.second == outcome && excluded_.contains(entry.first);
   });
 }
 
@@ -29,6 +29,9 @@
   if (result.outcome == AttemptOutcome::kNotConnected) {
     return TriedEndpoints::Outcome::kUnreachable;
   }
+  if (result.feedback == EndpointFeedback::kShed) {
+    return TriedEndpoints::Outcome::kFull;
+  }
   const bool can_serve = result.outcome == AttemptOutcome::kFailed && !result.silent;
   return can_serve ? TriedEndpoints::Outcome::kFailed : TriedEndpoints::Outcome::kRefused;
 }
--- a/src/rudderloom/forwarding/tried_endpoints.hpp
+++ b/src/rudderloom/forwarding/tried_endpoints.hpp
@@ -16,6 +16,7 @@
  public:
   enum class Outcome {
     kRefused,      // guaranteed not to have run it, or was silent: not tried again
+    kFull,         // the same, as it had no room: holds the model
     kFailed,       // broke the connection or returned an error: the next attempt may succeed
     kUnreachable,  // could not be connected: may be tried again later
   };
@@ -26,13 +27,17 @@
   const std::set<std::string>& Excluded() const { return excluded_; }
 
   // True if an excluded endpoint could not be reached.
-  bool AnyUnreachable() const;
+  bool AnyUnreachable() const { return AnyExcluded(Outcome::kUnreachable); }
+
+  // True if an excluded endpoint had no room.
+  bool AnyFull() const { return AnyExcluded(Outcome::kFull); }
 
   // Make failed or unreachable endpoints available again; true if there were any.
   bool ReadmitFailed() { return Readmit(Outcome::kFailed); }
   bool ReadmitUnreachable() { return Readmit(Outcome::kUnreachable); }
 
  private:
+  bool AnyExcluded(Outcome outcome) const;
   bool Readmit(Outcome outcome);
 
   std::set<std::string> excluded_;
