Repeat adapter orders without an answer after the next report

Callers got 503 not_resident for adapters while engines left their orders without an answer: each such order kept its engine from all others for 1.5 to 1.7 s, and with several adapters on one engine the last one came after its callers' patience (fleet_process_test_17: 24 or 25 of 40 answers whole where 26 are asked).

Cause, by the nodes' lines of one run: an order (0.0 s), its repeat (1.1 s), the first one carried out late (1.5 s), seen and followed by the next adapter's (1.7 s), three times in a row on each engine. A report is asked for every 250 ms, but one that shows the order untaken was not believed for 0.9 s.

Why sooner is safe: an order names the count of orders that it expects, so that of several with one count at most one takes effect, also when they come late. A stale report costs a conflict, 120 ms. The 0.9 s stay for models: a repeat may be a second start of a load from the weight store for the pacer.

Ruled out: chains of orders with rising counts sent ahead (they conflict whenever the first one is lost), another bound in the test.

--- a/src/rudderloom/placement/engine_state.cpp
+++ b/src/rudderloom/placement/engine_state.cpp
@@ -17,6 +17,9 @@
 // than the order, says so. If the order still arrives, its expected order count prevents it from
 // taking effect beside a later one, so waiting longer gains nothing.
 constexpr Duration kUnansweredOrderTimeout{900};
+// The same for adapters. Their loads start none from the weight store, so a needless repeat costs
+// no more than a conflict.
+constexpr Duration kUnansweredAdapterTimeout{200};
 constexpr Duration kIdleReportInterval{5'000};
 constexpr Duration kSilentEngineRetryInterval{800};
 // Delay between the acceptance of an adapter load and the adapter's use.
@@ -58,6 +61,12 @@
   return known == nullptr ? 0 : known->adapter_memory_mb;
 }
 
+// How long a report that does not show the unanswered order leaves its outcome open.
+Duration UnansweredTimeout(const std::optional<PlacementOrder>& unanswered) {
+  const bool is_adapter = unanswered && !unanswered->adapter.empty();
+  return is_adapter ? kUnansweredAdapterTimeout : kUnansweredOrderTimeout;
+}
+
 }  // namespace
 
 EngineState EngineState::FromRecord(const EndpointRecord& record, TimePoint now) {
@@ -84,7 +93,7 @@
     return false;
   }
   const bool newer_orders_taken = report->orders_taken > orders_taken;
-  if (uncertain && !newer_orders_taken && since_order < kUnansweredOrderTimeout) {
+  if (uncertain && !newer_orders_taken && since_order < UnansweredTimeout(unanswered)) {
     next_report_at = now + kReportRetryInterval;
     return false;
   }
--- a/src/rudderloom/placement/placement_keeper_test.cpp
+++ b/src/rudderloom/placement/placement_keeper_test.cpp
@@ -210,6 +210,30 @@
   CHECK(simulation.overcommit_count == 0);
 }
 
+// Guards against an engine that is left idle for a second by each adapter order without an answer.
+TEST_CASE("an unanswered adapter order is resent after the next report") {
+  PlacementSimulation simulation(1, 1, 3);
+  PlacementKeeper keeper(Duration(5'000), 1.1, Duration(3'000));
+  keeper.Reset(FormerLease(), At(0));
+  simulation.Run(keeper, 0, 4'000, 0);
+  REQUIRE(simulation.Copies("m0") == 1);
+  const int loaded = simulation.sent_orders;
+  simulation.SetDemand("m0", "a1", 0, 1);
+  int unanswered_at = 0;
+  for (int ms = 4'000; simulation.sent_orders == loaded; ms += 50) {
+    simulation.Run(keeper, ms, ms + 50, 100);
+    unanswered_at = ms;
+  }
+  // Reports are requested every 250 ms.
+  simulation.Run(keeper, unanswered_at + 50, unanswered_at + 400, 0);
+  CHECK(simulation.sent_orders == loaded + 2);
+  CHECK(simulation.engines["e0"].models["m0"].contains("a1"));
+  // The first order comes late and finds another count of orders.
+  simulation.Run(keeper, unanswered_at + 400, unanswered_at + 12'000, 0);
+  CHECK(simulation.delayed_orders.empty());
+  CHECK(simulation.overcommit_count == 0);
+}
+
 // Milliseconds from `ms` until the expected end of the unit's load; -1 if none is forecast.
 int ExpectedInMs(const PlacementSimulation& simulation, const UnitName& unit, int ms) {
   const auto found = simulation.forecast.find(unit);
