Endpoints: use a service again that restarts at its address

What callers saw, by reading: a service that reports no incarnation and restarts at the same address, as after a planned update, was never used again by the nodes that had seen it leave, until they were restarted themselves.

Cause: its processes have one identity, name and address, and the announcement that one of them leaves was kept for all later ones.

Change: two reports in a row without the announcement, the second one asked for after it, can only come from another process. The node counts the restart, which tells the new process from the one that left, also where peers that have not seen the restart still name the former one, and where the platform's list has been without it in between. Endpoints with an incarnation are unchanged.

Weighed: ignoring peers for such services (learns of an end one poll later each time); a failed poll as the sign of a restart (a restart between two polls goes unseen).

Not changed: crashes of such a service under one request still count as one, since nodes that have seen different numbers of restarts would count one crash twice.

--- a/include/rudderloom/membership/endpoint_table.hpp
+++ b/include/rudderloom/membership/endpoint_table.hpp
@@ -52,8 +52,9 @@
   std::optional<TimePoint> reported_at;
   std::uint32_t failed_polls = 0;  ///< Consecutive failures.
   bool leaving_announced =
-      false;             ///< Announced by the endpoint in a report or an answer, or by a peer.
-  std::uint32_t id = 0;  ///< Small index, stable while the endpoint is known.
+      false;  ///< Announced by the endpoint in a report or an answer, or by a peer.
+  std::uint32_t contradicting_reports = 0;  ///< Since the announcement, without repeating it.
+  std::uint32_t id = 0;                     ///< Small index, stable while the endpoint is known.
 };
 
 /// @brief Identifies one process of an endpoint: `name#incarnation`, or `name#@address` for a
@@ -85,11 +86,15 @@
   /// @brief Records an unanswered poll.
   void PollFailed(const std::string& name);
 
-  /// @brief Marks an instance as leaving, given as by InstanceOf, by an answer or a peer.
+  /// @brief Marks an instance as leaving, given as by InstanceOf, after its answer said so.
   /// @return True when this was not known yet.
   bool MarkLeaving(const std::string& instance);
 
-  /// @brief Returns all known leaving instances, for peers.
+  /// @brief Marks a process as leaving that a peer has named as by Leaving().
+  /// @return True when this was not known yet.
+  bool MarkProcessLeaving(const std::string& process);
+
+  /// @brief Returns all processes that are known to be leaving, for peers.
   std::vector<std::string> Leaving() const;
 
   /// @brief Returns true when the endpoint may get new work: it has reported, is not leaving and
@@ -99,8 +104,14 @@
   const std::map<std::string, EndpointState>& Endpoints() const { return endpoints_; }
 
  private:
+  std::string ProcessOf(const EndpointState& state) const;
+  void CountContradiction(EndpointState& state);
+
   std::map<std::string, EndpointState> endpoints_;
-  std::set<std::string> leaving_;
+  std::set<std::string> leaving_;  // as by ProcessOf
+  // Restarts seen of services that report no incarnation, by instance. Peers may have seen another
+  // number; they then learn of a service that leaves from its own reports only.
+  std::map<std::string, std::uint32_t> restarts_;
   std::uint32_t next_id_ = 0;
 };
 
--- a/src/rudderloom/control/control_state.cpp
+++ b/src/rudderloom/control/control_state.cpp
@@ -116,7 +116,7 @@
     members_.RecordRelayedHeartbeat(digest, now);
   }
   for (const std::string& leaving : heard.state.leaving) {
-    endpoints_.MarkLeaving(leaving);
+    endpoints_.MarkProcessLeaving(leaving);
   }
   MergeCrashNews(heard.state.crash_news, now);
   dirty_ = true;  // the in-flight counts of a peer may have changed
--- a/src/rudderloom/membership/endpoint_table.cpp
+++ b/src/rudderloom/membership/endpoint_table.cpp
@@ -11,6 +11,9 @@
 
 // Consecutive unanswered polls after which an endpoint counts as silent.
 constexpr std::uint32_t kMaxUnansweredPolls = 3;
+// Reports that contradict an announced end. The first one may have been sent before it; the second
+// one comes from another process.
+constexpr std::uint32_t kContradictionsAfterRestart = 2;
 
 }  // namespace
 
@@ -99,9 +102,25 @@
   state.reported_at = now;
   state.failed_polls = 0;
   if (report.leaving) {
-    leaving_.insert(InstanceOf(state));
+    leaving_.insert(ProcessOf(state));
+    state.contradicting_reports = 0;
+  } else if (report.incarnation.empty() && leaving_.contains(ProcessOf(state))) {
+    CountContradiction(state);
   }
-  state.leaving_announced = leaving_.contains(InstanceOf(state));
+  state.leaving_announced = leaving_.contains(ProcessOf(state));
+}
+
+void EndpointTable::CountContradiction(EndpointState& state) {
+  if (++state.contradicting_reports == kContradictionsAfterRestart) {
+    ++restarts_[InstanceOf(state)];
+    state.contradicting_reports = 0;
+  }
+}
+
+std::string EndpointTable::ProcessOf(const EndpointState& state) const {
+  const std::string instance = InstanceOf(state);
+  const auto restarts = restarts_.find(instance);
+  return restarts == restarts_.end() ? instance : instance + "~" + std::to_string(restarts->second);
 }
 
 void EndpointTable::PollFailed(const std::string& name) {
@@ -112,11 +131,23 @@
 }
 
 bool EndpointTable::MarkLeaving(const std::string& instance) {
-  if (!leaving_.insert(instance).second) {
+  for (const auto& [name, state] : endpoints_) {
+    if (InstanceOf(state) == instance) {
+      return MarkProcessLeaving(ProcessOf(state));
+    }
+  }
+  return MarkProcessLeaving(instance);
+}
+
+bool EndpointTable::MarkProcessLeaving(const std::string& process) {
+  if (!leaving_.insert(process).second) {
     return false;
   }
   for (auto& [name, state] : endpoints_) {
-    state.leaving_announced = state.leaving_announced || InstanceOf(state) == instance;
+    if (ProcessOf(state) == process) {
+      state.leaving_announced = true;
+      state.contradicting_reports = 0;
+    }
   }
   return true;
 }
@@ -125,7 +156,7 @@
   std::vector<std::string> known;
   for (const auto& [name, state] : endpoints_) {
     if (state.leaving_announced) {
-      known.push_back(InstanceOf(state));
+      known.push_back(ProcessOf(state));
     }
   }
   return known;
--- a/src/rudderloom/membership/membership_test.cpp
+++ b/src/rudderloom/membership/membership_test.cpp
@@ -148,6 +148,39 @@
   CHECK(usable());
 }
 
+// Guards against a service at a fixed address that is never used again after a planned restart.
+TEST_CASE("a service that reports no incarnation is usable again at the same address") {
+  EndpointTable table;
+  table.ApplyList({Spec("a")});
+  const auto usable = [&] { return EndpointTable::Usable(table.Endpoints().at("a")); };
+  LoadReport report;
+  report.leaving = true;
+  table.ApplyReport("a", report, kStart);
+  CHECK_FALSE(usable());
+  const std::vector<std::string> former = table.Leaving();
+  table.PollFailed("a");
+  report.leaving = false;
+  // One report may have been on its way when the announcement came.
+  table.ApplyReport("a", report, kStart);
+  CHECK_FALSE(usable());
+  table.ApplyReport("a", report, kStart);
+  CHECK(usable());
+  // A peer may not know yet that it has restarted.
+  table.MarkProcessLeaving(former.front());
+  table.ApplyReport("a", report, kStart);
+  CHECK(usable());
+  // The new process leaves in its turn, as an answer tells.
+  CHECK(table.MarkLeaving("a#@10.0.0.1:1"));
+  CHECK_FALSE(usable());
+  CHECK(table.Leaving() != former);
+  // Also after the platform's list has been without it.
+  table.ApplyList({});
+  table.ApplyList({Spec("a")});
+  table.ApplyReport("a", report, kStart);
+  table.ApplyReport("a", report, kStart);
+  CHECK(usable());
+}
+
 TEST_CASE("an endpoint without the flag does not check fences, and invalid objects are rejected") {
   const auto spec = EndpointFromJson("a", {{"address", "10.0.0.1:1"}, {"pool", "p"}});
   REQUIRE(spec);
