Use gateways again where links to some endpoints are lost

Callers of a node that had lost its links to all endpoints of one service, while it reached those of others, were refused: 37 of 100 first attempts served from 3 s after the cut (each a request of another service), 200 of 200 at the others.

Cause: a node uses gateways only while it is cut off from all endpoints, and a reached endpoint of any service ends that.

Not covered: links to some endpoints that fall silent without a failed connection, one-way and flapping links.

--- a/src/rudderloom/forwarding/attempt.cpp
+++ b/src/rudderloom/forwarding/attempt.cpp
@@ -80,7 +80,12 @@
     co_return co_await ConnectToGateway();
   }
 
-  bool UsesGateway() const { return state_.reach.CutOff(); }
+  // Without gateways, an endpoint that fails repeatedly is tried directly again.
+  bool UsesGateway() const {
+    const bool any_gateway = !state_.views.Current()->gateways.empty();
+    return state_.reach.CutOff() ||
+           (any_gateway && state_.reach.NeedsGateway(params_.endpoint.instance, Now()));
+  }
 
   Awaitable<std::optional<AttemptResult>> ConnectToGateway() {
     const auto failure = co_await link_.ConnectToGateway();
--- a/src/rudderloom/forwarding/frontend.cpp
+++ b/src/rudderloom/forwarding/frontend.cpp
@@ -180,7 +180,7 @@
   counts.crash_news = state_.crashes.Take();
   counts.limits = ToSentLimits(state_.limits.Take(), Now());
   counts.reaches_endpoints = !state_.reach.CutOff();
-  counts.needs_gateways = state_.reach.CutOff();
+  counts.needs_gateways = state_.reach.NeedsGateways(Now());
   if (counts.reaches_endpoints && !stopping_ && !state_.own_gateway.address.empty()) {
     counts.gateways = {state_.own_gateway};
   }
--- a/tests/process/fleet_cluster.cpp
+++ b/tests/process/fleet_cluster.cpp
@@ -77,9 +77,13 @@
   return program;
 }
 
-void FleetCluster::CutLinks(const std::set<std::string>& nodes, LinkCut how) {
+void FleetCluster::CutLinks(const std::set<std::string>& nodes,
+                            LinkCut how,
+                            const std::set<std::string>& endpoints) {
   for (const auto& [endpoint, proxy] : link_proxies_) {
-    proxy->Cut(nodes, how);
+    if (endpoints.empty() || endpoints.contains(endpoint)) {
+      proxy->Cut(nodes, how);
+    }
   }
 }
 
--- a/tests/process/fleet_cluster.hpp
+++ b/tests/process/fleet_cluster.hpp
@@ -27,8 +27,11 @@
 
   /// @brief Starts the endpoints that follow behind proxies that can cut their links to nodes.
   void UseLinkProxies() { uses_link_proxies_ = true; }
-  /// @brief Cuts the links between these nodes and all endpoints; nodes reach all else.
-  void CutLinks(const std::set<std::string>& nodes, LinkCut how);
+  /// @brief Cuts the links between these nodes and the endpoints, all if empty; nodes reach all
+  /// else.
+  void CutLinks(const std::set<std::string>& nodes,
+                LinkCut how,
+                const std::set<std::string>& endpoints = {});
   void RestoreLinks();
 
   /// @brief Starts an engine that takes `event_time` for each of a stream's eight events.
--- a/tests/process/partition_test.cpp
+++ b/tests/process/partition_test.cpp
@@ -88,9 +88,10 @@
 // Cuts the nodes off while all nodes get requests, and checks how these were served.
 void CheckServedDuringCut(FleetCluster& cluster,
                           const std::set<std::string>& cut_nodes,
-                          LinkCut how) {
+                          LinkCut how,
+                          const std::set<std::string>& cut_endpoints = {}) {
   cluster.SendAll(MakeRequests("before", 1'000));
-  cluster.CutLinks(cut_nodes, how);
+  cluster.CutLinks(cut_nodes, how, cut_endpoints);
   if (how == LinkCut::kOpenLive) {
     // New connections are needed once the endpoints' keep-alive time is over.
     cluster.Sleep(kKeepAliveTime);
@@ -163,6 +164,13 @@
   CheckServedDuringCut(cluster, {NodeName(0), NodeName(1)}, LinkCut::kReset);
 }
 
+// Guards against nodes that refuse the requests of a service while they reach other services.
+TEST_CASE("a node cut off from all endpoints of one service serves its callers") {
+  FleetCluster cluster;
+  StartAll(cluster);
+  CheckServedDuringCut(cluster, {FindOtherNode(cluster)}, LinkCut::kReset, {"d1", "d2", "d3"});
+}
+
 // Guards against a lease holder that can send no orders and keeps the lease.
 TEST_CASE("a lease holder cut off from all endpoints serves its callers and gives the lease up") {
   FleetCluster cluster;
