Log and count endpoints' rejections with what the node knew

For the incident of endpoints that crash from rejections: no line or counter told how often a node was rejected by an endpoint, nor whether it had taken a slot there for free. endpoint_rejected names the known requests of all nodes, the slots and the time since this node's last rejection there; rudderloom_endpoint_rejections_total counts them by whether a free slot was known.

--- a/include/rudderloom/endpoint_limits/rejection_watch.hpp
+++ b/include/rudderloom/endpoint_limits/rejection_watch.hpp
@@ -42,6 +42,10 @@
                                std::uint32_t live_nodes,
                                TimePoint now) const;
 
+  /// @brief Records that an endpoint rejected a request of this node.
+  /// @return Time since its previous rejection; empty if there was none lately.
+  std::optional<Duration> RecordRejection(EndpointKey endpoint, TimePoint now);
+
   /// @brief Drops expired entries.
   void Trim(TimePoint now);
 
@@ -52,6 +56,7 @@
   };
 
   std::map<std::string, Tolerance> tolerances_;  // by service
+  std::map<EndpointKey, TimePoint> rejected_at_;
 };
 
 }  // namespace rudderloom
--- a/src/rudderloom/endpoint_limits/rejection_watch.cpp
+++ b/src/rudderloom/endpoint_limits/rejection_watch.cpp
@@ -1,6 +1,7 @@
 #include "rudderloom/endpoint_limits/rejection_watch.hpp"
 
 #include <algorithm>  // for clamp, max
+#include <utility>    // for exchange
 
 namespace rudderloom {
 
@@ -8,6 +9,7 @@
 
 // An announcement without a later answer is forgotten.
 constexpr Duration kToleranceLifetime{10'000};
+constexpr Duration kRejectionRetention{60'000};
 constexpr Duration kMinPause{1'000};
 constexpr Duration kMaxPause{8'000};
 constexpr double kMinTolerance = 0.25;  // rejections per second
@@ -52,7 +54,17 @@
   return std::clamp(pause, kMinPause, kMaxPause);
 }
 
+std::optional<Duration> RejectionWatch::RecordRejection(EndpointKey endpoint, TimePoint now) {
+  const auto [last, is_first] = rejected_at_.try_emplace(endpoint, now);
+  if (is_first) {
+    return std::nullopt;
+  }
+  return Between(std::exchange(last->second, now), now);
+}
+
 void RejectionWatch::Trim(TimePoint now) {
+  std::erase_if(rejected_at_,
+                [&](const auto& entry) { return now - entry.second >= kRejectionRetention; });
   std::erase_if(tolerances_, [&](const auto& entry) {
     return now - entry.second.announced_at >= kToleranceLifetime;
   });
--- a/src/rudderloom/endpoint_limits/rejection_watch_test.cpp
+++ b/src/rudderloom/endpoint_limits/rejection_watch_test.cpp
@@ -64,6 +64,15 @@
   CHECK(watch.PauseAfterRejection(kService, 7, At(0)) == Duration(0));
 }
 
+TEST_CASE("the time since an endpoint's previous rejection is known for a minute") {
+  RejectionWatch watch;
+  CHECK(!watch.RecordRejection(kEndpoint, At(0)));
+  CHECK(watch.RecordRejection(kEndpoint, At(300)) == Duration(300));
+  CHECK(!watch.RecordRejection(8, At(300)));
+  watch.Trim(At(60'300));
+  CHECK(!watch.RecordRejection(kEndpoint, At(60'300)));
+}
+
 TEST_CASE("the longest of several pauses holds") {
   EndpointPauses pauses;
   pauses.Pause(kEndpoint, At(500));
--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -377,6 +377,7 @@
     }
     if (result.outcome == AttemptOutcome::kNotRun && result.feedback == EndpointFeedback::kShed) {
       const TimePoint now = Now();
+      RecordRejection(state_, {service_, endpoint, last_choice_.load.requests, terms_.id});
       const Duration pause =
           state_.rejections.PauseAfterRejection(service_, state_.views.Current()->live_nodes, now);
       state_.pauses.Pause(KeyOf(endpoint.instance), now + pause);
--- a/src/rudderloom/forwarding/limit_check.cpp
+++ b/src/rudderloom/forwarding/limit_check.cpp
@@ -117,6 +117,25 @@
   RecordLimit(state, endpoint, answer, sent_at);
 }
 
+void RecordRejection(ForwardingState& state, const EndpointRejection& rejection) {
+  const EndpointRecord& endpoint = rejection.endpoint;
+  const bool free_slot_known = rejection.known_requests < endpoint.slots;
+  state.metrics.Count(
+      {"rudderloom_endpoint_rejections_total", "known_free_slot", free_slot_known ? "yes" : "no"});
+  const std::optional<Duration> since_last =
+      state.rejections.RecordRejection(KeyOf(endpoint.instance), Now());
+  if (!state.log_quota.Allows(Now())) {
+    return;
+  }
+  LogLine("endpoint_rejected")
+      .With("service", rejection.service)
+      .With("endpoint", endpoint.instance)
+      .With("request_id", rejection.request_id)
+      .With("known_requests", rejection.known_requests)
+      .With("slots", endpoint.slots)
+      .With("since_last_ms", since_last ? std::to_string(since_last->count()) : "none");
+}
+
 Awaitable<bool> AcquirePermit(ForwardingState& state,
                               CallGuard& guard,
                               EndpointRecord endpoint,
--- a/src/rudderloom/forwarding/limit_check.hpp
+++ b/src/rudderloom/forwarding/limit_check.hpp
@@ -14,6 +14,16 @@
                          const AnswerMetadata& answer,
                          TimePoint sent_at);
 
+// A request that an endpoint rejected without running it.
+struct EndpointRejection {
+  const std::string& service;
+  const EndpointRecord& endpoint;
+  std::uint32_t known_requests = 0;  // of all nodes at the endpoint, when it was chosen
+  const std::string& request_id;
+};
+
+void RecordRejection(ForwardingState& state, const EndpointRejection& rejection);
+
 // Asks for a permit if the endpoint has a limit, and waits until the request may be sent. Returns
 // false if it may not be sent or the wait was interrupted.
 Awaitable<bool> AcquirePermit(ForwardingState& state,
