--- a/tests/process/fleet_cluster.cpp
+++ b/tests/process/fleet_cluster.cpp
@@ -105,12 +105,14 @@
 }
 
 Program& FleetCluster::StartPlainService(const std::string& instance,
-                                         const std::string& crash_body) {
+                                         const PlainServiceOptions& options) {
   if (std::find(endpoints_.begin(), endpoints_.end(), instance) == endpoints_.end()) {
     endpoints_.push_back(instance);
   }
-  return StartStandin(instance, {"service", "--store", At("store").Address(), "--instance",
-                                 instance, "--service", "desk", "--crash-body", crash_body});
+  return StartStandin(
+      instance, {"service", "--store", At("store").Address(), "--instance", instance, "--service",
+                 "desk", "--crash-body", options.crash_body, "--slots",
+                 std::to_string(options.slots), "--work-ms", std::to_string(options.work.count())});
 }
 
 Program& FleetCluster::StartFleetNode(const std::string& name, int group_size) {
@@ -130,6 +132,9 @@
   std::ofstream(path) << json::serialize(settings);
   Program& node = Start(name, std::string(RUDDERLOOM_BINARIES) + "/rudderloom/app/rudderloom",
                         {"daemon", "--settings", path});
+  if (std::find(nodes_.begin(), nodes_.end(), name) == nodes_.end()) {
+    nodes_.push_back(name);
+  }
   const std::lock_guard lock(node_processes_mutex_);
   node_processes_[name] = node.ProcessId();
   return node;
@@ -218,6 +223,15 @@
   return Cluster::Call(At(node).Address(3), "/metrics").body;
 }
 
+std::string FleetCluster::LeaseHolder() {
+  for (const std::string& node : nodes_) {
+    if (Metrics(node).find("rudderloom_lease_held 1") != std::string::npos) {
+      return node;
+    }
+  }
+  return "";
+}
+
 std::map<std::string, std::int64_t> FleetCluster::RunCounts() {
   std::map<std::string, std::int64_t> runs;
   for (const std::string& endpoint : endpoints_) {
--- a/tests/process/fleet_cluster.hpp
+++ b/tests/process/fleet_cluster.hpp
@@ -19,6 +19,13 @@
   std::string body = "body";
 };
 
+/// @brief How a plain service behaves.
+struct PlainServiceOptions {
+  std::string crash_body = {};  ///< A request with this body crashes it; if empty, none does.
+  int slots = 8;
+  Duration work{10};  ///< Time that it takes for each request.
+};
+
 /// @brief A store, model engines, plain services and entry nodes.
 class FleetCluster : public Cluster {
  public:
@@ -39,9 +46,8 @@
                        const std::string& models,
                        int slots = 8,
                        Duration event_time = Duration(10));
-  /// @brief Starts a service that a request with `crash_body` crashes; if empty, none does. The id
-  /// of a service that has ended restarts it.
-  Program& StartPlainService(const std::string& instance, const std::string& crash_body = {});
+  /// @brief Starts a plain service. The id of a service that has ended restarts it.
+  Program& StartPlainService(const std::string& instance, const PlainServiceOptions& options = {});
   /// @brief Starts an entry node. `group_size` is the number of nodes per relay.
   Program& StartFleetNode(const std::string& name, int group_size = 16);
 
@@ -58,6 +64,8 @@
 
   unsigned ReadyStatus(const std::string& node);
   std::string Metrics(const std::string& node);
+  /// @brief Returns the name of the node that holds the lease; empty if none does.
+  std::string LeaseHolder();
   /// @brief Returns how often each request ran, by id, summed over the live engines and services.
   std::map<std::string, std::int64_t> RunCounts();
 
@@ -68,6 +76,7 @@
   std::string NodeOf(const LoopbackPorts& connection);
 
   std::vector<std::string> endpoints_;
+  std::vector<std::string> nodes_;
   bool uses_link_proxies_ = false;
   std::map<std::string, std::unique_ptr<LinkProxy>> link_proxies_;  // by endpoint
   std::mutex node_processes_mutex_;
--- a/tests/process/fleet_limits_test.cpp
+++ b/tests/process/fleet_limits_test.cpp
@@ -59,15 +59,6 @@
   return served;
 }
 
-std::string FindLeaseHolder(FleetCluster& cluster) {
-  for (int i = 0; i < kNodeCount; ++i) {
-    if (cluster.Metrics(NodeName(i)).find("rudderloom_lease_held 1") != std::string::npos) {
-      return NodeName(i);
-    }
-  }
-  return "";
-}
-
 // Guards against nodes that report an endpoint's limit to clients but don't reduce their own rate.
 TEST_CASE("all nodes together keep to the limit that an endpoint announces") {
   FleetCluster cluster;
@@ -91,7 +82,7 @@
   StartAll(cluster);
   cluster.SetFaults("d1", {{"limit", kOnePerSecond}});
   cluster.SendAll(MakeRequests("before", 4));
-  const std::string holder = FindLeaseHolder(cluster);
+  const std::string holder = cluster.LeaseHolder();
   REQUIRE(!holder.empty());
   cluster.At(holder).Kill();
   cluster.SendAll(MakeRequests("after", kDurationSeconds));
--- a/tests/process/fleet_quarantine_test.cpp
+++ b/tests/process/fleet_quarantine_test.cpp
@@ -26,7 +26,7 @@
  public:
   explicit CrashingServices(FleetCluster& cluster) : cluster_(cluster) {
     for (int i = 0; i < kServiceCount; ++i) {
-      cluster_.StartPlainService(Name(i), kCrashingBody);
+      cluster_.StartPlainService(Name(i), {.crash_body = kCrashingBody});
     }
   }
 
@@ -39,7 +39,7 @@
       }
       if (down_since_.contains(i) && Now() - down_since_[i] >= kRestartDelay) {
         down_since_.erase(i);
-        cluster_.StartPlainService(Name(i), kCrashingBody);
+        cluster_.StartPlainService(Name(i), {.crash_body = kCrashingBody});
       }
     }
   }
--- a/tests/process/partition_test.cpp
+++ b/tests/process/partition_test.cpp
@@ -122,18 +122,9 @@
   }
 }
 
-std::string FindLeaseHolder(FleetCluster& cluster) {
-  for (int i = 0; i < kNodeCount; ++i) {
-    if (cluster.Metrics(NodeName(i)).find("rudderloom_lease_held 1") != std::string::npos) {
-      return NodeName(i);
-    }
-  }
-  return "";
-}
-
 // A node that does not hold the lease.
 std::string FindOtherNode(FleetCluster& cluster) {
-  return FindLeaseHolder(cluster) == NodeName(0) ? NodeName(1) : NodeName(0);
+  return cluster.LeaseHolder() == NodeName(0) ? NodeName(1) : NodeName(0);
 }
 
 // Guards against nodes that refuse all requests while only their own links to endpoints are cut.
@@ -175,12 +166,12 @@
 TEST_CASE("a lease holder cut off from all endpoints serves its callers and gives the lease up") {
   FleetCluster cluster;
   StartAll(cluster);
-  const std::string holder = FindLeaseHolder(cluster);
+  const std::string holder = cluster.LeaseHolder();
   REQUIRE(!holder.empty());
   cluster.CutLinks({holder}, LinkCut::kReset);
   cluster.SendAll(MakeRequests("detect", 1'000));
   CHECK(cluster.WaitUntil([&] {
-    const std::string now = FindLeaseHolder(cluster);
+    const std::string now = cluster.LeaseHolder();
     return !now.empty() && now != holder;
   }));
   cluster.RestoreLinks();
