--- a/include/rudderloom/endpoint_limits/endpoint_limit.hpp
+++ b/include/rudderloom/endpoint_limits/endpoint_limit.hpp
@@ -24,11 +24,22 @@
   double requests_per_second = 0.0;
 };
 
-/// @brief The latest observation of an endpoint's limit.
+/// @brief Both limits of one answer.
+/// @ingroup endpoint_limits
+struct LimitAnnouncements {
+  LimitAnnouncement requests;         ///< On requests from all nodes together.
+  LimitAnnouncement rejections = {};  ///< Rejections per second before the endpoint crashes.
+};
+
+/// @brief The latest observation of an endpoint's limits.
 /// @ingroup endpoint_limits
 struct EndpointLimit {
   std::optional<double> requests_per_second;  ///< Empty: the limit has ended.
   TimePoint observed_at;                      ///< When the answer announced it.
+  /// @brief Empty: the endpoint tolerates any number of rejections.
+  std::optional<double> rejections_per_second = {};
+
+  bool Any() const { return requests_per_second || rejections_per_second; }
 
   bool operator==(const EndpointLimit&) const = default;
 };
--- a/include/rudderloom/endpoint_limits/limit_exchange.hpp
+++ b/include/rudderloom/endpoint_limits/limit_exchange.hpp
@@ -15,6 +15,8 @@
 struct SentLimit {
   std::optional<double> requests_per_second;  ///< Empty: the limit has ended.
   Duration age{0};                            ///< Since it was observed.
+  /// @brief Empty: the endpoint tolerates any number of rejections.
+  std::optional<double> rejections_per_second = {};
 
   bool operator==(const SentLimit&) const = default;
 };
--- a/include/rudderloom/endpoint_limits/limit_watch.hpp
+++ b/include/rudderloom/endpoint_limits/limit_watch.hpp
@@ -30,7 +30,7 @@
   /// An answer without a limit may have been written before a limit that this node has received
   /// since. It ends a limit only if its request was sent after the limit was last observed.
   LimitChange Answered(EndpointKey endpoint,
-                       const LimitAnnouncement& announcement,
+                       const LimitAnnouncements& announced,
                        TimePoint sent_at,
                        TimePoint now);
 
@@ -41,6 +41,20 @@
   /// has no limit.
   std::optional<double> LimitOf(EndpointKey endpoint) const;
 
+  /// @brief Returns false if no endpoint has a limit.
+  bool AnyKnown() const { return !book_.All().empty(); }
+
+  /// @brief Returns the rejections per second that the endpoint tolerates from all nodes; empty if
+  /// any number.
+  std::optional<double> ToleranceOf(EndpointKey endpoint) const;
+
+  /// @brief Like ToleranceOf(), if it was observed lately: usually all endpoints of a service are
+  /// overloaded at the same time, and announce the same.
+  std::optional<double> RecentToleranceOf(EndpointKey endpoint, TimePoint now) const;
+
+  /// @brief Returns true while the node must not ask for another permit for the endpoint.
+  bool PermitRefused(EndpointKey endpoint, TimePoint now) const;
+
   LimitState LimitStateOf(EndpointKey endpoint, std::uint32_t live_nodes, TimePoint now) const;
 
   /// @brief Records that a permit was refused, with the next one available after `wait`, or that no
@@ -52,7 +66,8 @@
   /// without one.
   ///
   /// Over all nodes together this admits one request per 4 s, regardless of their number: enough to
-  /// notice the end of the limit.
+  /// notice the end of the limit. An endpoint that tolerates few rejections gets one only after it
+  /// has not been observed for some seconds, when requests granted by others no longer count.
   bool MaySendWithoutPermit(EndpointKey endpoint, std::uint32_t live_nodes, TimePoint now);
 
   /// @brief Records that a granting node has answered again.
@@ -61,6 +76,10 @@
   /// @brief Returns the time until the next permit for any of the refused endpoints.
   Duration MinWait(TimePoint now) const;
 
+  /// @brief Returns the time until another permit may be asked for, for any of the refused
+  /// endpoints.
+  Duration MinPause(TimePoint now) const;
+
   /// @brief Returns this node's observations since the last call.
   EndpointLimits Take();
 
--- a/include/rudderloom/endpoint_limits/permit_book.hpp
+++ b/include/rudderloom/endpoint_limits/permit_book.hpp
@@ -3,10 +3,13 @@
 #ifndef RUDDERLOOM_ENDPOINT_LIMITS_PERMIT_BOOK_HPP
 #define RUDDERLOOM_ENDPOINT_LIMITS_PERMIT_BOOK_HPP
 
+#include <cstdint>      // for uint32_t
 #include <map>          // for map
+#include <optional>     // for optional
 #include <string_view>  // for string_view
 
 #include "rudderloom/endpoint_limits/endpoint_limit.hpp"  // for EndpointKey
+#include "rudderloom/endpoint_limits/slot_book.hpp"       // for SlotBook
 
 namespace rudderloom {
 
@@ -14,8 +17,10 @@
 /// @ingroup endpoint_limits
 struct PermitRequest {
   EndpointKey endpoint = 0;
-  double requests_per_second = 0.0;  ///< Fleet-wide, as announced by the endpoint.
-  Duration max_wait{0};              ///< Maximum time that the request can wait.
+  /// @brief Fleet-wide, as announced by the endpoint; empty: no limit.
+  std::optional<double> requests_per_second;
+  Duration max_wait{0};                ///< Maximum time that the request can wait.
+  std::optional<SlotTerms> slot = {};  ///< Set if the endpoint tolerates few rejections.
 };
 
 /// @brief Decision of the node that was asked.
@@ -36,6 +41,7 @@
   PermitVerdict verdict = PermitVerdict::kNotGranting;
   /// @brief Granted: the request may be sent after this time. Refused: time until the next permit.
   Duration wait{0};
+  GrantId grant = 0;  ///< Of a granted request for a slot, to be reported on.
 };
 
 /// @brief Maximum time that a request waits for its permit.
@@ -50,6 +56,10 @@
   TimePoint valid_from;
   TimePoint valid_until;  ///< No request may be sent later.
   double fraction = 1.0;  ///< Granted fraction of each limit.
+  /// @brief Slots are granted from then on: requests granted by others no longer count.
+  TimePoint slots_from = {};
+  TimePoint holder_share_from =
+      {};  ///< Until then only the deputy's share of rejections is risked.
 };
 
 /// @brief The fraction of a limit that the deputy grants while the lease holder is unreachable. The
@@ -58,12 +68,18 @@
 /// @ingroup endpoint_limits
 constexpr double kDeputyFraction = 0.5;
 
+/// @brief Rejections that an endpoint tolerates are divided between the lease holder and its
+/// deputy, who may both grant at one time.
+/// @return Rejections that the granter may risk within `kRejectionWindow`.
+/// @ingroup endpoint_limits
+std::uint32_t RejectionShare(double rejections_per_second, bool is_holder);
+
 /// @brief A node whose last message from the holder is older asks the holder's deputy.
 /// @ingroup endpoint_limits
 constexpr Duration kMaxHolderMessageAge{1'000};
 
-/// @brief Spaces the requests of all nodes evenly according to each endpoint's limit. Does no I/O;
-/// time is passed in.
+/// @brief Spaces the requests of all nodes evenly according to each endpoint's limit, and grants
+/// slots of endpoints that tolerate few rejections. Does no I/O; time is passed in.
 ///
 /// A single node keeps the book, so the total does not grow with the fleet: within a time T at most
 /// `limit` x T + 1 requests are permitted, even if one node takes over from another.
@@ -72,10 +88,14 @@
  public:
   PermitAnswer Ask(const PermitRequest& ask, const PermitBasis& basis, TimePoint now);
 
+  /// @brief Records what became of a granted request for a slot.
+  void Report(const SlotReport& report, TimePoint now) { slots_.Report(report, now); }
+
  private:
   void Trim(TimePoint now);
 
   std::map<EndpointKey, TimePoint> next_at_;  // earliest time of the next request per endpoint
+  SlotBook slots_;
   TimePoint trimmed_at_;
 };
 
--- a/include/rudderloom/fleet/fleet_state.hpp
+++ b/include/rudderloom/fleet/fleet_state.hpp
@@ -234,6 +234,8 @@
   bool gateways_wanted_ = false;            // As the holder: a node does not reach all endpoints.
   GatewayList published_gateways_;          // As last published to nodes that report here.
   std::optional<TimePoint> deputy_since_;   // Set while this node is the deputy.
+  // Since when this node had been the deputy when it acquired the lease that it holds.
+  std::optional<TimePoint> deputy_until_holding_since_;
   std::optional<ReceivedDigest> received_;
   std::uint64_t newest_routes_ = 0;         // Newest version reported by any peer.
   std::optional<TimePoint> routes_behind_;  // When a peer was found to have a newer configuration.
--- a/include/rudderloom/forwarding/balancer.hpp
+++ b/include/rudderloom/forwarding/balancer.hpp
@@ -13,7 +13,6 @@
 
 #include "rudderloom/endpoint_limits/endpoint_pauses.hpp"  // for EndpointPauses
 #include "rudderloom/endpoint_limits/limit_watch.hpp"      // for LimitWatch
-#include "rudderloom/endpoint_limits/rejection_watch.hpp"  // for RejectionWatch
 #include "rudderloom/fleet/fleet_view.hpp"                 // for FleetView
 #include "rudderloom/forwarding/admission.hpp"             // for StartForecast
 #include "rudderloom/forwarding/header_codec.hpp"          // for RequestMetadata
@@ -26,10 +25,9 @@
 struct BalancerQuery {
   const std::string& service;
   const RequestMetadata& terms;
-  const std::set<std::string>& excluded;       ///< Instances that failed this request.
-  const LimitWatch* limits = nullptr;          ///< Null when no endpoint has a rate limit.
-  bool skip_limited = false;                   ///< Excludes endpoints with a rate limit.
-  const RejectionWatch* rejections = nullptr;  ///< Null when endpoints tolerate rejections.
+  const std::set<std::string>& excluded;  ///< Instances that failed this request.
+  const LimitWatch* limits = nullptr;     ///< Null when no endpoint has a limit.
+  bool skip_limited = false;              ///< Excludes endpoints that need a permit.
   /// @brief Instances that are leaving; null for none.
   const std::map<std::string, TimePoint>* leaving = nullptr;
   const EndpointPauses* pauses = nullptr;  ///< Null when no endpoint is paused.
@@ -41,7 +39,7 @@
   kNoEndpoints,  ///< The service has no endpoint that accepts requests.
   kNotResident,  ///< None of its endpoints holds the model or adapter.
   kRateLimited,  ///< The candidates have reached their rate limit.
-  kFull,         ///< The candidates have no free slot, and tolerate no more rejections.
+  kFull,         ///< No slot of the candidates, which tolerate few rejections, is granted now.
   kPaused,       ///< The candidates must get no requests for a while.
 };
 
@@ -53,8 +51,11 @@
   EndpointLoad load;  ///< Load of the endpoint from all nodes before this request, as far as known.
   std::uint32_t candidate_count = 0;       ///< Number of endpoints that could take the request.
   bool has_unlimited_alternative = false;  ///< At least one other candidate has no rate limit.
-  StartForecast forecast;                  ///< Set for requests for a model.
-  Duration hold_time{0};                   ///< How long the request is expected to occupy its slot.
+  /// @brief Rejections per second that the endpoint tolerates; empty if any number. Otherwise the
+  /// request needs a permit.
+  std::optional<double> tolerated_rejections;
+  StartForecast forecast;  ///< Set for requests for a model.
+  Duration hold_time{0};   ///< How long the request is expected to occupy its slot.
 };
 
 /// @brief What the end of an attempt says about its endpoint, for later choices.
@@ -136,6 +137,7 @@
     double affinity_tokens = 0.0;  // prompt tokens that the endpoint has likely cached
     std::uint32_t expected_arrivals = 0;  // of other nodes since the loads were reported
     bool rate_limited = false;            // has a limit on requests per second
+    std::optional<double> tolerated_rejections;
   };
   // Cost parameters of the requests for a model, in the same unit.
   struct RequestCosts {
--- a/include/rudderloom/forwarding/forwarder.hpp
+++ b/include/rudderloom/forwarding/forwarder.hpp
@@ -15,7 +15,6 @@
 #include "rudderloom/endpoint_limits/endpoint_pauses.hpp"  // for EndpointPauses
 #include "rudderloom/endpoint_limits/limit_watch.hpp"      // for LimitWatch
 #include "rudderloom/endpoint_limits/permit_book.hpp"      // for PermitRequest
-#include "rudderloom/endpoint_limits/rejection_watch.hpp"  // for RejectionWatch
 #include "rudderloom/forwarding/balancer.hpp"              // for Balancer
 #include "rudderloom/http/call_guard.hpp"                  // for CallGuards
 #include "rudderloom/forwarding/endpoint_connection.hpp"   // for ConnectionPool
@@ -53,6 +52,10 @@
                        const PermitRequest& ask,
                        std::function<void(std::optional<PermitAnswer>)> done)>;
 
+/// @brief Tells the node at the given address what became of a request that it granted.
+/// @ingroup forwarding
+using PermitReportFunction = std::function<void(const std::string& granter, const SlotReport&)>;
+
 /// @brief A request that was sent to an endpoint and has no answer yet.
 /// @ingroup forwarding
 struct PendingAnswer {
@@ -98,13 +101,13 @@
   std::function<void()> sample_soon;
   QuotaRequestFunction ask_holder;
   PermitRequestFunction ask_for_permit;
+  PermitReportFunction report_permit;
   /// @brief Upper bound on the deadline of requests that arrive during a planned stop.
   TimePoint stop_deadline = TimePoint::max();
   /// @brief Planned stop: the load balancer has been given its notice. Requests on open connections
   /// are refused unless their own deadline ends before `stop_deadline`.
   bool notice_over = false;
   CallGuards guards = {};  ///< Guards of the requests in flight.
-  RejectionWatch rejections = {};
   EndpointPauses pauses = {};
   /// @brief Instances that have told this node that they are leaving, and when they last did. The
   /// platform's list may tell it later, or never.
--- a/include/rudderloom/forwarding/frontend.hpp
+++ b/include/rudderloom/forwarding/frontend.hpp
@@ -20,7 +20,8 @@
                 Metrics& metrics,
                 std::function<void(NodeCounts)> on_sample,
                 QuotaRequestFunction ask_holder,
-                PermitRequestFunction ask_for_permit);
+                PermitRequestFunction ask_for_permit,
+                PermitReportFunction report_permit);
 
   /// @brief Starts listening and returns the bound addresses. Reports not ready until a
   /// configuration and the endpoints are known.
--- a/include/rudderloom/peers/holder_link.hpp
+++ b/include/rudderloom/peers/holder_link.hpp
@@ -29,6 +29,8 @@
   std::function<SpendAnswer(const SpendRequest&)> on_spend;
   /// @brief Decides for another node whether it may send a request to an endpoint. Must not block.
   std::function<PermitAnswer(const PermitRequest&)> on_permit;
+  /// @brief Called with what became of a request that this node granted. Must not block.
+  std::function<void(const SlotReport&)> on_slot_report;
   /// @brief Called when the report to the node at `to` failed.
   std::function<void(const std::string& to, std::uint64_t number)> on_failure;
 };
@@ -70,6 +72,10 @@
   /// @brief Asks the holder or its deputy for a permit. See the overload above.
   void Ask(const std::string& granter, const PermitRequest& ask, PermitCallback done);
 
+  /// @brief Tells the node at this address what became of a request that it granted. May be called
+  /// from any thread.
+  void Tell(const std::string& granter, const SlotReport& report);
+
   /// @brief Stops the event loop. No hook is called afterwards, and pending callbacks are
   /// destroyed.
   void Stop();
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -59,6 +59,7 @@
   endpoint @0 :UInt32;                # hash of its instance
   ageMs @1 :UInt32;                   # since an answer said so
   requestsPerSecond @2 :Float64 = -1; # below 0: the limit has ended
+  rejectionsPerSecond @3 :Float64 = -1; # that it tolerates; below 0: any number
 }
 
 struct EndpointLimits {
@@ -290,12 +291,26 @@
   refused @2;
 }
 
+enum SlotOutcome {
+  unsent @0;
+  unknown @1;
+  accepted @2;
+  rejected @3;
+  ended @4;
+}
+
 interface PlacementHolder {
   report @0 (counts :NodeCounts) -> (digest :Digest);
   # May a customer's request of this amount run? `waitMs`: until one may, when it is refused.
   spend @1 (customer :UInt32, amount :UInt64) -> (verdict :SpendVerdict, waitMs :UInt32);
   # May one request be sent to an endpoint that has announced a limit? It can wait `mostWaitMs`.
   # `waitMs`: until it may be sent, or until the next one may when it is refused.
-  permit @2 (endpoint :UInt32, requestsPerSecond :Float64, mostWaitMs :UInt32)
-      -> (verdict :PermitVerdict, waitMs :UInt32);
+  # If `rejectionsPerSecond` is not below 0, the endpoint tolerates so many: the grant is for one of
+  # its slots, for up to `maxHoldMs`, and what becomes of it is reported. An earlier build grants by
+  # `requestsPerSecond` alone; this one only if `rateLimited`.
+  permit @2 (endpoint :UInt32, requestsPerSecond :Float64, mostWaitMs :UInt32,
+             rateLimited :Bool = true, rejectionsPerSecond :Float64 = -1, slots :UInt32,
+             maxHoldMs :UInt32)
+      -> (verdict :PermitVerdict, waitMs :UInt32, grant :UInt64);
+  slotUsed @3 (endpoint :UInt32, grant :UInt64, outcome :SlotOutcome) -> ();
 }
--- a/src/rudderloom/app/fleet_daemon.cpp
+++ b/src/rudderloom/app/fleet_daemon.cpp
@@ -61,6 +61,9 @@
             },
             [this](const std::string& granter, const PermitRequest& ask, PermitCallback done) {
               RequestPermit(granter, ask, std::move(done));
+            },
+            [this](const std::string& granter, const SlotReport& report) {
+              ReportSlot(granter, report);
             }),
         shell_(control_context_,
                settings_,
@@ -173,6 +176,7 @@
     };
     hooks.on_spend = [this](const SpendRequest& ask) { return AnswerSpend(ask); };
     hooks.on_permit = [this](const PermitRequest& ask) { return AnswerPermit(ask); };
+    hooks.on_slot_report = [this](const SlotReport& report) { RecordSlotReport(report); };
     hooks.on_failure = [this](const std::string& to, std::uint64_t number) {
       metrics_.Count({"rudderloom_holder_reports_failed_total"});
       actor_->Post(fleet_message::ReportFailed{to, number});
@@ -223,6 +227,19 @@
     return answer;
   }
 
+  void ReportSlot(const std::string& granter, const SlotReport& report) {
+    if (granter == settings_.listen.peers) {
+      RecordSlotReport(report);
+    } else {
+      link_.Tell(granter, report);
+    }
+  }
+
+  void RecordSlotReport(const SlotReport& report) {
+    const std::lock_guard lock(statement_mutex_);
+    permits_.Report(report, Now());
+  }
+
   CallObserver CountStoreCalls() {
     return [this](std::string_view verb, std::string_view kind, std::size_t bytes) {
       const std::string call = std::string(verb) + " " + std::string(kind);
--- a/src/rudderloom/endpoint_limits/limit_book.cpp
+++ b/src/rudderloom/endpoint_limits/limit_book.cpp
@@ -14,19 +14,19 @@
 LimitChange LimitBook::Take(EndpointKey endpoint, const EndpointLimit& limit) {
   const auto known = limits_.find(endpoint);
   if (known == limits_.end()) {
-    if (!limit.requests_per_second) {
+    if (!limit.Any()) {
       return LimitChange::kNone;
     }
     limits_.emplace(endpoint, limit);
     return LimitChange::kChanged;
   }
   EndpointLimit& stored = known->second;
-  const bool end_at_same_time =
-      limit.observed_at == stored.observed_at && !limit.requests_per_second;
+  const bool end_at_same_time = limit.observed_at == stored.observed_at && !limit.Any();
   if (limit.observed_at < stored.observed_at || end_at_same_time) {
     return LimitChange::kNone;
   }
-  const bool changed = limit.requests_per_second != stored.requests_per_second;
+  const bool changed = limit.requests_per_second != stored.requests_per_second ||
+                       limit.rejections_per_second != stored.rejections_per_second;
   stored = limit;
   return changed ? LimitChange::kChanged : LimitChange::kRefreshed;
 }
@@ -51,7 +51,7 @@
 
 void LimitBook::Expire(const std::function<bool(EndpointKey)>& listed, TimePoint now) {
   std::erase_if(limits_, [&](const auto& entry) {
-    const bool ended = !entry.second.requests_per_second;
+    const bool ended = !entry.second.Any();
     return !listed(entry.first) || (ended && now - entry.second.observed_at > kEndedLimitRetention);
   });
 }
--- a/src/rudderloom/endpoint_limits/limit_exchange.cpp
+++ b/src/rudderloom/endpoint_limits/limit_exchange.cpp
@@ -15,7 +15,7 @@
 EndpointLimits FromAges(const SentLimits& limits, TimePoint now) {
   EndpointLimits observed;
   for (const auto& [endpoint, limit] : limits) {
-    observed[endpoint] = {limit.requests_per_second, now - limit.age};
+    observed[endpoint] = {limit.requests_per_second, now - limit.age, limit.rejections_per_second};
   }
   return observed;
 }
@@ -26,7 +26,7 @@
   SentLimits sent;
   for (const auto& [endpoint, limit] : limits) {
     const Duration age = std::max(Duration(0), Between(limit.observed_at, now));
-    sent[endpoint] = {limit.requests_per_second, age};
+    sent[endpoint] = {limit.requests_per_second, age, limit.rejections_per_second};
   }
   return sent;
 }
--- a/src/rudderloom/endpoint_limits/limit_watch.cpp
+++ b/src/rudderloom/endpoint_limits/limit_watch.cpp
@@ -15,6 +15,8 @@
 // permit.
 constexpr Duration kUnobservedSpread{25};
 constexpr Duration kUnpermittedInterval{4'000};  // over all nodes
+// Other endpoints of the service, and nodes that can ask nobody, no longer rely on an older one.
+constexpr Duration kToleranceLifetime{10'000};
 constexpr Duration kMinPause{20};
 constexpr Duration kMaxPause{8'000};
 // Maximum asks per second of all nodes for one endpoint, or this multiple of the limit if that is
@@ -33,19 +35,30 @@
 }  // namespace
 
 LimitChange LimitWatch::Answered(EndpointKey endpoint,
-                                 const LimitAnnouncement& announcement,
+                                 const LimitAnnouncements& announced,
                                  TimePoint sent_at,
                                  TimePoint now) {
-  EndpointLimit limit{std::nullopt, sent_at};
-  switch (announcement.kind) {
-    case LimitAnnouncement::Kind::kLimited:
-      limit = {announcement.requests_per_second, now};
-      break;
-    case LimitAnnouncement::Kind::kNone:
-      break;
-    case LimitAnnouncement::Kind::kUnreadable:
-      return LimitChange::kNone;
+  using Kind = LimitAnnouncement::Kind;
+  const bool any_limit =
+      announced.requests.kind == Kind::kLimited || announced.rejections.kind == Kind::kLimited;
+  const bool any_unreadable = announced.requests.kind == Kind::kUnreadable ||
+                              announced.rejections.kind == Kind::kUnreadable;
+  if (any_unreadable && !any_limit) {
+    return LimitChange::kNone;
   }
+  const auto found = book_.All().find(endpoint);
+  const EndpointLimit known = found == book_.All().end() ? EndpointLimit() : found->second;
+  const bool may_end = sent_at > known.observed_at;
+  const auto updated = [&](const LimitAnnouncement& announcement, std::optional<double> value) {
+    if (announcement.kind == Kind::kLimited) {
+      return std::optional(announcement.requests_per_second);
+    }
+    return announcement.kind == Kind::kNone && may_end ? std::nullopt : value;
+  };
+  EndpointLimit limit;
+  limit.requests_per_second = updated(announced.requests, known.requests_per_second);
+  limit.rejections_per_second = updated(announced.rejections, known.rejections_per_second);
+  limit.observed_at = any_limit ? now : sent_at;
   const LimitChange change = book_.Take(endpoint, limit);
   if (change != LimitChange::kNone) {
     unreported_[endpoint] = limit;
@@ -65,6 +78,23 @@
   return known == book_.All().end() ? std::nullopt : known->second.requests_per_second;
 }
 
+std::optional<double> LimitWatch::ToleranceOf(EndpointKey endpoint) const {
+  const auto known = book_.All().find(endpoint);
+  return known == book_.All().end() ? std::nullopt : known->second.rejections_per_second;
+}
+
+std::optional<double> LimitWatch::RecentToleranceOf(EndpointKey endpoint, TimePoint now) const {
+  const auto known = book_.All().find(endpoint);
+  const bool is_recent =
+      known != book_.All().end() && now - known->second.observed_at < kToleranceLifetime;
+  return is_recent ? known->second.rejections_per_second : std::nullopt;
+}
+
+bool LimitWatch::PermitRefused(EndpointKey endpoint, TimePoint now) const {
+  const auto refused = refused_.find(endpoint);
+  return refused != refused_.end() && now < refused->second.paused_until;
+}
+
 LimitState LimitWatch::LimitStateOf(EndpointKey endpoint,
                                     std::uint32_t live_nodes,
                                     TimePoint now) const {
@@ -72,8 +102,7 @@
   if (known == book_.All().end() || !known->second.requests_per_second) {
     return LimitState::kUnlimited;
   }
-  const auto refused = refused_.find(endpoint);
-  if (refused != refused_.end() && now < refused->second.paused_until) {
+  if (PermitRefused(endpoint, now)) {
     return LimitState::kRefused;
   }
   const auto spread = std::chrono::duration_cast<Duration>(spread_ * kUnobservedSpread *
@@ -93,6 +122,9 @@
 bool LimitWatch::MaySendWithoutPermit(EndpointKey endpoint,
                                       std::uint32_t live_nodes,
                                       TimePoint now) {
+  if (RecentToleranceOf(endpoint, now)) {
+    return false;
+  }
   const Duration interval = kUnpermittedInterval * std::max(1U, live_nodes);
   const auto first = now + std::chrono::duration_cast<Duration>(spread_ * interval);
   const auto [from, is_new] = next_unpermitted_at_.try_emplace(endpoint, first);
@@ -113,6 +145,16 @@
   return least;
 }
 
+Duration LimitWatch::MinPause(TimePoint now) const {
+  Duration least = kMaxPause;
+  for (const auto& [endpoint, refusal] : refused_) {
+    if (refusal.paused_until > now) {
+      least = std::min(least, Between(now, refusal.paused_until));
+    }
+  }
+  return least;
+}
+
 EndpointLimits LimitWatch::Take() {
   return std::exchange(unreported_, {});
 }
--- a/src/rudderloom/endpoint_limits/limit_watch_test.cpp
+++ b/src/rudderloom/endpoint_limits/limit_watch_test.cpp
@@ -39,6 +39,47 @@
   CHECK(watch.LimitOf(kEndpoint) == 2.5);
 }
 
+TEST_CASE("tolerated rejections hold until a later request's answer announces none") {
+  LimitWatch watch(0.0);
+  const LimitAnnouncement none{Kind::kNone, 0.0};
+  CHECK(watch.Answered(kEndpoint, {none, {Kind::kLimited, 4.0}}, At(0), At(10)) ==
+        LimitChange::kChanged);
+  CHECK(watch.ToleranceOf(kEndpoint) == 4.0);
+  CHECK(!watch.LimitOf(kEndpoint));
+  CHECK(!watch.ToleranceOf(8));
+  // Sent before the announcement was received.
+  watch.Answered(kEndpoint, {none, none}, At(5), At(30));
+  CHECK(watch.ToleranceOf(kEndpoint) == 4.0);
+  watch.Answered(kEndpoint, {none, {Kind::kUnreadable, 0.0}}, At(50), At(60));
+  CHECK(watch.ToleranceOf(kEndpoint) == 4.0);
+  watch.Answered(kEndpoint, {none, none}, At(50), At(60));
+  CHECK(!watch.ToleranceOf(kEndpoint));
+}
+
+TEST_CASE("both limits of an endpoint are known at the same time") {
+  LimitWatch watch(0.0);
+  watch.Answered(kEndpoint, {{Kind::kLimited, 2.0}, {Kind::kLimited, 4.0}}, At(0), At(10));
+  // An unreadable value leaves the known one.
+  watch.Answered(kEndpoint, {{Kind::kUnreadable, 0.0}, {Kind::kLimited, 3.0}}, At(20), At(30));
+  CHECK(watch.LimitOf(kEndpoint) == 2.0);
+  CHECK(watch.ToleranceOf(kEndpoint) == 3.0);
+  watch.Answered(kEndpoint, {{Kind::kNone, 0.0}, {Kind::kLimited, 3.0}}, At(40), At(50));
+  CHECK(!watch.LimitOf(kEndpoint));
+  CHECK(watch.ToleranceOf(kEndpoint) == 3.0);
+}
+
+// Guards against a tolerance that is forgotten while no request is sent, after which all nodes
+// send.
+TEST_CASE("an endpoint's own tolerance is never forgotten, but not relied on for others") {
+  LimitWatch watch(0.0);
+  watch.Answered(kEndpoint, {{Kind::kNone, 0.0}, {Kind::kLimited, 4.0}}, At(0), At(10));
+  CHECK(watch.RecentToleranceOf(kEndpoint, At(9'000)) == 4.0);
+  CHECK(!watch.MaySendWithoutPermit(kEndpoint, kNodes, At(9'000)));
+  CHECK(!watch.RecentToleranceOf(kEndpoint, At(10'100)));
+  CHECK(watch.ToleranceOf(kEndpoint) == 4.0);
+  CHECK(watch.MaySendWithoutPermit(kEndpoint, kNodes, At(10'100)));
+}
+
 TEST_CASE("a limit observed by another node is applied unless it is older") {
   LimitWatch watch(0.0);
   watch.Received(std::make_shared<const EndpointLimits>(EndpointLimits{{kEndpoint, {4.0, At(0)}}}));
@@ -62,6 +103,7 @@
   watch.Refused(kEndpoint, Duration(300), 100, At(310));
   CHECK(watch.LimitStateOf(kEndpoint, 100, At(2'309)) == LimitState::kRefused);
   CHECK(watch.MinWait(At(310)) == Duration(300));
+  CHECK(watch.MinPause(At(310)) == Duration(2'000));
   watch.Answered(kEndpoint, {Kind::kLimited, 1.0}, At(2'310), At(2'310));
   CHECK(watch.LimitStateOf(kEndpoint, kNodes, At(4'460)) == LimitState::kLimited);
   CHECK(watch.LimitStateOf(kEndpoint, kNodes, At(4'461)) == LimitState::kUnobserved);
--- a/src/rudderloom/endpoint_limits/permit_book.cpp
+++ b/src/rudderloom/endpoint_limits/permit_book.cpp
@@ -1,6 +1,6 @@
 #include "rudderloom/endpoint_limits/permit_book.hpp"
 
-#include <algorithm>  // for max, min
+#include <algorithm>  // for clamp, max, min
 
 namespace rudderloom {
 
@@ -10,6 +10,10 @@
 // limit.
 constexpr double kMinRequestsPerSecond = 0.05;
 constexpr Duration kTrimInterval{10'000};
+// After a refusal for want of a slot: undecided requests have been decided by then.
+constexpr Duration kSlotRetryDelay = kRejectionDelay + Duration(5);
+constexpr std::uint32_t kDeputyShareDivisor = 3;
+constexpr double kMaxRejections = 1'000'000.0;
 
 TimePoint::duration Interval(double requests_per_second) {
   const double seconds = 1.0 / std::max(kMinRequestsPerSecond, requests_per_second);
@@ -30,19 +34,42 @@
   return "unknown";
 }
 
+std::uint32_t RejectionShare(double rejections_per_second, bool is_holder) {
+  const auto tolerated =
+      static_cast<std::uint32_t>(std::clamp(rejections_per_second, 0.0, kMaxRejections));
+  const std::uint32_t deputy_share = tolerated / kDeputyShareDivisor;
+  // An endpoint that tolerates none still gets a request at a time.
+  return is_holder ? std::max(1U, tolerated - deputy_share) : deputy_share;
+}
+
 PermitAnswer PermitBook::Ask(const PermitRequest& ask, const PermitBasis& basis, TimePoint now) {
-  if (now < basis.valid_from || now >= basis.valid_until) {
+  const bool is_early =
+      (ask.requests_per_second && now < basis.valid_from) || (ask.slot && now < basis.slots_from);
+  if (is_early || now >= basis.valid_until) {
     return {};
   }
   Trim(now);
-  TimePoint& next_at = next_at_[ask.endpoint];
-  const TimePoint start = std::max(now, next_at);
-  const auto wait = std::chrono::ceil<Duration>(start - now);
-  if (wait > std::min(ask.max_wait, kMaxPermitWait) || start >= basis.valid_until) {
-    return {PermitVerdict::kRefused, wait};
+  TimePoint start = now;
+  if (ask.requests_per_second) {
+    start = std::max(now, next_at_[ask.endpoint]);
+  }
+  PermitAnswer answer{PermitVerdict::kGranted, std::chrono::ceil<Duration>(start - now), 0};
+  if (answer.wait > std::min(ask.max_wait, kMaxPermitWait) || start >= basis.valid_until) {
+    return {PermitVerdict::kRefused, answer.wait, 0};
+  }
+  if (ask.slot) {
+    const std::uint32_t max_rejections =
+        RejectionShare(ask.slot->rejections_per_second, now >= basis.holder_share_from);
+    const auto grant = slots_.Ask(ask.endpoint, *ask.slot, max_rejections, now);
+    if (!grant) {
+      return {PermitVerdict::kRefused, kSlotRetryDelay, 0};
+    }
+    answer.grant = *grant;
+  }
+  if (ask.requests_per_second) {
+    next_at_[ask.endpoint] = start + Interval(*ask.requests_per_second * basis.fraction);
   }
-  next_at = start + Interval(ask.requests_per_second * basis.fraction);
-  return {PermitVerdict::kGranted, wait};
+  return answer;
 }
 
 void PermitBook::Trim(TimePoint now) {
--- a/src/rudderloom/fleet/fleet_limits.cpp
+++ b/src/rudderloom/fleet/fleet_limits.cpp
@@ -39,22 +39,30 @@
 
 // Returns true when this node becomes the deputy or stops being it.
 bool FleetState::UpdateDeputy(TimePoint now) {
+  if (!holds_lease_) {
+    deputy_until_holding_since_.reset();
+  }
   const bool is_deputy = !holds_lease_ && Deputy() == settings_.listen.peers;
   if (is_deputy == deputy_since_.has_value()) {
     return false;
   }
+  // A deputy that has acquired the lease keeps granting slots meanwhile.
+  deputy_until_holding_since_ = holds_lease_ ? deputy_since_ : std::nullopt;
   deputy_since_ = is_deputy ? std::optional(now) : std::nullopt;
   return true;
 }
 
 std::optional<PermitBasis> FleetState::MakePermitBasis() const {
   if (holds_lease_) {
-    return PermitBasis{held_since_ + kMaxPermitWait, lease_.ValidUntil(), 1.0};
+    const TimePoint granting_since = deputy_until_holding_since_.value_or(held_since_);
+    return PermitBasis{held_since_ + kMaxPermitWait, lease_.ValidUntil(), 1.0,
+                       granting_since + kGrantLifetime, held_since_ + kGrantLifetime};
   }
   if (!deputy_since_) {
     return std::nullopt;
   }
-  return PermitBasis{*deputy_since_ + kMaxPermitWait, TimePoint::max(), kDeputyFraction};
+  return PermitBasis{*deputy_since_ + kMaxPermitWait, TimePoint::max(), kDeputyFraction,
+                     *deputy_since_ + kGrantLifetime, TimePoint::max()};
 }
 
 // Until when this node asks the holder for permits.
--- a/src/rudderloom/forwarding/attempt.cpp
+++ b/src/rudderloom/forwarding/attempt.cpp
@@ -42,6 +42,10 @@
   Awaitable<AttemptResult> Run() {
     auto failure = co_await Connect();
     while (!failure) {
+      if (Now() > params_.send_by) {
+        link_.Release();
+        co_return PermitExpired();
+      }
       params_.on_sent();
       HttpRequest request = MakeRequest();
       link_.Send(std::move(request), params_.answer_timeout.has_value());
@@ -127,6 +131,14 @@
     return result;
   }
 
+  static AttemptResult PermitExpired() {
+    AttemptResult result;
+    result.outcome = AttemptOutcome::kNotConnected;
+    result.reason = "permit_expired";
+    result.feedback = EndpointFeedback::kNeutral;
+    return result;
+  }
+
   HttpRequest MakeRequest() const {
     const HttpRequest& original = exchange_.Request();
     HttpRequest request;
--- a/src/rudderloom/forwarding/attempt.hpp
+++ b/src/rudderloom/forwarding/attempt.hpp
@@ -42,6 +42,7 @@
   const RequestMetadata* terms = nullptr;
   const Route* route = nullptr;
   TimePoint deadline_at;
+  TimePoint send_by = TimePoint::max();  // not sent later
   CallerMetadata caller;
   std::uint32_t urgency = 0;               // only sent for model requests
   std::optional<Duration> answer_timeout;  // until the answer starts; empty: no limit
--- a/src/rudderloom/forwarding/balancer.cpp
+++ b/src/rudderloom/forwarding/balancer.cpp
@@ -73,13 +73,24 @@
   return 0.0;
 }
 
-// An endpoint that crashes from rejections gets a request only if a slot is free for it.
-bool MayReject(const BalancerQuery& query,
-               const EndpointRecord& record,
-               const EndpointLoad& load,
-               TimePoint now) {
-  return query.rejections != nullptr && query.rejections->NeedsFreeSlot(record.service, now) &&
-         load.requests >= record.slots;
+// The fewest rejections per second that an endpoint of the service has lately been observed to
+// tolerate; empty if any number.
+std::optional<double> ServiceTolerance(const FleetView& view,
+                                       const BalancerQuery& query,
+                                       const std::vector<std::uint32_t>& listed,
+                                       TimePoint now) {
+  std::optional<double> lowest;
+  if (query.limits == nullptr || !query.limits->AnyKnown()) {
+    return lowest;
+  }
+  for (const std::uint32_t index : listed) {
+    const EndpointKey key = KeyOf(view.endpoints[index].record.instance);
+    const auto tolerated = query.limits->RecentToleranceOf(key, now);
+    if (tolerated && (!lowest || *tolerated < *lowest)) {
+      lowest = tolerated;
+    }
+  }
+  return lowest;
 }
 
 std::string UnitOf(const RequestMetadata& terms) {
@@ -126,6 +137,7 @@
   for (std::size_t i = 0; i < common; ++i) {
     common_tokens += query.terms.prompt[i].tokens;
   }
+  const auto service_tolerance = ServiceTolerance(view, query, listed, now);
   Candidates found;
   std::vector<Candidate>& candidates = found.usable;
   std::optional<std::size_t> home;
@@ -155,13 +167,19 @@
       found.any_rate_limited = true;
       continue;
     }
+    Candidate candidate;
+    if (query.limits != nullptr) {
+      const EndpointKey key = KeyOf(record.instance);
+      const auto tolerated = query.limits->ToleranceOf(key);
+      candidate.tolerated_rejections = tolerated ? tolerated : service_tolerance;
+      if (candidate.tolerated_rejections &&
+          (query.skip_limited || query.limits->PermitRefused(key, now))) {
+        found.any_full = true;
+        continue;
+      }
+    }
     EndpointLoad load = own.load;
     load += listed_endpoint.other_nodes_load;
-    if (MayReject(query, record, load, now)) {
-      found.any_full = true;
-      continue;
-    }
-    Candidate candidate;
     candidate.index = index;
     candidate.rate_limited = rate_limited;
     candidate.base_cost += LimitCost(standing);
@@ -311,6 +329,7 @@
   choice.has_unlimited_alternative = std::any_of(
       candidates.begin(), candidates.end(),
       [&](const Candidate& candidate) { return !candidate.rate_limited && &candidate != &picked; });
+  choice.tolerated_rejections = picked.tolerated_rejections;
   choice.added_load.requests = 1;
   if (costs.is_model_request) {
     choice.added_load.unread_tokens = picked.unread_tokens;
--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -31,6 +31,7 @@
 // their goal.
 constexpr int kFreeSlotWaitDivisor = 2;
 constexpr Duration kFreeSlotCheckInterval{20};
+constexpr Duration kMinSlotWait{2};
 constexpr double kAnswerTimeoutGoals = 2.5;
 constexpr int kEventTimeoutPauses = 4;
 constexpr unsigned kTooManyRequests = 429;
@@ -128,7 +129,6 @@
     BalancerQuery query{service_, terms_, excluded};
     query.limits = &state_.limits;
     query.skip_limited = skip_limited;
-    query.rejections = &state_.rejections;
     query.pauses = &state_.pauses;
     query.leaving = &state_.leaving;
     return query;
@@ -143,16 +143,23 @@
     return DecideAdmission(last_choice_.forecast, *route_, Between(arrived_, Now()));
   }
 
-  // Obtains a permit if the endpoint has a rate limit. Does not wait for one if other candidates
-  // have no limit.
+  // Obtains a permit if the endpoint has a limit. Does not wait for one if other candidates have no
+  // rate limit.
   Awaitable<bool> ObtainPermit(const EndpointRecord& endpoint) {
-    if (!state_.limits.LimitOf(KeyOf(endpoint.instance))) {
+    PermitNeeds needs;
+    needs.endpoint = endpoint;
+    if (const auto tolerated = last_choice_.tolerated_rejections) {
+      needs.slot = SlotTerms{*tolerated, endpoint.slots, Between(Now(), deadline_at_)};
+    } else if (!state_.limits.LimitOf(KeyOf(endpoint.instance))) {
       co_return true;
     }
     ++permit_requests_;
     const Duration patience = Between(Now(), LatestStart());
     const Duration max_wait = last_choice_.has_unlimited_alternative ? Duration(0) : kMaxPermitWait;
-    co_return co_await AcquirePermit(state_, *guard_, endpoint, std::min(patience, max_wait));
+    needs.max_wait = std::min(patience, max_wait);
+    const AcquiredPermit permit = co_await AcquirePermit(state_, *guard_, std::move(needs));
+    slot_ = permit.may_send ? permit.slot : nullptr;
+    co_return permit.may_send;
   }
 
   // Latest useful start: shortly before the client gives up or the deadline passes.
@@ -226,12 +233,15 @@
     const TimePoint latest =
         std::min(LatestStart(), arrived_ + route_->goal / kFreeSlotWaitDivisor);
     const Duration pause = reason == NoEndpointReason::kPaused ? ShortestPause(now) : Duration(0);
-    if (state_.stopping || now + std::max(pause, kFreeSlotCheckInterval) > latest) {
+    const Duration wait =
+        std::clamp(state_.limits.MinPause(now), kMinSlotWait, kFreeSlotCheckInterval);
+    if (state_.stopping || now + std::max(pause, wait) > latest) {
       retry_delay_ = std::max(pause, kMinRetryDelay);
       co_await Refuse(ForwardRefusal::kOverloaded);
       co_return false;
     }
-    guard_->WaitTimer().expires_after(kFreeSlotCheckInterval);
+    permit_requests_ = 0;
+    guard_->WaitTimer().expires_after(wait);
     co_await guard_->WaitTimer().async_wait(kAsTuple);
     co_return !co_await HandleInterruption();
   }
@@ -292,9 +302,20 @@
     state_.balancer.RequestStarted(endpoint.instance, terms_, added_load, started);
     params.on_answer_started = [&] {
       state_.balancer.AnswerStarted(endpoint.instance, added_load);
+      if (slot_) {
+        slot_->Accepted();
+      }
     };
     params.on_connecting = [this] { attempt_connecting_ = true; };
-    params.on_sent = [this] { attempt_connecting_ = false; };
+    params.on_sent = [this] {
+      attempt_connecting_ = false;
+      if (slot_) {
+        slot_->Sent();
+      }
+    };
+    if (slot_) {
+      params.send_by = slot_->SendBy();
+    }
     attempt_instance_ = endpoint.instance;
     attempt_connecting_ = true;
     AttemptResult result;
@@ -304,6 +325,10 @@
       result = co_await RunAttempt(state_, exchange_, *guard_, std::move(params));
     }
     state_.balancer.RequestEnded(endpoint.instance, added_load, result.feedback, Now());
+    if (slot_ && result.feedback == EndpointFeedback::kShed) {
+      slot_->Rejected();
+    }
+    slot_.reset();
     if (result.not_resident) {
       state_.balancer.MarkNotResident(endpoint.instance, terms_, Now());
     }
@@ -376,11 +401,7 @@
       co_return false;
     }
     if (result.outcome == AttemptOutcome::kNotRun && result.feedback == EndpointFeedback::kShed) {
-      const TimePoint now = Now();
       RecordRejection(state_, {service_, endpoint, last_choice_.load.requests, terms_.id});
-      const Duration pause =
-          state_.rejections.PauseAfterRejection(service_, state_.views.Current()->live_nodes, now);
-      state_.pauses.Pause(KeyOf(endpoint.instance), now + pause);
     }
     ++attempts_;
     const bool not_run = result.outcome == AttemptOutcome::kNotRun;
@@ -511,7 +532,8 @@
   CallGuard* guard_ = nullptr;
   StreamState stream_;
   TriedEndpoints tried_;
-  EndpointChoice last_choice_;  // the latest chosen endpoint and what was known about it
+  std::shared_ptr<SlotUse> slot_;  // of the current attempt, if it needs one
+  EndpointChoice last_choice_;     // the latest chosen endpoint and what was known about it
   Admission admission_ = Admission::kAdmitted;
   Duration retry_delay_ = kMinRetryDelay;
   Duration waited_{0};  // time spent waiting for an endpoint that holds the model
--- a/src/rudderloom/forwarding/frontend.cpp
+++ b/src/rudderloom/forwarding/frontend.cpp
@@ -94,7 +94,8 @@
                              Metrics& metrics,
                              std::function<void(NodeCounts)> on_sample,
                              QuotaRequestFunction ask_holder,
-                             PermitRequestFunction ask_for_permit)
+                             PermitRequestFunction ask_for_permit,
+                             PermitReportFunction report_permit)
     : context_(context),
       settings_(settings),
       metrics_(metrics),
@@ -120,7 +121,8 @@
                sample_timer_.cancel();
              },
              std::move(ask_holder),
-             std::move(ask_for_permit)},
+             std::move(ask_for_permit),
+             std::move(report_permit)},
       server_(MakeServer([this](HttpExchange& exchange) { return Forward(state_, exchange); })),
       gateway_server_(
           MakeServer([this](HttpExchange& exchange) { return ForwardForNode(state_, exchange); })),
@@ -273,7 +275,6 @@
     state_.gateway_pool.Trim(gateways, Now());
     state_.gateways.Trim(Now());
     state_.reach.Trim(Now());
-    state_.rejections.Trim(Now());
     state_.pauses.Trim(Now());
     std::erase_if(state_.leaving, [now = Now()](const auto& entry) {
       return now - entry.second > kLeavingRetention;
--- a/src/rudderloom/forwarding/limit_check.cpp
+++ b/src/rudderloom/forwarding/limit_check.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-std::string TextOf(std::optional<double> requests_per_second) {
-  return requests_per_second ? std::to_string(*requests_per_second) : "none";
+std::string TextOf(std::optional<double> per_second) {
+  return per_second ? std::to_string(*per_second) : "none";
 }
 
 // Delay before an endpoint is chosen again after its permit granter gave no answer.
@@ -21,25 +21,6 @@
   return now < view.holder_permits_until ? view.quota_holder : view.deputy;
 }
 
-void RecordToleratedRejections(ForwardingState& state,
-                               const EndpointRecord& endpoint,
-                               const AnswerMetadata& answer,
-                               TimePoint sent_at) {
-  const LimitAnnouncement& tolerated = answer.tolerated_rejections;
-  if (tolerated.kind == LimitAnnouncement::Kind::kUnreadable) {
-    state.metrics.Count({"rudderloom_endpoint_limits_unreadable_total"});
-  }
-  const bool known = state.rejections.NeedsFreeSlot(endpoint.service, Now());
-  state.rejections.Answered(endpoint.service, tolerated, answer.is_signed, sent_at, Now());
-  if (state.rejections.NeedsFreeSlot(endpoint.service, Now()) != known) {
-    LogLine("endpoint_rejection_limit")
-        .With("service", endpoint.service)
-        .With("endpoint", endpoint.instance)
-        .With("rejections_per_second",
-              known ? "none" : std::to_string(tolerated.requests_per_second));
-  }
-}
-
 void RecordRetryAfter(ForwardingState& state,
                       const EndpointRecord& endpoint,
                       const AnswerMetadata& answer) {
@@ -68,21 +49,27 @@
   }
 }
 
-void RecordLimit(ForwardingState& state,
-                 const EndpointRecord& endpoint,
-                 const AnswerMetadata& answer,
-                 TimePoint sent_at) {
-  // A refusal without a limit does not mean that the endpoint has none.
-  const bool announces_none = answer.limit.kind == LimitAnnouncement::Kind::kNone;
-  if (announces_none && !answer.is_signed) {
-    return;
+// An unsigned answer may not be the endpoint's own: only a limit that it names counts.
+LimitAnnouncement Credible(LimitAnnouncement announcement, bool is_signed) {
+  if (announcement.kind == LimitAnnouncement::Kind::kNone && !is_signed) {
+    announcement.kind = LimitAnnouncement::Kind::kUnreadable;
   }
-  if (answer.limit.kind == LimitAnnouncement::Kind::kUnreadable) {
-    state.metrics.Count({"rudderloom_endpoint_limits_unreadable_total"});
-    return;
+  return announcement;
+}
+
+void RecordLimits(ForwardingState& state,
+                  const EndpointRecord& endpoint,
+                  const AnswerMetadata& answer,
+                  TimePoint sent_at) {
+  for (const LimitAnnouncement& announcement : {answer.limit, answer.tolerated_rejections}) {
+    if (announcement.kind == LimitAnnouncement::Kind::kUnreadable) {
+      state.metrics.Count({"rudderloom_endpoint_limits_unreadable_total"});
+    }
   }
+  const LimitAnnouncements announced{Credible(answer.limit, answer.is_signed),
+                                     Credible(answer.tolerated_rejections, answer.is_signed)};
   const EndpointKey key = KeyOf(endpoint.instance);
-  if (state.limits.Answered(key, answer.limit, sent_at, Now()) != LimitChange::kChanged) {
+  if (state.limits.Answered(key, announced, sent_at, Now()) != LimitChange::kChanged) {
     return;
   }
   state.sample_soon();
@@ -90,6 +77,7 @@
   LogLine("endpoint_limit")
       .With("endpoint", endpoint.instance)
       .With("requests_per_second", TextOf(state.limits.LimitOf(key)))
+      .With("rejections_per_second", TextOf(state.limits.ToleranceOf(key)))
       .With("source", "answer");
 }
 
@@ -111,10 +99,9 @@
   if (answer.wrong_instance) {
     return;
   }
-  RecordToleratedRejections(state, endpoint, answer, sent_at);
   RecordRetryAfter(state, endpoint, answer);
   RecordLeaving(state, endpoint, answer);
-  RecordLimit(state, endpoint, answer, sent_at);
+  RecordLimits(state, endpoint, answer, sent_at);
 }
 
 void RecordRejection(ForwardingState& state, const EndpointRejection& rejection) {
@@ -122,8 +109,6 @@
   const bool free_slot_known = rejection.known_requests < endpoint.slots;
   state.metrics.Count(
       {"rudderloom_endpoint_rejections_total", "known_free_slot", free_slot_known ? "yes" : "no"});
-  const std::optional<Duration> since_last =
-      state.rejections.RecordRejection(KeyOf(endpoint.instance), Now());
   if (!state.log_quota.Allows(Now())) {
     return;
   }
@@ -132,47 +117,54 @@
       .With("endpoint", endpoint.instance)
       .With("request_id", rejection.request_id)
       .With("known_requests", rejection.known_requests)
-      .With("slots", endpoint.slots)
-      .With("since_last_ms", since_last ? std::to_string(since_last->count()) : "none");
+      .With("slots", endpoint.slots);
 }
 
-Awaitable<bool> AcquirePermit(ForwardingState& state,
-                              CallGuard& guard,
-                              EndpointRecord endpoint,
-                              Duration max_wait) {
-  const EndpointKey key = KeyOf(endpoint.instance);
+Awaitable<AcquiredPermit> AcquirePermit(ForwardingState& state,
+                                        CallGuard& guard,
+                                        PermitNeeds needs) {
+  AcquiredPermit permit;
+  const EndpointKey key = KeyOf(needs.endpoint.instance);
   const std::optional<double> limit = state.limits.LimitOf(key);
-  if (!limit) {
-    co_return true;
+  if (!limit && !needs.slot) {
+    permit.may_send = true;
+    co_return permit;
   }
   const std::uint32_t nodes = state.views.Current()->live_nodes;
-  const std::string granter = PermitGranter(*state.views.Current(), Now());
+  const TimePoint asked_at = Now();
+  const std::string granter = PermitGranter(*state.views.Current(), asked_at);
   std::optional<PermitAnswer> answer;
   if (!granter.empty()) {
-    const PermitRequest ask{key, *limit, std::max(Duration(0), max_wait)};
+    const PermitRequest ask{key, limit, std::max(Duration(0), needs.max_wait), needs.slot};
     const auto send = [&](auto done) { state.ask_for_permit(granter, ask, std::move(done)); };
     answer = co_await AwaitAnswer<PermitAnswer>(state.context, send);
   }
   if (!answer || answer->verdict == PermitVerdict::kNotGranting) {
     if (state.limits.MaySendWithoutPermit(key, nodes, Now())) {
       state.metrics.Count({"rudderloom_permits_total", "result", "unasked"});
-      co_return true;
+      permit.may_send = true;
+      co_return permit;
     }
     state.metrics.Count({"rudderloom_permits_total", "result", "unanswered"});
     state.limits.Refused(key, kPermitRetryDelay, nodes, Now());
-    co_return false;
+    co_return permit;
   }
   state.limits.GranterAnswered(key);
   state.metrics.Count({"rudderloom_permits_total", "result", NameOf(answer->verdict)});
   if (answer->verdict == PermitVerdict::kRefused) {
     state.limits.Refused(key, answer->wait, nodes, Now());
-    co_return false;
+    co_return permit;
+  }
+  if (answer->grant != 0) {
+    permit.slot = std::make_shared<SlotUse>(state, granter, key, answer->grant, asked_at);
   }
   if (answer->wait > Duration(0)) {
     guard.WaitTimer().expires_after(answer->wait);
     co_await guard.WaitTimer().async_wait(kAsTuple);
   }
-  co_return guard.Cause() == Interruption::kNone&& StillUsable(state, endpoint.instance);
+  permit.may_send =
+      guard.Cause() == Interruption::kNone && StillUsable(state, needs.endpoint.instance);
+  co_return permit;
 }
 
 void CountLimitedSend(ForwardingState& state, const EndpointRecord& endpoint) {
--- a/src/rudderloom/forwarding/limit_check.hpp
+++ b/src/rudderloom/forwarding/limit_check.hpp
@@ -2,6 +2,7 @@
 #ifndef RUDDERLOOM_FORWARDING_LIMIT_CHECK_HPP
 #define RUDDERLOOM_FORWARDING_LIMIT_CHECK_HPP
 
+#include "forwarding/slot_use.hpp"              // for SlotUse
 #include "rudderloom/http/call_guard.hpp"       // for CallGuard
 #include "rudderloom/forwarding/forwarder.hpp"  // for ForwardingState
 
@@ -24,12 +25,23 @@
 
 void RecordRejection(ForwardingState& state, const EndpointRejection& rejection);
 
-// Asks for a permit if the endpoint has a limit, and waits until the request may be sent. Returns
-// false if it may not be sent or the wait was interrupted.
-Awaitable<bool> AcquirePermit(ForwardingState& state,
-                              CallGuard& guard,
-                              EndpointRecord endpoint,
-                              Duration max_wait);
+// What a request needs a permit for.
+struct PermitNeeds {
+  EndpointRecord endpoint;
+  Duration max_wait{0};
+  std::optional<SlotTerms> slot;  // set if the endpoint tolerates few rejections
+};
+
+struct AcquiredPermit {
+  bool may_send = false;
+  std::shared_ptr<SlotUse> slot;  // null if none was granted
+};
+
+// Asks for a permit if the endpoint has a limit, and waits until the request may be sent. It may
+// not be sent if none was granted or the wait was interrupted.
+Awaitable<AcquiredPermit> AcquirePermit(ForwardingState& state,
+                                        CallGuard& guard,
+                                        PermitNeeds needs);
 
 // Counts a request that is sent to an endpoint with a limit.
 void CountLimitedSend(ForwardingState& state, const EndpointRecord& endpoint);
--- /dev/null
+++ b/src/rudderloom/forwarding/slot_use.cpp
@@ -0,0 +1,40 @@
+#include "forwarding/slot_use.hpp"
+
+#include <utility>  // for move
+
+namespace rudderloom {
+
+SlotUse::SlotUse(ForwardingState& state,
+                 std::string granter,
+                 EndpointKey endpoint,
+                 GrantId grant,
+                 TimePoint asked_at)
+    : state_(state),
+      granter_(std::move(granter)),
+      endpoint_(endpoint),
+      grant_(grant),
+      asked_at_(asked_at),
+      timer_(state.context) {}
+
+SlotUse::~SlotUse() {
+  Report(outcome_);
+}
+
+void SlotUse::Sent() {
+  outcome_ = SlotOutcome::kUnknown;
+  timer_.expires_after(kRejectionDelay);
+  timer_.async_wait([weak = weak_from_this()](boost::system::error_code error) {
+    const auto self = weak.lock();
+    if (error || !self || self->outcome_ == SlotOutcome::kRejected) {
+      return;
+    }
+    self->outcome_ = SlotOutcome::kEnded;
+    self->Report(SlotOutcome::kAccepted);
+  });
+}
+
+void SlotUse::Report(SlotOutcome outcome) const {
+  state_.report_permit(granter_, {endpoint_, grant_, outcome});
+}
+
+}  // namespace rudderloom
--- a/src/rudderloom/peers/fleet_codec.cpp
+++ b/src/rudderloom/peers/fleet_codec.cpp
@@ -3,7 +3,7 @@
 #include <capnp/message.h>           // for MallocMessageBuilder
 #include <capnp/serialize-packed.h>  // for writePackedMessage, PackedMessageReader
 #include <kj/io.h>                   // for VectorOutputStream, ArrayInputStream
-#include <algorithm>                 // for min
+#include <algorithm>                 // for max, min
 #include <limits>                    // for numeric_limits
 
 #include "peers/changes_codec.hpp"        // for WriteChanges, ReadChanges
@@ -191,10 +191,15 @@
   return balances;
 }
 
+constexpr double kNoLimit = -1.0;
+
+std::optional<double> ReadRate(double rate) {
+  return rate < 0.0 ? std::nullopt : std::optional(rate);
+}
+
 void WriteLimits(std::uint64_t version,
                  const SentLimits& limits,
                  rpc::EndpointLimits::Builder out) {
-  constexpr double kNoLimit = -1.0;
   out.setVersion(version);
   auto entries = out.initLimits(limits.size());
   unsigned index = 0;
@@ -203,15 +208,16 @@
     entry.setEndpoint(endpoint);
     entry.setAgeMs(ClampTo<std::uint32_t>(static_cast<std::uint64_t>(limit.age.count())));
     entry.setRequestsPerSecond(limit.requests_per_second.value_or(kNoLimit));
+    entry.setRejectionsPerSecond(limit.rejections_per_second.value_or(kNoLimit));
   }
 }
 
 SentLimits ReadLimits(capnp::List<rpc::EndpointLimit>::Reader in) {
   SentLimits limits;
   for (const auto entry : in) {
-    const double rate = entry.getRequestsPerSecond();
-    limits[entry.getEndpoint()] = {rate < 0.0 ? std::nullopt : std::optional(rate),
-                                   Duration(entry.getAgeMs())};
+    limits[entry.getEndpoint()] = {ReadRate(entry.getRequestsPerSecond()),
+                                   Duration(entry.getAgeMs()),
+                                   ReadRate(entry.getRejectionsPerSecond())};
   }
   return limits;
 }
@@ -413,12 +419,14 @@
       break;
   }
   out.setWaitMs(ClampTo<std::uint32_t>(static_cast<std::uint64_t>(answer.wait.count())));
+  out.setGrant(answer.grant);
 }
 
 // An unknown verdict, sent by a newer version, is not a grant.
 PermitAnswer Read(rpc::PlacementHolder::PermitResults::Reader in) {
   PermitAnswer answer;
   answer.wait = Duration(in.getWaitMs());
+  answer.grant = in.getGrant();
   if (in.getVerdict() == rpc::PermitVerdict::GRANTED) {
     answer.verdict = PermitVerdict::kGranted;
   } else if (in.getVerdict() == rpc::PermitVerdict::REFUSED) {
@@ -427,4 +435,77 @@
   return answer;
 }
 
+void Write(const PermitRequest& ask, rpc::PlacementHolder::PermitParams::Builder out) {
+  out.setEndpoint(ask.endpoint);
+  out.setMostWaitMs(static_cast<std::uint32_t>(ask.max_wait.count()));
+  out.setRateLimited(ask.requests_per_second.has_value());
+  // No second contains more rejections than requests, so an earlier build keeps to the tolerance by
+  // granting that many requests.
+  const double tolerated = ask.slot ? ask.slot->rejections_per_second : kNoLimit;
+  out.setRequestsPerSecond(ask.requests_per_second.value_or(tolerated));
+  out.setRejectionsPerSecond(tolerated);
+  if (ask.slot) {
+    out.setSlots(ask.slot->slots);
+    out.setMaxHoldMs(ClampTo<std::uint32_t>(
+        static_cast<std::uint64_t>(std::max(Duration(0), ask.slot->max_hold).count())));
+  }
+}
+
+PermitRequest Read(rpc::PlacementHolder::PermitParams::Reader in) {
+  PermitRequest ask;
+  ask.endpoint = in.getEndpoint();
+  ask.max_wait = Duration(in.getMostWaitMs());
+  if (in.getRateLimited()) {
+    ask.requests_per_second = in.getRequestsPerSecond();
+  }
+  if (const auto tolerated = ReadRate(in.getRejectionsPerSecond())) {
+    ask.slot = SlotTerms{*tolerated, in.getSlots(), Duration(in.getMaxHoldMs())};
+  }
+  return ask;
+}
+
+void Write(const SlotReport& report, rpc::PlacementHolder::SlotUsedParams::Builder out) {
+  out.setEndpoint(report.endpoint);
+  out.setGrant(report.grant);
+  switch (report.outcome) {
+    case SlotOutcome::kUnsent:
+      out.setOutcome(rpc::SlotOutcome::UNSENT);
+      break;
+    case SlotOutcome::kUnknown:
+      out.setOutcome(rpc::SlotOutcome::UNKNOWN);
+      break;
+    case SlotOutcome::kAccepted:
+      out.setOutcome(rpc::SlotOutcome::ACCEPTED);
+      break;
+    case SlotOutcome::kRejected:
+      out.setOutcome(rpc::SlotOutcome::REJECTED);
+      break;
+    case SlotOutcome::kEnded:
+      out.setOutcome(rpc::SlotOutcome::ENDED);
+      break;
+  }
+}
+
+// An outcome sent by a newer version is unknown.
+SlotReport Read(rpc::PlacementHolder::SlotUsedParams::Reader in) {
+  SlotReport report{in.getEndpoint(), in.getGrant(), SlotOutcome::kUnknown};
+  switch (in.getOutcome()) {
+    case rpc::SlotOutcome::UNSENT:
+      report.outcome = SlotOutcome::kUnsent;
+      break;
+    case rpc::SlotOutcome::UNKNOWN:
+      break;
+    case rpc::SlotOutcome::ACCEPTED:
+      report.outcome = SlotOutcome::kAccepted;
+      break;
+    case rpc::SlotOutcome::REJECTED:
+      report.outcome = SlotOutcome::kRejected;
+      break;
+    case rpc::SlotOutcome::ENDED:
+      report.outcome = SlotOutcome::kEnded;
+      break;
+  }
+  return report;
+}
+
 }  // namespace rudderloom
--- a/src/rudderloom/peers/fleet_codec.hpp
+++ b/src/rudderloom/peers/fleet_codec.hpp
@@ -21,6 +21,10 @@
 
 void Write(const PermitAnswer& answer, rpc::PlacementHolder::PermitResults::Builder out);
 PermitAnswer Read(rpc::PlacementHolder::PermitResults::Reader in);
+void Write(const PermitRequest& ask, rpc::PlacementHolder::PermitParams::Builder out);
+PermitRequest Read(rpc::PlacementHolder::PermitParams::Reader in);
+void Write(const SlotReport& report, rpc::PlacementHolder::SlotUsedParams::Builder out);
+SlotReport Read(rpc::PlacementHolder::SlotUsedParams::Reader in);
 
 }  // namespace rudderloom
 
--- a/src/rudderloom/peers/fleet_codec_test.cpp
+++ b/src/rudderloom/peers/fleet_codec_test.cpp
@@ -2,6 +2,7 @@
 
 #include <capnp/message.h>    // for MallocMessageBuilder
 #include <doctest/doctest.h>  // for TEST_CASE
+#include <optional>           // for optional
 
 namespace rudderloom {
 namespace {
@@ -157,6 +158,40 @@
   }
 }
 
+TEST_CASE("permit requests and slot reports are unchanged after encoding and decoding") {
+  for (const auto& limit : {std::optional<double>(), std::optional(2.5)}) {
+    for (const auto& slot :
+         {std::optional<SlotTerms>(), std::optional(SlotTerms{4.0, 32, Duration(9'000)})}) {
+      const PermitRequest original{7, limit, Duration(400), slot};
+      capnp::MallocMessageBuilder message;
+      Write(original, message.initRoot<rpc::PlacementHolder::PermitParams>());
+      const PermitRequest decoded =
+          Read(message.getRoot<rpc::PlacementHolder::PermitParams>().asReader());
+      CHECK(decoded.endpoint == original.endpoint);
+      CHECK((limit || !slot || !decoded.requests_per_second));
+      CHECK((!limit || decoded.requests_per_second == limit));
+      CHECK(decoded.max_wait == original.max_wait);
+      CHECK(decoded.slot == original.slot);
+    }
+  }
+  for (const SlotOutcome outcome :
+       {SlotOutcome::kUnsent, SlotOutcome::kUnknown, SlotOutcome::kAccepted, SlotOutcome::kRejected,
+        SlotOutcome::kEnded}) {
+    const SlotReport original{7, 1ULL << 40U, outcome};
+    capnp::MallocMessageBuilder message;
+    Write(original, message.initRoot<rpc::PlacementHolder::SlotUsedParams>());
+    CHECK(Read(message.getRoot<rpc::PlacementHolder::SlotUsedParams>().asReader()) == original);
+  }
+}
+
+// Guards against an unbounded number of requests while an earlier build holds the lease.
+TEST_CASE("an earlier build reads the tolerated rejections as a limit on requests") {
+  capnp::MallocMessageBuilder message;
+  auto out = message.initRoot<rpc::PlacementHolder::PermitParams>();
+  Write(PermitRequest{7, std::nullopt, Duration(0), SlotTerms{4.0, 32, Duration(9'000)}}, out);
+  CHECK(out.asReader().getRequestsPerSecond() == 4.0);
+}
+
 TEST_CASE("a digest without changes, from a node that holds no lease, can be decoded") {
   capnp::MallocMessageBuilder message;
   Write(HolderDigest(), message.initRoot<rpc::Digest>());
--- a/src/rudderloom/peers/holder_link.cpp
+++ b/src/rudderloom/peers/holder_link.cpp
@@ -45,7 +45,7 @@
 using PendingPermit = PendingCall<PermitRequest, PermitCallback>;
 struct OutgoingCall {
   std::string to;  // address
-  std::variant<PendingSpend, PendingPermit> pending;
+  std::variant<PendingSpend, PendingPermit, SlotReport> pending;
 };
 
 // State shared by the owner and the event loop thread.
@@ -127,10 +127,12 @@
   }
 
   kj::Promise<void> permit(PermitContext context) override {
-    const auto params = context.getParams();
-    const PermitRequest ask{params.getEndpoint(), params.getRequestsPerSecond(),
-                            Duration(params.getMostWaitMs())};
-    Write(hooks_.on_permit(ask), context.getResults());
+    Write(hooks_.on_permit(Read(context.getParams())), context.getResults());
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> slotUsed(SlotUsedContext context) override {
+    hooks_.on_slot_report(Read(context.getParams()));
     return kj::READY_NOW;
   }
 
@@ -245,6 +247,17 @@
               });
   }
 
+  // A lost report only keeps the grant for its lifetime.
+  kj::Promise<void> Ask(const std::string& to, SlotReport report) {
+    auto sent = CallConnection(to).then([report](std::shared_ptr<PeerConnection>&& connection) {
+      auto request = connection->main.castAs<rpc::PlacementHolder>().slotUsedRequest();
+      Write(report, request);
+      return request.send().ignoreResult().attach(kj::mv(connection));
+    });
+    return timer_.timeoutAfter(ToKj(kCallTimeout), kj::mv(sent))
+        .then([]() {}, [](kj::Exception&&) {});
+  }
+
   template <class Parameters>
   auto ConnectAndCall(const std::string& to, const Parameters& parameters) {
     return CallConnection(to).then([parameters](std::shared_ptr<PeerConnection>&& connection) {
@@ -264,9 +277,7 @@
   static kj::Promise<PermitAnswer> Call(rpc::PlacementHolder::Client granter,
                                         const PermitRequest& ask) {
     auto request = granter.permitRequest();
-    request.setEndpoint(ask.endpoint);
-    request.setRequestsPerSecond(ask.requests_per_second);
-    request.setMostWaitMs(static_cast<std::uint32_t>(ask.max_wait.count()));
+    Write(ask, request);
     return request.send().then([](auto&& response) { return Read(response); });
   }
 
@@ -363,6 +374,12 @@
   impl_->WakeLoop();
 }
 
+void HolderLink::Tell(const std::string& granter, const SlotReport& report) {
+  const std::lock_guard lock(impl_->mutex);
+  impl_->calls.push_back({granter, report});
+  impl_->WakeLoop();
+}
+
 void HolderLink::Stop() {
   if (!impl_->thread.joinable()) {
     return;
--- a/tests/fakes/limited_traffic.cpp
+++ b/tests/fakes/limited_traffic.cpp
@@ -140,7 +140,7 @@
     announcement = {LimitAnnouncement::Kind::kLimited, limit};
   }
   const TimePoint sent = world_.Time() - Duration(world_.Now() - sent_at);
-  sender.watch.Answered(kEndpoint, announcement, sent, world_.Time());
+  sender.watch.Answered(kEndpoint, {announcement}, sent, world_.Time());
   const EndpointLimits observed = sender.watch.Take();
   if (!observed.empty()) {
     world_.Observe(node, ToSentLimits(observed, world_.Time()));
