Read endpoints' software versions, and log streams that go on

For the incident of streams at two software versions: the version in an endpoint's entry was checked and dropped, and no line told that a stream was sent on, by its client or within one answer. EndpointRecord carries the version, also between nodes, and stream_resumed names the request, the attempt that began the stream, the version that began it as far as this node knows, and the version that it goes on at.

--- a/include/rudderloom/fleet/endpoint_record.hpp
+++ b/include/rudderloom/fleet/endpoint_record.hpp
@@ -52,6 +52,7 @@
   std::string service;
   std::string address;  ///< IP address and port; may be reassigned to another endpoint later.
   std::string availability_zone;
+  std::string software_version;  ///< Empty: not known. Of the endpoint's software, not of weights.
   std::uint32_t slots = 1;
   bool leaving = false;
   std::uint64_t orders_taken = 0;  ///< Number of orders accepted since the process started.
--- a/include/rudderloom/forwarding/header_codec.hpp
+++ b/include/rudderloom/forwarding/header_codec.hpp
@@ -36,6 +36,8 @@
   bool declares_tokens = false;   ///< True when the request declares its token counts.
   std::uint64_t token_limit = 0;  ///< Declared bound on prompt plus answer tokens.
   std::vector<PromptPart> prompt;
+  bool resumes_stream = false;  ///< The client takes up a stream that broke off.
+  std::string began_as;  ///< Id of the client's attempt that began this stream; empty: not named.
   std::optional<KeyDigest> key;  ///< Digest of the API key; empty for none or several.
 };
 
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -112,6 +112,7 @@
   slots @4 :UInt32;
   leaving @5 :Bool;
   born @6 :UInt64;  # start of the process, by its own clock, in milliseconds; 0 where it tells none
+  softwareVersion @7 :Text;  # empty: not known to the sender
 }
 
 # What changed in the list since a revision.
--- a/src/rudderloom/forwarding/attempt.cpp
+++ b/src/rudderloom/forwarding/attempt.cpp
@@ -337,6 +337,9 @@
       co_return true;
     }
     params_.stream->started = true;
+    if (params_.stream->software_version.empty()) {
+      params_.stream->software_version = params_.endpoint.software_version;
+    }
     const AnswerHead& head = link_.Connection().Head();
     const auto type = head[http::field::content_type];
     co_return co_await exchange_.StartStream(status_, std::string(type), EndToEndHeaders(head));
--- a/src/rudderloom/forwarding/attempt.hpp
+++ b/src/rudderloom/forwarding/attempt.hpp
@@ -34,7 +34,8 @@
   bool started = false;  // the answer header was sent to the client
   EventSequence sequence;
   StreamPace pace;
-  std::string weights_version;  // of the first attempt
+  std::string weights_version;   // of the first attempt
+  std::string software_version;  // of the endpoint that began it; empty: not known
 };
 
 struct AttemptParams {
--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -316,6 +316,10 @@
     if (slot_) {
       params.send_by = slot_->SendBy();
     }
+    const bool resumed = terms_.resumes_stream || stream_.started;
+    if (resumed && state_.log_quota.Allows(started)) {
+      LogResumedStream({terms_, endpoint, stream_.software_version});
+    }
     attempt_instance_ = endpoint.instance;
     attempt_connecting_ = true;
     AttemptResult result;
--- a/src/rudderloom/forwarding/request_end.cpp
+++ b/src/rudderloom/forwarding/request_end.cpp
@@ -35,6 +35,15 @@
       .With("ms", failed.since_arrival.count());
 }
 
+void LogResumedStream(const ResumedStream& resumed) {
+  LogLine("stream_resumed")
+      .With("request_id", resumed.terms.id)
+      .With("began_as", resumed.terms.resumes_stream ? resumed.terms.began_as : resumed.terms.id)
+      .With("began_at", resumed.began_at)
+      .With("endpoint", resumed.endpoint.instance)
+      .With("software_version", resumed.endpoint.software_version);
+}
+
 void LogRequestEnd(const RequestEnd& end, TimePoint arrived, TimePoint now) {
   LogLine line("request_ended");
   line.With("request_id", end.terms.id)
--- a/src/rudderloom/forwarding/request_end.hpp
+++ b/src/rudderloom/forwarding/request_end.hpp
@@ -43,6 +43,15 @@
 
 void LogFailedAttempt(const FailedAttempt& failed);
 
+// A stream that is sent on to an endpoint after its first event.
+struct ResumedStream {
+  const RequestMetadata& terms;
+  const EndpointRecord& endpoint;
+  std::string began_at;  // software version that began it; empty: not known
+};
+
+void LogResumedStream(const ResumedStream& resumed);
+
 void LogRequestEnd(const RequestEnd& end, TimePoint arrived, TimePoint now);
 
 }  // namespace rudderloom
--- a/src/rudderloom/peers/fleet_codec.cpp
+++ b/src/rudderloom/peers/fleet_codec.cpp
@@ -76,6 +76,7 @@
   out.setService(record.service);
   out.setAddress(record.address);
   out.setAvailabilityZone(record.availability_zone);
+  out.setSoftwareVersion(record.software_version);
   out.setSlots(record.slots);
   out.setLeaving(record.leaving);
 }
@@ -88,6 +89,7 @@
   record.service = in.getService().cStr();
   record.address = in.getAddress().cStr();
   record.availability_zone = in.getAvailabilityZone().cStr();
+  record.software_version = in.getSoftwareVersion();
   record.slots = in.getSlots();
   record.leaving = in.getLeaving();
   record.includes_models = false;
--- a/src/rudderloom/peers/fleet_codec_test.cpp
+++ b/src/rudderloom/peers/fleet_codec_test.cpp
@@ -27,6 +27,7 @@
     record.service = "scribe-pool";
     record.address = "10.3.64." + std::to_string(i % 200) + ":8429";
     record.availability_zone = "surrey-c";
+    record.software_version = "v1.2";
     record.slots = 32;
     record.leaving = i % 7 == 0;
     record.includes_models = false;
