--- a/tests/process/fleet_cluster.cpp
+++ b/tests/process/fleet_cluster.cpp
@@ -96,12 +96,13 @@
 Program& FleetCluster::StartEngine(const std::string& instance,
                                    const std::string& models,
                                    int slots,
-                                   Duration event_time) {
+                                   Duration event_time,
+                                   const std::string& version) {
   endpoints_.push_back(instance);
   return StartStandin(
       instance, {"engine", "--store", At("store").Address(), "--instance", instance, "--service",
                  "pool", "--models", models, "--memory-mb", "200", "--slots", std::to_string(slots),
-                 "--work-ms", std::to_string(event_time.count())});
+                 "--work-ms", std::to_string(event_time.count()), "--version", version});
 }
 
 Program& FleetCluster::StartPlainService(const std::string& instance,
--- a/tests/process/fleet_cluster.hpp
+++ b/tests/process/fleet_cluster.hpp
@@ -45,7 +45,8 @@
   Program& StartEngine(const std::string& instance,
                        const std::string& models,
                        int slots = 8,
-                       Duration event_time = Duration(10));
+                       Duration event_time = Duration(10),
+                       const std::string& version = "v1");
   /// @brief Starts a plain service. The id of a service that has ended restarts it.
   Program& StartPlainService(const std::string& instance, const PlainServiceOptions& options = {});
   /// @brief Starts an entry node. `group_size` is the number of nodes per relay.
