Let streams go on only at the software version that began them

Class: what binds an answer to its beginning was known to one process, and not even to it.

Change: a node that is about to have a stream begun tells the lease holder and its standbys the version, before the first event arrives, while the service has or lately had several versions; streams under way are told when the second one appears. A stream that is taken up goes on at the version that this node, or one of those, knows, and within one answer at that of its first event. With a single version within the last minute nothing is asked. What can't be known, or has no endpoint left, is refused at once, without a time to come back. Calls to several nodes keep their connections.

--- a/include/rudderloom/fleet/fleet_view.hpp
+++ b/include/rudderloom/fleet/fleet_view.hpp
@@ -10,14 +10,15 @@
 #include <string>     // for string
 #include <vector>     // for vector
 
-#include "rudderloom/endpoint_limits/endpoint_limit.hpp"  // for EndpointLimitsPtr
-#include "rudderloom/fleet/endpoint_key.hpp"              // for EndpointKey
-#include "rudderloom/fleet/endpoint_record.hpp"           // for EndpointRecord
-#include "rudderloom/fleet/gateway.hpp"                   // for GatewayList
-#include "rudderloom/placement/load_forecast.hpp"         // for LoadForecastPtr
-#include "rudderloom/quarantine/crash_news.hpp"           // for QuarantineListPtr
-#include "rudderloom/quota/spending.hpp"                  // for QuotaSnapshotPtr
-#include "rudderloom/routes/route_table.hpp"              // for RouteTablePtr
+#include "rudderloom/endpoint_limits/endpoint_limit.hpp"    // for EndpointLimitsPtr
+#include "rudderloom/fleet/endpoint_key.hpp"                // for EndpointKey
+#include "rudderloom/fleet/endpoint_record.hpp"             // for EndpointRecord
+#include "rudderloom/fleet/gateway.hpp"                     // for GatewayList
+#include "rudderloom/placement/load_forecast.hpp"           // for LoadForecastPtr
+#include "rudderloom/quarantine/crash_news.hpp"             // for QuarantineListPtr
+#include "rudderloom/quota/spending.hpp"                    // for QuotaSnapshotPtr
+#include "rudderloom/routes/route_table.hpp"                // for RouteTablePtr
+#include "rudderloom/stream_versions/service_versions.hpp"  // for VersionsByService
 
 namespace rudderloom {
 
@@ -61,7 +62,9 @@
   RouteTablePtr routes;                  ///< Null before the first configuration.
   std::vector<FleetEndpoint> endpoints;  ///< Those that may get new requests.
   std::map<std::string, std::vector<std::uint32_t>, std::less<>>
-      by_service;                ///< Indices into `endpoints`.
+      by_service;  ///< Indices into `endpoints`.
+  /// @brief Of all known endpoints, also of those that get no new requests.
+  VersionsByService software_versions;
   std::uint32_t live_nodes = 1;  ///< Entry nodes that share limits, including this one.
   bool endpoints_known = false;  ///< The platform's list has been read.
   QuotaSnapshotPtr quota;        ///< Customer balances; null before the first are received.
@@ -73,6 +76,7 @@
   /// does.
   TimePoint holder_permits_until;
   std::string deputy;             ///< Address of the holder's deputy; empty: unknown.
+  std::vector<std::string> standbys;  ///< Addresses of the nodes that may take the lease over.
   LoadForecastPtr load_forecast;  ///< Null: no forecast.
   GatewayList gateways;           ///< Known only while this node lacks links to endpoints.
   QuarantineListPtr quarantine;   ///< Requests that crash the endpoints that run them; null: none.
--- a/include/rudderloom/forwarding/balancer.hpp
+++ b/include/rudderloom/forwarding/balancer.hpp
@@ -31,6 +31,7 @@
   /// @brief Instances that are leaving; null for none.
   const std::map<std::string, TimePoint>* leaving = nullptr;
   const EndpointPauses* pauses = nullptr;  ///< Null when no endpoint is paused.
+  std::string software_version = {};       ///< That the endpoint must have; empty: any.
 };
 
 /// @brief Why no endpoint can take a request.
--- a/include/rudderloom/forwarding/forwarder.hpp
+++ b/include/rudderloom/forwarding/forwarder.hpp
@@ -11,23 +11,25 @@
 #include <string>      // for string
 #include <vector>      // for vector
 
-#include "rudderloom/base/log_rate_limiter.hpp"            // for LogRateLimiter
-#include "rudderloom/endpoint_limits/endpoint_pauses.hpp"  // for EndpointPauses
-#include "rudderloom/endpoint_limits/limit_watch.hpp"      // for LimitWatch
-#include "rudderloom/endpoint_limits/permit_book.hpp"      // for PermitRequest
-#include "rudderloom/forwarding/balancer.hpp"              // for Balancer
-#include "rudderloom/http/call_guard.hpp"                  // for CallGuards
-#include "rudderloom/forwarding/endpoint_connection.hpp"   // for ConnectionPool
-#include "rudderloom/forwarding/endpoint_reach.hpp"        // for EndpointReach
-#include "rudderloom/forwarding/gateway_choice.hpp"        // for GatewayChoice
-#include "rudderloom/forwarding/missing_units.hpp"         // for MissingUnits
-#include "rudderloom/forwarding/retry_budget.hpp"          // for RetryBudget
-#include "rudderloom/forwarding/view_source.hpp"           // for ViewSource
-#include "rudderloom/http/server.hpp"                      // for HttpExchange
-#include "rudderloom/placement/demand.hpp"                 // for UnitCount
-#include "rudderloom/quarantine/crash_watch.hpp"           // for CrashWatch
-#include "rudderloom/quota/quota_account.hpp"              // for QuotaAccount
-#include "rudderloom/telemetry/metrics.hpp"                // for Metrics
+#include "rudderloom/base/log_rate_limiter.hpp"             // for LogRateLimiter
+#include "rudderloom/endpoint_limits/endpoint_pauses.hpp"   // for EndpointPauses
+#include "rudderloom/endpoint_limits/limit_watch.hpp"       // for LimitWatch
+#include "rudderloom/endpoint_limits/permit_book.hpp"       // for PermitRequest
+#include "rudderloom/forwarding/balancer.hpp"               // for Balancer
+#include "rudderloom/http/call_guard.hpp"                   // for CallGuards
+#include "rudderloom/forwarding/endpoint_connection.hpp"    // for ConnectionPool
+#include "rudderloom/forwarding/endpoint_reach.hpp"         // for EndpointReach
+#include "rudderloom/forwarding/gateway_choice.hpp"         // for GatewayChoice
+#include "rudderloom/forwarding/missing_units.hpp"          // for MissingUnits
+#include "rudderloom/forwarding/retry_budget.hpp"           // for RetryBudget
+#include "rudderloom/forwarding/view_source.hpp"            // for ViewSource
+#include "rudderloom/http/server.hpp"                       // for HttpExchange
+#include "rudderloom/placement/demand.hpp"                  // for UnitCount
+#include "rudderloom/quarantine/crash_watch.hpp"            // for CrashWatch
+#include "rudderloom/quota/quota_account.hpp"               // for QuotaAccount
+#include "rudderloom/stream_versions/service_versions.hpp"  // for ServiceVersions
+#include "rudderloom/stream_versions/version_book.hpp"      // for VersionBook
+#include "rudderloom/telemetry/metrics.hpp"                 // for Metrics
 
 namespace rudderloom {
 
@@ -56,6 +58,29 @@
 /// @ingroup forwarding
 using PermitReportFunction = std::function<void(const std::string& granter, const SlotReport&)>;
 
+/// @brief Tells the node at the given address at which software versions streams begin.
+/// @ingroup forwarding
+using StreamReportFunction = std::function<void(const std::string& node, const StreamStarts&)>;
+
+/// @brief Asks the node at the given address at which software version a stream began. The callback
+/// may run on any thread; it receives an empty value if no answer came, and an empty version if the
+/// node doesn't know it.
+/// @ingroup forwarding
+using StreamQueryFunction =
+    std::function<void(const std::string& node,
+                       const std::string& began_as,
+                       std::function<void(std::optional<std::string>)> done)>;
+
+/// @brief Calls to other nodes.
+/// @ingroup forwarding
+struct PeerCalls {
+  QuotaRequestFunction ask_for_quota;
+  PermitRequestFunction ask_for_permit;
+  PermitReportFunction report_permit;
+  StreamReportFunction report_streams;
+  StreamQueryFunction ask_stream_version;
+};
+
 /// @brief A request that was sent to an endpoint and has no answer yet.
 /// @ingroup forwarding
 struct PendingAnswer {
@@ -99,9 +124,7 @@
   /// @brief Requests an early sample for the control state: after a request for a model or adapter
   /// that no endpoint holds, or when an endpoint has ended.
   std::function<void()> sample_soon;
-  QuotaRequestFunction ask_holder;
-  PermitRequestFunction ask_for_permit;
-  PermitReportFunction report_permit;
+  PeerCalls peers;
   /// @brief Upper bound on the deadline of requests that arrive during a planned stop.
   TimePoint stop_deadline = TimePoint::max();
   /// @brief Planned stop: the load balancer has been given its notice. Requests on open connections
@@ -109,6 +132,9 @@
   bool notice_over = false;
   CallGuards guards = {};  ///< Guards of the requests in flight.
   EndpointPauses pauses = {};
+  ServiceVersions versions = {};
+  VersionBook own_streams = {};            ///< That this node began.
+  std::vector<std::string> standbys = {};  ///< The last ones known, by address.
   /// @brief Instances that have told this node that they are leaving, and when they last did. The
   /// platform's list may tell it later, or never.
   std::map<std::string, TimePoint> leaving = {};
@@ -125,6 +151,11 @@
 /// @ingroup forwarding
 Awaitable<void> Forward(ForwardingState& state, HttpExchange& exchange);
 
+/// @brief Called for each new view. Once a service has several software versions, the nodes that
+/// keep starts of streams are told of those that began before.
+/// @ingroup forwarding
+void ObserveVersions(ForwardingState& state, const FleetView& view);
+
 }  // namespace rudderloom
 
 #endif
--- a/include/rudderloom/forwarding/frontend.hpp
+++ b/include/rudderloom/forwarding/frontend.hpp
@@ -19,9 +19,7 @@
                 const HeaderCodec& dialect,
                 Metrics& metrics,
                 std::function<void(NodeCounts)> on_sample,
-                QuotaRequestFunction ask_holder,
-                PermitRequestFunction ask_for_permit,
-                PermitReportFunction report_permit);
+                PeerCalls peers);
 
   /// @brief Starts listening and returns the bound addresses. Reports not ready until a
   /// configuration and the endpoints are known.
--- a/include/rudderloom/peers/holder_link.hpp
+++ b/include/rudderloom/peers/holder_link.hpp
@@ -9,10 +9,11 @@
 #include <optional>    // for optional
 #include <string>      // for string
 
-#include "rudderloom/dissemination/digest.hpp"         // for HolderDigest
-#include "rudderloom/endpoint_limits/permit_book.hpp"  // for PermitRequest
-#include "rudderloom/placement/demand.hpp"             // for NodeCounts
-#include "rudderloom/quota/grant_book.hpp"             // for SpendRequest
+#include "rudderloom/dissemination/digest.hpp"          // for HolderDigest
+#include "rudderloom/endpoint_limits/permit_book.hpp"   // for PermitRequest
+#include "rudderloom/placement/demand.hpp"              // for NodeCounts
+#include "rudderloom/quota/grant_book.hpp"              // for SpendRequest
+#include "rudderloom/stream_versions/version_book.hpp"  // for StreamStarts
 
 namespace rudderloom {
 
@@ -31,6 +32,11 @@
   std::function<PermitAnswer(const PermitRequest&)> on_permit;
   /// @brief Called with what became of a request that this node granted. Must not block.
   std::function<void(const SlotReport&)> on_slot_report;
+  /// @brief Called when another node is about to begin streams. Must not block.
+  std::function<void(const StreamStarts&)> on_streams_begin;
+  /// @brief Returns the software version at which a stream began; empty if this node doesn't know.
+  /// Must not block.
+  std::function<std::string(const std::string& began_as)> stream_version;
   /// @brief Called when the report to the node at `to` failed.
   std::function<void(const std::string& to, std::uint64_t number)> on_failure;
 };
@@ -44,6 +50,16 @@
 /// @ingroup peers
 using PermitCallback = std::function<void(std::optional<PermitAnswer>)>;
 
+/// @brief A question for the software version at which a stream began.
+/// @ingroup peers
+struct StreamQuery {
+  std::string began_as;  ///< Id of the client's attempt.
+};
+
+/// @brief Receives the version; empty if the call failed. Called on the link's thread.
+/// @ingroup peers
+using StreamQueryCallback = std::function<void(std::optional<std::string>)>;
+
 /// @brief Runs a Cap'n Proto event loop on its own thread.
 /// @ingroup peers
 class HolderLink {
@@ -76,6 +92,12 @@
   /// from any thread.
   void Tell(const std::string& granter, const SlotReport& report);
 
+  /// @brief Tells the node at this address which streams begin. May be called from any thread.
+  void Tell(const std::string& node, const StreamStarts& starts);
+
+  /// @brief Asks the node at this address at which version a stream began. See the first overload.
+  void Ask(const std::string& node, const StreamQuery& query, StreamQueryCallback done);
+
   /// @brief Stops the event loop. No hook is called afterwards, and pending callbacks are
   /// destroyed.
   void Stop();
--- /dev/null
+++ b/include/rudderloom/stream_versions/version_book.hpp
@@ -0,0 +1,61 @@
+/// @file
+/// Software versions at which streams began.
+#ifndef RUDDERLOOM_STREAM_VERSIONS_VERSION_BOOK_HPP
+#define RUDDERLOOM_STREAM_VERSIONS_VERSION_BOOK_HPP
+
+#include <deque>          // for deque
+#include <string>         // for string
+#include <unordered_map>  // for unordered_map
+#include <vector>         // for vector
+
+#include "rudderloom/base/clock.hpp"  // for TimePoint
+
+namespace rudderloom {
+
+/// @brief A stream and the software version of the endpoint that began it.
+/// @ingroup stream_versions
+struct StreamStart {
+  std::string began_as;  ///< Id of the client's attempt.
+  std::string software_version;
+
+  bool operator==(const StreamStart&) const = default;
+};
+
+/// @brief Several starts, in the order in which they were recorded.
+/// @ingroup stream_versions
+using StreamStarts = std::vector<StreamStart>;
+
+/// @brief Remembers at which version streams began, longer than streams take. Does no I/O; time is
+/// passed in.
+/// @ingroup stream_versions
+class VersionBook {
+ public:
+  /// @brief Records a start; a later one of the same attempt replaces it.
+  void Record(const StreamStart& start, TimePoint now);
+
+  /// @brief Returns the version at which a stream began; empty if it is not known.
+  std::string Find(const std::string& began_as) const;
+
+  /// @brief Returns everything that is still remembered.
+  StreamStarts All() const;
+
+  /// @brief Drops expired entries.
+  void Trim(TimePoint now);
+
+ private:
+  struct Entry {
+    std::string software_version;
+    TimePoint recorded_at;
+  };
+  struct Recorded {
+    std::string began_as;
+    TimePoint at;
+  };
+
+  std::unordered_map<std::string, Entry> entries_;  // by the id of the client's attempt
+  std::deque<Recorded> order_;                      // a replaced entry stands in it twice
+};
+
+}  // namespace rudderloom
+
+#endif
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -300,6 +300,11 @@
   ended @4;
 }
 
+struct StreamStart {
+  beganAs @0 :Text;  # id of the client's attempt
+  softwareVersion @1 :Text;
+}
+
 interface PlacementHolder {
   report @0 (counts :NodeCounts) -> (digest :Digest);
   # May a customer's request of this amount run? `waitMs`: until one may, when it is refused.
@@ -314,4 +319,8 @@
              maxHoldMs :UInt32)
       -> (verdict :PermitVerdict, waitMs :UInt32, grant :UInt64);
   slotUsed @3 (endpoint :UInt32, grant :UInt64, outcome :SlotOutcome) -> ();
+  # Streams of which an endpoint is about to send the first event, and its software version.
+  streamsBegin @4 (streams :List(StreamStart)) -> ();
+  # At which software version did the stream begin? Empty: not known.
+  streamVersion @5 (beganAs :Text) -> (softwareVersion :Text);
 }
--- a/src/rudderloom/app/fleet_daemon.cpp
+++ b/src/rudderloom/app/fleet_daemon.cpp
@@ -56,15 +56,7 @@
             [this](NodeCounts counts) {
               actor_->Post(fleet_message::NodeSampled{std::move(counts)});
             },
-            [this](const std::string& holder, const SpendRequest& ask, SpendCallback done) {
-              RequestSpend(holder, ask, std::move(done));
-            },
-            [this](const std::string& granter, const PermitRequest& ask, PermitCallback done) {
-              RequestPermit(granter, ask, std::move(done));
-            },
-            [this](const std::string& granter, const SlotReport& report) {
-              ReportSlot(granter, report);
-            }),
+            MakePeerCalls()),
         shell_(control_context_,
                settings_,
                platform::MakeFormats(),
@@ -158,6 +150,29 @@
     }
   }
 
+  PeerCalls MakePeerCalls() {
+    PeerCalls peers;
+    peers.ask_for_quota = [this](const std::string& holder, const SpendRequest& ask,
+                                 SpendCallback done) {
+      RequestSpend(holder, ask, std::move(done));
+    };
+    peers.ask_for_permit = [this](const std::string& granter, const PermitRequest& ask,
+                                  PermitCallback done) {
+      RequestPermit(granter, ask, std::move(done));
+    };
+    peers.report_permit = [this](const std::string& granter, const SlotReport& report) {
+      ReportSlot(granter, report);
+    };
+    peers.report_streams = [this](const std::string& node, const StreamStarts& starts) {
+      ReportStreams(node, starts);
+    };
+    peers.ask_stream_version = [this](const std::string& node, const std::string& began_as,
+                                      StreamQueryCallback done) {
+      RequestStreamVersion(node, began_as, std::move(done));
+    };
+    return peers;
+  }
+
   HolderLinkHooks LinkHooks() {
     HolderLinkHooks hooks;
     hooks.on_counts = [this](NodeCounts counts) {
@@ -177,6 +192,8 @@
     hooks.on_spend = [this](const SpendRequest& ask) { return AnswerSpend(ask); };
     hooks.on_permit = [this](const PermitRequest& ask) { return AnswerPermit(ask); };
     hooks.on_slot_report = [this](const SlotReport& report) { RecordSlotReport(report); };
+    hooks.on_streams_begin = [this](const StreamStarts& starts) { RecordStreams(starts); };
+    hooks.stream_version = [this](const std::string& began_as) { return StreamVersion(began_as); };
     hooks.on_failure = [this](const std::string& to, std::uint64_t number) {
       metrics_.Count({"rudderloom_holder_reports_failed_total"});
       actor_->Post(fleet_message::ReportFailed{to, number});
@@ -240,6 +257,36 @@
     permits_.Report(report, Now());
   }
 
+  void ReportStreams(const std::string& node, const StreamStarts& starts) {
+    if (node == settings_.listen.peers) {
+      RecordStreams(starts);
+    } else {
+      link_.Tell(node, starts);
+    }
+  }
+
+  void RecordStreams(const StreamStarts& starts) {
+    const std::lock_guard lock(streams_mutex_);
+    for (const StreamStart& start : starts) {
+      streams_.Record(start, Now());
+    }
+  }
+
+  void RequestStreamVersion(const std::string& node,
+                            const std::string& began_as,
+                            StreamQueryCallback done) {
+    if (node == settings_.listen.peers) {
+      done(StreamVersion(began_as));
+    } else {
+      link_.Ask(node, StreamQuery{began_as}, std::move(done));
+    }
+  }
+
+  std::string StreamVersion(const std::string& began_as) {
+    const std::lock_guard lock(streams_mutex_);
+    return streams_.Find(began_as);
+  }
+
   CallObserver CountStoreCalls() {
     return [this](std::string_view verb, std::string_view kind, std::size_t bytes) {
       const std::string call = std::string(verb) + " " + std::string(kind);
@@ -340,6 +387,8 @@
   std::shared_ptr<const DigestSource> statement_;
   GrantBook grants_;    // guarded by statement_mutex_
   PermitBook permits_;  // guarded by statement_mutex_
+  std::mutex streams_mutex_;
+  VersionBook streams_;  // that other nodes began; guarded by streams_mutex_
   std::atomic<bool> released_{false};
   std::unique_ptr<FleetActor> actor_;
   StoreCallLog tally_;  // used only on the control context's thread
--- a/src/rudderloom/endpoint_limits/limit_watch_test.cpp
+++ b/src/rudderloom/endpoint_limits/limit_watch_test.cpp
@@ -20,22 +20,24 @@
 
 TEST_CASE("an announced limit holds until a later request's answer announces none") {
   LimitWatch watch(0.0);
-  CHECK(watch.Answered(kEndpoint, {Kind::kNone, 0.0}, At(0), At(5)) == LimitChange::kNone);
-  CHECK(watch.Answered(kEndpoint, {Kind::kLimited, 2.5}, At(10), At(20)) == LimitChange::kChanged);
+  CHECK(watch.Answered(kEndpoint, {{Kind::kNone, 0.0}}, At(0), At(5)) == LimitChange::kNone);
+  CHECK(watch.Answered(kEndpoint, {{Kind::kLimited, 2.5}}, At(10), At(20)) ==
+        LimitChange::kChanged);
   CHECK(watch.LimitOf(kEndpoint) == 2.5);
   CHECK(watch.LimitStateOf(kEndpoint, kNodes, At(21)) == LimitState::kLimited);
   // Sent before the limit was received: its answer may have been written before the limit began.
-  watch.Answered(kEndpoint, {Kind::kNone, 0.0}, At(15), At(30));
+  watch.Answered(kEndpoint, {{Kind::kNone, 0.0}}, At(15), At(30));
   CHECK(watch.LimitOf(kEndpoint) == 2.5);
-  watch.Answered(kEndpoint, {Kind::kNone, 0.0}, At(25), At(40));
+  watch.Answered(kEndpoint, {{Kind::kNone, 0.0}}, At(25), At(40));
   CHECK(!watch.LimitOf(kEndpoint));
   CHECK(watch.LimitStateOf(kEndpoint, kNodes, At(41)) == LimitState::kUnlimited);
 }
 
 TEST_CASE("an unreadable limit changes nothing") {
   LimitWatch watch(0.0);
-  watch.Answered(kEndpoint, {Kind::kLimited, 2.5}, At(0), At(5));
-  CHECK(watch.Answered(kEndpoint, {Kind::kUnreadable, 0.0}, At(10), At(15)) == LimitChange::kNone);
+  watch.Answered(kEndpoint, {{Kind::kLimited, 2.5}}, At(0), At(5));
+  CHECK(watch.Answered(kEndpoint, {{Kind::kUnreadable, 0.0}}, At(10), At(15)) ==
+        LimitChange::kNone);
   CHECK(watch.LimitOf(kEndpoint) == 2.5);
 }
 
@@ -84,7 +86,7 @@
   LimitWatch watch(0.0);
   watch.Received(std::make_shared<const EndpointLimits>(EndpointLimits{{kEndpoint, {4.0, At(0)}}}));
   CHECK(watch.LimitOf(kEndpoint) == 4.0);
-  watch.Answered(kEndpoint, {Kind::kLimited, 1.0}, At(0), At(10));
+  watch.Answered(kEndpoint, {{Kind::kLimited, 1.0}}, At(0), At(10));
   watch.Received(std::make_shared<const EndpointLimits>(EndpointLimits{{kEndpoint, {9.0, At(5)}}}));
   CHECK(watch.LimitOf(kEndpoint) == 1.0);
   watch.Received(
@@ -94,7 +96,7 @@
 
 TEST_CASE("an endpoint pauses after a refused permit and is tried after silence") {
   LimitWatch watch(0.5);
-  watch.Answered(kEndpoint, {Kind::kLimited, 1.0}, At(0), At(0));
+  watch.Answered(kEndpoint, {{Kind::kLimited, 1.0}}, At(0), At(0));
   watch.Refused(kEndpoint, Duration(300), kNodes, At(10));
   CHECK(watch.LimitStateOf(kEndpoint, kNodes, At(309)) == LimitState::kRefused);
   CHECK(watch.MinWait(At(10)) == Duration(300));
@@ -104,7 +106,7 @@
   CHECK(watch.LimitStateOf(kEndpoint, 100, At(2'309)) == LimitState::kRefused);
   CHECK(watch.MinWait(At(310)) == Duration(300));
   CHECK(watch.MinPause(At(310)) == Duration(2'000));
-  watch.Answered(kEndpoint, {Kind::kLimited, 1.0}, At(2'310), At(2'310));
+  watch.Answered(kEndpoint, {{Kind::kLimited, 1.0}}, At(2'310), At(2'310));
   CHECK(watch.LimitStateOf(kEndpoint, kNodes, At(4'460)) == LimitState::kLimited);
   CHECK(watch.LimitStateOf(kEndpoint, kNodes, At(4'461)) == LimitState::kUnobserved);
 }
@@ -135,7 +137,7 @@
 
 TEST_CASE("each observation is reported once, and unlisted endpoints are removed") {
   LimitWatch watch(0.0);
-  watch.Answered(kEndpoint, {Kind::kLimited, 1.0}, At(0), At(0));
+  watch.Answered(kEndpoint, {{Kind::kLimited, 1.0}}, At(0), At(0));
   CHECK(watch.Take().size() == 1);
   CHECK(watch.Take().empty());
   watch.Trim([](EndpointKey) { return true; }, At(60'000));
--- a/src/rudderloom/fleet/fleet_limits.cpp
+++ b/src/rudderloom/fleet/fleet_limits.cpp
@@ -30,11 +30,17 @@
   limits_.Expire([&](EndpointKey endpoint) { return listed.contains(endpoint); }, now);
 }
 
-// The first of the standbys. All nodes know it from the holder's digest.
+// The nodes that may take the lease over. All nodes know them from the holder's digest.
+const std::vector<std::string>& FleetState::Standbys() const {
+  static const std::vector<std::string> kNone;
+  if (holds_lease_) {
+    return roster_ ? roster_->StandbyAddresses() : kNone;
+  }
+  return received_ ? received_->digest.standby_addresses : kNone;
+}
+
 std::string FleetState::Deputy() const {
-  return received_ && !received_->digest.standby_addresses.empty()
-             ? received_->digest.standby_addresses.front()
-             : std::string();
+  return Standbys().empty() ? std::string() : Standbys().front();
 }
 
 // Returns true when this node becomes the deputy or stops being it.
--- a/src/rudderloom/fleet/fleet_state.cpp
+++ b/src/rudderloom/fleet/fleet_state.cpp
@@ -319,11 +319,15 @@
   view->limits = limits_.ForTraffic();
   view->holder_permits_until = HolderPermitsUntil();
   view->deputy = Deputy();
+  view->standbys = Standbys();
   view->gateways = Gateways();
   view->load_forecast = CurrentForecast(now);
   const LoadTable loads = OtherLoads(now);
   const bool placed = holds_lease_ || DigestFresh(now);
   for (const auto& [instance, known] : directory_.Endpoints()) {
+    if (!known.record.software_version.empty()) {
+      view->software_versions[known.record.service].insert(known.record.software_version);
+    }
     if (known.record.leaving) {
       continue;
     }
--- a/src/rudderloom/forwarding/balancer.cpp
+++ b/src/rudderloom/forwarding/balancer.cpp
@@ -145,7 +145,9 @@
   for (const std::uint32_t index : listed) {
     const FleetEndpoint& listed_endpoint = view.endpoints[index];
     const EndpointRecord& record = listed_endpoint.record;
-    if (!Holds(record, query.terms)) {
+    const bool other_version =
+        !query.software_version.empty() && record.software_version != query.software_version;
+    if (other_version || !Holds(record, query.terms)) {
       continue;
     }
     if (query.pauses != nullptr && query.pauses->Paused(KeyOf(record.instance), now)) {
--- a/src/rudderloom/forwarding/forward_refusal.cpp
+++ b/src/rudderloom/forwarding/forward_refusal.cpp
@@ -30,6 +30,8 @@
       return "time_up";
     case ForwardRefusal::kEndpointLimit:
       return "endpoint_limit";
+    case ForwardRefusal::kStreamVersion:
+      return "stream_version";
     case ForwardRefusal::kQuarantined:
       return "quarantined";
   }
--- a/src/rudderloom/forwarding/forward_refusal.hpp
+++ b/src/rudderloom/forwarding/forward_refusal.hpp
@@ -20,6 +20,7 @@
   kBroken,            // the last endpoint may have run the request but gave no complete answer
   kDeadlineExceeded,  // the client's deadline or the route's timeout passed
   kEndpointLimit,     // all candidate endpoints have reached their rate limit
+  kStreamVersion,     // no endpoint can go on with the stream at the version that began it
   kQuarantined,       // endpoints crashed while running it
 };
 
--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -1,6 +1,6 @@
 #include "rudderloom/forwarding/forwarder.hpp"
 
-#include <algorithm>  // for clamp, max, min
+#include <algorithm>  // for clamp, max, min, none_of
 #include <optional>   // for optional
 #include <utility>    // for move
 
@@ -10,6 +10,7 @@
 #include "forwarding/forward_refusal.hpp"  // for ForwardRefusal
 #include "forwarding/limit_check.hpp"      // for AcquirePermit
 #include "forwarding/request_end.hpp"      // for LogRequestEnd, LogFailedAttempt
+#include "forwarding/stream_version.hpp"   // for FindStreamVersion
 #include "forwarding/request_samples.hpp"  // for RecordServiceTimes, OfferedTime
 #include "forwarding/tried_endpoints.hpp"  // for TriedEndpoints
 #include "rudderloom/http/call_guard.hpp"  // for CallGuard
@@ -64,7 +65,12 @@
                     [this] { return MayAbandonEndpoint(); });
     guard_ = &guard;
     exchange_.WatchPeer([&guard] { guard.ClientDisconnected(); });
-    co_await TryEndpoints();
+    const bool may_go_on = co_await MayGoOn();
+    if (may_go_on) {
+      co_await TryEndpoints();
+    } else {
+      co_await Refuse(ForwardRefusal::kStreamVersion);
+    }
     exchange_.StopWatching();
     guard_ = nullptr;
   }
@@ -79,6 +85,16 @@
     }
   }
 
+  // False if the client takes a stream up of which no version is known.
+  Awaitable<bool> MayGoOn() {
+    if (!terms_.resumes_stream) {
+      co_return true;
+    }
+    const auto version = co_await FindStreamVersion(state_, service_, terms_.began_as);
+    stream_.software_version = version.value_or("");
+    co_return version.has_value();
+  }
+
   // Tries endpoints until one has answered or no further attempt makes sense.
   Awaitable<void> TryEndpoints() {
     while (true) {
@@ -131,9 +147,31 @@
     query.skip_limited = skip_limited;
     query.pauses = &state_.pauses;
     query.leaving = &state_.leaving;
+    if (GoesOn()) {
+      query.software_version = stream_.software_version;
+    }
     return query;
   }
 
+  // The client has events of this stream.
+  bool GoesOn() const { return terms_.resumes_stream || stream_.started; }
+
+  // No endpoint of the version that began the stream can take it.
+  bool VersionGone() const {
+    if (!GoesOn() || stream_.software_version.empty() || tried_.AnyUnreachable() ||
+        tried_.AnyFull()) {
+      return false;
+    }
+    const FleetViewPtr view = state_.views.Current();
+    return std::none_of(view->endpoints.begin(), view->endpoints.end(),
+                        [&](const FleetEndpoint& endpoint) {
+                          const EndpointRecord& record = endpoint.record;
+                          return record.service == service_ &&
+                                 record.software_version == stream_.software_version &&
+                                 FindModel(record.models, terms_.model) != nullptr;
+                        });
+  }
+
   // Decides about admission of a model request. Requests that have started or been attempted are
   // not refused.
   Admission CheckAdmission() const {
@@ -211,6 +249,10 @@
     if (reason == NoEndpointReason::kFull || reason == NoEndpointReason::kPaused) {
       co_return co_await AwaitFreeSlot(reason);
     }
+    if (VersionGone()) {
+      co_await Refuse(ForwardRefusal::kStreamVersion);
+      co_return false;
+    }
     const bool may_become_resident = !terms_.model.empty() && !state_.stopping;
     const TimePoint expected_at = may_become_resident ? ExpectedResidency() : TimePoint::max();
     if (!may_become_resident || expected_at > LatestStart() || Now() >= LatestStart()) {
@@ -316,9 +358,12 @@
     if (slot_) {
       params.send_by = slot_->SendBy();
     }
-    const bool resumed = terms_.resumes_stream || stream_.started;
-    if (resumed && state_.log_quota.Allows(started)) {
-      LogResumedStream({terms_, endpoint, stream_.software_version});
+    if (GoesOn()) {
+      if (state_.log_quota.Allows(started)) {
+        LogResumedStream({terms_, endpoint, stream_.software_version});
+      }
+    } else if (route_->kind == RouteKind::kStream) {
+      RecordStreamStart(state_, service_, {terms_.id, endpoint.software_version});
     }
     attempt_instance_ = endpoint.instance;
     attempt_connecting_ = true;
@@ -481,7 +526,8 @@
   // Delay after which a retry is likely to be served.
   std::optional<Duration> RetryDelay(ForwardRefusal refusal, unsigned status) const {
     const bool not_run = status == kUnavailable || status == kTooManyRequests;
-    if (!not_run) {
+    // Nobody will know more of the stream later.
+    if (!not_run || refusal == ForwardRefusal::kStreamVersion) {
       return std::nullopt;
     }
     if (refusal == ForwardRefusal::kStopping) {
--- a/src/rudderloom/forwarding/frontend.cpp
+++ b/src/rudderloom/forwarding/frontend.cpp
@@ -93,9 +93,7 @@
                              const HeaderCodec& dialect,
                              Metrics& metrics,
                              std::function<void(NodeCounts)> on_sample,
-                             QuotaRequestFunction ask_holder,
-                             PermitRequestFunction ask_for_permit,
-                             PermitReportFunction report_permit)
+                             PeerCalls peers)
     : context_(context),
       settings_(settings),
       metrics_(metrics),
@@ -120,9 +118,7 @@
                sample_requested_ = true;
                sample_timer_.cancel();
              },
-             std::move(ask_holder),
-             std::move(ask_for_permit),
-             std::move(report_permit)},
+             std::move(peers)},
       server_(MakeServer([this](HttpExchange& exchange) { return Forward(state_, exchange); })),
       gateway_server_(
           MakeServer([this](HttpExchange& exchange) { return ForwardForNode(state_, exchange); })),
@@ -205,6 +201,7 @@
   metrics_.Set({"rudderloom_quarantined_requests"},
                view->quarantine ? static_cast<double>(view->quarantine->quarantined.size()) : 0.0);
   state_.views.SetView(std::move(view));
+  ObserveVersions(state_, *state_.views.Current());
 }
 
 void FleetFrontend::BeginStop(TimePoint stop_deadline) {
@@ -276,6 +273,7 @@
     state_.gateways.Trim(Now());
     state_.reach.Trim(Now());
     state_.pauses.Trim(Now());
+    state_.own_streams.Trim(Now());
     std::erase_if(state_.leaving, [now = Now()](const auto& entry) {
       return now - entry.second > kLeavingRetention;
     });
--- a/src/rudderloom/forwarding/limit_check.cpp
+++ b/src/rudderloom/forwarding/limit_check.cpp
@@ -136,7 +136,7 @@
   std::optional<PermitAnswer> answer;
   if (!granter.empty()) {
     const PermitRequest ask{key, limit, std::max(Duration(0), needs.max_wait), needs.slot};
-    const auto send = [&](auto done) { state.ask_for_permit(granter, ask, std::move(done)); };
+    const auto send = [&](auto done) { state.peers.ask_for_permit(granter, ask, std::move(done)); };
     answer = co_await AwaitAnswer<PermitAnswer>(state.context, send);
   }
   if (!answer || answer->verdict == PermitVerdict::kNotGranting) {
--- a/src/rudderloom/forwarding/quota_grant.cpp
+++ b/src/rudderloom/forwarding/quota_grant.cpp
@@ -47,7 +47,7 @@
     co_return WaitOf(decision);
   }
   const auto ask = [this, granter](auto done) {
-    state_.ask_holder(granter, spend_, std::move(done));
+    state_.peers.ask_for_quota(granter, spend_, std::move(done));
   };
   const auto answer = co_await AwaitAnswer<SpendAnswer>(state_.context, ask);
   if (answer && answer->verdict == SpendVerdict::kGranted) {
--- a/src/rudderloom/forwarding/slot_use.cpp
+++ b/src/rudderloom/forwarding/slot_use.cpp
@@ -34,7 +34,7 @@
 }
 
 void SlotUse::Report(SlotOutcome outcome) const {
-  state_.report_permit(granter_, {endpoint_, grant_, outcome});
+  state_.peers.report_permit(granter_, {endpoint_, grant_, outcome});
 }
 
 }  // namespace rudderloom
--- a/src/rudderloom/peers/fleet_codec.cpp
+++ b/src/rudderloom/peers/fleet_codec.cpp
@@ -510,4 +510,22 @@
   return report;
 }
 
+void Write(const StreamStarts& starts, rpc::PlacementHolder::StreamsBeginParams::Builder out) {
+  auto streams = out.initStreams(static_cast<unsigned>(starts.size()));
+  unsigned index = 0;
+  for (const StreamStart& start : starts) {
+    auto stream = streams[index++];
+    stream.setBeganAs(start.began_as);
+    stream.setSoftwareVersion(start.software_version);
+  }
+}
+
+StreamStarts Read(rpc::PlacementHolder::StreamsBeginParams::Reader in) {
+  StreamStarts starts;
+  for (const auto stream : in.getStreams()) {
+    starts.push_back({stream.getBeganAs().cStr(), stream.getSoftwareVersion().cStr()});
+  }
+  return starts;
+}
+
 }  // namespace rudderloom
--- a/src/rudderloom/peers/holder_link.cpp
+++ b/src/rudderloom/peers/holder_link.cpp
@@ -4,6 +4,7 @@
 #include <kj/async-io.h>   // for AsyncIoProvider
 #include <kj/timer.h>      // for Timer
 #include <future>          // for promise
+#include <map>             // for map
 #include <mutex>           // for mutex
 #include <optional>        // for optional
 #include <thread>          // for thread
@@ -20,6 +21,8 @@
 
 // The caller waits for this call. Between two availability zones it takes about 5 ms.
 constexpr Duration kCallTimeout{150};
+// Calls go to the holder and its standbys; others have been one of them before.
+constexpr std::size_t kMaxCallConnections = 16;
 
 using WakeFulfiller = kj::Own<kj::CrossThreadPromiseFulfiller<void>>;
 
@@ -43,9 +46,10 @@
 };
 using PendingSpend = PendingCall<SpendRequest, SpendCallback>;
 using PendingPermit = PendingCall<PermitRequest, PermitCallback>;
+using PendingStreamQuery = PendingCall<StreamQuery, StreamQueryCallback>;
 struct OutgoingCall {
   std::string to;  // address
-  std::variant<PendingSpend, PendingPermit, SlotReport> pending;
+  std::variant<PendingSpend, PendingPermit, PendingStreamQuery, SlotReport, StreamStarts> pending;
 };
 
 // State shared by the owner and the event loop thread.
@@ -131,6 +135,17 @@
     return kj::READY_NOW;
   }
 
+  kj::Promise<void> streamsBegin(StreamsBeginContext context) override {
+    hooks_.on_streams_begin(Read(context.getParams()));
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> streamVersion(StreamVersionContext context) override {
+    const std::string version = hooks_.stream_version(context.getParams().getBeganAs().cStr());
+    context.getResults().setSoftwareVersion(version);
+    return kj::READY_NOW;
+  }
+
   kj::Promise<void> slotUsed(SlotUsedContext context) override {
     hooks_.on_slot_report(Read(context.getParams()));
     return kj::READY_NOW;
@@ -241,21 +256,39 @@
     auto shared_call = std::make_shared<Pending>(std::move(pending));
     return timer_.timeoutAfter(ToKj(kCallTimeout), ConnectAndCall(to, shared_call->parameters))
         .then([shared_call](auto&& answer) { shared_call->done(answer); },
-              [this, shared_call](kj::Exception&&) {
-                call_connection_ = nullptr;
+              [this, to, shared_call](kj::Exception&&) {
+                call_connections_.erase(to);
                 shared_call->done(std::nullopt);
               });
   }
 
   // A lost report only keeps the grant for its lifetime.
   kj::Promise<void> Ask(const std::string& to, SlotReport report) {
-    auto sent = CallConnection(to).then([report](std::shared_ptr<PeerConnection>&& connection) {
-      auto request = connection->main.castAs<rpc::PlacementHolder>().slotUsedRequest();
+    return Tell(to, [report](rpc::PlacementHolder::Client granter) {
+      auto request = granter.slotUsedRequest();
       Write(report, request);
-      return request.send().ignoreResult().attach(kj::mv(connection));
+      return request.send().ignoreResult();
     });
+  }
+
+  // Streams of a lost report can't be taken up at other nodes.
+  kj::Promise<void> Ask(const std::string& to, StreamStarts starts) {
+    return Tell(to, [starts = std::move(starts)](rpc::PlacementHolder::Client node) {
+      auto request = node.streamsBeginRequest();
+      Write(starts, request);
+      return request.send().ignoreResult();
+    });
+  }
+
+  template <class Send>
+  kj::Promise<void> Tell(const std::string& to, Send send) {
+    auto sent = CallConnection(to).then(
+        [send = std::move(send)](std::shared_ptr<PeerConnection>&& connection) {
+          auto told = send(connection->main.castAs<rpc::PlacementHolder>());
+          return told.attach(kj::mv(connection));
+        });
     return timer_.timeoutAfter(ToKj(kCallTimeout), kj::mv(sent))
-        .then([]() {}, [](kj::Exception&&) {});
+        .then([]() {}, [this, to](kj::Exception&&) { call_connections_.erase(to); });
   }
 
   template <class Parameters>
@@ -281,16 +314,25 @@
     return request.send().then([](auto&& response) { return Read(response); });
   }
 
-  // Calls share one connection. Reports use a separate one, because they may go to a relay.
-  kj::Promise<std::shared_ptr<PeerConnection>> CallConnection(const std::string& holder) {
-    if (call_connection_ == nullptr || call_address_ != holder) {
-      call_address_ = holder;
-      call_connection_ = ConnectToPeer(network_, holder).fork();
-    }
-    KJ_IF_MAYBE (connection, call_connection_) {
-      return connection->addBranch();
+  static kj::Promise<std::string> Call(rpc::PlacementHolder::Client node,
+                                       const StreamQuery& query) {
+    auto request = node.streamVersionRequest();
+    request.setBeganAs(query.began_as);
+    return request.send().then(
+        [](auto&& response) { return std::string(response.getSoftwareVersion().cStr()); });
+  }
+
+  // Calls to one node share a connection. Reports use a separate one, because they may go to a
+  // relay.
+  kj::Promise<std::shared_ptr<PeerConnection>> CallConnection(const std::string& to) {
+    auto found = call_connections_.find(to);
+    if (found == call_connections_.end()) {
+      if (call_connections_.size() >= kMaxCallConnections) {
+        call_connections_.clear();
+      }
+      found = call_connections_.emplace(to, ConnectToPeer(network_, to).fork()).first;
     }
-    KJ_UNREACHABLE;
+    return found->second.addBranch();
   }
 
   Impl& impl_;
@@ -298,8 +340,7 @@
   kj::Network& network_;
   std::shared_ptr<PeerConnection> report_connection_;
   std::string report_address_;
-  kj::Maybe<kj::ForkedPromise<std::shared_ptr<PeerConnection>>> call_connection_;
-  std::string call_address_;
+  std::map<std::string, kj::ForkedPromise<std::shared_ptr<PeerConnection>>> call_connections_;
   kj::TaskSet tasks_;
 };
 
@@ -380,6 +421,18 @@
   impl_->WakeLoop();
 }
 
+void HolderLink::Tell(const std::string& node, const StreamStarts& starts) {
+  const std::lock_guard lock(impl_->mutex);
+  impl_->calls.push_back({node, starts});
+  impl_->WakeLoop();
+}
+
+void HolderLink::Ask(const std::string& node, const StreamQuery& query, StreamQueryCallback done) {
+  const std::lock_guard lock(impl_->mutex);
+  impl_->calls.push_back({node, PendingStreamQuery{query, std::move(done)}});
+  impl_->WakeLoop();
+}
+
 void HolderLink::Stop() {
   if (!impl_->thread.joinable()) {
     return;
--- /dev/null
+++ b/src/rudderloom/stream_versions/version_book.cpp
@@ -0,0 +1,44 @@
+#include "rudderloom/stream_versions/version_book.hpp"
+
+namespace rudderloom {
+
+namespace {
+
+// Longer than any stream and its client's attempts to take it up.
+constexpr Duration kRetention{60'000};
+constexpr std::size_t kMaxEntries = 200'000;
+
+}  // namespace
+
+void VersionBook::Record(const StreamStart& start, TimePoint now) {
+  Trim(now);
+  entries_[start.began_as] = {start.software_version, now};
+  order_.push_back({start.began_as, now});
+}
+
+std::string VersionBook::Find(const std::string& began_as) const {
+  const auto found = entries_.find(began_as);
+  return found == entries_.end() ? std::string() : found->second.software_version;
+}
+
+StreamStarts VersionBook::All() const {
+  StreamStarts starts;
+  starts.reserve(entries_.size());
+  for (const auto& [began_as, entry] : entries_) {
+    starts.push_back({began_as, entry.software_version});
+  }
+  return starts;
+}
+
+void VersionBook::Trim(TimePoint now) {
+  while (!order_.empty() &&
+         (now - order_.front().at >= kRetention || order_.size() > kMaxEntries)) {
+    const auto entry = entries_.find(order_.front().began_as);
+    if (entry != entries_.end() && entry->second.recorded_at == order_.front().at) {
+      entries_.erase(entry);
+    }
+    order_.pop_front();
+  }
+}
+
+}  // namespace rudderloom
