--- a/include/rudderloom/fleet/fleet_state.hpp
+++ b/include/rudderloom/fleet/fleet_state.hpp
@@ -136,7 +136,7 @@
   std::shared_ptr<const QuarantineTable> MakeQuarantineTable(TimePoint now) const;
   void RecordLimits(const SentLimits& limits, TimePoint now);
   void ExpireLimits(TimePoint now);
-  const std::vector<std::string>& Standbys() const;
+  std::vector<std::string> Standbys() const;
   std::string Deputy() const;
   bool UpdateDeputy(TimePoint now);
   std::optional<PermitBasis> MakePermitBasis() const;
--- a/include/rudderloom/fleet/fleet_view.hpp
+++ b/include/rudderloom/fleet/fleet_view.hpp
@@ -75,11 +75,11 @@
   /// @brief Until then the holder issues permits for endpoints with limits; afterwards its deputy
   /// does.
   TimePoint holder_permits_until;
-  std::string deputy;             ///< Address of the holder's deputy; empty: unknown.
+  std::string deputy;                 ///< Address of the holder's deputy; empty: unknown.
   std::vector<std::string> standbys;  ///< Addresses of the nodes that may take the lease over.
-  LoadForecastPtr load_forecast;  ///< Null: no forecast.
-  GatewayList gateways;           ///< Known only while this node lacks links to endpoints.
-  QuarantineListPtr quarantine;   ///< Requests that crash the endpoints that run them; null: none.
+  LoadForecastPtr load_forecast;      ///< Null: no forecast.
+  GatewayList gateways;               ///< Known only while this node lacks links to endpoints.
+  QuarantineListPtr quarantine;  ///< Requests that crash the endpoints that run them; null: none.
 };
 
 /// @brief Shared pointer to an immutable view.
--- a/src/rudderloom/fleet/fleet_limits.cpp
+++ b/src/rudderloom/fleet/fleet_limits.cpp
@@ -31,16 +31,16 @@
 }
 
 // The nodes that may take the lease over. All nodes know them from the holder's digest.
-const std::vector<std::string>& FleetState::Standbys() const {
-  static const std::vector<std::string> kNone;
+std::vector<std::string> FleetState::Standbys() const {
   if (holds_lease_) {
-    return roster_ ? roster_->StandbyAddresses() : kNone;
+    return roster_ ? roster_->StandbyAddresses() : std::vector<std::string>();
   }
-  return received_ ? received_->digest.standby_addresses : kNone;
+  return received_ ? received_->digest.standby_addresses : std::vector<std::string>();
 }
 
 std::string FleetState::Deputy() const {
-  return Standbys().empty() ? std::string() : Standbys().front();
+  const std::vector<std::string> standbys = Standbys();
+  return standbys.empty() ? std::string() : standbys.front();
 }
 
 // Returns true when this node becomes the deputy or stops being it.
