Tests: a rejection counts while slots are free again

Mutating the book so that a rejected request no longer counts was not caught: the model's accepted requests never ended, so the learned room alone held the bound. slot_book_test has the case in which only the count holds it, and the model's accepted requests may end.

--- a/src/rudderloom/endpoint_limits/slot_book_test.cpp
+++ b/src/rudderloom/endpoint_limits/slot_book_test.cpp
@@ -84,6 +84,23 @@
   CHECK(granter.Ask(1'020));
 }
 
+// Guards against room that shrinks just after a rejection.
+TEST_CASE("a rejection counts also while fewer requests run than the endpoint has accepted") {
+  Granter granter;
+  std::vector<GrantId> accepted;
+  for (int i = 0; i < 3; ++i) {
+    accepted.push_back(*granter.Ask(0));
+    granter.Report(accepted.back(), SlotOutcome::kAccepted, 0);
+  }
+  granter.Report(*granter.Ask(10), SlotOutcome::kRejected, 10);
+  for (const GrantId grant : accepted) {
+    granter.Report(grant, SlotOutcome::kEnded, 20);
+  }
+  CHECK(granter.Ask(20));
+  CHECK(granter.Ask(20));
+  CHECK(!granter.Ask(20));
+}
+
 TEST_CASE("a request whose connection broke may still be rejected") {
   Granter granter;
   const auto grant = granter.Ask(0);
--- a/src/rudderloom/endpoint_limits/slot_model_test.cpp
+++ b/src/rudderloom/endpoint_limits/slot_model_test.cpp
@@ -34,6 +34,7 @@
   Outcome outcome = Outcome::kRejected;
   bool report_lost = false;
   int report_delay = 0;
+  int ends_after = -1;  // its acceptance; -1: it goes on
 };
 
 // The holder, its deputy, which takes the lease over at `takeover_at`, and the deputy after that.
@@ -61,6 +62,11 @@
       const SlotOutcome outcome = rejected ? SlotOutcome::kRejected : SlotOutcome::kAccepted;
       reports_.emplace(answered_at + attempt.report_delay,
                        std::pair(granter, SlotReport{kEndpoint, answer.grant, outcome}));
+      if (!rejected && attempt.ends_after >= 0) {
+        reports_.emplace(
+            answered_at + attempt.report_delay + attempt.ends_after,
+            std::pair(granter, SlotReport{kEndpoint, answer.grant, SlotOutcome::kEnded}));
+      }
     }
   }
 
@@ -182,7 +188,8 @@
       attempt.answered_after = below(kRejectionDelayMs + 1);
       attempt.outcome = below(100) < rejected_percent ? Outcome::kRejected : Outcome::kAccepted;
       attempt.report_lost = below(4) == 0;
-      attempt.report_delay = below(300);
+      attempt.report_delay = below(2) == 0 ? 0 : below(300);
+      attempt.ends_after = below(2) == 0 ? -1 : below(100);
       fleet.Play(attempt);
     }
     CAPTURE(seed);
