Log the parts of failed prompts, and the ends of endpoints that count

A line on a failed attempt names the request as a whole, and nothing says whether the end of an endpoint that a node saw was counted or dropped.

Change: `attempt_failed` names the parts of the prompt but the last, in hex; `endpoint_end` and rudderloom_endpoint_ends_total{result} tell `counted` or `dropped`. No decision changes.

--- a/src/rudderloom/forwarding/crash_check.cpp
+++ b/src/rudderloom/forwarding/crash_check.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>  // for exchange
 
+#include "rudderloom/base/log_line.hpp"          // for LogLine
 #include "rudderloom/http/connection_probe.hpp"  // for AwaitConnectionRefusal
 
 namespace rudderloom {
@@ -17,6 +18,13 @@
   }
 }
 
+void RecordEndResult(ForwardingState& state, const std::string& instance, std::string_view result) {
+  state.metrics.Count({"rudderloom_endpoint_ends_total", "result", result});
+  if (state.log_quota.Allows(Now())) {
+    LogLine("endpoint_end").With("endpoint", instance).With("result", result);
+  }
+}
+
 Awaitable<void> CheckListening(ForwardingState& state, EndpointRecord endpoint) {
   const bool ended = co_await AwaitConnectionRefusal(state.context, endpoint.address, kProbeTimeout,
                                                      Now() + kCrashWindow);
@@ -40,6 +48,7 @@
 void RecordEndpointEnd(ForwardingState& state, const EndpointRecord& endpoint) {
   const TimePoint now = Now();
   if (state.reach.CutOff()) {
+    RecordEndResult(state, endpoint.instance, "dropped");
     return;
   }
   state.unconfirmed_ends.push_back({endpoint.instance, now});
@@ -51,11 +60,18 @@
 
 void ConfirmEndpointEnds(ForwardingState& state) {
   for (const UnconfirmedEnd& end : std::exchange(state.unconfirmed_ends, {})) {
+    RecordEndResult(state, end.instance, "counted");
     state.crashes.Ended(end.instance, end.seen_at);
   }
   RequestSampleIfNews(state);
 }
 
+void DropEndpointEnds(ForwardingState& state) {
+  for (const UnconfirmedEnd& end : std::exchange(state.unconfirmed_ends, {})) {
+    RecordEndResult(state, end.instance, "dropped");
+  }
+}
+
 void RecordAnswered(ForwardingState& state, const RequestDigest& request) {
   state.crashes.Answered(request, state.views.Current()->quarantine);
   RequestSampleIfNews(state);
--- a/src/rudderloom/forwarding/crash_check.hpp
+++ b/src/rudderloom/forwarding/crash_check.hpp
@@ -20,6 +20,9 @@
 // Counts the ends recorded so far, as an endpoint was reached.
 void ConfirmEndpointEnds(ForwardingState& state);
 
+// Drops the ends that are not counted, as this node has lost its links.
+void DropEndpointEnds(ForwardingState& state);
+
 // Records a complete answer, which clears the request of suspicion of crashing endpoints.
 void RecordAnswered(ForwardingState& state, const RequestDigest& request);
 
--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -431,8 +431,8 @@
       co_return false;
     }
     if (state_.log_quota.Allows(Now())) {
-      LogFailedAttempt({terms_.id, checks_.Digest(), endpoint.instance, result.reason, result.error,
-                        result.status, result.retry_after, attempts_ + 1,
+      LogFailedAttempt({terms_.id, checks_.Digest(), terms_.prompt, endpoint.instance, result.reason,
+                        result.error, result.status, result.retry_after, attempts_ + 1,
                         Between(arrived_, Now())});
     }
     const bool answered = co_await HandleInterruption();
--- a/src/rudderloom/forwarding/reach_watch.cpp
+++ b/src/rudderloom/forwarding/reach_watch.cpp
@@ -33,7 +33,7 @@
 void HandleCutOff(ForwardingState& state) {
   SetReachable(state, false);
   state.pool.Clear();
-  state.unconfirmed_ends.clear();
+  DropEndpointEnds(state);
   const TimePoint now = Now();
   // Expiring a deadline may end the wait and remove its entry.
   std::vector<CallGuard*> withdrawn;
--- a/src/rudderloom/forwarding/request_end.cpp
+++ b/src/rudderloom/forwarding/request_end.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/request_end.hpp"
 
+#include <sstream>  // for ostringstream
+
 #include "rudderloom/base/log_line.hpp"  // for LogLine
 
 namespace rudderloom {
@@ -18,6 +20,16 @@
       .With("waited_ms", end.waited.count());
 }
 
+// All parts but the last, which no other request has.
+std::string TextOf(const std::vector<PromptPart>& prompt) {
+  std::ostringstream text;
+  text << std::hex;
+  for (std::size_t i = 0; i + 1 < prompt.size(); ++i) {
+    text << (i == 0 ? "" : ",") << prompt[i].id;
+  }
+  return text.str();
+}
+
 }  // namespace
 
 void LogFailedAttempt(const FailedAttempt& failed) {
@@ -27,6 +39,7 @@
   }
   line.With("request_id", failed.request_id)
       .With("request", TextOf(failed.request))
+      .With("prompt", TextOf(failed.prompt))
       .With("endpoint", failed.endpoint)
       .With("reason", failed.reason)
       .With("error", failed.error)
--- a/src/rudderloom/forwarding/request_end.hpp
+++ b/src/rudderloom/forwarding/request_end.hpp
@@ -4,6 +4,7 @@
 
 #include <string>       // for string
 #include <string_view>  // for string_view
+#include <vector>       // for vector
 
 #include "forwarding/attempt.hpp"                    // for StreamPace
 #include "rudderloom/forwarding/balancer.hpp"        // for EndpointChoice
@@ -32,6 +33,7 @@
 struct FailedAttempt {
   std::string_view request_id;   // of this attempt of the client
   const RequestDigest& request;  // equal for all attempts of the client
+  const std::vector<PromptPart>& prompt;
   std::string_view endpoint;
   std::string_view reason;
   std::string_view error;               // network error message; empty for none
