Tests: prompt parts that crash engines, and crashes taken for lost links, failing

What callers saw: requests with one part in their prompts go on crashing engines, and the sound ones beside them aren't served.

A seventh test kills services one after another and looks for ends that nodes drop.

--- a/tests/process/fleet_cluster.cpp
+++ b/tests/process/fleet_cluster.cpp
@@ -102,7 +102,8 @@
   return StartStandin(
       instance, {"engine", "--store", At("store").Address(), "--instance", instance, "--service",
                  "pool", "--models", models, "--memory-mb", "200", "--slots", std::to_string(slots),
-                 "--work-ms", std::to_string(event_time.count()), "--version", version});
+                 "--work-ms", std::to_string(event_time.count()), "--version", version,
+                 "--crash-parts", crash_parts_});
 }
 
 Program& FleetCluster::StartPlainService(const std::string& instance,
@@ -182,7 +183,7 @@
   if (!call.model.empty()) {
     request.set("Model", call.model);
     request.set("Token-Count", "10,40");
-    request.set("Prompt-Prefix", "ab:6,cd:4");
+    request.set("Prompt-Prefix", call.prompt);
   }
   CallTimeouts timeouts;
   timeouts.first_byte = Duration(10'000);
@@ -216,6 +217,10 @@
   return SendAll({call}).at(call.id);
 }
 
+void FleetCluster::Spawn(Awaitable<void> task) {
+  asio::co_spawn(Context(), std::move(task), asio::detached);
+}
+
 unsigned FleetCluster::ReadyStatus(const std::string& node) {
   return Cluster::Call(At(node).Address(1), "/readyz").status;
 }
--- a/tests/process/fleet_cluster.hpp
+++ b/tests/process/fleet_cluster.hpp
@@ -17,6 +17,7 @@
   std::string model;       ///< Empty for a plain service; `model/adapter` for an adapter.
   Duration send_after{0};  ///< When to send it, from the start of SendAll().
   std::string body = "body";
+  std::string prompt = "ab:6,cd:4";  ///< Parts of a model's prompt, as `ID:TOKENS` in hex.
 };
 
 /// @brief How a plain service behaves.
@@ -47,6 +48,9 @@
                        int slots = 8,
                        Duration event_time = Duration(10),
                        const std::string& version = "v1");
+  /// @brief Makes the engines that are started from now on end when they begin to answer a prompt
+  /// with one of these parts, other than the last.
+  void CrashEnginesOn(std::string parts) { crash_parts_ = std::move(parts); }
   /// @brief Starts a plain service. The id of a service that has ended restarts it.
   Program& StartPlainService(const std::string& instance, const PlainServiceOptions& options = {});
   /// @brief Starts an entry node. `group_size` is the number of nodes per relay.
@@ -59,6 +63,9 @@
   /// @brief Sends each request after its delay and waits for all responses, by request id.
   std::map<std::string, Response> SendAll(const std::vector<FleetRequest>& calls);
   Response Send(const FleetRequest& call);
+  /// @brief Runs a coroutine whenever this waits for a response.
+  void Spawn(Awaitable<void> task);
+  using Cluster::Context;
 
   /// @brief Overwrites the settings file of a node with invalid settings.
   void WriteInvalidSettings(const std::string& node);
@@ -76,6 +83,7 @@
   Program& StartStandin(const std::string& instance, std::vector<std::string> arguments);
   std::string NodeOf(const LoopbackPorts& connection);
 
+  std::string crash_parts_;
   std::vector<std::string> endpoints_;
   std::vector<std::string> nodes_;
   bool uses_link_proxies_ = false;
--- a/tests/process/partition_test.cpp
+++ b/tests/process/partition_test.cpp
@@ -2,6 +2,7 @@
 #include <doctest/doctest.h>  // for TEST_CASE
 
 #include "process/fleet_cluster.hpp"  // for FleetCluster
+#include "rudderloom/http/pause.hpp"  // for PauseFor
 
 namespace rudderloom::tests {
 namespace {
@@ -162,6 +163,48 @@
   CheckServedDuringCut(cluster, {FindOtherNode(cluster)}, LinkCut::kReset, {"d1", "d2", "d3"});
 }
 
+// Guards against nodes that take crashes of some endpoints for the loss of their links: they drop
+// the crashes that they have seen, and the lease holder resigns.
+TEST_CASE("services that crash one after another are not taken for lost links") {
+  constexpr int kServices = 10;
+  constexpr int kCrashing = 6;
+  FleetCluster cluster;
+  cluster.Configure(1);
+  for (int i = 0; i < kServices; ++i) {
+    cluster.StartPlainService("d" + std::to_string(i), {.work = Duration(50)});
+  }
+  for (int i = 0; i < kNodeCount; ++i) {
+    cluster.StartFleetNode(NodeName(i));
+  }
+  for (int i = 0; i < kNodeCount; ++i) {
+    REQUIRE(cluster.WaitUntil([&] {
+      return cluster.Send({NodeName(i), "/safe/x", "warm" + std::to_string(i), ""}).status == 200;
+    }));
+  }
+  const std::string holder = cluster.LeaseHolder();
+  std::vector<FleetRequest> calls;
+  for (int at = 0; at < kAfterCutMs; at += kRequestIntervalMs / 4) {
+    const std::string id = "call" + std::to_string(at);
+    calls.push_back({NodeName((at / 10) % kNodeCount), "/safe/x", id, "", Duration(at)});
+  }
+  cluster.Spawn([](FleetCluster& services) -> Awaitable<void> {
+    for (int i = 0; i < kCrashing; ++i) {
+      co_await PauseFor(services.Context(), Duration(200));
+      services.At("d" + std::to_string(i)).Kill();
+    }
+  }(cluster));
+  cluster.SendAll(calls);
+  bool any_counted = false;
+  for (int i = 0; i < kNodeCount; ++i) {
+    const std::string metrics = cluster.Metrics(NodeName(i));
+    CAPTURE(i);
+    CHECK(metrics.find("rudderloom_endpoint_ends_total{result=\"dropped\"}") == std::string::npos);
+    any_counted = any_counted || metrics.find("result=\"counted\"") != std::string::npos;
+  }
+  CHECK(any_counted);
+  CHECK(cluster.LeaseHolder() == holder);
+}
+
 // Guards against a lease holder that can send no orders and keeps the lease.
 TEST_CASE("a lease holder cut off from all endpoints serves its callers and gives the lease up") {
   FleetCluster cluster;
