Quarantine parts of prompts that crash endpoints

Cause: a request was known by its whole content only, so that each of these counted one crash. Class: a failure that is counted by the identity of what carried it and not by what the carriers have in common.

Ruled out: dropped ends as the only cause.

Change: the book of crashes takes parts of prompts beside whole requests, all but the last. A part's digest carries its id, so that logs and the operators' page name it; messages, the lease's record and the book don't change. Sound requests share parts with the crashing ones, so what a node has seen answered whole within 10 s is not blamed there, and is cleared at once when the list names it (CrashWatch::Review). A placeholder for a forgotten crash hashes the whole digest: the first bytes of a part's are alike.

--- a/include/rudderloom/quarantine/crash_watch.hpp
+++ b/include/rudderloom/quarantine/crash_watch.hpp
@@ -7,7 +7,6 @@
 #include <map>     // for map
 #include <set>     // for set
 #include <string>  // for string
-#include <vector>  // for vector
 
 #include "rudderloom/base/clock.hpp"             // for TimePoint
 #include "rudderloom/quarantine/crash_news.hpp"  // for CrashNews
@@ -32,16 +31,16 @@
 /// it too. An endpoint has crashed if, at about the same time, its machine answers that no process
 /// listens at the address. A machine that doesn't answer at all has lost power or its link, usually
 /// along with others, which no request causes. A crash does not count against requests that were
-/// sent after the endpoint's first connection failure, nor against those that this node has
-/// recently seen answered completely: a request that many callers send is in flight in every
-/// crash.
+/// sent after the endpoint's first connection failure, nor against requests and prompt parts that
+/// this node has recently seen answered completely: one that many callers send is in flight in
+/// every crash.
 /// @ingroup quarantine
 class CrashWatch {
  public:
   /// @brief Records that a connection to the endpoint failed during a request.
   /// @return True if the endpoint should be probed for `kCrashWindow`; once for many requests.
   bool RecordFailure(const std::string& instance,
-                     const RequestDigest& request,
+                     const RequestDigests& request,
                      TimePoint sent_at,
                      TimePoint now);
 
@@ -50,7 +49,11 @@
 
   /// @brief Records that an endpoint has answered the request completely.
   /// @param list The fleet's suspect and quarantined requests; null if there are none.
-  void Answered(const RequestDigest& request, const QuarantineListPtr& list);
+  void Answered(const RequestDigests& request, const QuarantineListPtr& list, TimePoint now);
+
+  /// @brief Clears what a new list holds against something that this node has recently seen
+  /// answered completely. Nodes that have not may have reported it.
+  void Review(const QuarantineList& list, TimePoint now);
 
   /// @brief Records that an operator has cleared the request.
   void Cleared(const RequestDigest& request) { news_.cleared.insert(request); }
@@ -68,15 +71,17 @@
   // Created at an endpoint's first connection failure; expires after a while.
   struct Endpoint {
     TimePoint first_failure_at;
-    std::vector<RequestDigest> failed_requests;
+    RequestDigests suspects;  // of the requests that failed
     bool crashed = false;
   };
 
-  bool RecentlyAnswered(const RequestDigest& request) const { return answered_.contains(request); }
+  void AddCrashes(const RequestDigests& suspects, const std::string& instance);
+  void RememberAnswered(const RequestDigest& request, TimePoint now);
+  bool RecentlyAnswered(const RequestDigest& request, TimePoint now) const;
 
-  std::map<std::string, Endpoint> endpoints_;  // by instance
-  std::set<RequestDigest> answered_;           // recently
-  std::deque<RequestDigest> answered_order_;   // oldest first
+  std::map<std::string, Endpoint> endpoints_;    // by instance
+  std::map<RequestDigest, TimePoint> answered_;  // when it last was
+  std::deque<RequestDigest> answered_order_;     // in the order in which they were added
   CrashNews news_;
 };
 
--- a/include/rudderloom/quarantine/request_digest.hpp
+++ b/include/rudderloom/quarantine/request_digest.hpp
@@ -1,5 +1,6 @@
 /// @file
-/// Digest that identifies repeated requests on all nodes, regardless of their ids.
+/// Digests by which all nodes recognize repeated requests, regardless of their ids, and parts that
+/// prompts have in common.
 #ifndef RUDDERLOOM_QUARANTINE_REQUEST_DIGEST_HPP
 #define RUDDERLOOM_QUARANTINE_REQUEST_DIGEST_HPP
 
@@ -8,6 +9,7 @@
 #include <optional>     // for optional
 #include <string>       // for string
 #include <string_view>  // for string_view
+#include <vector>       // for vector
 
 namespace rudderloom {
 
@@ -26,7 +28,8 @@
 /// @ingroup quarantine
 inline constexpr std::size_t kRequestDigestBytes = 16;
 
-/// @brief Identifies a request, equal on all nodes. The body can't be derived from it.
+/// @brief Identifies a request, or a part of prompts, equal on all nodes. The body can't be derived
+/// from it.
 /// @ingroup quarantine
 struct RequestDigest {
   std::array<std::uint8_t, kRequestDigestBytes> bytes{};
@@ -38,6 +41,20 @@
 /// @ingroup quarantine
 RequestDigest DigestOf(const RequestIdentity& identity);
 
+/// @brief Returns the digest of a part of prompts, in whatever requests it occurs.
+/// @ingroup quarantine
+RequestDigest DigestOfPromptPart(std::uint64_t id);
+
+/// @brief Returns the id of the part, in hex without leading zeros, if the digest is that of a part
+/// of prompts.
+/// @ingroup quarantine
+std::optional<std::string> PromptPartOf(const RequestDigest& digest);
+
+/// @brief Everything in a request that may be what crashes endpoints: first the request as a whole,
+/// then the parts that its prompt may share with others.
+/// @ingroup quarantine
+using RequestDigests = std::vector<RequestDigest>;
+
 /// @brief Returns all hex digits, for logs and operators.
 /// @ingroup quarantine
 std::string TextOf(const RequestDigest& digest);
--- a/src/rudderloom/callers/crash_guard.cpp
+++ b/src/rudderloom/callers/crash_guard.cpp
@@ -19,19 +19,19 @@
 
 }  // namespace
 
-const RequestDigest& CrashGuard::Digest() {
-  if (!digest_) {
+const RequestDigests& CrashGuard::Digests() {
+  if (digests_.empty()) {
     const HttpRequest& request = exchange_.Request();
     const auto target = request.target();
-    digest_ =
-        DigestOf(RequestIdentity{{}, {target.data(), target.size()}, info_.caller, request.body()});
+    digests_.push_back(DigestOf(
+        RequestIdentity{{}, {target.data(), target.size()}, info_.caller, request.body()}));
   }
-  return *digest_;
+  return digests_;
 }
 
 std::optional<Refusal> CrashGuard::Check() {
   const QuarantineListPtr list = shared_.dispatcher.Current()->quarantine;
-  if (!list || list->quarantined.empty() || !list->quarantined.contains(Digest())) {
+  if (!list || list->quarantined.empty() || !list->quarantined.contains(Digests().front())) {
     return std::nullopt;
   }
   Refusal refusal;
@@ -45,14 +45,14 @@
                               std::optional<AttemptFailure> failure,
                               TimePoint sent_at) {
   if (!failure) {
-    shared_.crashes.Answered(Digest(), shared_.dispatcher.Current()->quarantine);
+    shared_.crashes.Answered(Digests(), shared_.dispatcher.Current()->quarantine, Now());
     return;
   }
   if (*failure != AttemptFailure::kBrokenBeforeAnswer &&
       *failure != AttemptFailure::kBrokenMidAnswer) {
     return;
   }
-  if (shared_.crashes.RecordFailure(endpoint.instance, Digest(), sent_at, Now())) {
+  if (shared_.crashes.RecordFailure(endpoint.instance, Digests(), sent_at, Now())) {
     asio::co_spawn(shared_.context, ReportIfExited(shared_, endpoint.address, endpoint.instance),
                    asio::detached);
   }
--- a/src/rudderloom/callers/crash_guard.hpp
+++ b/src/rudderloom/callers/crash_guard.hpp
@@ -25,12 +25,12 @@
                     TimePoint sent_at);
 
  private:
-  const RequestDigest& Digest();
+  const RequestDigests& Digests();
 
   CallContext& shared_;
   const HttpExchange& exchange_;
   const RequestInfo& info_;
-  std::optional<RequestDigest> digest_;  // computed on first use
+  RequestDigests digests_;  // empty: not computed yet
 };
 
 }  // namespace rudderloom
--- a/src/rudderloom/fleet/fleet_quarantine.cpp
+++ b/src/rudderloom/fleet/fleet_quarantine.cpp
@@ -12,15 +12,23 @@
 // Limit for the lease record, at 34 bytes per entry. Running nodes know of more than these.
 constexpr std::size_t kMaxQuarantinedInLease = 64;
 
+void LogChange(std::string_view event, Severity severity, const RequestDigest& digest) {
+  LogLine line(event, severity);
+  line.With("request", TextOf(digest));
+  if (const auto part = PromptPartOf(digest)) {
+    line.With("prompt_part", *part);
+  }
+}
+
 void LogChanges(const QuarantineList& before, const QuarantineList& after) {
   for (const RequestDigest& request : after.quarantined) {
     if (!before.quarantined.contains(request)) {
-      LogLine("request_quarantined", Severity::kWarning).With("request", TextOf(request));
+      LogChange("request_quarantined", Severity::kWarning, request);
     }
   }
   for (const RequestDigest& request : before.quarantined) {
     if (!after.quarantined.contains(request)) {
-      LogLine("quarantine_ended").With("request", TextOf(request));
+      LogChange("quarantine_ended", Severity::kInfo, request);
     }
   }
 }
--- a/src/rudderloom/forwarding/crash_check.cpp
+++ b/src/rudderloom/forwarding/crash_check.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/crash_check.hpp"
 
-#include <utility>  // for exchange
+#include <algorithm>  // for min
+#include <utility>    // for exchange
 
 #include "rudderloom/base/log_line.hpp"          // for LogLine
 #include "rudderloom/http/connection_probe.hpp"  // for AwaitConnectionRefusal
@@ -11,6 +12,9 @@
 
 // An endpoint reached so shortly before shows that this node has not lost its links.
 constexpr Duration kConfirmedBy{200};
+// Far more than prompts share; bounds what one request adds to the book of crashes.
+constexpr std::size_t kMaxSharedParts = 64;
+constexpr std::uint64_t kUnreadablePart = 0;
 
 void RequestSampleIfNews(ForwardingState& state) {
   if (state.crashes.HasObservations()) {
@@ -35,9 +39,18 @@
 
 }  // namespace
 
+void AppendSharedParts(const std::vector<PromptPart>& prompt, RequestDigests& digests) {
+  const std::size_t shared = prompt.empty() ? 0 : prompt.size() - 1;
+  for (std::size_t i = 0; i < std::min(shared, kMaxSharedParts); ++i) {
+    if (prompt[i].id != kUnreadablePart) {
+      digests.push_back(DigestOfPromptPart(prompt[i].id));
+    }
+  }
+}
+
 void RecordConnectionBreak(ForwardingState& state,
                            const EndpointRecord& endpoint,
-                           const RequestDigest& request,
+                           const RequestDigests& request,
                            TimePoint sent_at) {
   if (state.crashes.RecordFailure(endpoint.instance, request, sent_at, Now())) {
     asio::co_spawn(state.context, CheckListening(state, endpoint), asio::detached);
@@ -72,11 +85,18 @@
   }
 }
 
-void RecordAnswered(ForwardingState& state, const RequestDigest& request) {
-  state.crashes.Answered(request, state.views.Current()->quarantine);
+void RecordAnswered(ForwardingState& state, const RequestDigests& request) {
+  state.crashes.Answered(request, state.views.Current()->quarantine, Now());
   RequestSampleIfNews(state);
 }
 
+void ReviewQuarantine(ForwardingState& state, const FleetView& view) {
+  if (view.quarantine) {
+    state.crashes.Review(*view.quarantine, Now());
+    RequestSampleIfNews(state);
+  }
+}
+
 void RecordCleared(ForwardingState& state, const RequestDigest& request) {
   state.crashes.Cleared(request);
   RequestSampleIfNews(state);
--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -431,7 +431,7 @@
       co_return false;
     }
     if (state_.log_quota.Allows(Now())) {
-      LogFailedAttempt({terms_.id, checks_.Digest(), terms_.prompt, endpoint.instance, result.reason,
+      LogFailedAttempt({terms_.id, checks_.Digests().front(), terms_.prompt, endpoint.instance, result.reason,
                         result.error, result.status, result.retry_after, attempts_ + 1,
                         Between(arrived_, Now())});
     }
@@ -474,9 +474,9 @@
     if (result.refused) {
       RecordEndpointEnd(state_, endpoint);
     } else if (result.broken && !result.through_gateway) {
-      RecordConnectionBreak(state_, endpoint, checks_.Digest(), result.sent_at);
+      RecordConnectionBreak(state_, endpoint, checks_.Digests(), result.sent_at);
     } else if (result.outcome == AttemptOutcome::kAnswered) {
-      RecordAnswered(state_, checks_.Digest());
+      RecordAnswered(state_, checks_.Digests());
     }
   }
 
--- a/src/rudderloom/forwarding/frontend.cpp
+++ b/src/rudderloom/forwarding/frontend.cpp
@@ -202,6 +202,7 @@
                view->quarantine ? static_cast<double>(view->quarantine->quarantined.size()) : 0.0);
   state_.views.SetView(std::move(view));
   ObserveVersions(state_, *state_.views.Current());
+  ReviewQuarantine(state_, *state_.views.Current());
 }
 
 void FleetFrontend::BeginStop(TimePoint stop_deadline) {
--- a/src/rudderloom/forwarding/quarantine_page.cpp
+++ b/src/rudderloom/forwarding/quarantine_page.cpp
@@ -22,6 +22,19 @@
   return texts;
 }
 
+// Ids of the parts of prompts that are listed, by digest.
+json::object PromptParts(const QuarantineList& list) {
+  json::object parts;
+  for (const auto* digests : {&list.quarantined, &list.suspects}) {
+    for (const RequestDigest& digest : *digests) {
+      if (const auto part = PromptPartOf(digest)) {
+        parts[TextOf(digest)] = *part;
+      }
+    }
+  }
+  return parts;
+}
+
 QuarantineAnswer ErrorAnswer(unsigned status, std::string_view error) {
   QuarantineAnswer answer;
   answer.reply.status = status;
@@ -59,7 +72,8 @@
     QuarantineAnswer answer;
     answer.reply.body =
         json::serialize(json::object{{"quarantined", DigestTexts(known.quarantined)},
-                                     {"suspects", DigestTexts(known.suspects)}});
+                                     {"suspects", DigestTexts(known.suspects)},
+                                     {"prompt_parts", PromptParts(known)}});
     return answer;
   }
   if (request.method() == http::verb::delete_ && path.starts_with('/')) {
--- a/src/rudderloom/forwarding/quarantine_page_test.cpp
+++ b/src/rudderloom/forwarding/quarantine_page_test.cpp
@@ -33,6 +33,20 @@
   CHECK(clear->cleared == held);
 }
 
+TEST_CASE("operators see the ids of prompt parts and release one of them") {
+  const RequestDigest part = DigestOfPromptPart(0xbad1);
+  const auto list = std::make_shared<const QuarantineList>(QuarantineList{{part}, {}});
+  const auto shown = AnswerQuarantinePage(MakeRequest(http::verb::get, "/quarantine"), list);
+  REQUIRE(shown);
+  const auto body = boost::json::parse(shown->reply.body).as_object();
+  CHECK(body.at("quarantined") == boost::json::array{TextOf(part)});
+  CHECK(body.at("prompt_parts").as_object().at(TextOf(part)) == "bad1");
+  const auto clear =
+      AnswerQuarantinePage(MakeRequest(http::verb::delete_, "/quarantine/" + TextOf(part)), list);
+  REQUIRE(clear);
+  CHECK(clear->cleared == part);
+}
+
 TEST_CASE("invalid operator requests get an error and release nothing") {
   const std::string unknown = TextOf(DigestOf(RequestIdentity{"h", "/p/", "", "unknown"}));
   const std::map<std::string, unsigned> statuses{
--- a/src/rudderloom/forwarding/request_checks.cpp
+++ b/src/rudderloom/forwarding/request_checks.cpp
@@ -1,7 +1,8 @@
 #include "forwarding/request_checks.hpp"
 
-#include <algorithm>  // for min
+#include <algorithm>  // for any_of, min
 
+#include "forwarding/crash_check.hpp"      // for AppendSharedParts
 #include "rudderloom/http/call_guard.hpp"  // for CallGuard
 
 namespace rudderloom {
@@ -106,8 +107,8 @@
   return {routes_->NeedsKeys(), std::string(Customer())};
 }
 
-const RequestDigest& RequestChecks::Digest() {
-  if (!digest_) {
+const RequestDigests& RequestChecks::Digests() {
+  if (digests_.empty()) {
     const HttpRequest& request = exchange_.Request();
     const auto host = request[http::field::host];
     const auto target = request.target();
@@ -115,20 +116,24 @@
     if (caller.empty() && terms_.key) {
       caller = BytesOf(*terms_.key);
     }
-    digest_ = DigestOf(RequestIdentity{
-        {host.data(), host.size()}, {target.data(), target.size()}, caller, request.body()});
+    digests_.push_back(DigestOf(RequestIdentity{
+        {host.data(), host.size()}, {target.data(), target.size()}, caller, request.body()}));
+    AppendSharedParts(terms_.prompt, digests_);
   }
-  return *digest_;
+  return digests_;
+}
+
+bool RequestChecks::AnyIn(const std::set<RequestDigest>& listed) {
+  return !listed.empty() && std::any_of(Digests().begin(), Digests().end(),
+                                        [&](const auto& digest) { return listed.contains(digest); });
 }
 
 bool RequestChecks::Quarantined(const FleetView& view) {
-  return view.quarantine && !view.quarantine->quarantined.empty() &&
-         view.quarantine->quarantined.contains(Digest());
+  return view.quarantine && AnyIn(view.quarantine->quarantined);
 }
 
 bool RequestChecks::Suspected(const FleetView& view) {
-  return view.quarantine && !view.quarantine->suspects.empty() &&
-         view.quarantine->suspects.contains(Digest());
+  return view.quarantine && AnyIn(view.quarantine->suspects);
 }
 
 bool RequestChecks::KeyRevoked(const FleetView& view) const {
--- a/src/rudderloom/forwarding/request_checks.hpp
+++ b/src/rudderloom/forwarding/request_checks.hpp
@@ -3,6 +3,7 @@
 #define RUDDERLOOM_FORWARDING_REQUEST_CHECKS_HPP
 
 #include <optional>     // for optional
+#include <set>          // for set
 #include <string_view>  // for string_view
 
 #include "forwarding/forward_refusal.hpp"            // for ForwardRefusal
@@ -43,13 +44,13 @@
   // After a refusal for the quota: how long until another request is likely to be admitted.
   Duration RetryDelay() const { return retry_delay_; }
 
-  // Digest that identifies repeats of the request. Computed on first use, since it takes a pass
-  // over the body and most requests never need it.
-  const RequestDigest& Digest();
+  // Digests of the request and of what its prompt may share with others. Computed on first use,
+  // since it takes a pass over the body and most requests never need it.
+  const RequestDigests& Digests();
 
-  // True if the request is quarantined because endpoints that ran it have crashed.
+  // True if the request, or a part of its prompt, is quarantined because endpoints have crashed.
   bool Quarantined(const FleetView& view);
-  // True if one more endpoint crash could quarantine the request.
+  // True if one more endpoint crash could quarantine it.
   bool Suspected(const FleetView& view);
 
   // True if the caller's key was revoked while the request waited.
@@ -59,6 +60,7 @@
   void MarkMayHaveRun() { quota_grant_.MarkMayHaveRun(); }
 
  private:
+  bool AnyIn(const std::set<RequestDigest>& listed);
   bool MayOutlastStop() const;
   Awaitable<void> AwaitConfiguration();
   Awaitable<void> AwaitQuotaState();
@@ -73,7 +75,7 @@
   const Route* route_ = nullptr;
   Caller caller_;
   QuotaGrant quota_grant_;
-  std::optional<RequestDigest> digest_;
+  RequestDigests digests_;  // empty: not computed yet
   Duration retry_delay_{0};
 };
 
--- a/src/rudderloom/quarantine/crash_book.cpp
+++ b/src/rudderloom/quarantine/crash_book.cpp
@@ -1,7 +1,7 @@
 #include "rudderloom/quarantine/crash_book.hpp"
 
 #include <algorithm>  // for count_if, equal, max, min_element, sort
-#include <cstring>    // for memcpy
+#include <string>     // for to_string
 #include <tuple>      // for make_tuple
 
 namespace rudderloom {
@@ -24,11 +24,8 @@
 
 // Placeholder for a crash whose endpoint is no longer known; no other request explains it.
 EndpointKey PlaceholderEndpoint(const RequestDigest& request, std::size_t number) {
-  EndpointKey key = 0;
-  std::memcpy(&key, request.bytes.data() + number * sizeof(key), sizeof(key));
-  return key;
+  return KeyOf(TextOf(request) + "#" + std::to_string(number));
 }
-static_assert((kCrashesToQuarantine - 1) * sizeof(EndpointKey) <= kRequestDigestBytes);
 
 }  // namespace
 
--- a/src/rudderloom/quarantine/crash_watch.cpp
+++ b/src/rudderloom/quarantine/crash_watch.cpp
@@ -6,16 +6,22 @@
 
 namespace {
 
-// Number of requests that a node answers in about a minute; takes some 500 KB.
+// Takes some 500 KB.
 constexpr std::size_t kMaxAnswered = 4'096;
+// Popular requests and prompt parts are answered again within this time. What begins to crash
+// endpoints later is blamed once it is over.
+constexpr Duration kAnsweredMemory{10'000};
 
 }  // namespace
 
 bool CrashWatch::RecordFailure(const std::string& instance,
-                               const RequestDigest& request,
+                               const RequestDigests& request,
                                TimePoint sent_at,
                                TimePoint now) {
-  if (RecentlyAnswered(request)) {
+  RequestDigests suspects = request;
+  std::erase_if(suspects,
+                [&](const RequestDigest& digest) { return RecentlyAnswered(digest, now); });
+  if (suspects.empty()) {
     return false;
   }
   Endpoint& endpoint = endpoints_[instance];
@@ -28,10 +34,10 @@
     return false;
   }
   if (endpoint.crashed) {
-    news_.crashes.insert({request, KeyOf(instance)});
+    AddCrashes(suspects, instance);
     return false;
   }
-  endpoint.failed_requests.push_back(request);
+  endpoint.suspects.insert(endpoint.suspects.end(), suspects.begin(), suspects.end());
   return is_first;
 }
 
@@ -41,16 +47,39 @@
     return;
   }
   found->second.crashed = true;
-  for (const RequestDigest& request : std::exchange(found->second.failed_requests, {})) {
-    news_.crashes.insert({request, KeyOf(instance)});
+  AddCrashes(std::exchange(found->second.suspects, {}), instance);
+}
+
+void CrashWatch::AddCrashes(const RequestDigests& suspects,
+                            const std::string& instance) {
+  for (const RequestDigest& suspect : suspects) {
+    news_.crashes.insert({suspect, KeyOf(instance)});
+  }
+}
+
+void CrashWatch::Answered(const RequestDigests& request,
+                          const QuarantineListPtr& list,
+                          TimePoint now) {
+  for (const RequestDigest& digest : request) {
+    if (list && (list->suspects.contains(digest) || list->quarantined.contains(digest))) {
+      news_.cleared.insert(digest);
+    }
+    RememberAnswered(digest, now);
   }
 }
 
-void CrashWatch::Answered(const RequestDigest& request, const QuarantineListPtr& list) {
-  if (list && (list->suspects.contains(request) || list->quarantined.contains(request))) {
-    news_.cleared.insert(request);
+void CrashWatch::Review(const QuarantineList& list, TimePoint now) {
+  for (const std::set<RequestDigest>* digests : {&list.suspects, &list.quarantined}) {
+    for (const RequestDigest& digest : *digests) {
+      if (RecentlyAnswered(digest, now)) {
+        news_.cleared.insert(digest);
+      }
+    }
   }
-  if (!answered_.insert(request).second) {
+}
+
+void CrashWatch::RememberAnswered(const RequestDigest& request, TimePoint now) {
+  if (!answered_.insert_or_assign(request, now).second) {
     return;
   }
   answered_order_.push_back(request);
@@ -60,6 +89,11 @@
   }
 }
 
+bool CrashWatch::RecentlyAnswered(const RequestDigest& request, TimePoint now) const {
+  const auto found = answered_.find(request);
+  return found != answered_.end() && now - found->second < kAnsweredMemory;
+}
+
 CrashNews CrashWatch::Take() {
   return std::exchange(news_, {});
 }
--- a/src/rudderloom/quarantine/request_digest.cpp
+++ b/src/rudderloom/quarantine/request_digest.cpp
@@ -2,6 +2,9 @@
 
 #include <sodium/crypto_generichash.h>  // for crypto_generichash_update
 
+#include <algorithm>  // for copy, equal, min
+#include <span>       // for span
+
 #include "rudderloom/base/hex.hpp"  // for ToHex
 
 namespace rudderloom {
@@ -12,6 +15,12 @@
 constexpr std::string_view kHashContext = "rudderloom request";
 static_assert(kHashContext.size() >= crypto_generichash_KEYBYTES_MIN);
 
+// Ends the digest of a prompt part, after its id, so that operators can read the id from it. The
+// probability that a request's digest ends like this is 2^-64.
+constexpr std::string_view kPartSuffix = "prompart";
+static_assert(sizeof(std::uint64_t) + kPartSuffix.size() == kRequestDigestBytes);
+constexpr unsigned kBitsPerByte = 8;
+
 const unsigned char* BytesOf(std::string_view text) {
   return reinterpret_cast<const unsigned char*>(text.data());
 }
@@ -37,6 +46,25 @@
   return digest;
 }
 
+RequestDigest DigestOfPromptPart(std::uint64_t id) {
+  RequestDigest digest;
+  for (std::size_t i = sizeof(id); i > 0; --i) {
+    digest.bytes[i - 1] = static_cast<std::uint8_t>(id);
+    id >>= kBitsPerByte;
+  }
+  std::copy(kPartSuffix.begin(), kPartSuffix.end(), digest.bytes.begin() + sizeof(id));
+  return digest;
+}
+
+std::optional<std::string> PromptPartOf(const RequestDigest& digest) {
+  const auto suffix = digest.bytes.begin() + sizeof(std::uint64_t);
+  if (!std::equal(suffix, digest.bytes.end(), kPartSuffix.begin())) {
+    return std::nullopt;
+  }
+  const std::string id = ToHex(std::span(digest.bytes).first(sizeof(std::uint64_t)));
+  return id.substr(std::min(id.find_first_not_of('0'), id.size() - 1));
+}
+
 std::string TextOf(const RequestDigest& digest) {
   return ToHex(digest.bytes);
 }
--- a/src/rudderloom/quarantine/request_digest_test.cpp
+++ b/src/rudderloom/quarantine/request_digest_test.cpp
@@ -24,5 +24,15 @@
   CHECK_FALSE(RequestDigestFromText("0").has_value());
 }
 
+TEST_CASE("the id of a prompt part can be read from its digest, and no other digest has one") {
+  CHECK(PromptPartOf(DigestOfPromptPart(0xbad1)) == "bad1");
+  CHECK(PromptPartOf(DigestOfPromptPart(0)) == "0");
+  CHECK(PromptPartOf(DigestOfPromptPart(0xffffffffffffffff)) == "ffffffffffffffff");
+  CHECK(DigestOfPromptPart(1) != DigestOfPromptPart(2));
+  CHECK_FALSE(PromptPartOf(DigestOf(RequestIdentity{"h", "/p/", "", "body"})));
+  const RequestDigest part = DigestOfPromptPart(0x9c41d07be2a35f68);
+  CHECK(RequestDigestFromText(TextOf(part)) == part);
+}
+
 }  // namespace
 }  // namespace rudderloom
