Probe other endpoints before a node takes itself for cut off

Cause: three endpoints that refuse connections in a row, within some milliseconds, were the loss of a node's links. The two probes that were to tell these apart need longer than three refusals, and may hit crashed endpoints too. Class: a conclusion drawn from failures alone, before the question that could refute it has an answer.

Change: after the third failure up to eight endpoints that have not failed are probed at once; only if none answers is the node cut off. That takes some milliseconds where connections are refused, and 350 ms where they are silent. Ends of endpoints wait for the outcome meanwhile.

--- a/include/rudderloom/forwarding/endpoint_reach.hpp
+++ b/include/rudderloom/forwarding/endpoint_reach.hpp
@@ -15,9 +15,10 @@
 /// @brief Distinguishes lost links of this node from endpoints that have failed. Does no I/O; time
 /// is passed in.
 ///
-/// An endpoint that has crashed fails alone. A node whose links are cut fails at one endpoint after
-/// the other, and reaches none in between. Only new connections show this: open ones may go on
-/// while new ones are refused.
+/// A node whose links are cut fails at one endpoint after the other, and reaches none in between.
+/// Only new connections show this: open ones may go on while new ones are refused. Endpoints that
+/// have crashed one after another look the same, so others are probed before the node takes itself
+/// for cut off.
 ///
 /// Taking a failed endpoint for a lost link costs one request to a peer; the reverse costs callers
 /// their answers.
@@ -30,11 +31,21 @@
   /// @brief Records that a connection to the endpoint could not be opened, or that a probe got no
   /// answer. A connection that ends during a request does not count: endpoints lose answers too.
   /// @param endpoint_count Number of endpoints that are known.
-  /// @return True if this shows that the node is cut off from all endpoints.
+  /// @return True if the node may be cut off from all endpoints: others must be probed now, and
+  /// then ConfirmCutOff() called.
   bool Failed(const std::string& instance, std::size_t endpoint_count, TimePoint now);
 
+  /// @brief The probes after Failed() are over. Returns true if no endpoint was reached meanwhile;
+  /// the node is cut off then.
+  bool ConfirmCutOff();
+
+  /// @brief Returns true if the endpoint is one of those that failed since one was last reached.
+  bool FailedInARow(const std::string& instance) const {
+    return failed_in_a_row_.contains(instance);
+  }
+
   /// @brief True while this node is cut off from all endpoints.
-  bool CutOff() const { return cut_off_; }
+  bool CutOff() const { return state_ == State::kCutOff; }
 
   /// @brief True if requests for the endpoint must go through another node.
   bool NeedsGateway(const std::string& instance, TimePoint now) const;
@@ -60,6 +71,8 @@
   void Trim(TimePoint now);
 
  private:
+  enum class State { kReaching, kSuspected, kCutOff };
+
   struct Failures {
     std::uint32_t consecutive = 0;
     TimePoint last_at;
@@ -72,7 +85,7 @@
   std::map<std::string, Failures> failures_;  // by instance
   // Instances that failed since an endpoint was last reached.
   std::map<std::string, TimePoint> failed_in_a_row_;
-  bool cut_off_ = false;
+  State state_ = State::kReaching;
   TimePoint reached_at_;
   TimePoint verified_at_;
   TimePoint probed_at_;
--- a/src/rudderloom/forwarding/endpoint_reach.cpp
+++ b/src/rudderloom/forwarding/endpoint_reach.cpp
@@ -24,10 +24,10 @@
   failures_.erase(instance);
   failed_in_a_row_.clear();
   reached_at_ = now;
-  if (cut_off_) {
-    cut_off_ = false;
+  if (CutOff()) {
     failures_.clear();
   }
+  state_ = State::kReaching;
 }
 
 bool EndpointReach::Failed(const std::string& instance, std::size_t endpoint_count, TimePoint now) {
@@ -39,10 +39,18 @@
                 [&](const auto& entry) { return now - entry.second > kFailureMemory; });
   const std::size_t needed =
       std::clamp(endpoint_count, kMinFailuresWhenCutOff, kFailuresWhenCutOff);
-  if (cut_off_ || failed_in_a_row_.size() < needed) {
+  if (state_ != State::kReaching || failed_in_a_row_.size() < needed) {
     return false;
   }
-  cut_off_ = true;
+  state_ = State::kSuspected;
+  return true;
+}
+
+bool EndpointReach::ConfirmCutOff() {
+  if (state_ != State::kSuspected) {
+    return false;
+  }
+  state_ = State::kCutOff;
   return true;
 }
 
@@ -53,11 +61,11 @@
 
 bool EndpointReach::NeedsGateway(const std::string& instance, TimePoint now) const {
   const auto found = failures_.find(instance);
-  return cut_off_ || (found != failures_.end() && FailsRepeatedly(found->second, now));
+  return CutOff() || (found != failures_.end() && FailsRepeatedly(found->second, now));
 }
 
 bool EndpointReach::NeedsGateways(TimePoint now) const {
-  return cut_off_ || std::any_of(failures_.begin(), failures_.end(), [&](const auto& entry) {
+  return CutOff() || std::any_of(failures_.begin(), failures_.end(), [&](const auto& entry) {
            return FailsRepeatedly(entry.second, now);
          });
 }
@@ -67,7 +75,7 @@
 }
 
 bool EndpointReach::TakeDue(TimePoint& last_at, TimePoint now) const {
-  if (cut_off_ || now - last_at < kVerificationInterval || now - reached_at_ < kRecentlyReached) {
+  if (CutOff() || now - last_at < kVerificationInterval || now - reached_at_ < kRecentlyReached) {
     return false;
   }
   last_at = now;
--- a/src/rudderloom/forwarding/reach_watch.cpp
+++ b/src/rudderloom/forwarding/reach_watch.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/reach_watch.hpp"
 
-#include <utility>  // for exchange
+#include <algorithm>  // for min, shuffle
+#include <utility>    // for exchange
 
 #include "forwarding/crash_check.hpp"      // for ConfirmEndpointEnds
 #include "rudderloom/base/log_line.hpp"    // for LogLine
@@ -18,6 +19,9 @@
 // pauses.
 constexpr Duration kMaxSilence{800};
 constexpr int kVerificationProbes = 2;
+// So many that hardly ever all of them have crashed, while others stand.
+constexpr std::size_t kMaxCutOffProbes = 8;
+constexpr Duration kProbeCheckInterval{5};
 // A request without an answer for this long is sent elsewhere once the node is cut off.
 constexpr Duration kMinAnswerWait{500};
 
@@ -79,6 +83,12 @@
 }
 
 // Endpoints that are paused or have a rate limit are left alone.
+bool MayProbe(const ForwardingState& state, const EndpointRecord& endpoint) {
+  const EndpointKey key = KeyOf(endpoint.instance);
+  return !state.leaving.contains(endpoint.instance) && !state.limits.LimitOf(key) &&
+         !state.pauses.Paused(key, Now());
+}
+
 std::optional<EndpointRecord> ChooseProbeTarget(ForwardingState& state,
                                                 const std::string& except = {}) {
   const FleetViewPtr view = state.views.Current();
@@ -86,15 +96,37 @@
   const std::size_t first = count == 0 ? 0 : state.random() % count;
   for (std::size_t i = 0; i < count; ++i) {
     const EndpointRecord& record = view->endpoints[(first + i) % count].record;
-    const EndpointKey key = KeyOf(record.instance);
-    if (record.instance != except && !state.leaving.contains(record.instance) &&
-        !state.limits.LimitOf(key) && !state.pauses.Paused(key, Now())) {
+    if (record.instance != except && MayProbe(state, record)) {
       return record;
     }
   }
   return std::nullopt;
 }
 
+// Probes endpoints that have not failed yet. The node is cut off if none of them answers.
+Awaitable<void> VerifyCutOff(ForwardingState& state) {
+  const FleetViewPtr view = state.views.Current();
+  std::vector<EndpointRecord> targets;
+  for (const FleetEndpoint& endpoint : view->endpoints) {
+    if (MayProbe(state, endpoint.record) && !state.reach.FailedInARow(endpoint.record.instance)) {
+      targets.push_back(endpoint.record);
+    }
+  }
+  std::shuffle(targets.begin(), targets.end(), state.random);
+  targets.resize(std::min(targets.size(), kMaxCutOffProbes));
+  std::size_t pending = targets.size();
+  for (const EndpointRecord& target : targets) {
+    asio::co_spawn(state.context, Probe(state, target),
+                   [&pending](const std::exception_ptr&) { --pending; });
+  }
+  while (pending > 0) {
+    co_await PauseFor(state.context, kProbeCheckInterval);
+  }
+  if (state.reach.ConfirmCutOff()) {
+    HandleCutOff(state);
+  }
+}
+
 // The endpoint that has kept a request waiting while none has sent anything.
 std::optional<EndpointRecord> SilentEndpoint(const ForwardingState& state, TimePoint now) {
   if (state.pending_answers.empty()) {
@@ -119,7 +151,7 @@
 void RecordUnreachable(ForwardingState& state, const EndpointRecord& endpoint) {
   const TimePoint now = Now();
   if (state.reach.Failed(endpoint.instance, state.views.Current()->endpoints.size(), now)) {
-    HandleCutOff(state);
+    asio::co_spawn(state.context, VerifyCutOff(state), asio::detached);
     return;
   }
   if (!state.reach.TakeVerificationDue(now)) {
--- a/tests/process/fleet_crash_parts_test.cpp
+++ b/tests/process/fleet_crash_parts_test.cpp
@@ -28,7 +28,7 @@
 // The stated bound; all are served while no engine crashes.
 constexpr double kMinServedShare = 0.5;
 
-const std::string kFirstPart = "a0:6";  // in all prompts
+const std::string kFirstPart = "a0:6";           // in all prompts
 const std::string kCrashingParts = "bad1,bad2";  // as engines know them
 
 std::string NodeName(int index) {
