Count crashes under prompts that a gateway forwards

Cause: the node that sends a request through another one can't tell a crash of the endpoint from a lost link, and the other one counted nothing. Crashes of requests that went through a gateway counted for nobody.

Change: the gateway reports the parts of the prompt when the connection to the endpoint breaks. The request as a whole is not reported: only the node that asked knows the caller.

--- a/src/rudderloom/forwarding/gateway_server.cpp
+++ b/src/rudderloom/forwarding/gateway_server.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>  // for find_if
 #include <utility>    // for move
 
+#include "forwarding/crash_check.hpp"      // for RecordConnectionBreak
 #include "forwarding/endpoint_link.hpp"    // for EndpointLink
 #include "forwarding/gateway_headers.hpp"  // for kGatewayKeyHeader
 #include "forwarding/hop_by_hop.hpp"       // for EndToEndHeaders
@@ -53,7 +54,7 @@
                     std::min(Now() + time_left, state_.stop_deadline), [this] { return !sent_; });
     exchange_.WatchPeer([&guard] { guard.ClientDisconnected(); });
     EndpointLink link(state_, guard, *endpoint);
-    co_await Forward(link, guard);
+    co_await Forward(link, guard, *endpoint);
     exchange_.StopWatching();
   }
 
@@ -66,7 +67,7 @@
     return found == view->endpoints.end() ? std::nullopt : std::optional(found->record);
   }
 
-  Awaitable<void> Forward(EndpointLink& link, CallGuard& guard) {
+  Awaitable<void> Forward(EndpointLink& link, CallGuard& guard, const EndpointRecord& endpoint) {
     const auto failure = co_await link.Connect();
     if (failure) {
       co_await Refuse(failure->refused ? kGatewayConnectionRefused : kGatewayUnreachable);
@@ -79,11 +80,13 @@
     const bool head_only = exchange_.Request().method() == http::verb::head;
     auto read = co_await link.ReadHead(terms_.id, head_only);
     if (std::holds_alternative<LinkFailure>(read)) {
+      RecordBreak(guard, endpoint, link.SentAt());
       Abort("cut_before_answer");
       co_return;
     }
     const bool complete = co_await RelayAnswer(link);
     if (!complete) {
+      RecordBreak(guard, endpoint, link.SentAt());
       Abort("cut_within_answer");
       co_return;
     }
@@ -125,6 +128,16 @@
     co_return false;
   }
 
+  // The node that asked can't find out whether the endpoint has crashed. Only it knows the caller,
+  // which is part of the digest of the request as a whole.
+  void RecordBreak(const CallGuard& guard, const EndpointRecord& endpoint, TimePoint sent_at) {
+    RequestDigests parts;
+    AppendSharedParts(terms_.prompt, parts);
+    if (guard.Cause() == Interruption::kNone && !parts.empty()) {
+      RecordConnectionBreak(state_, endpoint, parts, sent_at);
+    }
+  }
+
   // The node that asked sees that the answer is not complete.
   void Abort(std::string_view result) {
     RecordEnd(result);
