--- a/src/rudderloom/fleet/fleet_quarantine_test.cpp
+++ b/src/rudderloom/fleet/fleet_quarantine_test.cpp
@@ -99,22 +99,6 @@
   std::vector<Crash> crashes_;
 };
 
-bool AllHoldBack(const FleetWorld& world, const RequestDigest& request) {
-  for (int i = 0; i < world.Nodes(); ++i) {
-    if (world.Alive(i) && !world.HoldsBack(i, request)) {
-      return false;
-    }
-  }
-  return true;
-}
-
-FleetWorldOptions SmallFleet() {
-  FleetWorldOptions options;
-  options.nodes = 14;
-  options.group_size = 3;
-  return options;
-}
-
 TEST_CASE("with relays all nodes quarantine the request within a second, and no other request") {
   FleetWorldOptions options;
   options.nodes = 96;
@@ -123,7 +107,7 @@
   world.Play(8'000);
   CrashingTraffic crashes(world, 1);
   crashes.Play(1'500);
-  CHECK(AllHoldBack(world, crashes.CrashingRequest()));
+  CHECK(world.AllHoldBack(crashes.CrashingRequest()));
   MESSAGE("crashes ", crashes.Count());
   const int before = crashes.Count();
   crashes.Play(4'000);
@@ -134,7 +118,7 @@
 TEST_CASE("after all processes were killed the quarantine is restored without new counting") {
   for (unsigned seed = 0; seed < 10; ++seed) {
     CAPTURE(seed);
-    FleetWorld world(SmallFleet());
+    FleetWorld world(fakes::SmallFleet());
     world.Play(5'000);
     CrashingTraffic crashes(world, seed);
     crashes.Play(2'000);
@@ -149,16 +133,16 @@
     const int before = crashes.Count();
     crashes.Play(5'000);
     CHECK(crashes.Count() == before);
-    CHECK(AllHoldBack(world, crashes.CrashingRequest()));
+    CHECK(world.AllHoldBack(crashes.CrashingRequest()));
   }
 }
 
 TEST_CASE("an answer that is complete ends the quarantine at all nodes") {
-  FleetWorld world(SmallFleet());
+  FleetWorld world(fakes::SmallFleet());
   world.Play(5'000);
   CrashingTraffic crashes(world, 1);
   crashes.Play(1'500);
-  REQUIRE(AllHoldBack(world, crashes.CrashingRequest()));
+  REQUIRE(world.AllHoldBack(crashes.CrashingRequest()));
   CrashNews answered;
   answered.cleared.insert(crashes.CrashingRequest());
   world.See(5, answered);
@@ -197,7 +181,7 @@
     for (int victims = 0; victims < 4; ++victims) {
       for (const int pause : {0, 130, 300, 1'200, 2'500}) {
         for (const int lead_time : {60, 180, 600}) {
-          FleetWorld world(SmallFleet());
+          FleetWorld world(fakes::SmallFleet());
           world.Play(5'000);
           CrashingTraffic crashes(world, first_seed + schedules);
           crashes.Play(lead_time);
--- a/tests/fakes/fleet_world.hpp
+++ b/tests/fakes/fleet_world.hpp
@@ -26,6 +26,14 @@
   std::vector<Customer> customers = {};
 };
 
+/// @brief A few nodes, with relays between them and the lease holder.
+inline FleetWorldOptions SmallFleet() {
+  FleetWorldOptions options;
+  options.nodes = 14;
+  options.group_size = 3;
+  return options;
+}
+
 /// @brief Calls to the store, by kind; a stale read counts as a tenth of a call.
 struct StoreCalls {
   double lists = 0;
@@ -79,6 +87,8 @@
   void See(int node, const CrashNews& news);
   /// @brief Returns whether the node quarantines the request.
   bool HoldsBack(int node, const RequestDigest& request) const;
+  /// @brief Returns whether all running nodes do.
+  bool AllHoldBack(const RequestDigest& request) const;
   /// @brief Reports endpoint limits that the traffic of the node observed.
   void Observe(int node, const SentLimits& limits);
   /// @brief Returns the latest view of the node, null before the first.
--- a/tests/fakes/fleet_world_views.cpp
+++ b/tests/fakes/fleet_world_views.cpp
@@ -59,6 +59,15 @@
   return view && view->quarantine && view->quarantine->quarantined.contains(request);
 }
 
+bool FleetWorld::AllHoldBack(const RequestDigest& request) const {
+  for (int i = 0; i < Nodes(); ++i) {
+    if (Alive(i) && !HoldsBack(i, request)) {
+      return false;
+    }
+  }
+  return true;
+}
+
 std::shared_ptr<const GrantBasis> FleetWorld::GrantBasisOf(int node) const {
   const auto& statement = NodeAt(node).statement;
   return statement ? statement->grants : nullptr;
