Pass long answers on as they arrive, and bound what a node keeps

What callers saw: nothing but their own deadline; the node went from 13 to 664 MB with four answers that never end, where its limit on the users' sites is 260, and would have been ended.

Cause: an answer was kept whole until its end, so that a failure could still be answered by another endpoint, without a bound for one answer or for all. Class: a buffer whose size the other side chooses.

Weighed: a bound on the length of answers would refuse honest long ones.

Change: beyond 1 MB, or beyond 4 KB once all requests of the node keep 32 MB, an answer is passed on as it arrives; if it then breaks off, the client sees it cut and it is not asked for again. Answers that are never passed on (not run, a server's error) and events of a stream are failures beyond that. Responses to the node's own calls (store, reports, orders) end at 4 MB. On our own interface bodies had a limit already.

Not bounded: how long an answer without end may take, which is its request's deadline.

--- a/include/rudderloom/forwarding/event_framer.hpp
+++ b/include/rudderloom/forwarding/event_framer.hpp
@@ -28,6 +28,7 @@
 
   /// @brief True while an incomplete event is buffered.
   bool HasPartial() const { return !pending_.empty(); }
+  std::size_t PartialBytes() const { return pending_.size(); }
 
  private:
   std::string pending_;
--- a/include/rudderloom/forwarding/forwarder.hpp
+++ b/include/rudderloom/forwarding/forwarder.hpp
@@ -145,6 +145,7 @@
   PendingAnswers pending_answers = {};
   TimePoint answered_at = {};  ///< When an endpoint last sent something.
   std::vector<UnconfirmedEnd> unconfirmed_ends = {};
+  std::size_t kept_answer_bytes = 0;  ///< Of answers that have not been passed on yet.
 };
 
 /// @brief Handles one request. On return, the exchange has been answered or aborted.
--- a/src/rudderloom/forwarding/attempt.cpp
+++ b/src/rudderloom/forwarding/attempt.cpp
@@ -6,6 +6,7 @@
 #include "forwarding/endpoint_link.hpp"    // for EndpointLink
 #include "forwarding/gateway_headers.hpp"  // for kGatewayConnectionRefused
 #include "forwarding/hop_by_hop.hpp"       // for IsHopByHop, EndToEndHeaders
+#include "forwarding/kept_answer.hpp"      // for KeptAnswer
 
 namespace rudderloom {
 
@@ -225,7 +226,17 @@
     const auto type = head[http::field::content_type];
     reply.content_type.assign(type.data(), type.size());
     reply.headers = EndToEndHeaders(head);
+    KeptAnswer kept(state_.kept_answer_bytes);
     while (true) {
+      kept.Set(reply.body.size());
+      if (kept.Full()) {
+        if (!MayPassOn()) {
+          link_.Connection().ForbidReuse();
+          co_return Fail(AttemptOutcome::kFailed, "answer_too_long");
+        }
+        kept.Set(0);
+        co_return co_await PassOn(std::move(reply.body));
+      }
       auto chunk = co_await link_.ReadSome();
       if (std::holds_alternative<ConnectionFailure>(chunk)) {
         co_return ConnectionBroken(
@@ -240,6 +251,37 @@
     co_return co_await ClassifyAnswer(std::move(reply));
   }
 
+  // An answer that would not be sent to the client, or not without a retry, is not passed on.
+  bool MayPassOn() const {
+    return !terms_.not_run && status_ < kServerError && !PromisesNotRun(status_) &&
+           !params_.stream->started;
+  }
+
+  // Passes a long answer on as it arrives. From here on no other endpoint can answer.
+  Awaitable<AttemptResult> PassOn(std::string piece) {
+    state_.metrics.Count({"rudderloom_long_answers_total"});
+    params_.on_answer_started();
+    params_.stream->has_events = false;
+    bool delivered = co_await StartClientStream();
+    while (delivered) {
+      delivered = co_await exchange_.WriteChunk(piece);
+      if (!delivered) {
+        break;
+      }
+      auto chunk = co_await link_.ReadSome();
+      if (std::holds_alternative<ConnectionFailure>(chunk)) {
+        co_return ConnectionBroken(AttemptOutcome::kFailed, "cut_within_answer",
+                                   std::get<ConnectionFailure>(chunk));
+      }
+      if (std::holds_alternative<EndpointConnection::End>(chunk)) {
+        co_return co_await FinishStream();
+      }
+      piece = std::get<std::string>(std::move(chunk));
+    }
+    guard_.ClientDisconnected();
+    co_return Fail(AttemptOutcome::kFailed, "client_gone");
+  }
+
   Awaitable<AttemptResult> ClassifyAnswer(Reply reply) {
     AttemptResult result;
     result.status = status_;
@@ -283,6 +325,7 @@
     }
     const bool resumable = params_.answer_timeout.has_value();
     EventFramer framer;
+    KeptAnswer kept(state_.kept_answer_bytes);
     while (true) {
       auto chunk = co_await link_.ReadSome();
       if (std::holds_alternative<ConnectionFailure>(chunk)) {
@@ -301,6 +344,11 @@
         link_.Connection().ForbidReuse();
         co_return Fail(AttemptOutcome::kFailed, "gap_in_stream");
       }
+      kept.Set(framer.PartialBytes());
+      if (kept.Full()) {
+        link_.Connection().ForbidReuse();
+        co_return Fail(AttemptOutcome::kFailed, "event_too_long");
+      }
       if (events.empty()) {
         continue;
       }
--- a/src/rudderloom/forwarding/attempt.hpp
+++ b/src/rudderloom/forwarding/attempt.hpp
@@ -31,7 +31,8 @@
 
 // Progress of a streamed answer, across all attempts.
 struct StreamState {
-  bool started = false;  // the answer header was sent to the client
+  bool started = false;    // the answer header was sent to the client
+  bool has_events = true;  // false: a plain answer, which no other endpoint can continue
   EventSequence sequence;
   StreamPace pace;
   std::string weights_version;   // of the first attempt
--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -431,9 +431,9 @@
       co_return false;
     }
     if (state_.log_quota.Allows(Now())) {
-      LogFailedAttempt({terms_.id, checks_.Digests().front(), terms_.prompt, endpoint.instance, result.reason,
-                        result.error, result.status, result.retry_after, attempts_ + 1,
-                        Between(arrived_, Now())});
+      LogFailedAttempt({terms_.id, checks_.Digests().front(), terms_.prompt, endpoint.instance,
+                        result.reason, result.error, result.status, result.retry_after,
+                        attempts_ + 1, Between(arrived_, Now())});
     }
     const bool answered = co_await HandleInterruption();
     if (answered) {
@@ -488,6 +488,9 @@
     if (may_have_run_ && !route_->Repeatable()) {
       return false;
     }
+    if (stream_.started && !stream_.has_events) {
+      return false;
+    }
     if (!not_run && stream_.started && !stream_.sequence.Numbered()) {
       return false;
     }
--- a/src/rudderloom/http/client.cpp
+++ b/src/rudderloom/http/client.cpp
@@ -17,6 +17,8 @@
 namespace {
 
 constexpr std::size_t kChunkBytes = 16 * 1024;
+// Four times the largest list of the platform's store.
+constexpr std::size_t kMaxCallBytes = 4 * 1024 * 1024;
 constexpr std::size_t kMaxIdlePerAddress = 64;
 
 constexpr int kKeepaliveProbes = 2;
@@ -270,6 +272,9 @@
       break;
     }
     response.body() += std::get<std::string>(chunk);
+    if (response.body().size() > kMaxCallBytes) {
+      co_return HttpFailure{true, false, false, "the response is too long"};
+    }
   }
   Release(address, std::move(stream));
   co_return response;
