Take streams that end with their connection for whole only after an event

What callers saw: an engine that exited before the first event of an answer with neither a length nor chunks left them an empty stream, marked as whole. Its crash didn't count, and a crashed answer could clear its request.

Cause: the close of such an answer was taken for its end. The exit of a process closes the connection in the same way. Class: two causes that look the same, taken for the harmless one.

Change: a stream that ends with its connection without an event, or inside one, is a broken connection: its endpoint is checked, and the crash counts. An answer that ends with its connection clears nothing of suspicion.

Evidence: three cases of platform_forwarding_test, all failing with the two changed sources taken back (200 where 502 is due; no crash reported; a suspect cleared), 118 of 118 after.

--- a/include/rudderloom/forwarding/endpoint_connection.hpp
+++ b/include/rudderloom/forwarding/endpoint_connection.hpp
@@ -59,6 +59,10 @@
   /// @brief Forbids reuse, as the next answer may belong to another request.
   void ForbidReuse() { may_reuse_ = false; }
 
+  /// @brief True if the answer has neither a length nor chunks: it ends with its connection. A
+  /// process that exits ends its connections in the same way.
+  bool EndsWithConnection() const { return parser_->get().need_eof(); }
+
   /// @brief True if the connection may carry another request.
   bool Reusable() const;
 
--- a/src/rudderloom/forwarding/attempt.cpp
+++ b/src/rudderloom/forwarding/attempt.cpp
@@ -314,6 +314,7 @@
     params_.on_answer_started();
     result.outcome = AttemptOutcome::kAnswered;
     result.feedback = EndpointFeedback::kServed;
+    result.ends_with_connection = link_.Connection().EndsWithConnection();
     state_.metrics.Count({"rudderloom_requests_total", "result", "served"});
     co_await exchange_.Send(std::move(reply));
     co_return result;
@@ -324,6 +325,7 @@
       params_.stream->weights_version = terms_.weights_version;
     }
     const bool resumable = params_.answer_timeout.has_value();
+    bool any_event = false;
     EventFramer framer;
     KeptAnswer kept(state_.kept_answer_bytes);
     while (true) {
@@ -352,12 +354,16 @@
       if (events.empty()) {
         continue;
       }
+      any_event = true;
       const bool forwarded = co_await ForwardEvents(events);
       if (!forwarded) {
         guard_.ClientDisconnected();
         co_return Fail(AttemptOutcome::kFailed, "client_gone");
       }
     }
+    if (link_.Connection().EndsWithConnection() && (framer.HasPartial() || !any_event)) {
+      co_return ConnectionBroken(AttemptOutcome::kFailed, "torn_stream", {});
+    }
     if (framer.HasPartial()) {
       link_.Connection().ForbidReuse();
       co_return Fail(AttemptOutcome::kFailed, "torn_stream");
@@ -408,6 +414,7 @@
     result.status = status_;
     result.outcome = AttemptOutcome::kAnswered;
     result.feedback = EndpointFeedback::kServed;
+    result.ends_with_connection = link_.Connection().EndsWithConnection();
     const bool started = co_await StartClientStream();
     if (!started) {
       co_return result;
--- a/src/rudderloom/forwarding/attempt.hpp
+++ b/src/rudderloom/forwarding/attempt.hpp
@@ -70,6 +70,7 @@
   bool silent = false;                  // abandoned because the endpoint sent nothing
   bool refused = false;                 // no process listens at the endpoint's address
   bool broken = false;                  // the connection ended before the answer was complete
+  bool ends_with_connection = false;    // as the answer did, so the endpoint may have crashed
   bool through_gateway = false;         // another node was to forward the request
   std::optional<Duration> retry_after;  // for which the endpoint wants no requests
   std::string error;                    // network error message; empty for none
--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -475,7 +475,7 @@
       RecordEndpointEnd(state_, endpoint);
     } else if (result.broken && !result.through_gateway) {
       RecordConnectionBreak(state_, endpoint, checks_.Digests(), result.sent_at);
-    } else if (result.outcome == AttemptOutcome::kAnswered) {
+    } else if (result.outcome == AttemptOutcome::kAnswered && !result.ends_with_connection) {
       RecordAnswered(state_, checks_.Digests());
     }
   }
