--- a/src/rudderloom/quarantine/crash_watch.cpp
+++ b/src/rudderloom/quarantine/crash_watch.cpp
@@ -50,8 +50,7 @@
   AddCrashes(std::exchange(found->second.suspects, {}), instance);
 }
 
-void CrashWatch::AddCrashes(const RequestDigests& suspects,
-                            const std::string& instance) {
+void CrashWatch::AddCrashes(const RequestDigests& suspects, const std::string& instance) {
   for (const RequestDigest& suspect : suspects) {
     news_.crashes.insert({suspect, KeyOf(instance)});
   }
--- a/tests/process/endless_answers_test.cpp
+++ b/tests/process/endless_answers_test.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr int kEndlessAnswers = 4;
+constexpr int kSoundRequests = 20;
 // What a node may use in all.
 constexpr long kMaxMemoryKb = 128 * 1024;
 
@@ -38,10 +39,11 @@
   const long before = PeakMemoryOf(cluster.At("a").ProcessId());
   cluster.SetFaults("endless", {{"endless_answers", kEndlessAnswers}});
   std::vector<FleetRequest> calls;
+  calls.reserve(kEndlessAnswers + kSoundRequests);
   for (int i = 0; i < kEndlessAnswers; ++i) {
     calls.push_back({"a", "/once/x", "endless" + std::to_string(i), ""});
   }
-  for (int i = 0; i < 20; ++i) {
+  for (int i = 0; i < kSoundRequests; ++i) {
     calls.push_back({"a", "/safe/x", "sound" + std::to_string(i), "", Duration(500 + 100 * i)});
   }
   const auto responses = cluster.SendAll(calls);
--- a/tests/process/fleet_cluster.cpp
+++ b/tests/process/fleet_cluster.cpp
@@ -100,10 +100,10 @@
                                    const std::string& version) {
   endpoints_.push_back(instance);
   return StartStandin(
-      instance, {"engine", "--store", At("store").Address(), "--instance", instance, "--service",
-                 "pool", "--models", models, "--memory-mb", "200", "--slots", std::to_string(slots),
-                 "--work-ms", std::to_string(event_time.count()), "--version", version,
-                 "--crash-parts", crash_parts_});
+      instance,
+      {"engine", "--store", At("store").Address(), "--instance", instance, "--service", "pool",
+       "--models", models, "--memory-mb", "200", "--slots", std::to_string(slots), "--work-ms",
+       std::to_string(event_time.count()), "--version", version, "--crash-parts", crash_parts_});
 }
 
 Program& FleetCluster::StartPlainService(const std::string& instance,
