--- a/include/rudderloom/quarantine/request_digest.hpp
+++ b/include/rudderloom/quarantine/request_digest.hpp
@@ -45,6 +45,8 @@
 /// @ingroup quarantine
 RequestDigest DigestOfPromptPart(std::uint64_t id);
 
+bool IsPromptPart(const RequestDigest& digest);
+
 /// @brief Returns the id of the part, in hex without leading zeros, if the digest is that of a part
 /// of prompts.
 /// @ingroup quarantine
--- a/src/rudderloom/forwarding/attempt.cpp
+++ b/src/rudderloom/forwarding/attempt.cpp
@@ -262,6 +262,8 @@
     state_.metrics.Count({"rudderloom_long_answers_total"});
     params_.on_answer_started();
     params_.stream->has_events = false;
+    // No other endpoint can take over, so silence is no reason to end the answer.
+    SetResponseTimeout(std::nullopt);
     bool delivered = co_await StartClientStream();
     while (delivered) {
       delivered = co_await exchange_.WriteChunk(piece);
--- a/src/rudderloom/quarantine/crash_watch.cpp
+++ b/src/rudderloom/quarantine/crash_watch.cpp
@@ -8,9 +8,9 @@
 
 // Takes some 500 KB.
 constexpr std::size_t kMaxAnswered = 4'096;
-// Popular requests and prompt parts are answered again within this time. What begins to crash
+// Parts that sound requests share are answered again within this time. A part that begins to crash
 // endpoints later is blamed once it is over.
-constexpr Duration kAnsweredMemory{10'000};
+constexpr Duration kPartAnsweredMemory{10'000};
 
 }  // namespace
 
@@ -90,7 +90,8 @@
 
 bool CrashWatch::RecentlyAnswered(const RequestDigest& request, TimePoint now) const {
   const auto found = answered_.find(request);
-  return found != answered_.end() && now - found->second < kAnsweredMemory;
+  return found != answered_.end() &&
+         (!IsPromptPart(request) || now - found->second < kPartAnsweredMemory);
 }
 
 CrashNews CrashWatch::Take() {
--- a/src/rudderloom/quarantine/crash_watch_test.cpp
+++ b/src/rudderloom/quarantine/crash_watch_test.cpp
@@ -82,6 +82,8 @@
   CHECK(watch.RecordFailure("e2", {Request("b"), shared}, At(19'900), At(20'000)));
   watch.Ended("e2", At(20'001));
   CHECK(watch.Take().crashes.contains({shared, KeyOf("e2")}));
+  // A request as a whole does the same again.
+  CHECK_FALSE(watch.RecordFailure("e3", {Request("sound")}, At(29'900), At(30'000)));
 }
 
 TEST_CASE("a node clears what others blame if it has seen it answered lately") {
--- a/src/rudderloom/quarantine/quarantine_trials.cpp
+++ b/src/rudderloom/quarantine/quarantine_trials.cpp
@@ -21,7 +21,7 @@
     return;
   }
   for (const RequestDigest& digest : list->quarantined) {
-    if (PromptPartOf(digest)) {
+    if (IsPromptPart(digest)) {
       parts_.try_emplace(digest, Schedule{now + kFirstTrialDelay, kFirstTrialDelay});
     }
   }
--- a/src/rudderloom/quarantine/request_digest.cpp
+++ b/src/rudderloom/quarantine/request_digest.cpp
@@ -56,9 +56,13 @@
   return digest;
 }
 
-std::optional<std::string> PromptPartOf(const RequestDigest& digest) {
+bool IsPromptPart(const RequestDigest& digest) {
   const auto suffix = digest.bytes.begin() + sizeof(std::uint64_t);
-  if (!std::equal(suffix, digest.bytes.end(), kPartSuffix.begin())) {
+  return std::equal(suffix, digest.bytes.end(), kPartSuffix.begin());
+}
+
+std::optional<std::string> PromptPartOf(const RequestDigest& digest) {
+  if (!IsPromptPart(digest)) {
     return std::nullopt;
   }
   const std::string id = ToHex(std::span(digest.bytes).first(sizeof(std::uint64_t)));
