--- a/include/rudderloom/endpoint_limits/in_flight.hpp
+++ b/include/rudderloom/endpoint_limits/in_flight.hpp
@@ -49,9 +49,11 @@
 /// @ingroup endpoint_limits
 constexpr std::size_t kMaxInFlightRequests = 1'024;
 
-/// @brief Time over which the limit recovers in full after an endpoint rejected a request.
+/// @brief Time over which the limit recovers in full after an endpoint rejected a request. It
+/// recovers slowly at first, with the square of the time: at an endpoint that always has room for
+/// less than the limit, each step of the recovery costs a rejection.
 /// @ingroup endpoint_limits
-constexpr Duration kInFlightRecoveryTime{10'000};
+constexpr Duration kInFlightRecoveryTime{30'000};
 
 /// @brief Requests refused with the same limit are told to ask again one after the other, as the
 /// endpoint makes room for them, but at most this much later than the first.
@@ -95,7 +97,8 @@
   void Ended(GrantId grant, TimePoint now);
 
   /// @brief The endpoint had no room for the request. Until `kInFlightRecoveryTime` later less is
-  /// granted: at first only the cost that the endpoint kept beside the rejected request.
+  /// granted: at first the cost that the endpoint kept beside the rejected request, but at least
+  /// half of what was granted before, as a single rejection may have another cause.
   void Rejected(GrantId grant, TimePoint now);
 
   /// @brief Returns the total cost in flight, less what the oldest request has progressed.
@@ -106,6 +109,7 @@
  private:
   struct Request {
     std::uint32_t cost = 0;
+    std::uint32_t limit = 0;
     InFlightUntil until = InFlightUntil::kEnded;
     TimePoint granted_at;
     TimePoint counts_until;
--- a/include/rudderloom/endpoint_limits/permit_book.hpp
+++ b/include/rudderloom/endpoint_limits/permit_book.hpp
@@ -46,6 +46,9 @@
   Duration wait{0};
   /// @brief Of a granted request for a slot or by the work in flight, to be reported on.
   GrantId grant = 0;
+  /// @brief The request was decided by its in-flight terms. An earlier build does not know them:
+  /// its answer says nothing about them.
+  bool by_in_flight = false;
 };
 
 /// @brief Maximum time that a request waits for its permit.
--- a/src/rudderloom/endpoint_limits/in_flight.cpp
+++ b/src/rudderloom/endpoint_limits/in_flight.cpp
@@ -38,7 +38,7 @@
     oldest_since_ = now;
   }
   const TimePoint counts_until = now + terms.max_hold;
-  requests_[grant] = {terms.cost, terms.until, now, counts_until};
+  requests_[grant] = {terms.cost, terms.limit, terms.until, now, counts_until};
   cost_ += terms.cost;
   next_expiry_ = std::min(next_expiry_, counts_until);
   return grant;
@@ -63,9 +63,13 @@
 }
 
 void InFlightWork::Rejected(GrantId grant, TimePoint now) {
-  if (Remove(grant, now)) {
-    lowered_ = Lowered{Total(now), now};
+  const auto found = requests_.find(grant);
+  if (found == requests_.end()) {
+    return;
   }
+  const std::uint32_t before = EffectiveLimit(found->second.limit, now);
+  Remove(grant, now);
+  lowered_ = Lowered{std::max(Total(now), before / 2), now};
 }
 
 std::uint32_t InFlightWork::Total(TimePoint now) const {
@@ -128,10 +132,9 @@
   if (elapsed >= kInFlightRecoveryTime) {
     return limit;
   }
-  const std::uint64_t missing = limit - lowered_->total;
-  const auto recovered = missing *
-                         static_cast<std::uint64_t>(std::max(Duration(0), elapsed).count()) /
-                         static_cast<std::uint64_t>(kInFlightRecoveryTime.count());
+  const double part = std::max(0.0, static_cast<double>(elapsed.count())) /
+                      static_cast<double>(kInFlightRecoveryTime.count());
+  const double recovered = part * part * static_cast<double>(limit - lowered_->total);
   return lowered_->total + static_cast<std::uint32_t>(recovered);
 }
 
--- a/src/rudderloom/endpoint_limits/permit_book.cpp
+++ b/src/rudderloom/endpoint_limits/permit_book.cpp
@@ -77,9 +77,9 @@
                                      TimePoint now) {
   const InFlightDecision decision = slots_.AskInFlight(endpoint, terms, now);
   if (const auto* refusal = std::get_if<InFlightRefusal>(&decision)) {
-    return {PermitVerdict::kRefused, refusal->wait, 0};
+    return {PermitVerdict::kRefused, refusal->wait, 0, true};
   }
-  return {PermitVerdict::kGranted, Duration(0), std::get<GrantId>(decision)};
+  return {PermitVerdict::kGranted, Duration(0), std::get<GrantId>(decision), true};
 }
 
 void PermitBook::Trim(TimePoint now) {
