Ask the granting node of an endpoint for in-flight grants

AcquirePermit now accepts in-flight terms: it asks the node that rendezvous hashing chooses among holder and standbys, returns the outcome as an enum with the wait, and reports the begin of the answer or the end of the request.

--- a/include/rudderloom/forwarding/forwarder.hpp
+++ b/include/rudderloom/forwarding/forwarder.hpp
@@ -14,6 +14,7 @@
 #include "rudderloom/base/log_rate_limiter.hpp"             // for LogRateLimiter
 #include "rudderloom/endpoint_limits/endpoint_pauses.hpp"   // for EndpointPauses
 #include "rudderloom/endpoint_limits/limit_watch.hpp"       // for LimitWatch
+#include "rudderloom/endpoint_limits/granter_choice.hpp"    // for SilentGranters
 #include "rudderloom/endpoint_limits/permit_book.hpp"       // for PermitRequest
 #include "rudderloom/forwarding/balancer.hpp"               // for Balancer
 #include "rudderloom/http/call_guard.hpp"                   // for CallGuards
@@ -147,6 +148,7 @@
   TimePoint answered_at = {};  ///< When an endpoint last sent something.
   std::vector<UnconfirmedEnd> unconfirmed_ends = {};
   QuarantineTrials trials = {};
+  SilentGranters silent_granters = {};
   std::size_t kept_answer_bytes = 0;  ///< Of answers that have not been passed on yet.
 };
 
--- a/src/rudderloom/app/fleet_daemon.cpp
+++ b/src/rudderloom/app/fleet_daemon.cpp
@@ -119,6 +119,13 @@
     return std::to_string((static_cast<std::uint64_t>(device()) << kHalfBits) | device());
   }
 
+  // Far from the grants of earlier processes, on which reports may still arrive.
+  static GrantId NewGrantSeries() {
+    std::random_device device;
+    constexpr unsigned kHalfBits = 32;
+    return static_cast<GrantId>(device()) << kHalfBits;
+  }
+
   // Dispatches the effects of the control state to the threads that carry them out.
   void Execute(FleetEffects effects) {
     if (effects.view) {
@@ -233,10 +240,15 @@
   }
 
   // Decides whether a request may be sent to an endpoint with a limit, if this node currently
-  // issues permits: as the lease holder or as its deputy.
+  // issues permits: as the lease holder or as its deputy. By the work in flight any node decides.
   PermitAnswer AnswerPermit(const PermitRequest& ask) {
     const std::lock_guard lock(statement_mutex_);
     PermitAnswer answer;
+    if (ask.in_flight) {
+      answer = permits_.AskInFlight(ask.endpoint, *ask.in_flight, Now());
+      metrics_.Count({"rudderloom_in_flight_asks_total", "verdict", NameOf(answer.verdict)});
+      return answer;
+    }
     if (statement_ && statement_->permits) {
       answer = permits_.Ask(ask, *statement_->permits, Now());
     }
@@ -385,8 +397,8 @@
   asio::executor_work_guard<asio::io_context::executor_type> traffic_work_;
   std::mutex statement_mutex_;
   std::shared_ptr<const DigestSource> statement_;
-  GrantBook grants_;    // guarded by statement_mutex_
-  PermitBook permits_;  // guarded by statement_mutex_
+  GrantBook grants_;                      // guarded by statement_mutex_
+  PermitBook permits_{NewGrantSeries()};  // guarded by statement_mutex_
   std::mutex streams_mutex_;
   VersionBook streams_;  // that other nodes began; guarded by streams_mutex_
   std::atomic<bool> released_{false};
--- a/src/rudderloom/forwarding/limit_check.cpp
+++ b/src/rudderloom/forwarding/limit_check.cpp
@@ -2,8 +2,9 @@
 
 #include <algorithm>  // for any_of, max
 
-#include "forwarding/await_answer.hpp"   // for AwaitAnswer
-#include "rudderloom/base/log_line.hpp"  // for LogLine
+#include "forwarding/await_answer.hpp"                  // for AwaitAnswer
+#include "rudderloom/base/log_line.hpp"                 // for LogLine
+#include "rudderloom/forwarding/in_flight_granter.hpp"  // for InFlightGranter
 
 namespace rudderloom {
 
@@ -90,39 +91,63 @@
              [&](const FleetEndpoint& endpoint) { return endpoint.record.instance == instance; });
 }
 
-}  // namespace
-
-void RecordAnnouncements(ForwardingState& state,
-                         const EndpointRecord& endpoint,
-                         const AnswerMetadata& answer,
-                         TimePoint sent_at) {
-  if (answer.wrong_instance) {
+// Counts and logs decisions on in-flight terms.
+void RecordInFlight(ForwardingState& state,
+                    const PermitNeeds& needs,
+                    const std::string& granter,
+                    const AcquiredPermit& permit) {
+  state.metrics.Count({"rudderloom_in_flight_permits_total", "result", NameOf(permit.in_flight)});
+  if (permit.in_flight == InFlightOutcome::kGranted || !state.log_quota.Allows(Now())) {
     return;
   }
-  RecordRetryAfter(state, endpoint, answer);
-  RecordLeaving(state, endpoint, answer);
-  RecordLimits(state, endpoint, answer, sent_at);
+  LogLine("in_flight_not_granted")
+      .With("result", NameOf(permit.in_flight))
+      .With("endpoint", needs.endpoint.instance)
+      .With("granter", granter.empty() ? "none" : granter)
+      .With("cost", needs.in_flight->cost)
+      .With("limit", needs.in_flight->limit)
+      .With("wait_ms", permit.wait.count());
 }
 
-void RecordRejection(ForwardingState& state, const EndpointRejection& rejection) {
-  const EndpointRecord& endpoint = rejection.endpoint;
-  const bool free_slot_known = rejection.known_requests < endpoint.slots;
-  state.metrics.Count(
-      {"rudderloom_endpoint_rejections_total", "known_free_slot", free_slot_known ? "yes" : "no"});
-  if (!state.log_quota.Allows(Now())) {
-    return;
+// Asks the granting node of the endpoint.
+Awaitable<AcquiredPermit> AskInFlight(ForwardingState& state, const PermitNeeds& needs) {
+  AcquiredPermit permit;
+  permit.in_flight = InFlightOutcome::kUnanswered;
+  permit.may_send = true;
+  const EndpointKey key = KeyOf(needs.endpoint.instance);
+  const TimePoint asked_at = Now();
+  const std::string granter =
+      InFlightGranter(*state.views.Current(), key, state.silent_granters, asked_at);
+  std::optional<PermitAnswer> answer;
+  if (!granter.empty()) {
+    PermitRequest ask;
+    ask.endpoint = key;
+    ask.in_flight = needs.in_flight;
+    const auto send = [&](auto done) { state.peers.ask_for_permit(granter, ask, std::move(done)); };
+    answer = co_await AwaitAnswer<PermitAnswer>(state.context, send);
+    if (answer && answer->by_in_flight) {
+      state.silent_granters.Answered(granter, asked_at);
+    } else {
+      state.silent_granters.NoAnswer(granter, asked_at, Now());
+    }
   }
-  LogLine("endpoint_rejected")
-      .With("service", rejection.service)
-      .With("endpoint", endpoint.instance)
-      .With("request_id", rejection.request_id)
-      .With("known_requests", rejection.known_requests)
-      .With("slots", endpoint.slots);
+  if (answer && answer->by_in_flight && answer->verdict == PermitVerdict::kGranted) {
+    permit.in_flight = InFlightOutcome::kGranted;
+    permit.slot = std::make_shared<SlotUse>(state, granter, key, answer->grant, asked_at,
+                                            needs.in_flight->until);
+  } else if (answer && answer->by_in_flight && answer->verdict == PermitVerdict::kRefused) {
+    permit.in_flight = InFlightOutcome::kRefused;
+    permit.may_send = false;
+    permit.wait = answer->wait;
+  }
+  RecordInFlight(state, needs, granter, permit);
+  co_return permit;
 }
 
-Awaitable<AcquiredPermit> AcquirePermit(ForwardingState& state,
-                                        CallGuard& guard,
-                                        PermitNeeds needs) {
+// Asks the lease holder or its deputy.
+Awaitable<AcquiredPermit> AcquireLimitPermit(ForwardingState& state,
+                                             CallGuard& guard,
+                                             PermitNeeds needs) {
   AcquiredPermit permit;
   const EndpointKey key = KeyOf(needs.endpoint.instance);
   const std::optional<double> limit = state.limits.LimitOf(key);
@@ -167,6 +192,70 @@
   co_return permit;
 }
 
+}  // namespace
+
+void RecordAnnouncements(ForwardingState& state,
+                         const EndpointRecord& endpoint,
+                         const AnswerMetadata& answer,
+                         TimePoint sent_at) {
+  if (answer.wrong_instance) {
+    return;
+  }
+  RecordRetryAfter(state, endpoint, answer);
+  RecordLeaving(state, endpoint, answer);
+  RecordLimits(state, endpoint, answer, sent_at);
+}
+
+void RecordRejection(ForwardingState& state, const EndpointRejection& rejection) {
+  const EndpointRecord& endpoint = rejection.endpoint;
+  const bool free_slot_known = rejection.known_requests < endpoint.slots;
+  state.metrics.Count(
+      {"rudderloom_endpoint_rejections_total", "known_free_slot", free_slot_known ? "yes" : "no"});
+  if (!state.log_quota.Allows(Now())) {
+    return;
+  }
+  LogLine("endpoint_rejected")
+      .With("service", rejection.service)
+      .With("endpoint", endpoint.instance)
+      .With("request_id", rejection.request_id)
+      .With("known_requests", rejection.known_requests)
+      .With("slots", endpoint.slots);
+}
+
+std::string_view NameOf(InFlightOutcome outcome) {
+  switch (outcome) {
+    case InFlightOutcome::kNotAsked:
+      return "not_asked";
+    case InFlightOutcome::kGranted:
+      return "granted";
+    case InFlightOutcome::kRefused:
+      return "refused";
+    case InFlightOutcome::kUnanswered:
+      return "unanswered";
+  }
+  return "unknown";
+}
+
+Awaitable<AcquiredPermit> AcquirePermit(ForwardingState& state,
+                                        CallGuard& guard,
+                                        PermitNeeds needs) {
+  if (!needs.in_flight || needs.slot) {
+    co_return co_await AcquireLimitPermit(state, guard, std::move(needs));
+  }
+  AcquiredPermit permit = co_await AskInFlight(state, needs);
+  if (!permit.may_send) {
+    co_return permit;
+  }
+  // Asked for second, since a permit that is not used cannot be given back.
+  const AcquiredPermit limit = co_await AcquireLimitPermit(state, guard, needs);
+  permit.may_send = limit.may_send && guard.Cause() == Interruption::kNone &&
+                    StillUsable(state, needs.endpoint.instance);
+  if (!permit.may_send) {
+    permit.slot.reset();
+  }
+  co_return permit;
+}
+
 void CountLimitedSend(ForwardingState& state, const EndpointRecord& endpoint) {
   if (state.limits.LimitOf(KeyOf(endpoint.instance))) {
     state.metrics.Count({"rudderloom_limited_endpoint_requests_total", "endpoint", endpoint.id});
--- a/src/rudderloom/forwarding/limit_check.hpp
+++ b/src/rudderloom/forwarding/limit_check.hpp
@@ -30,15 +30,32 @@
   EndpointRecord endpoint;
   Duration max_wait{0};
   std::optional<SlotTerms> slot;  // set if the endpoint tolerates few rejections
+  // Set if the work in flight at the endpoint is bounded. Not applied if `slot` is set, which
+  // bounds the requests there as well.
+  std::optional<InFlightTerms> in_flight = {};
 };
 
+// Decision on the in-flight terms of a request.
+enum class InFlightOutcome {
+  kNotAsked,  // there are no such terms
+  kGranted,
+  kRefused,
+  kUnanswered,  // no granting node is known or answers: the asking node decides itself
+};
+
+// Returns the name used as a metric label.
+std::string_view NameOf(InFlightOutcome outcome);
+
 struct AcquiredPermit {
-  bool may_send = false;
+  bool may_send = false;          // with kUnanswered: as far as the other limits are concerned
   std::shared_ptr<SlotUse> slot;  // null if none was granted
+  InFlightOutcome in_flight = InFlightOutcome::kNotAsked;
+  Duration wait{0};  // with kRefused: until the request may be granted
 };
 
-// Asks for a permit if the endpoint has a limit, and waits until the request may be sent. It may
-// not be sent if none was granted or the wait was interrupted.
+// Asks for a permit if the endpoint has a limit or the work in flight there is bounded, and waits
+// until the request may be sent. It may not be sent if none was granted or the wait was
+// interrupted.
 Awaitable<AcquiredPermit> AcquirePermit(ForwardingState& state,
                                         CallGuard& guard,
                                         PermitNeeds needs);
