Grant half of an in-flight limit when a node begins to grant

After the loss of a lease holder the nodes' views differ for up to 3 s, and three nodes granted for one endpoint: 36 requests in flight where 24 are allowed (in_flight_fleet_test, holder killed).

--- a/include/rudderloom/endpoint_limits/in_flight.hpp
+++ b/include/rudderloom/endpoint_limits/in_flight.hpp
@@ -55,6 +55,12 @@
 /// @ingroup endpoint_limits
 constexpr Duration kInFlightRecoveryTime{30'000};
 
+/// @brief A node that begins to grant for an endpoint grants up to half of the limit at first, and
+/// up to all of it after this time: requests that others granted before may still be there. After
+/// the loss of a lease holder the nodes' views differ for up to 3 s, and three nodes may grant.
+/// @ingroup endpoint_limits
+constexpr Duration kInFlightStartTime{3'000};
+
 /// @brief Requests refused with the same limit are told to ask again one after the other, as the
 /// endpoint makes room for them, but at most this much later than the first.
 /// @ingroup endpoint_limits
@@ -123,6 +129,7 @@
   bool Remove(GrantId grant, TimePoint now);
   void Expire(TimePoint now);
   std::uint32_t Progress(TimePoint now) const;
+  std::uint32_t StartLimit(std::uint32_t limit, TimePoint now) const;
   std::uint32_t EffectiveLimit(std::uint32_t limit, TimePoint now) const;
   Duration WaitFor(std::uint32_t cost, std::uint32_t limit, TimePoint now) const;
   Duration WaitInTurn(const InFlightTerms& terms, Duration wait, TimePoint now);
@@ -135,6 +142,7 @@
   TimePoint oldest_since_;               // when the first of `requests_` became the oldest
   TimePoint next_expiry_ = TimePoint::max();
   std::optional<Lowered> lowered_;
+  std::optional<TimePoint> first_asked_at_;
   Duration typical_hold_;  // of requests that ended
   bool has_hold_ = false;
   std::map<std::uint32_t, TimePoint> next_turns_;  // of refused requests, by their limit
--- a/src/rudderloom/endpoint_limits/in_flight.cpp
+++ b/src/rudderloom/endpoint_limits/in_flight.cpp
@@ -28,6 +28,7 @@
 InFlightDecision InFlightWork::Ask(GrantId grant, const InFlightTerms& asked, TimePoint now) {
   const InFlightTerms terms = Bounded(asked);
   Expire(now);
+  first_asked_at_ = first_asked_at_.value_or(now);
   const std::uint32_t limit = EffectiveLimit(terms.limit, now);
   // A request is always granted when nothing else is in flight, so that none starves.
   const bool fits = requests_.empty() || Total(now) + terms.cost <= limit;
@@ -124,7 +125,19 @@
   return static_cast<std::uint32_t>(std::min<std::int64_t>(oldest.cost, elapsed));
 }
 
-std::uint32_t InFlightWork::EffectiveLimit(std::uint32_t limit, TimePoint now) const {
+// The part of the limit that a node grants after it began to grant for the endpoint.
+std::uint32_t InFlightWork::StartLimit(std::uint32_t limit, TimePoint now) const {
+  const auto granting = std::chrono::floor<Duration>(now - first_asked_at_.value_or(now));
+  const Duration time = std::clamp(granting, Duration(0), kInFlightStartTime);
+  const std::uint32_t start = (limit + 1) / 2;
+  const auto grown = static_cast<std::uint64_t>(limit - start) *
+                     static_cast<std::uint64_t>(time.count()) /
+                     static_cast<std::uint64_t>(kInFlightStartTime.count());
+  return start + static_cast<std::uint32_t>(grown);
+}
+
+std::uint32_t InFlightWork::EffectiveLimit(std::uint32_t full_limit, TimePoint now) const {
+  const std::uint32_t limit = StartLimit(full_limit, now);
   if (!lowered_ || lowered_->total >= limit) {
     return limit;
   }
--- a/src/rudderloom/endpoint_limits/in_flight_test.cpp
+++ b/src/rudderloom/endpoint_limits/in_flight_test.cpp
@@ -24,9 +24,18 @@
   return {cost, limit, kHold, InFlightUntil::kAnswerBegins};
 }
 
+// Has a book grant up to the full limit from time 0 on.
+void EndStart(PermitBook& book) {
+  const TimePoint first = At(0) - kInFlightStartTime;
+  const PermitAnswer answer = book.AskInFlight(kEndpoint, kSlot, first);
+  book.Report({kEndpoint, answer.grant, SlotOutcome::kUnsent}, first);
+}
+
 // The granting node of one endpoint.
 class Granter {
  public:
+  Granter() { EndStart(book_); }
+
   PermitAnswer Ask(const InFlightTerms& terms, int now) {
     return book_.AskInFlight(kEndpoint, terms, At(now));
   }
@@ -331,10 +340,28 @@
   CHECK(!granter.Grants(kSlot, 20));
 }
 
+// Guards against three granting nodes at once, after the loss of the lease holder, that each grant
+// the whole limit.
+TEST_CASE("a node that begins to grant for an endpoint grants half, and all after a while") {
+  PermitBook book;
+  const auto grants_at = [&](int now) {
+    int granted = 0;
+    while (book.AskInFlight(kEndpoint, kSlot, At(now)).verdict == PermitVerdict::kGranted) {
+      ++granted;
+    }
+    return granted;
+  };
+  CHECK(grants_at(0) == 9);
+  CHECK(grants_at(1'000) == 3);
+  CHECK(grants_at(2'999) == 5);
+  CHECK(grants_at(3'000) == 1);
+}
+
 // Guards against reports to a granting node that restarted, which free its new grants.
 TEST_CASE("a granting node that restarts numbers its grants from elsewhere") {
   PermitBook before;
   PermitBook after(1ULL << 40U);
+  EndStart(after);
   const GrantId old = before.AskInFlight(kEndpoint, kSlot, At(0)).grant;
   for (int i = 0; i < 18; ++i) {
     CHECK(after.AskInFlight(kEndpoint, kSlot, At(0)).verdict == PermitVerdict::kGranted);
