--- a/tests/fakes/fleet_world.hpp
+++ b/tests/fakes/fleet_world.hpp
@@ -120,6 +120,7 @@
   int ReportsTo(int node) const;
   bool Alive(int node) const { return NodeAt(node).state != nullptr; }
   bool IsCutFromStore(int node) const { return NodeAt(node).cut_from_store; }
+  bool IsCutFromNodes(int node) const { return NodeAt(node).cut_from_nodes; }
   int Nodes() const { return static_cast<int>(nodes_.size()); }
   const StoreCalls& Calls() const { return calls_; }
   int Now() const { return now_; }
