Forecast an endpoint's work with one model, and hold or refuse by it

Change: WorkModel with LoadFit replaces ServiceTimes; choice, admission, urgency, retry times and offered demand ask it. Requests are held at the node while their goal leaves time, behind more urgent ones for the same model, and refused where streams would pause for too long.

--- a/include/rudderloom/forwarding/admission.hpp
+++ b/include/rudderloom/forwarding/admission.hpp
@@ -1,6 +1,6 @@
 /// @file
-/// Decides whether a request for a model is admitted, deferred behind all others or refused. Pure
-/// functions.
+/// Decides whether a request for a model is admitted, held, deferred behind all others or refused.
+/// Pure functions.
 #ifndef RUDDERLOOM_FORWARDING_ADMISSION_HPP
 #define RUDDERLOOM_FORWARDING_ADMISSION_HPP
 
@@ -17,14 +17,18 @@
 struct StartForecast {
   Duration if_admitted{0};  ///< Queued behind the requests that are not deferred.
   Duration if_deferred{0};  ///< Queued behind all requests at the endpoint.
+  Duration if_admitted_bound{0};  ///< Not exceeded by nine of ten requests that are admitted.
+  /// @brief Expected longest gap between two events, of this request and of those that run there.
+  Duration longest_pause{0};
 };
 
 /// @brief Outcome of the admission decision.
 /// @ingroup forwarding
 enum class Admission {
-  kAdmitted,  ///< The first event is expected within the route's goal.
+  kAdmitted,  ///< The answer is expected to meet the route's goal and its longest pause.
+  kHeld,      ///< It can wait at the node for an endpoint with less work, and still be on time.
   kDeferred,  ///< The goal can't be met: runs only where it delays no request that is on time.
-  kRefused,   ///< The client would give up before the answer begins.
+  kRefused,   ///< It would be late, and delay others.
 };
 
 /// @brief Estimates how long a request waits for a free slot at an endpoint.
@@ -33,15 +37,32 @@
 /// @ingroup forwarding
 Duration EstimateSlotWait(std::uint32_t ahead, std::uint32_t slots, Duration hold_time);
 
-/// @brief Admits, defers or refuses a request.
+/// @brief Time until which a request may be held at the node, counted from its arrival.
 ///
-/// An endpoint with a full batch serves requests one after another, whatever their goal. Without
-/// admission control, every request is late as soon as the load exceeds the endpoint's capacity.
-/// With it, as many requests are on time as the endpoint can serve, and the others are refused at
-/// once.
-/// @param spent Time since the request arrived.
+/// A request whose goal is many times what its answer takes to begin at an idle endpoint waits for
+/// capacity that others don't need, as long as its goal can still be met. Any other request is held
+/// for a quarter of its goal at most: after that its client does better elsewhere or later.
+/// @param idle_start Forecast time to the first event at an endpoint without other work.
 /// @ingroup forwarding
-Admission DecideAdmission(const StartForecast& forecast, const Route& route, Duration spent);
+Duration HoldLimit(const Route& route, Duration idle_start);
+
+/// @brief What is known of a request for the decision on its admission.
+/// @ingroup forwarding
+struct AdmissionQuery {
+  StartForecast forecast;  ///< At the chosen endpoint.
+  Duration spent{0};       ///< Since the request arrived.
+  Duration hold_limit{0};  ///< See `HoldLimit`.
+  bool is_next = true;     ///< No more urgent request waits at this node for the same model.
+};
+
+/// @brief Admits, holds, defers or refuses a request.
+///
+/// An endpoint processes prompts one after another, and its running streams pause meanwhile. Without
+/// admission control, all answers are late as soon as the load exceeds the endpoint's capacity. With
+/// it, as many answers are on time as the endpoint can serve. What can't be on time runs only where
+/// it delays nobody, and is refused otherwise.
+/// @ingroup forwarding
+Admission DecideAdmission(const AdmissionQuery& query, const Route& route);
 
 /// @brief Returns the urgency to pass to the endpoint; 0 is served first.
 /// @param priority The caller's priority; 0 is the highest.
--- a/include/rudderloom/forwarding/balancer.hpp
+++ b/include/rudderloom/forwarding/balancer.hpp
@@ -16,7 +16,7 @@
 #include "rudderloom/fleet/fleet_view.hpp"                 // for FleetView
 #include "rudderloom/forwarding/admission.hpp"             // for StartForecast
 #include "rudderloom/forwarding/header_codec.hpp"          // for RequestMetadata
-#include "rudderloom/forwarding/service_times.hpp"         // for ServiceTimes
+#include "rudderloom/forwarding/work_model.hpp"            // for WorkModel
 
 namespace rudderloom {
 
@@ -55,6 +55,7 @@
   /// @brief Rejections per second that the endpoint tolerates; empty if any number. Otherwise the
   /// request needs a permit.
   std::optional<double> tolerated_rejections;
+  EndpointWork work;       ///< At the endpoint, with this request's prompt.
   StartForecast forecast;  ///< Set for requests for a model.
   Duration hold_time{0};   ///< How long the request is expected to occupy its slot.
 };
@@ -111,9 +112,9 @@
   /// @brief Returns the load of this node's requests by endpoint.
   LoadTable Loads() const;
 
-  /// @brief Service times observed by this node.
-  ServiceTimes& Times() { return times_; }
-  const ServiceTimes& Times() const { return times_; }
+  /// @brief What work costs at endpoints, as observed by this node.
+  WorkModel& Work() { return work_; }
+  const WorkModel& Work() const { return work_; }
 
   /// @brief Drops state of endpoints that left the view, and expired entries.
   void Trim(const FleetView& view, TimePoint now);
@@ -162,13 +163,14 @@
   double Cost(const Candidate& candidate, const RequestCosts& costs) const;
   void EstimateArrivals(std::vector<Candidate>& candidates, const RequestCosts& costs) const;
   const Candidate& Pick(const std::vector<Candidate>& candidates, const RequestCosts& costs);
+  EndpointWork WorkAt(const Candidate& candidate, const BalancerQuery& query) const;
   StartForecast Forecast(const Candidate& candidate, const BalancerQuery& query) const;
   std::uint64_t UnreadTokens(const Endpoint& endpoint, const RequestMetadata& terms) const;
 
   std::string availability_zone_;
   std::mt19937_64 random_;
   std::map<std::string, Endpoint> endpoints_;
-  ServiceTimes times_;
+  WorkModel work_;
 };
 
 /// @brief Hashes the first `count` parts of a prompt, with the model and adapter.
--- a/include/rudderloom/forwarding/forwarder.hpp
+++ b/include/rudderloom/forwarding/forwarder.hpp
@@ -21,6 +21,7 @@
 #include "rudderloom/forwarding/endpoint_connection.hpp"    // for ConnectionPool
 #include "rudderloom/forwarding/endpoint_reach.hpp"         // for EndpointReach
 #include "rudderloom/forwarding/gateway_choice.hpp"         // for GatewayChoice
+#include "rudderloom/forwarding/held_requests.hpp"          // for HeldRequests
 #include "rudderloom/forwarding/missing_units.hpp"          // for MissingUnits
 #include "rudderloom/forwarding/retry_budget.hpp"           // for RetryBudget
 #include "rudderloom/forwarding/view_source.hpp"            // for ViewSource
@@ -149,6 +150,7 @@
   std::vector<UnconfirmedEnd> unconfirmed_ends = {};
   QuarantineTrials trials = {};
   SilentGranters silent_granters = {};
+  HeldRequests held = {};
   std::size_t kept_answer_bytes = 0;  ///< Of answers that have not been passed on yet.
 };
 
--- /dev/null
+++ b/include/rudderloom/forwarding/held_requests.hpp
@@ -0,0 +1,70 @@
+/// @file
+/// Requests that wait at this node until the endpoints that hold their model have less work.
+#ifndef RUDDERLOOM_FORWARDING_HELD_REQUESTS_HPP
+#define RUDDERLOOM_FORWARDING_HELD_REQUESTS_HPP
+
+#include <cstdint>  // for uint32_t, uint64_t
+#include <map>      // for map
+#include <set>      // for multiset
+#include <string>   // for string
+
+#include "rudderloom/base/clock.hpp"  // for TimePoint
+
+namespace rudderloom {
+
+/// @brief A model of a service.
+/// @ingroup forwarding
+struct HeldFor {
+  std::string service;
+  std::string model;
+  auto operator<=>(const HeldFor&) const = default;
+};
+
+/// @brief A request that waits, and what decides on its turn.
+/// @ingroup forwarding
+struct HeldRequest {
+  HeldFor target;
+  std::uint32_t priority = 0;  ///< 0 is the most urgent.
+  TimePoint deadline;
+};
+
+/// @brief The held requests of this node. Owned by the traffic thread.
+/// @ingroup forwarding
+class HeldRequests {
+ public:
+  void Add(const HeldRequest& request);
+  void Remove(const HeldRequest& request);
+
+  /// @brief True if a more urgent request waits for the same model.
+  bool AnyBefore(const HeldRequest& request) const;
+
+  std::size_t Size() const;
+
+ private:
+  std::map<HeldFor, std::multiset<std::uint32_t>> priorities_;
+};
+
+/// @brief Counts a request as held during this object's lifetime.
+/// @ingroup forwarding
+class ScopedHold {
+ public:
+  ScopedHold(HeldRequests& held, HeldRequest request);
+  ScopedHold(const ScopedHold&) = delete;
+  ScopedHold& operator=(const ScopedHold&) = delete;
+  ~ScopedHold();
+
+ private:
+  HeldRequests& held_;
+  HeldRequest request_;
+};
+
+/// @brief Time until a held request is considered again. It grows with the time that the request
+/// has waited, so that patient requests cost little, and differs between requests, so that not all
+/// nodes send to an endpoint at the same moment.
+/// @param random Any number.
+/// @ingroup forwarding
+Duration HoldInterval(Duration waited, std::uint64_t random);
+
+}  // namespace rudderloom
+
+#endif
--- /dev/null
+++ b/include/rudderloom/forwarding/work_model.hpp
@@ -0,0 +1,108 @@
+/// @file
+/// Estimates from this node's answers what work costs at endpoints.
+#ifndef RUDDERLOOM_FORWARDING_WORK_MODEL_HPP
+#define RUDDERLOOM_FORWARDING_WORK_MODEL_HPP
+
+#include <cstdint>  // for uint32_t, uint64_t
+#include <map>      // for map
+#include <string>   // for string
+#include <utility>  // for pair
+
+#include "rudderloom/base/clock.hpp"               // for Duration
+#include "rudderloom/forwarding/load_fit.hpp"      // for LoadFit
+
+namespace rudderloom {
+
+/// @brief Work at an endpoint when a request is sent to it.
+/// @ingroup forwarding
+struct EndpointWork {
+  std::uint64_t unread_tokens = 0;  ///< Prompt tokens to process, including the request's own.
+  std::uint32_t requests = 0;       ///< Other requests, running or waiting.
+};
+
+/// @brief What a stream is expected to look like to its client. Nine of ten streams are no later
+/// than the upper bounds.
+/// @ingroup forwarding
+struct StreamForecast {
+  Duration first_event{0};  ///< Expected time to the first event, without a wait for a slot.
+  Duration first_event_bound{0};
+  Duration longest_pause{0};  ///< Expected longest gap between two events.
+  Duration longest_pause_bound{0};
+};
+
+/// @brief A complete answer.
+/// @ingroup forwarding
+struct StreamSample {
+  EndpointWork work;            ///< At its endpoint when it was sent.
+  std::uint64_t tokens_out = 0;  ///< As estimated or bounded by the client.
+  Duration first_event{0};       ///< From sending the request to its first event.
+  Duration longest_pause{0};
+  Duration hold_time{0};  ///< From the first event to the end.
+  bool waited_for_slot = false;  ///< The endpoint had no free slot when the request was sent.
+};
+
+/// @brief The single estimate of an endpoint's work: choice of endpoints, admission, urgency, times
+/// to retry and the demand reported to placement all use it.
+///
+/// An engine makes one token for each running request per step, and processes prompts in between.
+/// Both the first event of a new stream and the gaps in the running ones grow with the prompt
+/// tokens to process and with the number of running requests; `LoadFit` learns how fast. A model
+/// without samples uses the estimate of its service. A service without samples gets zero times, so
+/// that no request is refused on a guess.
+/// @ingroup forwarding
+class WorkModel {
+ public:
+  /// @brief Records a complete answer.
+  void RecordStream(const std::string& service,
+                    const std::string& model,
+                    const StreamSample& sample);
+
+  /// @brief Records only how long an answer occupied its slot.
+  void RecordAnswer(const std::string& service,
+                    const std::string& model,
+                    std::uint64_t tokens_out,
+                    Duration hold_time);
+
+  StreamForecast Forecast(const std::string& service,
+                          const std::string& model,
+                          const EndpointWork& work) const;
+
+  /// @brief Expected time from the first event of an answer to its end; zero without samples.
+  Duration HoldTime(const std::string& service,
+                    const std::string& model,
+                    std::uint64_t tokens_out) const;
+
+  /// @brief Like HoldTime(), for a typical request for the model.
+  Duration TypicalHoldTime(const std::string& service, const std::string& model) const;
+
+  /// @brief Prompt tokens processed per millisecond.
+  double TokensPerMillisecond(const std::string& service, const std::string& model) const;
+
+  /// @brief Time to process the tokens of a prompt.
+  Duration PromptTime(const std::string& service,
+                      const std::string& model,
+                      std::uint64_t unread_tokens) const;
+
+ private:
+  // Exponentially decaying sums of answer tokens and the time to send them.
+  struct Answers {
+    double samples = 0.0;
+    double tokens = 0.0;
+    double milliseconds = 0.0;
+  };
+  struct Estimates {
+    LoadFit first_event = LoadFit::ForFirstEvents();
+    LoadFit longest_pause = LoadFit::ForPauses();
+    Answers answers;
+  };
+  using Key = std::pair<std::string, std::string>;  // service, model; "" for all models
+
+  const Estimates* Find(const std::string& service, const std::string& model) const;
+  const Answers* FindAnswers(const std::string& service, const std::string& model) const;
+
+  std::map<Key, Estimates> estimates_;
+};
+
+}  // namespace rudderloom
+
+#endif
--- a/src/rudderloom/forwarding/admission.cpp
+++ b/src/rudderloom/forwarding/admission.cpp
@@ -11,6 +11,11 @@
 constexpr std::uint32_t kUrgenciesPerPriority = 2;
 constexpr std::uint32_t kMaxAdmittedUrgency = 6;
 constexpr std::uint32_t kDeferredUrgency = 8;
+// A goal of at least so many starts at an idle endpoint leaves time to wait.
+constexpr int kPatientStarts = 8;
+// Starts at an idle endpoint that are kept in reserve at the end of the hold.
+constexpr int kReservedStarts = 3;
+constexpr int kHoldGoalDivisor = 4;
 
 }  // namespace
 
@@ -22,12 +27,28 @@
   return hold_time * (ahead - places + 1) / places;
 }
 
-Admission DecideAdmission(const StartForecast& forecast, const Route& route, Duration spent) {
-  if (spent + forecast.if_admitted <= route.goal) {
+Duration HoldLimit(const Route& route, Duration idle_start) {
+  return route.goal >= idle_start * kPatientStarts ? route.goal - idle_start * kReservedStarts
+                                                   : route.goal / kHoldGoalDivisor;
+}
+
+Admission DecideAdmission(const AdmissionQuery& query, const Route& route) {
+  const StartForecast& forecast = query.forecast;
+  const bool pauses_in_time = forecast.longest_pause <= route.longest_pause;
+  if (query.is_next && pauses_in_time && query.spent + forecast.if_admitted_bound <= route.goal) {
+    return Admission::kAdmitted;
+  }
+  if (query.spent < query.hold_limit) {
+    return Admission::kHeld;
+  }
+  if (!pauses_in_time) {
+    return Admission::kRefused;
+  }
+  if (query.spent + forecast.if_admitted <= route.goal) {
     return Admission::kAdmitted;
   }
-  return spent + forecast.if_deferred <= route.patience ? Admission::kDeferred
-                                                        : Admission::kRefused;
+  return query.spent + forecast.if_deferred <= route.patience ? Admission::kDeferred
+                                                              : Admission::kRefused;
 }
 
 std::uint32_t UrgencyOf(Admission admission,
--- a/src/rudderloom/forwarding/admission_test.cpp
+++ b/src/rudderloom/forwarding/admission_test.cpp
@@ -2,8 +2,8 @@
 
 #include <doctest/doctest.h>  // for TEST_CASE
 
+#include "rudderloom/forwarding/held_requests.hpp"  // for HeldRequests
 #include "rudderloom/forwarding/missing_units.hpp"  // for MissingUnits
-#include "rudderloom/forwarding/service_times.hpp"  // for ServiceTimes
 
 namespace rudderloom {
 namespace {
@@ -26,19 +26,70 @@
   CHECK(EstimateSlotWait(31, 16, Duration(1'600)) == Duration(1'600));
 }
 
+AdmissionQuery MakeQuery(int if_admitted, int if_deferred, int spent) {
+  AdmissionQuery query;
+  query.forecast = {Duration(if_admitted), Duration(if_deferred), Duration(if_admitted), Duration(0)};
+  query.spent = Duration(spent);
+  return query;
+}
+
 TEST_CASE("requests that meet their goal are admitted, others are deferred or refused") {
   const Route route = MakeRoute();
-  CHECK(DecideAdmission({Duration(390), Duration(5'000)}, route, Duration(10)) ==
-        Admission::kAdmitted);
-  CHECK(DecideAdmission({Duration(390), Duration(2'300)}, route, Duration(100)) ==
-        Admission::kDeferred);
-  CHECK(DecideAdmission({Duration(401), Duration(2'401)}, route, Duration(0)) ==
-        Admission::kRefused);
+  CHECK(DecideAdmission(MakeQuery(390, 5'000, 10), route) == Admission::kAdmitted);
+  CHECK(DecideAdmission(MakeQuery(390, 2'300, 100), route) == Admission::kDeferred);
+  CHECK(DecideAdmission(MakeQuery(401, 2'401, 0), route) == Admission::kRefused);
+}
+
+// Load: prompts keep an endpoint so busy that its running streams pause for too long.
+TEST_CASE("a request that would make streams pause for too long is held, then refused") {
+  const Route route = MakeRoute();
+  AdmissionQuery query = MakeQuery(100, 100, 0);
+  query.forecast.longest_pause = route.longest_pause + Duration(1);
+  CHECK(DecideAdmission(query, route) == Admission::kRefused);
+  query.hold_limit = Duration(50);
+  CHECK(DecideAdmission(query, route) == Admission::kHeld);
+  query.spent = Duration(50);
+  CHECK(DecideAdmission(query, route) == Admission::kRefused);
+}
+
+TEST_CASE("a less urgent request does not overtake a more urgent one that is held") {
+  const Route route = MakeRoute();
+  AdmissionQuery query = MakeQuery(100, 100, 0);
+  query.hold_limit = Duration(50);
+  CHECK(DecideAdmission(query, route) == Admission::kAdmitted);
+  query.is_next = false;
+  CHECK(DecideAdmission(query, route) == Admission::kHeld);
+  // At the end of the hold it takes its chance, so that it can't starve.
+  query.spent = Duration(50);
+  CHECK(DecideAdmission(query, route) == Admission::kAdmitted);
+}
+
+TEST_CASE("patient requests are held until their goal is near, urgent ones for a part of it") {
+  Route route = MakeRoute();
+  CHECK(HoldLimit(route, Duration(100)) == Duration(100));
+  route.goal = Duration(15'000);
+  CHECK(HoldLimit(route, Duration(100)) == Duration(14'700));
+}
+
+TEST_CASE("held requests of another model or of lower urgency have no precedence") {
+  HeldRequests held;
+  const HeldRequest urgent{{"pool", "m"}, 0, At(5'000)};
+  const HeldRequest patient{{"pool", "m"}, 2, At(20'000)};
+  const HeldRequest other{{"pool", "other"}, 2, At(20'000)};
+  const ScopedHold patient_hold(held, patient);
+  CHECK_FALSE(held.AnyBefore(urgent));
+  {
+    const ScopedHold urgent_hold(held, urgent);
+    CHECK(held.AnyBefore(patient));
+    CHECK_FALSE(held.AnyBefore(other));
+    CHECK(held.Size() == 2);
+  }
+  CHECK_FALSE(held.AnyBefore(patient));
 }
 
 TEST_CASE("urgency depends on priority, then on slack; deferred requests are last") {
   Route route = MakeRoute();
-  const StartForecast soon{Duration(100), Duration(100)};
+  const StartForecast soon{Duration(100), Duration(100), Duration(100), Duration(0)};
   const Duration hold_time(1'500);
   const std::uint32_t usual =
       UrgencyOf(Admission::kAdmitted, route, route.priority, soon, hold_time, Duration(0));
@@ -55,29 +106,6 @@
   CHECK(patient < last);
 }
 
-TEST_CASE("times are estimated by model, and by service until the model has enough samples") {
-  ServiceTimes times;
-  CHECK(times.HoldTime("pool", "m", 100) == Duration(0));
-  CHECK(times.FirstEventTime("pool", "m", 5'000) == Duration(0));
-  for (int i = 0; i < 50; ++i) {
-    const std::uint64_t tokens = 100 + static_cast<std::uint64_t>(i) * 100;
-    times.RecordAnswer("pool", "slow", tokens, Duration(tokens * 5));
-    times.RecordFirstEvent("pool", "slow", tokens, Duration(40 + tokens / 40));
-  }
-  CHECK(times.HoldTime("pool", "slow", 200) == Duration(1'000));
-  CHECK(times.HoldTime("pool", "other", 200) == Duration(1'000));
-  const Duration first = times.FirstEventTime("pool", "slow", 4'000);
-  CHECK(first >= Duration(130));
-  CHECK(first <= Duration(150));
-  CHECK(times.TokensPerMillisecond("pool", "slow") > 35.0);
-  CHECK(times.TokensPerMillisecond("pool", "slow") < 45.0);
-  for (int i = 0; i < 10; ++i) {
-    times.RecordAnswer("pool", "fast", 200, Duration(150));
-  }
-  CHECK(times.HoldTime("pool", "fast", 400) == Duration(300));
-  CHECK(times.HoldTime("elsewhere", "fast", 400) == Duration(0));
-}
-
 TEST_CASE("a missing model is expected at the end of its load, and later when overdue") {
   ServiceSpec service;
   service.engine.emplace();
--- a/src/rudderloom/forwarding/balancer.cpp
+++ b/src/rudderloom/forwarding/balancer.cpp
@@ -281,21 +281,30 @@
   return *best;
 }
 
-StartForecast Balancer::Forecast(const Candidate& candidate, const BalancerQuery& query) const {
-  const Duration hold_time = times_.TypicalHoldTime(query.service, query.terms.model);
-  const std::uint32_t requests = candidate.load.requests + candidate.expected_arrivals;
-  const std::uint32_t deferred = std::min(requests, candidate.load.deferred);
+EndpointWork Balancer::WorkAt(const Candidate& candidate, const BalancerQuery& query) const {
   // Part of the other nodes' reported prompts has been processed since.
   const auto read_since = static_cast<std::uint64_t>(
-      kLoadsAgeMilliseconds * times_.TokensPerMillisecond(query.service, query.terms.model));
+      kLoadsAgeMilliseconds * work_.TokensPerMillisecond(query.service, query.terms.model));
   const std::uint64_t others = candidate.load.unread_tokens - candidate.own.unread_tokens;
-  const std::uint64_t unread = candidate.own.unread_tokens + candidate.unread_tokens +
-                               (others - std::min(others, read_since));
-  const Duration first_event_time = times_.FirstEventTime(query.service, query.terms.model, unread);
+  EndpointWork work;
+  work.unread_tokens = candidate.own.unread_tokens + candidate.unread_tokens +
+                       (others - std::min(others, read_since));
+  work.requests = candidate.load.requests + candidate.expected_arrivals;
+  return work;
+}
+
+StartForecast Balancer::Forecast(const Candidate& candidate, const BalancerQuery& query) const {
+  const EndpointWork work = WorkAt(candidate, query);
+  const Duration hold_time = work_.TypicalHoldTime(query.service, query.terms.model);
+  const std::uint32_t deferred = std::min(work.requests, candidate.load.deferred);
+  const StreamForecast stream = work_.Forecast(query.service, query.terms.model, work);
+  const Duration wait = EstimateSlotWait(work.requests - deferred, candidate.slots, hold_time);
   StartForecast forecast;
-  forecast.if_deferred = EstimateSlotWait(requests, candidate.slots, hold_time) + first_event_time;
-  forecast.if_admitted =
-      EstimateSlotWait(requests - deferred, candidate.slots, hold_time) + first_event_time;
+  forecast.if_deferred =
+      EstimateSlotWait(work.requests, candidate.slots, hold_time) + stream.first_event;
+  forecast.if_admitted = wait + stream.first_event;
+  forecast.if_admitted_bound = wait + stream.first_event_bound;
+  forecast.longest_pause = stream.longest_pause;
   return forecast;
 }
 
@@ -317,8 +326,8 @@
   RequestCosts costs;
   costs.is_model_request = !query.terms.model.empty();
   if (costs.is_model_request) {
-    costs.hold_time = times_.TypicalHoldTime(query.service, query.terms.model);
-    costs.tokens_per_millisecond = times_.TokensPerMillisecond(query.service, query.terms.model);
+    costs.hold_time = work_.TypicalHoldTime(query.service, query.terms.model);
+    costs.tokens_per_millisecond = work_.TokensPerMillisecond(query.service, query.terms.model);
     costs.prompt_tokens = static_cast<double>(query.terms.tokens_in);
     EstimateArrivals(candidates, costs);
   }
@@ -335,8 +344,9 @@
   choice.added_load.requests = 1;
   if (costs.is_model_request) {
     choice.added_load.unread_tokens = picked.unread_tokens;
+    choice.work = WorkAt(picked, query);
     choice.forecast = Forecast(picked, query);
-    choice.hold_time = times_.HoldTime(query.service, query.terms.model, query.terms.tokens_out);
+    choice.hold_time = work_.HoldTime(query.service, query.terms.model, query.terms.tokens_out);
   }
   return choice;
 }
--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -11,8 +11,9 @@
 #include "forwarding/limit_check.hpp"      // for AcquirePermit
 #include "forwarding/request_end.hpp"      // for LogRequestEnd, LogFailedAttempt
 #include "forwarding/stream_version.hpp"   // for FindStreamVersion
-#include "forwarding/request_samples.hpp"  // for RecordServiceTimes, OfferedTime
+#include "forwarding/request_samples.hpp"  // for RecordStream, OfferedTime
 #include "forwarding/tried_endpoints.hpp"  // for TriedEndpoints
+#include "rudderloom/forwarding/held_requests.hpp"  // for HeldRequest, ScopedHold
 #include "rudderloom/http/call_guard.hpp"  // for CallGuard
 
 namespace rudderloom {
@@ -79,7 +80,7 @@
   // Adds the request's expected service time to the demand. Refused requests count too; otherwise a
   // model under a burst would look idle.
   void CountDemand() {
-    const Duration offered = OfferedTime(state_.balancer.Times(), service_, terms_);
+    const Duration offered = OfferedTime(state_.balancer.Work(), service_, terms_);
     for (const UnitName& unit : RequestedUnits(service_, terms_)) {
       state_.units[unit].offered += offered;
     }
@@ -121,6 +122,13 @@
         state_.missing.MarkResident(unit);
       }
       admission_ = CheckAdmission();
+      if (admission_ == Admission::kHeld) {
+        const bool answered = co_await Hold();
+        if (answered) {
+          co_return;
+        }
+        continue;
+      }
       if (admission_ == Admission::kRefused) {
         co_await Refuse(ForwardRefusal::kOverloaded);
         co_return;
@@ -178,7 +186,36 @@
     if (terms_.model.empty() || stream_.started || attempts_ > 0) {
       return Admission::kAdmitted;
     }
-    return DecideAdmission(last_choice_.forecast, *route_, Between(arrived_, Now()));
+    AdmissionQuery query;
+    query.forecast = last_choice_.forecast;
+    query.spent = Between(arrived_, Now());
+    query.is_next = !state_.held.AnyBefore(HeldPosition());
+    const WorkModel& work = state_.balancer.Work();
+    const EndpointWork idle{last_choice_.added_load.unread_tokens, 0};
+    query.hold_limit = state_.stopping
+                           ? Duration(0)
+                           : HoldLimit(*route_, work.Forecast(service_, terms_.model, idle)
+                                                    .first_event_bound);
+    return DecideAdmission(query, *route_);
+  }
+
+  HeldRequest HeldPosition() const {
+    return {{service_, terms_.model}, checks_.Priority(), deadline_at_};
+  }
+
+  // Waits before the next decision on admission; true if the request has been answered meanwhile.
+  Awaitable<bool> Hold() {
+    const TimePoint began = Now();
+    {
+      const ScopedUnitCount waiting(state_.units, RequestedUnits(service_, terms_),
+                                    &UnitCount::waiting);
+      const ScopedHold held(state_.held, HeldPosition());
+      state_.metrics.Count({"rudderloom_held_total"});
+      guard_->WaitTimer().expires_after(HoldInterval(Between(arrived_, began), state_.random()));
+      co_await guard_->WaitTimer().async_wait(kAsTuple);
+    }
+    waited_ += Between(began, Now());
+    co_return co_await HandleInterruption();
   }
 
   // Obtains a permit if the endpoint has a limit. Does not wait for one if other candidates have no
@@ -227,7 +264,7 @@
     const bool has_engine = service != nullptr && service->engine;
     const std::uint32_t slots = has_engine ? service->engine->slots : 1;
     return std::max(announced->ends_at, Now()) +
-           BacklogTime(state_.balancer.Times(), service_, terms_, *waiting_ahead_, slots);
+           BacklogTime(state_.balancer.Work(), service_, terms_, *waiting_ahead_, slots);
   }
 
   // Time until an endpoint that rejected the request as full is expected to take one like it.
@@ -382,8 +419,8 @@
       state_.balancer.MarkNotResident(endpoint.instance, terms_, Now());
     }
     if (result.outcome == AttemptOutcome::kAnswered && attempts_ == 0) {
-      RecordServiceTimes({service_, terms_, last_choice_, stream_.pace, endpoint.slots, started},
-                         state_.balancer.Times());
+      RecordStream({service_, terms_, last_choice_, stream_.pace, endpoint.slots, started},
+                         state_.balancer.Work());
     }
     state_.metrics.Observe({"rudderloom_attempt_seconds", "service", service_},
                            std::chrono::duration<double>(Now() - started).count());
--- a/src/rudderloom/forwarding/forwarding_test.cpp
+++ b/src/rudderloom/forwarding/forwarding_test.cpp
@@ -148,7 +148,7 @@
   for (int node = 0; node < requests; ++node) {
     Balancer balancer("z", static_cast<std::uint64_t>(node));
     for (int i = 0; i < 10; ++i) {
-      balancer.Times().RecordAnswer("s", "m", 50, Duration(600));
+      balancer.Work().RecordAnswer("s", "m", 50, Duration(600));
     }
     RequestMetadata terms = MakeRequest(7, 8);
     terms.prompt.clear();
@@ -168,7 +168,7 @@
   view.endpoints[0].other_nodes_load = {24, 12, 0};
   Balancer balancer("z", 1);
   for (int i = 0; i < 10; ++i) {
-    balancer.Times().RecordAnswer("s", "m", 50, Duration(800));
+    balancer.Work().RecordAnswer("s", "m", 50, Duration(800));
   }
   const std::set<std::string> none;
   const RequestMetadata terms = MakeRequest(1, 2);
--- a/src/rudderloom/forwarding/request_samples.cpp
+++ b/src/rudderloom/forwarding/request_samples.cpp
@@ -9,32 +9,25 @@
 
 // Used until answers of the model have been observed.
 constexpr Duration kAssumedHoldTime{1'000};
-// Prompt times are sampled only if at most 1/kQuietDivisor of the endpoint's slots are taken: on a
-// busier endpoint other prompts are processed in between.
-constexpr std::uint32_t kQuietDivisor = 2;
 
 }  // namespace
 
-Duration OfferedTime(const ServiceTimes& times,
+Duration OfferedTime(const WorkModel& work,
                      const std::string& service,
                      const RequestMetadata& terms) {
-  const Duration known = times.HoldTime(service, terms.model, terms.tokens_out) +
-                         times.TypicalFirstEventTime(service, terms.model);
+  const Duration known =
+      work.HoldTime(service, terms.model, terms.tokens_out) +
+      work.Forecast(service, terms.model, {terms.tokens_in, 0}).first_event;
   return known > Duration(0) ? known : kAssumedHoldTime;
 }
 
-Duration BacklogTime(const ServiceTimes& times,
+Duration BacklogTime(const WorkModel& work,
                      const std::string& service,
                      const RequestMetadata& terms,
                      std::uint32_t ahead,
                      std::uint32_t slots) {
-  const double tokens_per_millisecond = times.TokensPerMillisecond(service, terms.model);
-  const double unread_tokens = static_cast<double>(terms.tokens_in) * ahead;
-  const Duration prompt_time(
-      tokens_per_millisecond > 0.0
-          ? static_cast<Duration::rep>(unread_tokens / tokens_per_millisecond)
-          : 0);
-  const Duration hold_time = times.HoldTime(service, terms.model, terms.tokens_out);
+  const Duration prompt_time = work.PromptTime(service, terms.model, terms.tokens_in * ahead);
+  const Duration hold_time = work.HoldTime(service, terms.model, terms.tokens_out);
   return std::max(prompt_time, EstimateSlotWait(ahead, slots, hold_time));
 }
 
@@ -53,19 +46,19 @@
   }
 }
 
-void RecordServiceTimes(const CompletedStream& stream, ServiceTimes& times) {
+void RecordStream(const CompletedStream& stream, WorkModel& work) {
   const StreamPace& pace = stream.pace;
   if (!pace.first_at) {
     return;
   }
-  const RequestMetadata& terms = stream.terms;
-  times.RecordAnswer(stream.service, terms.model, terms.tokens_out,
-                     Between(*pace.first_at, pace.last_at));
-  const EndpointLoad& before = stream.choice.load;
-  if (before.requests * kQuietDivisor <= stream.slots && before.unread_tokens == 0) {
-    times.RecordFirstEvent(stream.service, terms.model, stream.choice.added_load.unread_tokens,
-                           Between(stream.sent_at, *pace.first_at));
-  }
+  StreamSample sample;
+  sample.work = stream.choice.work;
+  sample.tokens_out = stream.terms.tokens_out;
+  sample.first_event = Between(stream.sent_at, *pace.first_at);
+  sample.longest_pause = pace.longest_pause;
+  sample.hold_time = Between(*pace.first_at, pace.last_at);
+  sample.waited_for_slot = sample.work.requests >= stream.slots;
+  work.RecordStream(stream.service, stream.terms.model, sample);
 }
 
 }  // namespace rudderloom
--- a/src/rudderloom/forwarding/request_samples.hpp
+++ b/src/rudderloom/forwarding/request_samples.hpp
@@ -9,19 +9,19 @@
 #include "forwarding/attempt.hpp"                   // for StreamPace
 #include "rudderloom/forwarding/balancer.hpp"       // for EndpointChoice
 #include "rudderloom/forwarding/header_codec.hpp"   // for RequestMetadata
-#include "rudderloom/forwarding/service_times.hpp"  // for ServiceTimes
+#include "rudderloom/forwarding/work_model.hpp"     // for WorkModel
 #include "rudderloom/placement/demand.hpp"          // for UnitCount
 
 namespace rudderloom {
 
 // Expected time of a request at an endpoint, from earlier requests.
-Duration OfferedTime(const ServiceTimes& times,
+Duration OfferedTime(const WorkModel& work,
                      const std::string& service,
                      const RequestMetadata& terms);
 
 // How long a request waits at an idle endpoint behind `ahead` similar requests that arrive just
 // before it: until their prompts are processed or a slot is free, whichever is later.
-Duration BacklogTime(const ServiceTimes& times,
+Duration BacklogTime(const WorkModel& work,
                      const std::string& service,
                      const RequestMetadata& terms,
                      std::uint32_t ahead,
@@ -53,7 +53,7 @@
   TimePoint sent_at;
 };
 
-void RecordServiceTimes(const CompletedStream& stream, ServiceTimes& times);
+void RecordStream(const CompletedStream& stream, WorkModel& work);
 
 }  // namespace rudderloom
 
--- /dev/null
+++ b/src/rudderloom/forwarding/work_model.cpp
@@ -0,0 +1,117 @@
+#include "rudderloom/forwarding/work_model.hpp"
+
+#include <cmath>  // for llround
+
+namespace rudderloom {
+
+namespace {
+
+// Decay per new sample: about fifty samples are effective.
+constexpr double kDecay = 0.02;
+// Minimum samples for a model's own estimate; below it, the service's estimate is used.
+constexpr double kMinSamples = 6.0;
+
+Duration Rounded(double milliseconds) {
+  return Duration(std::llround(milliseconds));
+}
+
+}  // namespace
+
+void WorkModel::RecordStream(const std::string& service,
+                             const std::string& model,
+                             const StreamSample& sample) {
+  RecordAnswer(service, model, sample.tokens_out, sample.hold_time);
+  const auto tokens = static_cast<double>(sample.work.unread_tokens);
+  const auto requests = static_cast<double>(sample.work.requests);
+  for (const Key& key : {Key(service, ""), Key(service, model)}) {
+    Estimates& estimates = estimates_[key];
+    // A wait for a slot is estimated from hold times.
+    if (!sample.waited_for_slot) {
+      estimates.first_event.Add(tokens, requests, static_cast<double>(sample.first_event.count()));
+    }
+    estimates.longest_pause.Add(tokens, requests,
+                                static_cast<double>(sample.longest_pause.count()));
+  }
+}
+
+void WorkModel::RecordAnswer(const std::string& service,
+                             const std::string& model,
+                             std::uint64_t tokens_out,
+                             Duration hold_time) {
+  for (const Key& key : {Key(service, ""), Key(service, model)}) {
+    Answers& answers = estimates_[key].answers;
+    answers.samples = answers.samples * (1.0 - kDecay) + 1.0;
+    answers.tokens = answers.tokens * (1.0 - kDecay) + static_cast<double>(tokens_out);
+    answers.milliseconds =
+        answers.milliseconds * (1.0 - kDecay) + static_cast<double>(hold_time.count());
+  }
+}
+
+const WorkModel::Estimates* WorkModel::Find(const std::string& service,
+                                            const std::string& model) const {
+  const auto own = estimates_.find({service, model});
+  if (own != estimates_.end() && own->second.first_event.Samples() >= kMinSamples) {
+    return &own->second;
+  }
+  const auto service_wide = estimates_.find({service, ""});
+  const bool known =
+      service_wide != estimates_.end() && service_wide->second.first_event.Samples() > 0.0;
+  return known ? &service_wide->second : nullptr;
+}
+
+const WorkModel::Answers* WorkModel::FindAnswers(const std::string& service,
+                                                 const std::string& model) const {
+  for (const Key& key : {Key(service, model), Key(service, "")}) {
+    const auto found = estimates_.find(key);
+    if (found != estimates_.end() && found->second.answers.samples >= kMinSamples) {
+      return &found->second.answers;
+    }
+  }
+  return nullptr;
+}
+
+StreamForecast WorkModel::Forecast(const std::string& service,
+                                   const std::string& model,
+                                   const EndpointWork& work) const {
+  StreamForecast forecast;
+  const Estimates* found = Find(service, model);
+  if (found == nullptr) {
+    return forecast;
+  }
+  const auto tokens = static_cast<double>(work.unread_tokens);
+  const auto requests = static_cast<double>(work.requests);
+  forecast.first_event = Rounded(found->first_event.Expect(tokens, requests));
+  forecast.first_event_bound = Rounded(found->first_event.Bound(tokens, requests));
+  forecast.longest_pause = Rounded(found->longest_pause.Expect(tokens, requests));
+  forecast.longest_pause_bound = Rounded(found->longest_pause.Bound(tokens, requests));
+  return forecast;
+}
+
+Duration WorkModel::HoldTime(const std::string& service,
+                             const std::string& model,
+                             std::uint64_t tokens_out) const {
+  const Answers* answers = FindAnswers(service, model);
+  if (answers == nullptr || answers->tokens <= 0.0) {
+    return TypicalHoldTime(service, model);
+  }
+  return Rounded(answers->milliseconds / answers->tokens * static_cast<double>(tokens_out));
+}
+
+Duration WorkModel::TypicalHoldTime(const std::string& service, const std::string& model) const {
+  const Answers* answers = FindAnswers(service, model);
+  return answers == nullptr ? Duration(0) : Rounded(answers->milliseconds / answers->samples);
+}
+
+double WorkModel::TokensPerMillisecond(const std::string& service, const std::string& model) const {
+  static const LoadFit kPrior = LoadFit::ForFirstEvents();
+  const Estimates* found = Find(service, model);
+  return 1.0 / (found == nullptr ? kPrior : found->first_event).PerToken();
+}
+
+Duration WorkModel::PromptTime(const std::string& service,
+                               const std::string& model,
+                               std::uint64_t unread_tokens) const {
+  return Rounded(static_cast<double>(unread_tokens) / TokensPerMillisecond(service, model));
+}
+
+}  // namespace rudderloom
