Space prompts at engines that many nodes share

Cause: in 300 ms more prompts reach an engine than fit into one pause, and nodes know of them only afterwards. Change: WorkModel::PromptSpacing derives the interval from the longest pause; AwaitPromptTurn asks the granting node; routes count the more urgent priorities of a service, which leave less urgent requests a shorter queue.

--- a/include/rudderloom/endpoint_limits/permit_book.hpp
+++ b/include/rudderloom/endpoint_limits/permit_book.hpp
@@ -13,6 +13,19 @@
 
 namespace rudderloom {
 
+/// @brief Terms on which requests to an endpoint are spaced by the work that they bring.
+/// @ingroup endpoint_limits
+struct SpacingTerms {
+  Duration interval{0};  ///< To the next request of any node, if this one is granted.
+  Duration max_wait{0};  ///< Refused if its turn comes later. Less urgent requests pass less.
+
+  bool operator==(const SpacingTerms&) const = default;
+};
+
+/// @brief Longest interval; greater ones are reduced to it.
+/// @ingroup endpoint_limits
+constexpr Duration kMaxSpacing{2'000};
+
 /// @brief A node's inquiry whether it may send one request to an endpoint.
 /// @ingroup endpoint_limits
 struct PermitRequest {
--- a/include/rudderloom/forwarding/admission.hpp
+++ b/include/rudderloom/forwarding/admission.hpp
@@ -52,6 +52,8 @@
   StartForecast forecast;  ///< At the chosen endpoint.
   Duration spent{0};       ///< Since the request arrived.
   Duration hold_limit{0};  ///< See `HoldLimit`.
+  /// @brief Pause that an admitted request must leave free for more urgent ones that may arrive.
+  Duration headroom{0};
   bool is_next = true;     ///< No more urgent request waits at this node for the same model.
 };
 
--- a/include/rudderloom/forwarding/work_model.hpp
+++ b/include/rudderloom/forwarding/work_model.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>  // for uint32_t, uint64_t
 #include <map>      // for map
+#include <optional>  // for optional
 #include <string>   // for string
 #include <utility>  // for pair
 
@@ -83,6 +84,18 @@
                       const std::string& model,
                       std::uint64_t unread_tokens) const;
 
+  /// @brief Time after a prompt before the next one is sent to the same endpoint, so that streams
+  /// there don't pause for longer than `longest_pause`.
+  ///
+  /// Between two events of a stream the endpoint makes its steps and processes the prompts that
+  /// arrive meanwhile, at worst one more than on average. The prompts may therefore take the part
+  /// of the time that the steps and one prompt leave of the pause. Empty if a single prompt takes
+  /// so much of the pause that spacing can't keep it.
+  std::optional<Duration> PromptSpacing(const std::string& service,
+                                        const std::string& model,
+                                        std::uint64_t unread_tokens,
+                                        Duration longest_pause) const;
+
  private:
   // Exponentially decaying sums of answer tokens and the time to send them.
   struct Answers {
--- a/include/rudderloom/routes/route_table.hpp
+++ b/include/rudderloom/routes/route_table.hpp
@@ -7,6 +7,7 @@
 #include <map>          // for map
 #include <memory>       // for shared_ptr
 #include <optional>     // for optional
+#include <set>          // for set
 #include <string>       // for string
 #include <string_view>  // for string_view
 #include <vector>       // for vector
@@ -127,6 +128,9 @@
   /// @brief Returns the service with this name; null when there is none.
   const ServiceSpec* Service(std::string_view name) const;
 
+  /// @brief Returns how many priorities of routes to the service are more urgent than `priority`.
+  std::uint32_t MoreUrgentPriorities(std::string_view service, std::uint32_t priority) const;
+
   std::uint64_t Version() const { return version_; }
   const std::vector<Route>& Routes() const { return routes_; }
   const std::map<std::string, ServiceSpec, std::less<>>& Services() const { return services_; }
@@ -141,6 +145,7 @@
   std::vector<Route> routes_;
   std::map<std::string, ServiceSpec, std::less<>> services_;
   std::map<std::string, std::size_t, std::less<>> by_host_and_prefix_;
+  std::map<std::string, std::set<std::uint32_t>, std::less<>> priorities_;  // by service
   ClientLimits limits_;
   bool needs_keys_ = false;
   CustomerTable customers_;
--- a/src/rudderloom/forwarding/admission.cpp
+++ b/src/rudderloom/forwarding/admission.cpp
@@ -35,7 +35,8 @@
 Admission DecideAdmission(const AdmissionQuery& query, const Route& route) {
   const StartForecast& forecast = query.forecast;
   const bool pauses_in_time = forecast.longest_pause <= route.longest_pause;
-  if (query.is_next && pauses_in_time && query.spent + forecast.if_admitted_bound <= route.goal) {
+  const bool leaves_headroom = forecast.longest_pause + query.headroom <= route.longest_pause;
+  if (query.is_next && leaves_headroom && query.spent + forecast.if_admitted_bound <= route.goal) {
     return Admission::kAdmitted;
   }
   if (query.spent < query.hold_limit) {
--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -9,6 +9,7 @@
 #include "forwarding/crash_check.hpp"      // for RecordConnectionBreak
 #include "forwarding/forward_refusal.hpp"  // for ForwardRefusal
 #include "forwarding/limit_check.hpp"      // for AcquirePermit
+#include "forwarding/prompt_turn.hpp"      // for AwaitPromptTurn
 #include "forwarding/request_end.hpp"      // for LogRequestEnd, LogFailedAttempt
 #include "forwarding/stream_version.hpp"   // for FindStreamVersion
 #include "forwarding/request_samples.hpp"  // for RecordStream, OfferedTime
@@ -29,6 +30,8 @@
 // For rate-limited endpoints. Each permit request takes about 5 ms; after the last one only
 // endpoints without a limit are used.
 constexpr std::uint32_t kMaxPermitRequests = 4;
+// Endpoints that are asked for a turn before a request is held or refused.
+constexpr std::size_t kMaxTurnEndpoints = 3;
 // At endpoints that crash from rejections, requests wait for a free slot here, for this part of
 // their goal.
 constexpr int kFreeSlotWaitDivisor = 2;
@@ -108,10 +111,16 @@
         co_await Refuse(ForwardRefusal::kQuarantined);
         co_return;
       }
-      const BalancerQuery query =
-          MakeQuery(tried_.Excluded(), permit_requests_ >= kMaxPermitRequests);
+      const std::set<std::string> excluded = Excluded();
+      const BalancerQuery query = MakeQuery(excluded, permit_requests_ >= kMaxPermitRequests);
       auto chosen = state_.balancer.Choose(*view, query, Now());
       if (auto* none = std::get_if<NoEndpointReason>(&chosen)) {
+        if (!without_turn_.empty()) {
+          if (!co_await HoldOrRefuse()) {
+            co_return;
+          }
+          continue;
+        }
         if (!co_await AwaitEndpoint(*none)) {
           co_return;
         }
@@ -121,10 +130,10 @@
       for (const UnitName& unit : RequestedUnits(service_, terms_)) {
         state_.missing.MarkResident(unit);
       }
-      admission_ = CheckAdmission();
+      const EndpointRecord endpoint = view->endpoints[last_choice_.index].record;
+      admission_ = co_await DecideStart(endpoint);
       if (admission_ == Admission::kHeld) {
-        const bool answered = co_await Hold();
-        if (answered) {
+        if (!co_await HoldOrRefuse()) {
           co_return;
         }
         continue;
@@ -133,7 +142,6 @@
         co_await Refuse(ForwardRefusal::kOverloaded);
         co_return;
       }
-      const EndpointRecord endpoint = view->endpoints[last_choice_.index].record;
       const bool permitted = co_await ObtainPermit(endpoint);
       if (!permitted) {
         const bool answered = co_await HandleInterruption();
@@ -180,23 +188,96 @@
                         });
   }
 
-  // Decides about admission of a model request. Requests that have started or been attempted are
-  // not refused.
-  Admission CheckAdmission() const {
+  // Endpoints that the next choice excludes.
+  std::set<std::string> Excluded() const {
+    std::set<std::string> excluded = tried_.Excluded();
+    excluded.insert(without_turn_.begin(), without_turn_.end());
+    return excluded;
+  }
+
+  // Decides about the start of a model request, by its turn at the endpoint where many nodes share
+  // it, otherwise by the forecast. Requests that have started or been attempted are not refused.
+  Awaitable<Admission> DecideStart(const EndpointRecord& endpoint) {
     if (terms_.model.empty() || stream_.started || attempts_ > 0) {
-      return Admission::kAdmitted;
-    }
+      co_return Admission::kAdmitted;
+    }
+    const AdmissionQuery query = MakeAdmissionQuery();
+    const PromptTurn turn = co_await AwaitPromptTurn(state_, *guard_, MakeTurnRequest(endpoint));
+    waited_ += turn.waited;
+    switch (turn.verdict) {
+      case TurnVerdict::kGranted:
+        without_turn_.clear();
+        co_return Admission::kAdmitted;
+      case TurnVerdict::kRefused:
+        retry_delay_ = without_turn_.empty() ? turn.next : std::min(retry_delay_, turn.next);
+        without_turn_.insert(endpoint.instance);
+        co_return Admission::kHeld;
+      case TurnVerdict::kInterrupted:
+        co_return Admission::kHeld;
+      case TurnVerdict::kNotSpaced:
+        break;
+    }
+    co_return DecideAdmission(query, *route_);
+  }
+
+  AdmissionQuery MakeAdmissionQuery() const {
     AdmissionQuery query;
     query.forecast = last_choice_.forecast;
     query.spent = Between(arrived_, Now());
     query.is_next = !state_.held.AnyBefore(HeldPosition());
-    const WorkModel& work = state_.balancer.Work();
+    // One prompt of each more urgent kind can follow without a pause that is too long.
+    query.headroom =
+        state_.balancer.Work().PromptTime(service_, terms_.model, terms_.tokens_in) * Rank();
+    query.hold_limit = MaxHold();
+    return query;
+  }
+
+  // Number of more urgent kinds of request for the service.
+  std::uint32_t Rank() const {
+    return routes_->MoreUrgentPriorities(service_, route_->priority);
+  }
+
+  // Forecast time to the first event at an endpoint without other work.
+  Duration IdleStart() const {
     const EndpointWork idle{last_choice_.added_load.unread_tokens, 0};
-    query.hold_limit = state_.stopping
-                           ? Duration(0)
-                           : HoldLimit(*route_, work.Forecast(service_, terms_.model, idle)
-                                                    .first_event_bound);
-    return DecideAdmission(query, *route_);
+    return state_.balancer.Work().Forecast(service_, terms_.model, idle).first_event_bound;
+  }
+
+  Duration MaxHold() const {
+    return state_.stopping ? Duration(0) : HoldLimit(*route_, IdleStart());
+  }
+
+  TurnRequest MakeTurnRequest(const EndpointRecord& endpoint) const {
+    TurnRequest request;
+    request.endpoint = endpoint;
+    request.spacing =
+        state_.balancer.Work().PromptSpacing(service_, terms_.model,
+                                             last_choice_.added_load.unread_tokens,
+                                             route_->longest_pause);
+    const Duration spent = Between(arrived_, Now());
+    const Duration left = std::max(Duration(0), route_->goal - spent - IdleStart());
+    request.max_wait = MaxTurnWait({left, route_->longest_pause, Rank(), spent >= MaxHold()});
+    return request;
+  }
+
+  // Tries another endpoint, or waits before the next decision, or refuses the request. False once
+  // the request has been answered.
+  Awaitable<bool> HoldOrRefuse() {
+    if (guard_->Cause() != Interruption::kNone) {
+      co_return !co_await HandleInterruption();
+    }
+    if (!without_turn_.empty() && without_turn_.size() < kMaxTurnEndpoints &&
+        without_turn_.size() < last_choice_.candidate_count) {
+      co_return true;
+    }
+    const bool may_hold = Between(arrived_, Now()) < MaxHold();
+    if (!may_hold) {
+      co_await Refuse(ForwardRefusal::kOverloaded);
+      co_return false;
+    }
+    without_turn_.clear();
+    const bool answered = co_await Hold();
+    co_return !answered;
   }
 
   HeldRequest HeldPosition() const {
@@ -622,6 +703,7 @@
   CallGuard* guard_ = nullptr;
   StreamState stream_;
   TriedEndpoints tried_;
+  std::set<std::string> without_turn_;  // endpoints that granted no turn since the last hold
   std::shared_ptr<SlotUse> slot_;  // of the current attempt, if it needs one
   EndpointChoice last_choice_;     // the latest chosen endpoint and what was known about it
   Admission admission_ = Admission::kAdmitted;
--- /dev/null
+++ b/src/rudderloom/forwarding/prompt_turn.cpp
@@ -0,0 +1,66 @@
+#include "forwarding/prompt_turn.hpp"
+
+#include <algorithm>  // for min
+
+#include "forwarding/await_answer.hpp"                         // for AwaitAnswer
+#include "rudderloom/endpoint_limits/in_flight_granter.hpp"  // for InFlightGranter
+
+namespace rudderloom {
+
+namespace {
+
+// With fewer nodes, what a node knows of the others' requests is enough to keep pauses: at most this
+// many prompts can arrive unseen.
+constexpr std::uint32_t kMinSpacedNodes = 32;
+constexpr std::uint32_t kMaxHalvings = 4;
+
+}  // namespace
+
+Duration MaxTurnWait(const TurnNeeds& needs) {
+  if (needs.rank == 0 || needs.hold_is_over) {
+    return needs.time_left;
+  }
+  const std::uint32_t halvings = std::min(needs.rank, kMaxHalvings);
+  return std::min(needs.time_left, needs.longest_pause / (1 << halvings));
+}
+
+Awaitable<PromptTurn> AwaitPromptTurn(ForwardingState& state,
+                                      CallGuard& guard,
+                                      TurnRequest request) {
+  PromptTurn turn;
+  const FleetViewPtr view = state.views.Current();
+  if (!request.spacing || view->live_nodes < kMinSpacedNodes) {
+    co_return turn;
+  }
+  const EndpointKey key = KeyOf(request.endpoint.instance);
+  const std::string granter = InFlightGranter(*view, key);
+  if (granter.empty()) {
+    co_return turn;
+  }
+  PermitRequest ask;
+  ask.endpoint = key;
+  ask.spacing = SpacingTerms{*request.spacing, request.max_wait};
+  const auto send = [&](auto done) { state.peers.ask_for_permit(granter, ask, std::move(done)); };
+  const auto answer = co_await AwaitAnswer<PermitAnswer>(state.context, send);
+  if (!answer || answer->verdict == PermitVerdict::kNotGranting) {
+    state.metrics.Count({"rudderloom_prompt_turns_total", "result", "unanswered"});
+    co_return turn;
+  }
+  state.metrics.Count({"rudderloom_prompt_turns_total", "result", NameOf(answer->verdict)});
+  if (answer->verdict == PermitVerdict::kRefused) {
+    turn.verdict = TurnVerdict::kRefused;
+    turn.next = answer->wait;
+    co_return turn;
+  }
+  const TimePoint began = Now();
+  if (answer->wait > Duration(0)) {
+    guard.WaitTimer().expires_after(answer->wait);
+    co_await guard.WaitTimer().async_wait(kAsTuple);
+  }
+  turn.waited = Between(began, Now());
+  turn.verdict = guard.Cause() == Interruption::kNone ? TurnVerdict::kGranted
+                                                      : TurnVerdict::kInterrupted;
+  co_return turn;
+}
+
+}  // namespace rudderloom
--- /dev/null
+++ b/src/rudderloom/forwarding/prompt_turn.hpp
@@ -0,0 +1,51 @@
+// Turns of prompts at engines that many nodes share.
+#ifndef RUDDERLOOM_FORWARDING_PROMPT_TURN_HPP
+#define RUDDERLOOM_FORWARDING_PROMPT_TURN_HPP
+
+#include <optional>  // for optional
+
+#include "rudderloom/forwarding/forwarder.hpp"  // for ForwardingState
+#include "rudderloom/http/call_guard.hpp"       // for CallGuard
+
+namespace rudderloom {
+
+struct TurnRequest {
+  EndpointRecord endpoint;
+  std::optional<Duration> spacing;  // to the next prompt; empty: turns would not help
+  Duration max_wait{0};
+};
+
+enum class TurnVerdict {
+  kNotSpaced,  // no turn is needed, or no node answered that grants them
+  kGranted,    // the turn has come
+  kRefused,
+  kInterrupted,
+};
+
+struct PromptTurn {
+  TurnVerdict verdict = TurnVerdict::kNotSpaced;
+  Duration waited{0};
+  Duration next{0};  // refused: until the endpoint has a turn
+};
+
+// Asks for a turn and waits until it has come.
+Awaitable<PromptTurn> AwaitPromptTurn(ForwardingState& state,
+                                      CallGuard& guard,
+                                      TurnRequest request);
+
+struct TurnNeeds {
+  Duration time_left{0};  // until the request must be sent to meet its goal
+  Duration longest_pause{0};
+  std::uint32_t rank = 0;    // number of more urgent kinds of request
+  bool hold_is_over = false;  // the request has waited as long as it may
+};
+
+// The longest wait for a turn. The most urgent requests may fill the queue of an endpoint as far as
+// their goals allow. Less urgent ones get a turn only while the queue is short, half as long for
+// each rank, so that more urgent requests find room; at the end of their hold they wait like the
+// most urgent ones, so that none starves.
+Duration MaxTurnWait(const TurnNeeds& needs);
+
+}  // namespace rudderloom
+
+#endif
--- a/src/rudderloom/forwarding/work_model.cpp
+++ b/src/rudderloom/forwarding/work_model.cpp
@@ -1,6 +1,7 @@
 #include "rudderloom/forwarding/work_model.hpp"
 
-#include <cmath>  // for llround
+#include <algorithm>  // for clamp
+#include <cmath>      // for llround
 
 namespace rudderloom {
 
@@ -10,6 +11,11 @@
 constexpr double kDecay = 0.02;
 // Minimum samples for a model's own estimate; below it, the service's estimate is used.
 constexpr double kMinSamples = 6.0;
+// A pause that holds fewer prompts than this is not kept by spacing them.
+constexpr double kMinPromptsPerPause = 2.0;
+// Part of an endpoint's time that prompts may take.
+constexpr double kMinPromptShare = 0.4;
+constexpr double kMaxPromptShare = 0.85;
 
 Duration Rounded(double milliseconds) {
   return Duration(std::llround(milliseconds));
@@ -114,4 +120,19 @@
   return Rounded(static_cast<double>(unread_tokens) / TokensPerMillisecond(service, model));
 }
 
+std::optional<Duration> WorkModel::PromptSpacing(const std::string& service,
+                                                 const std::string& model,
+                                                 std::uint64_t unread_tokens,
+                                                 Duration longest_pause) const {
+  const auto prompt = static_cast<double>(PromptTime(service, model, unread_tokens).count());
+  const auto pause = static_cast<double>(longest_pause.count());
+  const auto steps =
+      static_cast<double>(Forecast(service, model, EndpointWork{}).longest_pause.count());
+  if (prompt * kMinPromptsPerPause > pause) {
+    return std::nullopt;
+  }
+  const double share = std::clamp(1.0 - (steps + prompt) / pause, kMinPromptShare, kMaxPromptShare);
+  return Rounded(prompt / share);
+}
+
 }  // namespace rudderloom
--- a/src/rudderloom/forwarding/work_model_test.cpp
+++ b/src/rudderloom/forwarding/work_model_test.cpp
@@ -86,6 +86,25 @@
   CHECK(late <= kSamples / 10);
 }
 
+// Load: more prompts than an endpoint processes while its streams keep their pauses.
+TEST_CASE("prompts are spaced so that two of them and the steps fit between two events") {
+  WorkModel work;
+  std::mt19937 random(7);
+  for (int i = 0; i < 100; ++i) {
+    work.RecordStream("pool", "m", MakeSample(1'000 + random() % 9'000, 4, 1.0));
+  }
+  constexpr Duration kPause{400};
+  const Duration prompt = work.PromptTime("pool", "m", 2'400);
+  const auto spacing = work.PromptSpacing("pool", "m", 2'400, kPause);
+  REQUIRE(spacing);
+  // Prompts that arrive within a pause, one more, and the steps.
+  const double arriving = 400.0 / static_cast<double>(spacing->count());
+  CHECK((arriving + 1.0) * static_cast<double>(prompt.count()) <= 400.0);
+  CHECK(*spacing < prompt * 5 / 2);
+  CHECK_FALSE(work.PromptSpacing("pool", "m", 9'000, kPause));
+  CHECK(work.PromptSpacing("pool", "m", 0, kPause) == Duration(0));
+}
+
 TEST_CASE("stalled endpoints and absurd load figures change a forecast within bounds") {
   WorkModel work;
   for (int i = 0; i < 50; ++i) {
--- a/src/rudderloom/routes/route_table.cpp
+++ b/src/rudderloom/routes/route_table.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>  // for find_if
 #include <cctype>     // for tolower
+#include <iterator>   // for distance
 #include <utility>    // for move
 
 namespace rudderloom {
@@ -45,6 +46,9 @@
   }
   for (std::size_t i = 0; i < routes_.size(); ++i) {
     by_host_and_prefix_.emplace(KeyOf(routes_[i].host, routes_[i].prefix), i);
+    for (const ServiceShare& share : routes_[i].shares) {
+      priorities_[share.service].insert(routes_[i].priority);
+    }
   }
 }
 
@@ -71,6 +75,17 @@
   return found == services_.end() ? nullptr : &found->second;
 }
 
+std::uint32_t RouteTable::MoreUrgentPriorities(std::string_view service,
+                                               std::uint32_t priority) const {
+  const auto found = priorities_.find(service);
+  if (found == priorities_.end()) {
+    return 0;
+  }
+  const auto& priorities = found->second;
+  return static_cast<std::uint32_t>(
+      std::distance(priorities.begin(), priorities.lower_bound(priority)));
+}
+
 const std::string& ChooseService(const Route& route, std::uint64_t random) {
   std::uint64_t total = 0;
   for (const ServiceShare& share : route.shares) {
--- a/src/rudderloom/routes/route_table_test.cpp
+++ b/src/rudderloom/routes/route_table_test.cpp
@@ -43,5 +43,21 @@
   CHECK(second == 10);
 }
 
+TEST_CASE("priorities are counted by service, each once, and unknown services have none") {
+  std::vector<Route> routes{MakeRoute("a.example", "/a/"), MakeRoute("a.example", "/b/"),
+                            MakeRoute("a.example", "/c/"), MakeRoute("a.example", "/d/")};
+  const std::vector<std::uint32_t> priorities{3, 0, 3, 5};
+  for (std::size_t i = 0; i < routes.size(); ++i) {
+    routes[i].priority = priorities[i];
+    routes[i].shares = {{"pool", 1}};
+  }
+  const RouteTable table(1, routes, {}, {});
+  CHECK(table.MoreUrgentPriorities("pool", 0) == 0);
+  CHECK(table.MoreUrgentPriorities("pool", 3) == 1);
+  CHECK(table.MoreUrgentPriorities("pool", 5) == 2);
+  CHECK(table.MoreUrgentPriorities("pool", 9) == 3);
+  CHECK(table.MoreUrgentPriorities("unknown", 9) == 0);
+}
+
 }  // namespace
 }  // namespace rudderloom
