Use turns and slot grants in forwarding

Cause: 60 nodes overran 18 slots of a plain service and the prompts of one engine. Change: PermitBook::AskForTurn, its parameters on the wire, slot grants for services with fewer slots than nodes, and the sends of a node that reaches no granting node.

--- a/include/rudderloom/endpoint_limits/permit_book.hpp
+++ b/include/rudderloom/endpoint_limits/permit_book.hpp
@@ -37,6 +37,8 @@
   /// @brief Set if the request is granted by the work in flight; the other terms are then ignored
   /// and need a permit of their own, as another node may grant those.
   std::optional<InFlightTerms> in_flight = {};
+  /// @brief Set if the request is granted by its turn at the endpoint; like `in_flight`.
+  std::optional<SpacingTerms> spacing = {};
 };
 
 /// @brief Decision of the node that was asked.
@@ -116,6 +118,10 @@
   /// the granting node of an endpoint.
   PermitAnswer AskInFlight(EndpointKey endpoint, const InFlightTerms& terms, TimePoint now);
 
+  /// @brief Answers by turns: the requests of all nodes to the endpoint are spaced by their
+  /// intervals, in the order in which they ask. Any node may answer, like AskInFlight().
+  PermitAnswer AskForTurn(EndpointKey endpoint, const SpacingTerms& terms, TimePoint now);
+
   /// @brief Records what became of a granted request.
   void Report(const SlotReport& report, TimePoint now) { slots_.Report(report, now); }
 
@@ -123,6 +129,7 @@
   void Trim(TimePoint now);
 
   std::map<EndpointKey, TimePoint> next_at_;  // earliest time of the next request per endpoint
+  std::map<EndpointKey, TimePoint> next_turn_at_;
   SlotBook slots_;
   TimePoint trimmed_at_;
 };
--- a/include/rudderloom/forwarding/forwarder.hpp
+++ b/include/rudderloom/forwarding/forwarder.hpp
@@ -16,6 +16,7 @@
 #include "rudderloom/endpoint_limits/limit_watch.hpp"       // for LimitWatch
 #include "rudderloom/endpoint_limits/granter_choice.hpp"    // for SilentGranters
 #include "rudderloom/endpoint_limits/permit_book.hpp"       // for PermitRequest
+#include "rudderloom/endpoint_limits/shared_service.hpp"    // for SoloSends
 #include "rudderloom/forwarding/balancer.hpp"               // for Balancer
 #include "rudderloom/http/call_guard.hpp"                   // for CallGuards
 #include "rudderloom/forwarding/endpoint_connection.hpp"    // for ConnectionPool
@@ -151,6 +152,7 @@
   QuarantineTrials trials = {};
   SilentGranters silent_granters = {};
   HeldRequests held = {};
+  SoloSends solo_sends{0.0};  ///< To services with few slots, while no granting node answers.
   std::size_t kept_answer_bytes = 0;  ///< Of answers that have not been passed on yet.
 };
 
--- a/include/rudderloom/forwarding/work_model.hpp
+++ b/include/rudderloom/forwarding/work_model.hpp
@@ -8,6 +8,7 @@
 #include <optional>  // for optional
 #include <string>   // for string
 #include <utility>  // for pair
+#include <vector>   // for vector
 
 #include "rudderloom/base/clock.hpp"               // for Duration
 #include "rudderloom/forwarding/load_fit.hpp"      // for LoadFit
@@ -59,6 +60,7 @@
                     const StreamSample& sample);
 
   /// @brief Records only how long an answer occupied its slot.
+  /// @param model Empty for a service without models.
   void RecordAnswer(const std::string& service,
                     const std::string& model,
                     std::uint64_t tokens_out,
@@ -110,6 +112,7 @@
   };
   using Key = std::pair<std::string, std::string>;  // service, model; "" for all models
 
+  static std::vector<Key> KeysOf(const std::string& service, const std::string& model);
   const Estimates* Find(const std::string& service, const std::string& model) const;
   const Answers* FindAnswers(const std::string& service, const std::string& model) const;
 
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -318,6 +318,16 @@
              rateLimited :Bool = true, rejectionsPerSecond :Float64 = -1, slots :UInt32,
              maxHoldMs :UInt32)
       -> (verdict :PermitVerdict, waitMs :UInt32, grant :UInt64);
+  # If `inFlightCost` is not 0, the request is decided by the cost in flight at the endpoint alone,
+  # which may be at most `inFlightLimit` including its own, and counts for up to `maxHoldMs`. Any node
+  # answers, with `byInFlight`. An earlier build ignores these terms and does not set it.
+  # If `spacingMs` is not 0, the request is decided by its turn at the endpoint alone, which may be
+  # `mostWaitMs` away, and the next turn is `spacingMs` later. Any node answers, with `byInFlight`.
+  permit @2 (endpoint :UInt32, requestsPerSecond :Float64, mostWaitMs :UInt32,
+             rateLimited :Bool = true, rejectionsPerSecond :Float64 = -1, slots :UInt32,
+             maxHoldMs :UInt32, inFlightCost :UInt32, inFlightLimit :UInt32,
+             untilAnswerBegins :Bool, spacingMs :UInt32)
+      -> (verdict :PermitVerdict, waitMs :UInt32, grant :UInt64, byInFlight :Bool);
   slotUsed @3 (endpoint :UInt32, grant :UInt64, outcome :SlotOutcome) -> ();
   # Streams of which an endpoint is about to send the first event, and its software version.
   streamsBegin @4 (streams :List(StreamStart)) -> ();
--- a/src/rudderloom/app/fleet_daemon.cpp
+++ b/src/rudderloom/app/fleet_daemon.cpp
@@ -249,6 +249,11 @@
       metrics_.Count({"rudderloom_in_flight_asks_total", "verdict", NameOf(answer.verdict)});
       return answer;
     }
+    if (ask.spacing) {
+      answer = permits_.AskForTurn(ask.endpoint, *ask.spacing, Now());
+      metrics_.Count({"rudderloom_turn_asks_total", "verdict", NameOf(answer.verdict)});
+      return answer;
+    }
     if (statement_ && statement_->permits) {
       answer = permits_.Ask(ask, *statement_->permits, Now());
     }
--- a/src/rudderloom/endpoint_limits/permit_book.cpp
+++ b/src/rudderloom/endpoint_limits/permit_book.cpp
@@ -82,12 +82,27 @@
   return {PermitVerdict::kGranted, Duration(0), std::get<GrantId>(decision), true};
 }
 
+PermitAnswer PermitBook::AskForTurn(EndpointKey endpoint,
+                                    const SpacingTerms& terms,
+                                    TimePoint now) {
+  Trim(now);
+  TimePoint& next = next_turn_at_[endpoint];
+  const TimePoint turn = std::max(now, next);
+  const Duration wait = std::chrono::ceil<Duration>(turn - now);
+  if (wait > terms.max_wait) {
+    return {PermitVerdict::kRefused, wait, 0, true};
+  }
+  next = turn + std::clamp(terms.interval, Duration(0), kMaxSpacing);
+  return {PermitVerdict::kGranted, wait, 0, true};
+}
+
 void PermitBook::Trim(TimePoint now) {
   if (now - trimmed_at_ < kTrimInterval) {
     return;
   }
   trimmed_at_ = now;
   std::erase_if(next_at_, [&](const auto& entry) { return entry.second <= now; });
+  std::erase_if(next_turn_at_, [&](const auto& entry) { return entry.second <= now; });
 }
 
 }  // namespace rudderloom
--- a/src/rudderloom/forwarding/admission.cpp
+++ b/src/rudderloom/forwarding/admission.cpp
@@ -1,6 +1,6 @@
 #include "rudderloom/forwarding/admission.hpp"
 
-#include <algorithm>  // for min
+#include <algorithm>  // for max, min
 
 namespace rudderloom {
 
@@ -16,6 +16,8 @@
 // Starts at an idle endpoint that are kept in reserve at the end of the hold.
 constexpr int kReservedStarts = 3;
 constexpr int kHoldGoalDivisor = 4;
+// Taken for the start at an idle endpoint while it is not known.
+constexpr Duration kMinIdleStart{100};
 
 }  // namespace
 
@@ -28,8 +30,9 @@
 }
 
 Duration HoldLimit(const Route& route, Duration idle_start) {
-  return route.goal >= idle_start * kPatientStarts ? route.goal - idle_start * kReservedStarts
-                                                   : route.goal / kHoldGoalDivisor;
+  const Duration start = std::max(idle_start, kMinIdleStart);
+  return route.goal >= start * kPatientStarts ? route.goal - start * kReservedStarts
+                                              : route.goal / kHoldGoalDivisor;
 }
 
 Admission DecideAdmission(const AdmissionQuery& query, const Route& route) {
--- a/src/rudderloom/forwarding/admission_test.cpp
+++ b/src/rudderloom/forwarding/admission_test.cpp
@@ -69,6 +69,7 @@
   CHECK(HoldLimit(route, Duration(100)) == Duration(100));
   route.goal = Duration(15'000);
   CHECK(HoldLimit(route, Duration(100)) == Duration(14'700));
+  CHECK(HoldLimit(route, Duration(0)) == Duration(14'700));
 }
 
 TEST_CASE("held requests of another model or of lower urgency have no precedence") {
--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -30,6 +30,8 @@
 // For rate-limited endpoints. Each permit request takes about 5 ms; after the last one only
 // endpoints without a limit are used.
 constexpr std::uint32_t kMaxPermitRequests = 4;
+// Requests to plain services wait for a slot for this part of their goal.
+constexpr int kPlainHoldDivisor = 4;
 // Endpoints that are asked for a turn before a request is held or refused.
 constexpr std::size_t kMaxTurnEndpoints = 3;
 // At endpoints that crash from rejections, requests wait for a free slot here, for this part of
@@ -143,6 +145,12 @@
         co_return;
       }
       const bool permitted = co_await ObtainPermit(endpoint);
+      if (!permitted && !without_turn_.empty()) {
+        if (!co_await HoldOrRefuse()) {
+          co_return;
+        }
+        continue;
+      }
       if (!permitted) {
         const bool answered = co_await HandleInterruption();
         if (answered) {
@@ -209,8 +217,7 @@
         without_turn_.clear();
         co_return Admission::kAdmitted;
       case TurnVerdict::kRefused:
-        retry_delay_ = without_turn_.empty() ? turn.next : std::min(retry_delay_, turn.next);
-        without_turn_.insert(endpoint.instance);
+        NoTurnAt(endpoint, turn.next);
         co_return Admission::kHeld;
       case TurnVerdict::kInterrupted:
         co_return Admission::kHeld;
@@ -244,7 +251,10 @@
   }
 
   Duration MaxHold() const {
-    return state_.stopping ? Duration(0) : HoldLimit(*route_, IdleStart());
+    if (state_.stopping) {
+      return Duration(0);
+    }
+    return terms_.model.empty() ? route_->goal / kPlainHoldDivisor : HoldLimit(*route_, IdleStart());
   }
 
   TurnRequest MakeTurnRequest(const EndpointRecord& endpoint) const {
@@ -304,9 +314,10 @@
   Awaitable<bool> ObtainPermit(const EndpointRecord& endpoint) {
     PermitNeeds needs;
     needs.endpoint = endpoint;
+    needs.in_flight = SharedSlotTerms(endpoint);
     if (const auto tolerated = last_choice_.tolerated_rejections) {
       needs.slot = SlotTerms{*tolerated, endpoint.slots, Between(Now(), deadline_at_)};
-    } else if (!state_.limits.LimitOf(KeyOf(endpoint.instance))) {
+    } else if (!needs.in_flight && !state_.limits.LimitOf(KeyOf(endpoint.instance))) {
       co_return true;
     }
     ++permit_requests_;
@@ -315,9 +326,62 @@
     needs.max_wait = std::min(patience, max_wait);
     const AcquiredPermit permit = co_await AcquirePermit(state_, *guard_, std::move(needs));
     slot_ = permit.may_send ? permit.slot : nullptr;
+    if (permit.in_flight == InFlightOutcome::kRefused) {
+      NoTurnAt(endpoint, permit.wait);
+      co_return false;
+    }
+    if (permit.in_flight == InFlightOutcome::kUnanswered && permit.may_send) {
+      co_return MaySendAlone(endpoint);
+    }
+    if (permit.may_send) {
+      without_turn_.clear();
+    }
     co_return permit.may_send;
   }
 
+  // The terms of a request to a service that has fewer slots than there are nodes.
+  std::optional<InFlightTerms> SharedSlotTerms(const EndpointRecord& endpoint) const {
+    const FleetViewPtr view = state_.views.Current();
+    const ServiceSpec* service = routes_->Service(service_);
+    ServiceSize size;
+    size.live_nodes = view->live_nodes;
+    size.has_engine = service != nullptr && service->engine.has_value();
+    const auto listed = view->by_service.find(service_);
+    if (!terms_.model.empty() || listed == view->by_service.end()) {
+      return std::nullopt;
+    }
+    for (const std::uint32_t index : listed->second) {
+      size.slots += view->endpoints[index].record.slots;
+    }
+    if (!NeedsSlotGrants(size)) {
+      return std::nullopt;
+    }
+    SlotGrantBasis basis;
+    basis.slots = endpoint.slots;
+    basis.goal = route_->goal;
+    basis.typical_time = state_.balancer.Work().TypicalHoldTime(service_, "");
+    basis.remaining = Between(Now(), deadline_at_);
+    return SlotGrantTerms(basis);
+  }
+
+  // Without a granting node, this node bounds what it sends by itself.
+  bool MaySendAlone(const EndpointRecord& endpoint) {
+    const Duration wait = state_.solo_sends.Wait(service_, Now());
+    if (wait > Duration(0)) {
+      NoTurnAt(endpoint, wait);
+      return false;
+    }
+    without_turn_.clear();
+    state_.solo_sends.Sent(service_, Between(Now(), deadline_at_), Now());
+    sends_alone_ = true;
+    return true;
+  }
+
+  void NoTurnAt(const EndpointRecord& endpoint, Duration next) {
+    retry_delay_ = without_turn_.empty() ? next : std::min(retry_delay_, next);
+    without_turn_.insert(endpoint.instance);
+  }
+
   // Latest useful start: shortly before the client gives up or the deadline passes.
   TimePoint LatestStart() const {
     return std::min(deadline_at_, arrived_ + route_->patience) - kMinAttemptTime;
@@ -496,10 +560,16 @@
       slot_->Rejected();
     }
     slot_.reset();
+    EndSendAlone(result);
     if (result.not_resident) {
       state_.balancer.MarkNotResident(endpoint.instance, terms_, Now());
     }
-    if (result.outcome == AttemptOutcome::kAnswered && attempts_ == 0) {
+    const bool answered = result.outcome == AttemptOutcome::kAnswered && attempts_ == 0;
+    if (answered && terms_.model.empty() && last_choice_.load.requests < endpoint.slots) {
+      constexpr std::uint64_t kOneAnswer = 1;
+      state_.balancer.Work().RecordAnswer(service_, "", kOneAnswer, Between(started, Now()));
+    }
+    if (answered) {
       RecordStream({service_, terms_, last_choice_, stream_.pace, endpoint.slots, started},
                          state_.balancer.Work());
     }
@@ -510,6 +580,17 @@
     co_return result;
   }
 
+  void EndSendAlone(const AttemptResult& result) {
+    if (!std::exchange(sends_alone_, false)) {
+      return;
+    }
+    if (result.feedback == EndpointFeedback::kShed) {
+      state_.solo_sends.Rejected(service_, Now());
+    } else {
+      state_.solo_sends.Ended(service_);
+    }
+  }
+
   // Only repeatable requests are withdrawn from a silent endpoint.
   std::optional<Duration> AnswerTimeout() const {
     if (!route_->Repeatable() || attempts_ + 1 >= route_->max_attempts) {
@@ -703,6 +784,7 @@
   CallGuard* guard_ = nullptr;
   StreamState stream_;
   TriedEndpoints tried_;
+  bool sends_alone_ = false;  // the current attempt counts in `solo_sends`
   std::set<std::string> without_turn_;  // endpoints that granted no turn since the last hold
   std::shared_ptr<SlotUse> slot_;  // of the current attempt, if it needs one
   EndpointChoice last_choice_;     // the latest chosen endpoint and what was known about it
--- a/src/rudderloom/forwarding/prompt_turn.cpp
+++ b/src/rudderloom/forwarding/prompt_turn.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>  // for min
 
 #include "forwarding/await_answer.hpp"                         // for AwaitAnswer
-#include "rudderloom/endpoint_limits/in_flight_granter.hpp"  // for InFlightGranter
+#include "rudderloom/forwarding/in_flight_granter.hpp"  // for InFlightGranter
 
 namespace rudderloom {
 
@@ -33,7 +33,8 @@
     co_return turn;
   }
   const EndpointKey key = KeyOf(request.endpoint.instance);
-  const std::string granter = InFlightGranter(*view, key);
+  const TimePoint asked_at = Now();
+  const std::string granter = InFlightGranter(*view, key, state.silent_granters, asked_at);
   if (granter.empty()) {
     co_return turn;
   }
@@ -42,10 +43,12 @@
   ask.spacing = SpacingTerms{*request.spacing, request.max_wait};
   const auto send = [&](auto done) { state.peers.ask_for_permit(granter, ask, std::move(done)); };
   const auto answer = co_await AwaitAnswer<PermitAnswer>(state.context, send);
-  if (!answer || answer->verdict == PermitVerdict::kNotGranting) {
+  if (!answer || !answer->by_in_flight) {
+    state.silent_granters.NoAnswer(granter, asked_at, Now());
     state.metrics.Count({"rudderloom_prompt_turns_total", "result", "unanswered"});
     co_return turn;
   }
+  state.silent_granters.Answered(granter, asked_at);
   state.metrics.Count({"rudderloom_prompt_turns_total", "result", NameOf(answer->verdict)});
   if (answer->verdict == PermitVerdict::kRefused) {
     turn.verdict = TurnVerdict::kRefused;
--- a/src/rudderloom/forwarding/work_model.cpp
+++ b/src/rudderloom/forwarding/work_model.cpp
@@ -23,13 +23,22 @@
 
 }  // namespace
 
+std::vector<WorkModel::Key> WorkModel::KeysOf(const std::string& service,
+                                              const std::string& model) {
+  std::vector<Key> keys{Key(service, "")};
+  if (!model.empty()) {
+    keys.emplace_back(service, model);
+  }
+  return keys;
+}
+
 void WorkModel::RecordStream(const std::string& service,
                              const std::string& model,
                              const StreamSample& sample) {
   RecordAnswer(service, model, sample.tokens_out, sample.hold_time);
   const auto tokens = static_cast<double>(sample.work.unread_tokens);
   const auto requests = static_cast<double>(sample.work.requests);
-  for (const Key& key : {Key(service, ""), Key(service, model)}) {
+  for (const Key& key : KeysOf(service, model)) {
     Estimates& estimates = estimates_[key];
     // A wait for a slot is estimated from hold times.
     if (!sample.waited_for_slot) {
@@ -44,7 +53,7 @@
                              const std::string& model,
                              std::uint64_t tokens_out,
                              Duration hold_time) {
-  for (const Key& key : {Key(service, ""), Key(service, model)}) {
+  for (const Key& key : KeysOf(service, model)) {
     Answers& answers = estimates_[key].answers;
     answers.samples = answers.samples * (1.0 - kDecay) + 1.0;
     answers.tokens = answers.tokens * (1.0 - kDecay) + static_cast<double>(tokens_out);
--- a/src/rudderloom/peers/fleet_codec.cpp
+++ b/src/rudderloom/peers/fleet_codec.cpp
@@ -451,6 +451,16 @@
     out.setMaxHoldMs(ClampTo<std::uint32_t>(
         static_cast<std::uint64_t>(std::max(Duration(0), ask.slot->max_hold).count())));
   }
+  if (ask.in_flight) {
+    WriteInFlight(*ask.in_flight, out);
+  }
+  if (ask.spacing) {
+    // An interval of 0 stands for a request without these terms.
+    out.setSpacingMs(static_cast<std::uint32_t>(
+        std::clamp(ask.spacing->interval, Duration(1), kMaxSpacing).count()));
+    out.setMostWaitMs(ClampTo<std::uint32_t>(
+        static_cast<std::uint64_t>(std::max(Duration(0), ask.spacing->max_wait).count())));
+  }
 }
 
 PermitRequest Read(rpc::PlacementHolder::PermitParams::Reader in) {
@@ -463,6 +473,16 @@
   if (const auto tolerated = ReadRate(in.getRejectionsPerSecond())) {
     ask.slot = SlotTerms{*tolerated, in.getSlots(), Duration(in.getMaxHoldMs())};
   }
+  if (in.getInFlightCost() > 0) {
+    const auto until =
+        in.getUntilAnswerBegins() ? InFlightUntil::kAnswerBegins : InFlightUntil::kEnded;
+    ask.in_flight = InFlightTerms{in.getInFlightCost(), in.getInFlightLimit(),
+                                  Duration(in.getMaxHoldMs()), until};
+  }
+  if (in.getSpacingMs() > 0) {
+    ask.spacing = SpacingTerms{std::min(Duration(in.getSpacingMs()), kMaxSpacing),
+                               Duration(in.getMostWaitMs())};
+  }
   return ask;
 }
 
