--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -224,7 +224,11 @@
       case TurnVerdict::kNotSpaced:
         break;
     }
-    co_return DecideAdmission(query, *route_);
+    const Admission admission = DecideAdmission(query, *route_);
+    if (admission != Admission::kAdmitted) {
+      decided_by_ = "forecast";
+    }
+    co_return admission;
   }
 
   AdmissionQuery MakeAdmissionQuery() const {
@@ -378,6 +382,7 @@
   }
 
   void NoTurnAt(const EndpointRecord& endpoint, Duration next) {
+    decided_by_ = terms_.model.empty() ? "slots" : "turn";
     retry_delay_ = without_turn_.empty() ? next : std::min(retry_delay_, next);
     without_turn_.insert(endpoint.instance);
   }
@@ -744,6 +749,7 @@
   Awaitable<void> Refuse(ForwardRefusal refusal) {
     state_.metrics.Count({"rudderloom_refusals_total", "reason", NameOf(refusal)});
     const unsigned status = StatusOf(refusal, may_have_run_);
+    refused_delay_ = stream_.started ? std::nullopt : RetryDelay(refusal, status);
     LogEnd("", NameOf(refusal), status);
     if (stream_.started) {
       // The client sees that the answer is truncated.
@@ -753,10 +759,19 @@
     Reply reply;
     reply.status = status;
     reply.body = "{\"error\":\"" + std::string(NameOf(refusal)) + "\"}";
-    reply.headers = state_.dialect.RefusalHeaders(terms_.id, RetryDelay(refusal, status));
+    reply.headers = state_.dialect.RefusalHeaders(terms_.id, refused_delay_);
     co_await exchange_.Send(std::move(reply));
   }
 
+  // Age of what is known of other nodes' requests.
+  Duration LoadAge() const {
+    const TimePoint until = state_.views.Current()->holder_permits_until;
+    const TimePoint now = Now();
+    return until == TimePoint::max() || until == TimePoint()
+               ? Duration(0)
+               : Between(until - kMaxHolderMessageAge, now);
+  }
+
   void LogEnd(const std::string& instance, std::string_view outcome, unsigned status) {
     if (!state_.log_quota.Allows(Now())) {
       return;
@@ -769,6 +784,9 @@
     end.status = status;
     end.attempts = attempts_ + 1;
     end.waited = waited_;
+    end.retry_delay = refused_delay_;
+    end.decided_by = decided_by_;
+    end.load_age = LoadAge();
     LogRequestEnd(end, arrived_, Now());
   }
 
@@ -784,6 +802,8 @@
   CallGuard* guard_ = nullptr;
   StreamState stream_;
   TriedEndpoints tried_;
+  std::optional<Duration> refused_delay_;  // told to the client
+  std::string_view decided_by_;  // what delayed or refused the request last; empty: nothing
   bool sends_alone_ = false;  // the current attempt counts in `solo_sends`
   std::set<std::string> without_turn_;  // endpoints that granted no turn since the last hold
   std::shared_ptr<SlotUse> slot_;  // of the current attempt, if it needs one
--- /dev/null
+++ b/src/rudderloom/forwarding/prompt_turn_test.cpp
@@ -0,0 +1,29 @@
+#include "forwarding/prompt_turn.hpp"
+
+#include <doctest/doctest.h>  // for TEST_CASE
+
+namespace rudderloom {
+namespace {
+
+constexpr Duration kTimeLeft{800};
+constexpr Duration kPause{400};
+
+// Load: more prompts of several kinds than the engines of a model process.
+TEST_CASE("a less urgent request accepts a shorter queue than a more urgent one") {
+  CHECK(MaxTurnWait({kTimeLeft, kPause, 0, false}) == kTimeLeft);
+  CHECK(MaxTurnWait({kTimeLeft, kPause, 1, false}) == Duration(200));
+  CHECK(MaxTurnWait({kTimeLeft, kPause, 2, false}) == Duration(100));
+  CHECK(MaxTurnWait({kTimeLeft, kPause, 1'000'000, false}) == Duration(25));
+}
+
+TEST_CASE("no request waits for a turn that comes too late for its goal") {
+  CHECK(MaxTurnWait({Duration(50), kPause, 1, false}) == Duration(50));
+  CHECK(MaxTurnWait({Duration(0), kPause, 0, true}) == Duration(0));
+}
+
+TEST_CASE("a patient request at the end of its hold does not starve behind urgent ones") {
+  CHECK(MaxTurnWait({kTimeLeft, kPause, 3, true}) == kTimeLeft);
+}
+
+}  // namespace
+}  // namespace rudderloom
--- a/src/rudderloom/forwarding/request_end.cpp
+++ b/src/rudderloom/forwarding/request_end.cpp
@@ -17,6 +17,8 @@
       .With("unread_ahead", end.choice.load.unread_tokens)
       .With("deferred", end.admission == Admission::kDeferred ? "yes" : "no")
       .With("forecast_ms", end.choice.forecast.if_admitted.count())
+      .With("forecast_bound_ms", end.choice.forecast.if_admitted_bound.count())
+      .With("forecast_pause_ms", end.choice.forecast.longest_pause.count())
       .With("waited_ms", end.waited.count());
 }
 
@@ -68,6 +70,12 @@
         .With("service", end.service)
         .With("goal_ms", end.route->goal.count());
   }
+  if (end.retry_delay) {
+    line.With("retry_after_ms", end.retry_delay->count());
+  }
+  if (!end.decided_by.empty()) {
+    line.With("decided_by", end.decided_by).With("load_age_ms", end.load_age.count());
+  }
   if (!end.customer.empty()) {
     line.With("customer", end.customer);
   }
--- a/src/rudderloom/forwarding/request_end.hpp
+++ b/src/rudderloom/forwarding/request_end.hpp
@@ -2,6 +2,7 @@
 #ifndef RUDDERLOOM_FORWARDING_REQUEST_END_HPP
 #define RUDDERLOOM_FORWARDING_REQUEST_END_HPP
 
+#include <optional>     // for optional
 #include <string>       // for string
 #include <string_view>  // for string_view
 #include <vector>       // for vector
@@ -28,6 +29,9 @@
   unsigned status = 0;
   std::uint32_t attempts = 0;
   Duration waited{0};  // time spent waiting for an endpoint that holds the model
+  std::optional<Duration> retry_delay = {};  // told to the client with a refusal
+  std::string_view decided_by = {};          // part that delayed or refused it; empty: none
+  Duration load_age{0};                      // of what was known of other nodes' requests
 };
 
 struct FailedAttempt {
--- a/src/rudderloom/peers/fleet_codec_test.cpp
+++ b/src/rudderloom/peers/fleet_codec_test.cpp
@@ -193,6 +193,85 @@
   CHECK(out.asReader().getRequestsPerSecond() == 4.0);
 }
 
+TEST_CASE("in-flight terms and the answer to them are unchanged after encoding and decoding") {
+  for (const auto until : {InFlightUntil::kAnswerBegins, InFlightUntil::kEnded}) {
+    const InFlightTerms terms{120, 800, Duration(9'000), until};
+    const PermitRequest original{7, std::nullopt, Duration(0), std::nullopt, terms};
+    capnp::MallocMessageBuilder message;
+    Write(original, message.initRoot<rpc::PlacementHolder::PermitParams>());
+    const PermitRequest decoded =
+        Read(message.getRoot<rpc::PlacementHolder::PermitParams>().asReader());
+    CHECK(decoded.endpoint == original.endpoint);
+    CHECK(decoded.in_flight == terms);
+    CHECK(!decoded.slot);
+    CHECK(!decoded.requests_per_second);
+  }
+  capnp::MallocMessageBuilder message;
+  Write(PermitAnswer{PermitVerdict::kRefused, Duration(40), 0, true},
+        message.initRoot<rpc::PlacementHolder::PermitResults>());
+  const PermitAnswer answer =
+      Read(message.getRoot<rpc::PlacementHolder::PermitResults>().asReader());
+  CHECK(answer.verdict == PermitVerdict::kRefused);
+  CHECK(answer.wait == Duration(40));
+  CHECK(answer.by_in_flight);
+}
+
+// Guards against terms with a negative time or no cost that a node sends as other terms.
+TEST_CASE("terms of a turn are unchanged after encoding and decoding, and bounded") {
+  const auto decode = [](const SpacingTerms& terms) {
+    PermitRequest original;
+    original.endpoint = 7;
+    original.spacing = terms;
+    capnp::MallocMessageBuilder message;
+    Write(original, message.initRoot<rpc::PlacementHolder::PermitParams>());
+    return Read(message.getRoot<rpc::PlacementHolder::PermitParams>().asReader());
+  };
+  const SpacingTerms terms{Duration(180), Duration(700)};
+  CHECK(decode(terms).spacing == terms);
+  CHECK(!decode(terms).in_flight);
+  CHECK(decode({Duration(0), Duration(-1)}).spacing == SpacingTerms{Duration(1), Duration(0)});
+  CHECK(decode({Duration(9'000'000), Duration(0)}).spacing->interval == kMaxSpacing);
+}
+
+TEST_CASE("in-flight terms that make no sense stay in-flight terms") {
+  capnp::MallocMessageBuilder message;
+  const InFlightTerms terms{0, 0, Duration(-1), InFlightUntil::kEnded};
+  Write(PermitRequest{7, std::nullopt, Duration(0), std::nullopt, terms},
+        message.initRoot<rpc::PlacementHolder::PermitParams>());
+  const PermitRequest decoded =
+      Read(message.getRoot<rpc::PlacementHolder::PermitParams>().asReader());
+  CHECK(decoded.in_flight == InFlightTerms{1, 0, Duration(0), InFlightUntil::kEnded});
+}
+
+// Guards against the grant of an earlier build, which ignores in-flight terms, taken for a grant by
+// them, and against terms that such a build reads as a limit on requests.
+TEST_CASE("an earlier build does not apply in-flight terms, and its answer shows it") {
+  capnp::MallocMessageBuilder asked;
+  auto out = asked.initRoot<rpc::PlacementHolder::PermitParams>();
+  const InFlightTerms terms{1, 18, Duration(9'000), InFlightUntil::kEnded};
+  Write(PermitRequest{7, std::nullopt, Duration(0), std::nullopt, terms}, out);
+  CHECK(!out.asReader().getRateLimited());
+  CHECK(out.asReader().getRejectionsPerSecond() < 0.0);
+  // The fields that the earlier build sets.
+  capnp::MallocMessageBuilder answered;
+  auto result = answered.initRoot<rpc::PlacementHolder::PermitResults>();
+  result.setVerdict(rpc::PermitVerdict::GRANTED);
+  result.setWaitMs(0);
+  result.setGrant(0);
+  CHECK(!Read(result.asReader()).by_in_flight);
+}
+
+TEST_CASE("a request of an earlier build has no in-flight terms") {
+  capnp::MallocMessageBuilder message;
+  auto out = message.initRoot<rpc::PlacementHolder::PermitParams>();
+  out.setEndpoint(7);
+  out.setRejectionsPerSecond(4.0);
+  out.setSlots(8);
+  out.setMaxHoldMs(9'000);
+  CHECK(!Read(out.asReader()).in_flight);
+  CHECK(Read(out.asReader()).slot);
+}
+
 TEST_CASE("a digest without changes, from a node that holds no lease, can be decoded") {
   capnp::MallocMessageBuilder message;
   Write(HolderDigest(), message.initRoot<rpc::Digest>());
