check-configuration: check a configuration before it is sent

Cause: nodes read a configuration leniently, so that a wrong type, a shadowed route or a goal above the timeout is noticed only under load.

--- a/include/rudderloom/app/commands.hpp
+++ b/include/rudderloom/app/commands.hpp
@@ -16,6 +16,7 @@
 enum class ExitStatus {
   kOk = 0,
   kFailed = 1,       ///< A daemon aborted requests at its stop, or an unexpected error occurred.
+  kFindings = 1,     ///< `check-configuration` found something.
   kInvalid = 2,      ///< Settings or declarations contain errors.
   kConflict = 3,     ///< Another change was made first.
   kUnreachable = 4,  ///< The daemon or the platform was unreachable; nothing was changed.
@@ -39,6 +40,13 @@
 
 ExitStatus CheckSettings(const std::string& file, bool json);
 ExitStatus CheckDeclarations(const std::string& directory, bool json);
+
+/// @brief Checks a configuration of the platform's interface offline, and compares it with the
+/// version in force, if that file is given. Returns kFindings if there is any finding or
+/// difference, and kInvalid if a file cannot be read.
+ExitStatus CheckPlatformConfiguration(const std::string& file,
+                                      const std::optional<std::string>& in_force,
+                                      bool json);
 ExitStatus Apply(const std::string& directory, const CommandOptions& options);
 ExitStatus Drain(const std::string& endpoint, bool undo, const CommandOptions& options);
 ExitStatus Get(const CommandOptions& options);
--- a/src/rudderloom/app/main.cpp
+++ b/src/rudderloom/app/main.cpp
@@ -20,6 +20,7 @@
     "  rudderloom daemon --settings FILE        run an entry node\n"
     "  rudderloom check --settings FILE         check settings, offline\n"
     "  rudderloom check --declarations DIR      check declarations, offline\n"
+    "  rudderloom check-configuration FILE      check a platform configuration, offline\n"
     "  rudderloom apply DIR --daemon ADDR       put declarations into force\n"
     "  rudderloom diff DIR --daemon ADDR        compare declarations with those in force\n"
     "  rudderloom get --daemon ADDR             print the configuration in force\n"
@@ -29,7 +30,8 @@
     "  rudderloom --version\n"
     "\n"
     "Each command has --help. Exit statuses: 0 done, 1 failed, 2 invalid, 3 conflict,\n"
-    "4 unreachable, 5 outcome unknown, 6 not in force everywhere yet, 7 differs, 64 usage.\n";
+    "4 unreachable, 5 outcome unknown, 6 not in force everywhere yet, 7 differs, 64 usage.\n"
+    "check-configuration: 0 nothing found, 1 findings, 2 unreadable, 64 usage.\n";
 
 using Parsed = cxxopts::ParseResult;
 
@@ -68,10 +70,10 @@
   options.positional_help("<" + name + ">");
 }
 
-bool WantsJson(const Parsed& parsed) {
-  const std::string output = parsed["output"].as<std::string>();
+bool WantsJson(const Parsed& parsed, const std::string& option = "output") {
+  const std::string output = parsed[option].as<std::string>();
   if (output != "text" && output != "json") {
-    throw std::invalid_argument("--output is text or json, not " + output);
+    throw std::invalid_argument("--" + option + " is text or json, not " + output);
   }
   return output == "json";
 }
@@ -135,6 +137,22 @@
              : CheckDeclarations(parsed["declarations"].as<std::string>(), json);
 }
 
+ExitStatus CheckConfigurationFile(const Parsed& parsed) {
+  std::optional<std::string> in_force;
+  if (parsed.count("in-force") > 0) {
+    in_force = parsed["in-force"].as<std::string>();
+  }
+  return CheckPlatformConfiguration(Required(parsed, "file"), in_force,
+                                    WantsJson(parsed, "format"));
+}
+
+void DeclareCheckConfiguration(cxxopts::Options& options) {
+  options.add_options()("in-force", "file with the version in force, to list differences",
+                        cxxopts::value<std::string>())(
+      "format", "text or json", cxxopts::value<std::string>()->default_value("text"));
+  DeclarePositional(options, "file");
+}
+
 std::map<std::string, Command> Commands() {
   std::map<std::string, Command> commands;
   commands["daemon"] = {"run an entry node",
@@ -151,6 +169,8 @@
             "output", "text or json", cxxopts::value<std::string>()->default_value("text"));
       },
       Check};
+  commands["check-configuration"] = {"check a platform configuration, offline",
+                                     DeclareCheckConfiguration, CheckConfigurationFile};
   commands["apply"] = {"put a directory of declarations into force",
                        [](cxxopts::Options& options) {
                          DeclareChange(options);
