Bound what a node holds for slow readers by its memory

Cause: pieces of long answers that waited for their client were counted nowhere, request bodies were bounded one by one only, and socket buffers grew to the system's sizes. Change: ReaderMemory bounds answers, bodies, buffers and requests by the new setting /node/memory_mb; nothing changes without it, except that waiting pieces count as kept.

--- a/include/rudderloom/fleet/fleet_settings.hpp
+++ b/include/rudderloom/fleet/fleet_settings.hpp
@@ -47,7 +47,10 @@
   std::string name;
   std::string availability_zone;
   double processor_share = 1.0;  ///< Fraction of one core that the node may use.
-  bool first_start = false;      ///< The whole system is starting for the first time.
+  /// @brief Memory that the node may use, in MB; 0: not known, and what is held for clients and
+  /// endpoints that read slowly is not bounded by it.
+  std::uint64_t memory_mb = 0;
+  bool first_start = false;  ///< The whole system is starting for the first time.
   /// @brief Number of nodes per relay, in fleets of more than one and a half times as many nodes.
   /// With 16, the holder of a fleet of 300 nodes answers about as many relays as each relay answers
   /// nodes.
--- a/include/rudderloom/forwarding/endpoint_connection.hpp
+++ b/include/rudderloom/forwarding/endpoint_connection.hpp
@@ -37,6 +37,11 @@
 
   explicit EndpointConnection(asio::io_context& context);
 
+  /// @brief Limits the socket's buffers, before it connects. The system holds up to twice the size
+  /// for each direction; 0 leaves the sizes to it.
+  void LimitBuffers(std::size_t bytes) { buffer_bytes_ = bytes; }
+  std::size_t BufferBytes() const { return buffer_bytes_; }
+
   /// @brief Connects to the address; Close() interrupts it.
   Awaitable<std::optional<ConnectionFailure>> Connect(std::string address);
 
@@ -90,6 +95,7 @@
   std::unique_ptr<Parser> parser_;
   std::shared_ptr<Write> write_;
   bool may_reuse_ = true;
+  std::size_t buffer_bytes_ = 0;
 };
 
 /// @brief Pool of idle connections by endpoint instance. Not thread-safe.
--- a/include/rudderloom/forwarding/forwarder.hpp
+++ b/include/rudderloom/forwarding/forwarder.hpp
@@ -21,6 +21,7 @@
 #include "rudderloom/forwarding/endpoint_reach.hpp"         // for EndpointReach
 #include "rudderloom/forwarding/gateway_choice.hpp"         // for GatewayChoice
 #include "rudderloom/forwarding/missing_units.hpp"          // for MissingUnits
+#include "rudderloom/forwarding/reader_memory.hpp"          // for ReaderMemory
 #include "rudderloom/forwarding/retry_budget.hpp"           // for RetryBudget
 #include "rudderloom/forwarding/view_source.hpp"            // for ViewSource
 #include "rudderloom/http/server.hpp"                       // for HttpExchange
@@ -147,7 +148,7 @@
   TimePoint answered_at = {};  ///< When an endpoint last sent something.
   std::vector<UnconfirmedEnd> unconfirmed_ends = {};
   QuarantineTrials trials = {};
-  std::size_t kept_answer_bytes = 0;  ///< Of answers that have not been passed on yet.
+  ReaderMemory readers = ReaderMemory();  ///< Held for clients and endpoints that read slowly.
 };
 
 /// @brief Handles one request. On return, the exchange has been answered or aborted.
--- a/include/rudderloom/forwarding/frontend.hpp
+++ b/include/rudderloom/forwarding/frontend.hpp
@@ -49,6 +49,10 @@
 
  private:
   bool Ready() const;
+  Awaitable<void> ServeClient(HttpExchange& exchange);
+  Awaitable<void> ServeNode(HttpExchange& exchange);
+  void RecordRefusalForMemory(std::string_view bound);
+  Awaitable<void> RefuseForMemory(HttpExchange& exchange, HeaderList headers);
   Awaitable<void> AnswerReadiness(HttpExchange& exchange);
   Awaitable<void> AnswerMetrics(HttpExchange& exchange);
   Awaitable<void> TrimLoop();
--- a/include/rudderloom/http/server.hpp
+++ b/include/rudderloom/http/server.hpp
@@ -9,10 +9,12 @@
 #include <set>          // for set
 #include <string>       // for string
 #include <string_view>  // for string_view
+#include <variant>      // for variant
 
-#include "rudderloom/base/clock.hpp"     // for Duration
-#include "rudderloom/http/asio.hpp"      // for Awaitable, HttpRequest
-#include "rudderloom/http/watchdog.hpp"  // for Watchdog
+#include "rudderloom/base/clock.hpp"        // for Duration
+#include "rudderloom/http/asio.hpp"         // for Awaitable, HttpRequest
+#include "rudderloom/http/byte_budget.hpp"  // for ByteBudget
+#include "rudderloom/http/watchdog.hpp"     // for Watchdog
 
 namespace rudderloom {
 
@@ -36,6 +38,7 @@
   kTooSlow,
   kTooManyConnections,
   kStopping,  ///< The server stopped before the request was complete.
+  kNoMemory,  ///< Bodies of other requests take the memory for them.
 };
 
 /// @brief A complete response.
@@ -92,6 +95,13 @@
   bool KeepAlive() const { return keep_alive_ && ended_ && !aborted_; }
   bool TooSlow() const { return too_slow_; }
 
+  /// @brief Limits what the system holds of the response to twice this many bytes; 0 leaves it to
+  /// the system. A peer that reads too slowly is then reset, so that nothing is held for it any
+  /// more.
+  void LimitSendBuffer(std::size_t bytes);
+  /// @brief True if the rest of the response must be discarded when the connection closes.
+  bool MustReset() const { return too_slow_ && send_buffer_limited_; }
+
   /// @brief Closes the connection after this response, which carries `Connection: close`.
   void CloseAfterAnswer() { request_.keep_alive(false); }
 
@@ -112,6 +122,7 @@
   bool ended_ = false;
   bool aborted_ = false;
   bool too_slow_ = false;
+  bool send_buffer_limited_ = false;
   std::shared_ptr<PeerWatch> watch_;
 };
 
@@ -142,6 +153,10 @@
   /// @brief Sets the limits, effective from the next request on.
   void SetLimits(const HttpLimits& limits) { limits_ = limits; }
 
+  /// @brief Bounds the bytes of request bodies over all requests that use the budget, which must
+  /// outlive the server. Bodies that exceed it are refused while they are received.
+  void LimitBodies(ByteBudget& budget) { bodies_ = &budget; }
+
   /// @brief Accepts no new connections, except those that already wait to be accepted.
   void StopListening();
 
@@ -162,16 +177,25 @@
   std::uint64_t Connections() const { return connections_; }
 
  private:
+  using RequestParser = http::request_parser<http::string_body>;
+
   Awaitable<void> AcceptLoop();
   void ServeInBackground(tcp::socket socket);
   void AcceptWaitingConnections();
   Awaitable<void> Serve(tcp::socket socket);
   Awaitable<bool> AwaitRequest(tcp::socket& socket, beast::flat_buffer& buffer);
   Awaitable<bool> ServeOne(tcp::socket& socket, beast::flat_buffer& buffer);
+  Awaitable<std::variant<boost::system::error_code, ReadFailure>> ReadRequest(
+      tcp::socket& socket,
+      beast::flat_buffer& buffer,
+      RequestParser& parser,
+      ByteShare& body);
   Awaitable<void> Refuse(tcp::socket& socket, ReadFailure failure);
   static Awaitable<void> DiscardInput(tcp::socket& socket);
 
   asio::io_context& context_;
+  ByteBudget unbounded_bodies_;
+  ByteBudget* bodies_ = &unbounded_bodies_;
   HttpLimits limits_;
   HttpHandlers handlers_;
   tcp::acceptor acceptor_;
--- a/src/rudderloom/callers/refusal.cpp
+++ b/src/rudderloom/callers/refusal.cpp
@@ -129,6 +129,7 @@
     case ReadFailure::kTooManyConnections:
       refusal.reason = RefusalReason::kTooManyConnections;
       break;
+    case ReadFailure::kNoMemory:
     case ReadFailure::kStopping:
       refusal.reason = RefusalReason::kStopping;
       break;
--- a/src/rudderloom/fleet/fleet_settings.cpp
+++ b/src/rudderloom/fleet/fleet_settings.cpp
@@ -14,6 +14,7 @@
 constexpr double kMaxRetryExtra = 1'000'000.0;
 constexpr double kMaxQuotaSlack = 1e12;
 constexpr double kMinProcessorShare = 0.001;
+constexpr std::int64_t kMaxMemoryMb = 1'000'000;
 constexpr double kMaxProcessorShare = 1'024.0;
 
 std::string ReadAddress(ObjectReader& reader, std::string_view key, bool required) {
@@ -64,6 +65,8 @@
     settings.availability_zone = node.String("availability_zone");
     settings.processor_share = node.Number("processor_share", kMinProcessorShare,
                                            kMaxProcessorShare, settings.processor_share);
+    settings.memory_mb = static_cast<std::uint64_t>(
+        node.Integer("memory_mb", 0, kMaxMemoryMb, static_cast<std::int64_t>(settings.memory_mb)));
     settings.first_start = node.Boolean("first_start", settings.first_start);
     settings.group_size = static_cast<std::uint32_t>(
         node.Integer("group_size", kMinGroupSize, kMaxGroupSize, settings.group_size));
--- a/src/rudderloom/forwarding/attempt.cpp
+++ b/src/rudderloom/forwarding/attempt.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>  // for max
 #include <utility>    // for move
 
+#include "forwarding/client_write.hpp"     // for ClientWrite
 #include "forwarding/endpoint_link.hpp"    // for EndpointLink
 #include "forwarding/gateway_headers.hpp"  // for kGatewayConnectionRefused
 #include "forwarding/hop_by_hop.hpp"       // for IsHopByHop, EndToEndHeaders
@@ -226,16 +227,15 @@
     const auto type = head[http::field::content_type];
     reply.content_type.assign(type.data(), type.size());
     reply.headers = EndToEndHeaders(head);
-    KeptAnswer kept(state_.kept_answer_bytes);
+    auto kept = std::make_shared<KeptAnswer>(state_.readers.Answers());
     while (true) {
-      kept.Set(reply.body.size());
-      if (kept.Full()) {
+      kept->Set(reply.body.size());
+      if (kept->Full()) {
         if (!MayPassOn()) {
           link_.Connection().ForbidReuse();
           co_return Fail(AttemptOutcome::kFailed, "answer_too_long");
         }
-        kept.Set(0);
-        co_return co_await PassOn(std::move(reply.body));
+        co_return co_await PassOn(std::move(reply.body), *kept);
       }
       auto chunk = co_await link_.ReadSome();
       if (std::holds_alternative<ConnectionFailure>(chunk)) {
@@ -248,7 +248,7 @@
       }
       reply.body += std::get<std::string>(chunk);
     }
-    co_return co_await ClassifyAnswer(std::move(reply));
+    co_return co_await ClassifyAnswer(std::move(reply), std::move(kept));
   }
 
   // An answer that would not be sent to the client, or not without a retry, is not passed on.
@@ -257,8 +257,15 @@
            !params_.stream->started;
   }
 
-  // Passes a long answer on as it arrives. From here on no other endpoint can answer.
-  Awaitable<AttemptResult> PassOn(std::string piece) {
+  // Waits until the client has taken the piece, so that at most one is held for each client.
+  Awaitable<bool> WriteToClient(const std::string& piece) {
+    const ClientWrite write(state_, params_.terms->id, piece.size());
+    co_return co_await exchange_.WriteChunk(piece);
+  }
+
+  // Passes a long answer on as it arrives. From here on no other endpoint can answer. `kept` counts
+  // the piece until the client has taken it.
+  Awaitable<AttemptResult> PassOn(std::string piece, ByteShare& kept) {
     state_.metrics.Count({"rudderloom_long_answers_total"});
     params_.on_answer_started();
     params_.stream->has_events = false;
@@ -266,10 +273,12 @@
     SetResponseTimeout(std::nullopt);
     bool delivered = co_await StartClientStream();
     while (delivered) {
-      delivered = co_await exchange_.WriteChunk(piece);
+      delivered = co_await WriteToClient(piece);
       if (!delivered) {
         break;
       }
+      piece = std::string();
+      kept.Set(0);
       auto chunk = co_await link_.ReadSome();
       if (std::holds_alternative<ConnectionFailure>(chunk)) {
         co_return ConnectionBroken(AttemptOutcome::kFailed, "cut_within_answer",
@@ -279,12 +288,13 @@
         co_return co_await FinishStream();
       }
       piece = std::get<std::string>(std::move(chunk));
+      kept.Set(piece.size());
     }
     guard_.ClientDisconnected();
     co_return Fail(AttemptOutcome::kFailed, "client_gone");
   }
 
-  Awaitable<AttemptResult> ClassifyAnswer(Reply reply) {
+  Awaitable<AttemptResult> ClassifyAnswer(Reply reply, std::shared_ptr<ByteShare> kept) {
     AttemptResult result;
     result.status = status_;
     if (terms_.not_run) {
@@ -304,7 +314,9 @@
       // Such a status without the endpoint's guarantee must not reach the client, and a started
       // stream may only be continued with events.
       if (!PromisesNotRun(status_) && !params_.stream->started) {
+        kept->Set(2 * reply.body.size());
         result.reply = std::move(reply);
+        result.kept = std::move(kept);
       }
       co_return result;
     }
@@ -318,6 +330,7 @@
     result.feedback = EndpointFeedback::kServed;
     result.ends_with_connection = link_.Connection().EndsWithConnection();
     state_.metrics.Count({"rudderloom_requests_total", "result", "served"});
+    const ClientWrite write(state_, params_.terms->id, reply.body.size());
     co_await exchange_.Send(std::move(reply));
     co_return result;
   }
@@ -329,7 +342,7 @@
     const bool resumable = params_.answer_timeout.has_value();
     bool any_event = false;
     EventFramer framer;
-    KeptAnswer kept(state_.kept_answer_bytes);
+    KeptAnswer kept(state_.readers.Answers(), KeptAnswer::kFreeEventBytes);
     while (true) {
       auto chunk = co_await link_.ReadSome();
       if (std::holds_alternative<ConnectionFailure>(chunk)) {
@@ -357,6 +370,7 @@
         continue;
       }
       any_event = true;
+      kept.Set(framer.PartialBytes() + events.size());
       const bool forwarded = co_await ForwardEvents(events);
       if (!forwarded) {
         guard_.ClientDisconnected();
@@ -408,7 +422,7 @@
       co_return false;
     }
     params_.stream->pace.RecordEvents(Now());
-    co_return co_await exchange_.WriteChunk(events);
+    co_return co_await WriteToClient(events);
   }
 
   Awaitable<AttemptResult> FinishStream() {
--- a/src/rudderloom/forwarding/attempt.hpp
+++ b/src/rudderloom/forwarding/attempt.hpp
@@ -3,6 +3,7 @@
 #define RUDDERLOOM_FORWARDING_ATTEMPT_HPP
 
 #include <functional>   // for function
+#include <memory>       // for shared_ptr
 #include <optional>     // for optional
 #include <string>       // for string
 #include <string_view>  // for string_view
@@ -76,7 +77,8 @@
   std::string error;                    // network error message; empty for none
   TimePoint sent_at;                    // when writing the request started
   EndpointFeedback feedback = EndpointFeedback::kFailed;
-  std::optional<Reply> reply;  // an error answer that may be forwarded to the client
+  std::optional<Reply> reply;       // an error answer that may be forwarded to the client
+  std::shared_ptr<ByteShare> kept;  // counts the reply and its copy that is sent
 };
 
 // Sends the request and forwards a successful answer. Failures are returned for the caller to
--- a/src/rudderloom/forwarding/endpoint_connection.cpp
+++ b/src/rudderloom/forwarding/endpoint_connection.cpp
@@ -32,12 +32,20 @@
   } catch (const std::invalid_argument& error) {
     co_return ConnectionFailure{false, error.what()};
   }
+  boost::system::error_code ignored;
+  if (buffer_bytes_ > 0) {
+    // The receive buffer's size decides the window that is offered with the connection's first
+    // packet.
+    const auto size = static_cast<int>(buffer_bytes_);
+    socket_.open(endpoint.protocol(), ignored);
+    socket_.set_option(asio::socket_base::receive_buffer_size(size), ignored);
+    socket_.set_option(asio::socket_base::send_buffer_size(size), ignored);
+  }
   const auto [error] = co_await socket_.async_connect(endpoint, kAsTuple);
   if (error) {
     const bool refused = error == asio::error::connection_refused;
     co_return ConnectionFailure{false, "connect: " + error.message(), refused};
   }
-  boost::system::error_code ignored;
   socket_.set_option(tcp::no_delay(true), ignored);
   EnableDeadPeerDetection(socket_, kPeerSilenceLimit);
   co_return std::nullopt;
@@ -50,6 +58,7 @@
   write_->bytes = head.str() + request.body();
   asio::async_write(socket_, asio::buffer(write_->bytes),
                     [write = write_](boost::system::error_code error, std::size_t) {
+                      write->bytes = std::string();
                       write->done = true;
                       write->failed = static_cast<bool>(error);
                     });
--- a/src/rudderloom/forwarding/endpoint_link.cpp
+++ b/src/rudderloom/forwarding/endpoint_link.cpp
@@ -19,7 +19,7 @@
 }  // namespace
 
 EndpointLink::EndpointLink(ForwardingState& state, CallGuard& guard, EndpointRecord endpoint)
-    : state_(state), guard_(guard), endpoint_(std::move(endpoint)) {}
+    : state_(state), guard_(guard), buffer_(state.readers), endpoint_(std::move(endpoint)) {}
 
 EndpointLink::~EndpointLink() {
   guard_.SetCancel({});
@@ -27,6 +27,15 @@
   LeaveGateway();
 }
 
+// A connection keeps the buffers that it was opened with: those of an established one can't shrink
+// below the window that its peer has been offered.
+bool EndpointLink::TakeIfSmallEnough() {
+  if (connection_ && connection_->BufferBytes() > buffer_.Bytes()) {
+    connection_.reset();
+  }
+  return connection_ != nullptr;
+}
+
 void EndpointLink::CloseWhenInterrupted() {
   guard_.SetCancel([connection = connection_.get()] { connection->Close(); });
 }
@@ -47,6 +56,7 @@
 
 Awaitable<std::optional<ConnectionFailure>> EndpointLink::Open(std::string address) {
   connection_ = std::make_unique<EndpointConnection>(state_.context);
+  connection_->LimitBuffers(buffer_.Bytes());
   reused_ = false;
   CloseWhenInterrupted();
   guard_.SetResponseDeadline(Now() + kConnectTimeout);
@@ -66,7 +76,7 @@
 
 Awaitable<std::optional<ConnectionFailure>> EndpointLink::Connect() {
   connection_ = state_.pool.Take(endpoint_.instance, Now());
-  if (connection_) {
+  if (TakeIfSmallEnough()) {
     reused_ = true;
     CloseWhenInterrupted();
     co_return std::nullopt;
@@ -97,7 +107,7 @@
     tried_gateways_.insert(gateway_->address);
     state_.gateways.Started(gateway_->address);
     connection_ = state_.gateway_pool.Take(gateway_->address, Now());
-    if (connection_) {
+    if (TakeIfSmallEnough()) {
       reused_ = true;
       CloseWhenInterrupted();
       co_return std::nullopt;
--- a/src/rudderloom/forwarding/endpoint_link.hpp
+++ b/src/rudderloom/forwarding/endpoint_link.hpp
@@ -58,6 +58,8 @@
   TimePoint SentAt() const { return sent_at_; }
 
  private:
+  // True for a pooled connection that may be used.
+  bool TakeIfSmallEnough();
   void CloseWhenInterrupted();
   Awaitable<std::optional<ConnectionFailure>> Open(std::string address);
   void CountConnect(const std::optional<ConnectionFailure>& failure);
@@ -67,6 +69,7 @@
 
   ForwardingState& state_;
   CallGuard& guard_;
+  const BufferSlot buffer_;  // of the connection
   const EndpointRecord endpoint_;
   std::unique_ptr<EndpointConnection> connection_;
   std::optional<Gateway> gateway_;        // the connection leads to
--- a/src/rudderloom/forwarding/frontend.cpp
+++ b/src/rudderloom/forwarding/frontend.cpp
@@ -4,7 +4,9 @@
 #include <random>  // for random_device
 #include <set>     // for set
 
+#include "forwarding/client_write.hpp"               // for ReviewSlowReaders
 #include "forwarding/crash_check.hpp"                // for RecordCleared
+#include "forwarding/gateway_headers.hpp"            // for kGatewayRefusalHeader
 #include "forwarding/quarantine_page.hpp"            // for AnswerQuarantinePage
 #include "forwarding/reach_watch.hpp"                // for WatchReach
 #include "rudderloom/base/hex.hpp"                   // for ToHex
@@ -24,6 +26,9 @@
 constexpr Duration kMinSampleInterval{15};
 // A node on a 10 Mbit/s link takes half a second to read a configuration of 1,700 routes.
 constexpr Duration kStartupConfigurationWait{1'200};
+// A client that does not read loses its connection after ten seconds, others end sooner.
+constexpr Duration kMemoryRetryDelay{1'000};
+constexpr unsigned kUnavailable = 503;
 
 // The answer to a request that could not be read.
 Reply ReadFailureReply(ReadFailure failure) {
@@ -43,7 +48,8 @@
       break;
     case ReadFailure::kTooManyConnections:
     case ReadFailure::kStopping:
-      reply.status = 503;
+    case ReadFailure::kNoMemory:
+      reply.status = kUnavailable;
       break;
   }
   reply.body = "{\"error\":\"unreadable_request\"}";
@@ -119,14 +125,17 @@
                sample_timer_.cancel();
              },
              std::move(peers)},
-      server_(MakeServer([this](HttpExchange& exchange) { return Forward(state_, exchange); })),
-      gateway_server_(
-          MakeServer([this](HttpExchange& exchange) { return ForwardForNode(state_, exchange); })),
+      server_(MakeServer([this](HttpExchange& exchange) { return ServeClient(exchange); })),
+      gateway_server_(MakeServer([this](HttpExchange& exchange) { return ServeNode(exchange); })),
       readiness_(MakeServer([this](HttpExchange& exchange) { return AnswerReadiness(exchange); })),
       metrics_server_(
           MakeServer([this](HttpExchange& exchange) { return AnswerMetrics(exchange); })),
       on_sample_(std::move(on_sample)),
-      sample_timer_(context) {}
+      sample_timer_(context) {
+  state_.readers.SetBounds(BoundsForMemory(settings.memory_mb));
+  server_->LimitBodies(state_.readers.Bodies());
+  gateway_server_->LimitBodies(state_.readers.Bodies());
+}
 
 std::shared_ptr<HttpServer> FleetFrontend::MakeServer(
     std::function<Awaitable<void>(HttpExchange&)> handle) {
@@ -134,11 +143,63 @@
   handlers.handle = std::move(handle);
   handlers.read_failure = [this](ReadFailure failure) {
     metrics_.Count({"rudderloom_unreadable_requests_total"});
-    return ReadFailureReply(failure);
+    Reply reply = ReadFailureReply(failure);
+    if (failure == ReadFailure::kNoMemory) {
+      RecordRefusalForMemory("body");
+      reply.headers = state_.dialect.RefusalHeaders("", kMemoryRetryDelay);
+    }
+    return reply;
   };
   return std::make_shared<HttpServer>(context_, HttpLimits(), std::move(handlers));
 }
 
+Awaitable<void> FleetFrontend::ServeClient(HttpExchange& exchange) {
+  const RequestSlot slot(state_.readers);
+  if (!slot.Admitted()) {
+    const auto terms = state_.dialect.ReadRequest(exchange.Request());
+    HeaderList headers = state_.dialect.RefusalHeaders(terms.id, kMemoryRetryDelay);
+    co_await RefuseForMemory(exchange, std::move(headers));
+    co_return;
+  }
+  const BufferSlot buffer(state_.readers);
+  exchange.LimitSendBuffer(buffer.Bytes());
+  co_await Forward(state_, exchange);
+}
+
+Awaitable<void> FleetFrontend::ServeNode(HttpExchange& exchange) {
+  const RequestSlot slot(state_.readers);
+  if (!slot.Admitted()) {
+    HeaderList headers;
+    headers.emplace_back(kGatewayRefusalHeader, kGatewayUnavailable);
+    co_await RefuseForMemory(exchange, std::move(headers));
+    co_return;
+  }
+  const BufferSlot buffer(state_.readers);
+  exchange.LimitSendBuffer(buffer.Bytes());
+  co_await ForwardForNode(state_, exchange);
+}
+
+void FleetFrontend::RecordRefusalForMemory(std::string_view bound) {
+  metrics_.Count({"rudderloom_refusals_total", "reason", "memory"});
+  if (state_.log_quota.Allows(Now())) {
+    LogLine("refused_for_memory")
+        .With("bound", bound)
+        .With("requests", state_.readers.Requests())
+        .With("all_body_bytes", state_.readers.Bodies().Total())
+        .With("slow_readers", state_.readers.SlowReaders());
+  }
+}
+
+// Nothing has been sent to an endpoint.
+Awaitable<void> FleetFrontend::RefuseForMemory(HttpExchange& exchange, HeaderList headers) {
+  RecordRefusalForMemory("requests");
+  Reply reply;
+  reply.status = kUnavailable;
+  reply.body = "{\"error\":\"memory\"}";
+  reply.headers = std::move(headers);
+  co_await exchange.Send(std::move(reply));
+}
+
 FleetListeners FleetFrontend::Start() {
   FleetListeners bound = settings_.listen;
   bound.readiness = Listen(*readiness_, settings_.listen.readiness);
@@ -286,6 +347,7 @@
       keys.insert(KeyOf(instance));
     }
     state_.limits.Trim([&](EndpointKey endpoint) { return keys.contains(endpoint); }, Now());
+    ReviewSlowReaders(state_);
     metrics_.Set({"rudderloom_requests_active"}, static_cast<double>(Active()));
     metrics_.Set({"rudderloom_requests_waiting"}, static_cast<double>(state_.views.Waiting()));
     if (const std::uint64_t dropped = state_.log_quota.TakeDropped()) {
--- a/src/rudderloom/forwarding/gateway_server.cpp
+++ b/src/rudderloom/forwarding/gateway_server.cpp
@@ -3,10 +3,12 @@
 #include <algorithm>  // for find_if
 #include <utility>    // for move
 
+#include "forwarding/client_write.hpp"     // for ClientWrite
 #include "forwarding/crash_check.hpp"      // for RecordConnectionBreak
 #include "forwarding/endpoint_link.hpp"    // for EndpointLink
 #include "forwarding/gateway_headers.hpp"  // for kGatewayKeyHeader
 #include "forwarding/hop_by_hop.hpp"       // for EndToEndHeaders
+#include "forwarding/kept_answer.hpp"      // for KeptAnswer
 #include "rudderloom/base/log_line.hpp"    // for LogLine
 
 namespace rudderloom {
@@ -123,6 +125,9 @@
         co_return co_await exchange_.EndStream();
       }
       const std::string& data = std::get<std::string>(chunk);
+      KeptAnswer kept(state_.readers.Answers());
+      kept.Set(data.size());
+      const ClientWrite write(state_, terms_.id, data.size());
       delivered = co_await exchange_.WriteChunk(data);
     }
     co_return false;
--- a/src/rudderloom/forwarding/kept_answer.hpp
+++ b/src/rudderloom/forwarding/kept_answer.hpp
@@ -1,40 +1,27 @@
-// Bounds the memory that a node takes for answers that it has not passed on yet.
+// Bounds the memory that a node takes for answers that its clients have not taken yet.
 #ifndef RUDDERLOOM_FORWARDING_KEPT_ANSWER_HPP
 #define RUDDERLOOM_FORWARDING_KEPT_ANSWER_HPP
 
-#include <cstddef>  // for size_t
+#include "rudderloom/http/byte_budget.hpp"  // for ByteShare
 
 namespace rudderloom {
 
-// What one request keeps of an answer. Kept answers can still be replaced by that of another
-// endpoint; longer ones are passed on as they arrive.
-class KeptAnswer {
+// What one request holds of an answer: of one that can still be replaced by that of another
+// endpoint, and of one that waits to be written to the client. Longer ones are passed on as they
+// arrive.
+class KeptAnswer : public ByteShare {
  public:
-  // `node_total` is the sum over all requests of the node, and must outlive this object.
-  explicit KeptAnswer(std::size_t& node_total) : node_total_(node_total) {}
-  KeptAnswer(const KeptAnswer&) = delete;
-  KeptAnswer& operator=(const KeptAnswer&) = delete;
-  ~KeptAnswer() { Set(0); }
-
-  // Sets the number of bytes that this request keeps.
-  void Set(std::size_t bytes) {
-    node_total_ = node_total_ - bytes_ + bytes;
-    bytes_ = bytes;
-  }
+  // Most answers are shorter.
+  static constexpr std::size_t kFreeAnswerBytes = 4 * 1024;
+  // A stream ends if its event is longer, so that more is kept of it.
+  static constexpr std::size_t kFreeEventBytes = 16 * 1024;
 
-  // True if no more may be kept.
-  bool Full() const {
-    return bytes_ > kMaxBytes || (node_total_ > kMaxBytesOfNode && bytes_ > kAlwaysKeptBytes);
-  }
+  // `budget` is that of the node, and must outlive this object.
+  explicit KeptAnswer(ByteBudget& budget, std::size_t free_bytes = kFreeAnswerBytes)
+      : ByteShare(budget, free_bytes, kMaxBytes) {}
 
  private:
   static constexpr std::size_t kMaxBytes = 1024 * 1024;
-  static constexpr std::size_t kMaxBytesOfNode = 32 * 1024 * 1024;
-  // Most answers are shorter.
-  static constexpr std::size_t kAlwaysKeptBytes = 4 * 1024;
-
-  std::size_t& node_total_;
-  std::size_t bytes_ = 0;
 };
 
 }  // namespace rudderloom
--- a/src/rudderloom/http/server.cpp
+++ b/src/rudderloom/http/server.cpp
@@ -12,6 +12,10 @@
 namespace {
 
 constexpr std::size_t kReadBytes = 4096;
+// Of a body, also while the budget for bodies is exhausted. Most bodies are shorter.
+constexpr std::size_t kFreeBodyBytes = 16 * 1024;
+// The request, and its copy that is written to an endpoint.
+constexpr std::size_t kBodyCopies = 2;
 constexpr Duration kAcceptRetryDelay{50};
 constexpr Duration kDiscardTime{500};
 // For a request that was sent before its client could see that the server stops.
@@ -58,6 +62,15 @@
   }
 }
 
+void HttpExchange::LimitSendBuffer(std::size_t bytes) {
+  if (bytes == 0) {
+    return;
+  }
+  boost::system::error_code ignored;
+  socket_.set_option(asio::socket_base::send_buffer_size(static_cast<int>(bytes)), ignored);
+  send_buffer_limited_ = true;
+}
+
 bool HttpExchange::DecideKeepAlive() {
   keep_alive_ = request_.keep_alive() && (!closing_ || received_.size() > 0);
   return keep_alive_;
@@ -262,20 +275,47 @@
   }
 }
 
+// Reads a request, and stops when its body may hold no more.
+Awaitable<std::variant<boost::system::error_code, ReadFailure>> HttpServer::ReadRequest(
+    tcp::socket& socket,
+    beast::flat_buffer& buffer,
+    RequestParser& parser,
+    ByteShare& body) {
+  const auto [head_error, head_size] =
+      co_await http::async_read_header(socket, buffer, parser, kAsTuple);
+  boost::system::error_code error = head_error;
+  while (!error && !parser.is_done()) {
+    const auto [read_error, size] =
+        co_await http::async_read_some(socket, buffer, parser, kAsTuple);
+    error = read_error;
+    body.Set(kBodyCopies * parser.get().body().size());
+    if (body.Full()) {
+      co_return ReadFailure::kNoMemory;
+    }
+  }
+  co_return error;
+}
+
 Awaitable<bool> HttpServer::ServeOne(tcp::socket& socket, beast::flat_buffer& buffer) {
   if (!co_await AwaitRequest(socket, buffer)) {
     co_return false;
   }
-  http::request_parser<http::string_body> parser;
+  RequestParser parser;
+  ByteShare body(*bodies_, kBodyCopies * kFreeBodyBytes);
   parser.header_limit(limits_.header_bytes);
   parser.body_limit(limits_.body_bytes);
   std::optional<ReadFailure> failure;
   {
     Watchdog watchdog(socket, refuse_partial_requests_ ? kLastRequestWait : limits_.header_time);
     reading_.insert(&watchdog);
-    const auto [error, size] = co_await http::async_read(socket, buffer, parser, kAsTuple);
+    const auto read = co_await ReadRequest(socket, buffer, parser, body);
     reading_.erase(&watchdog);
-    if (error && watchdog.Expired()) {
+    const auto* stopped = std::get_if<ReadFailure>(&read);
+    const auto error = stopped != nullptr ? boost::system::error_code()
+                                          : std::get<boost::system::error_code>(read);
+    if (stopped != nullptr) {
+      failure = *stopped;
+    } else if (error && watchdog.Expired()) {
       failure = refuse_partial_requests_ ? ReadFailure::kStopping : ReadFailure::kTooSlow;
     } else if (error && !IsProtocolError(error)) {
       co_return false;
@@ -299,6 +339,11 @@
   if (exchange.TooSlow() && handlers_.slow_reader) {
     handlers_.slow_reader();
   }
+  if (exchange.MustReset()) {
+    boost::system::error_code ignored;
+    socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+  }
   co_return exchange.KeepAlive();
 }
 
