--- a/tests/process/fleet_cluster.cpp
+++ b/tests/process/fleet_cluster.cpp
@@ -16,12 +16,13 @@
 
 json::object MakeRoute(const std::string& prefix,
                        const std::string& kind,
-                       const std::string& service) {
+                       const std::string& service,
+                       Duration timeout) {
   return {{"name", "r" + prefix},
           {"host", "h.example"},
           {"path-prefix", prefix},
           {"route-kind", kind},
-          {"timeout-ms", 5000},
+          {"timeout-ms", timeout.count()},
           {"latency-goal-ms", 500},
           {"priority", 1},
           {"service", service},
@@ -121,8 +122,10 @@
   const std::string any_port = "127.0.0.1:0";
   const json::object settings{
       {"interface", "fleet"},
-      {"node",
-       json::object{{"name", name}, {"availability_zone", "zone-a"}, {"group_size", group_size}}},
+      {"node", json::object{{"name", name},
+                            {"availability_zone", "zone-a"},
+                            {"group_size", group_size},
+                            {"memory_mb", node_memory_}}},
       {"listen", json::object{{"callers", any_port},
                               {"readiness", any_port},
                               {"peers", any_port},
@@ -151,10 +154,11 @@
 }
 
 void FleetCluster::Configure(std::uint64_t version) {
-  json::array routes{MakeRoute("/stream/", "stream", "pool"), MakeRoute("/once/", "unsafe", "desk"),
-                     MakeRoute("/safe/", "safe", "desk")};
+  json::array routes{MakeRoute("/stream/", "stream", "pool", route_timeout_),
+                     MakeRoute("/once/", "unsafe", "desk", route_timeout_),
+                     MakeRoute("/safe/", "safe", "desk", route_timeout_)};
   if (version >= 2) {
-    routes.push_back(MakeRoute("/added/", "safe", "desk"));
+    routes.push_back(MakeRoute("/added/", "safe", "desk", route_timeout_));
   }
   const json::object engine{{"slots", 8},          {"kv-capacity", 100000},
                             {"weights-mb", 200.0}, {"adapter-slots", 4},
--- a/tests/process/fleet_cluster.hpp
+++ b/tests/process/fleet_cluster.hpp
@@ -56,6 +56,11 @@
   /// @brief Starts an entry node. `group_size` is the number of nodes per relay.
   Program& StartFleetNode(const std::string& name, int group_size = 16);
 
+  /// @brief Sets the memory in MB that the nodes started from now on may use.
+  void SetNodeMemory(int megabytes) { node_memory_ = megabytes; }
+  /// @brief Sets the timeout of the routes that are configured from now on.
+  void SetRouteTimeout(Duration timeout) { route_timeout_ = timeout; }
+
   /// @brief Stores a configuration of this version: host h.example with the routes /stream/,
   /// /once/ and /safe/, and /added/ from version 2 on. Models m, n and o, each with two adapters.
   void Configure(std::uint64_t version);
@@ -87,6 +92,8 @@
   std::vector<std::string> endpoints_;
   std::vector<std::string> nodes_;
   bool uses_link_proxies_ = false;
+  int node_memory_ = 0;
+  Duration route_timeout_{5'000};
   std::map<std::string, std::unique_ptr<LinkProxy>> link_proxies_;  // by endpoint
   std::mutex node_processes_mutex_;
   std::map<std::string, int> node_processes_;  // process id by node
--- a/tests/process/raw_caller.cpp
+++ b/tests/process/raw_caller.cpp
@@ -72,6 +72,7 @@
   Received received;
   http::response_parser<http::string_body> parser;
   parser.eager(true);
+  parser.body_limit(boost::none);
   bool done = false;
   http::async_read(socket_, buffer_, parser, [&](boost::system::error_code error, std::size_t) {
     received.complete = !error;
