--- a/include/rudderloom/forwarding/forwarder.hpp
+++ b/include/rudderloom/forwarding/forwarder.hpp
@@ -24,6 +24,7 @@
 #include "rudderloom/forwarding/gateway_choice.hpp"         // for GatewayChoice
 #include "rudderloom/forwarding/held_requests.hpp"          // for HeldRequests
 #include "rudderloom/forwarding/missing_units.hpp"          // for MissingUnits
+#include "rudderloom/forwarding/reader_memory.hpp"          // for ReaderMemory
 #include "rudderloom/forwarding/retry_budget.hpp"           // for RetryBudget
 #include "rudderloom/forwarding/view_source.hpp"            // for ViewSource
 #include "rudderloom/http/server.hpp"                       // for HttpExchange
@@ -153,7 +154,7 @@
   SilentGranters silent_granters = {};
   HeldRequests held = {};
   SoloSends solo_sends{0.0};  ///< To services with few slots, while no granting node answers.
-  std::size_t kept_answer_bytes = 0;  ///< Of answers that have not been passed on yet.
+  ReaderMemory readers = ReaderMemory();  ///< Held for clients and endpoints that read slowly.
 };
 
 /// @brief Handles one request. On return, the exchange has been answered or aborted.
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -314,10 +314,6 @@
   # If `rejectionsPerSecond` is not below 0, the endpoint tolerates so many: the grant is for one of
   # its slots, for up to `maxHoldMs`, and what becomes of it is reported. An earlier build grants by
   # `requestsPerSecond` alone; this one only if `rateLimited`.
-  permit @2 (endpoint :UInt32, requestsPerSecond :Float64, mostWaitMs :UInt32,
-             rateLimited :Bool = true, rejectionsPerSecond :Float64 = -1, slots :UInt32,
-             maxHoldMs :UInt32)
-      -> (verdict :PermitVerdict, waitMs :UInt32, grant :UInt64);
   # If `inFlightCost` is not 0, the request is decided by the cost in flight at the endpoint alone,
   # which may be at most `inFlightLimit` including its own, and counts for up to `maxHoldMs`. Any node
   # answers, with `byInFlight`. An earlier build ignores these terms and does not set it.
--- a/src/rudderloom/peers/fleet_codec.cpp
+++ b/src/rudderloom/peers/fleet_codec.cpp
@@ -224,6 +224,15 @@
   return limits;
 }
 
+// A cost of 0 stands for a request without these terms.
+void WriteInFlight(const InFlightTerms& terms, rpc::PlacementHolder::PermitParams::Builder out) {
+  out.setInFlightCost(std::max(1U, terms.cost));
+  out.setInFlightLimit(terms.limit);
+  out.setUntilAnswerBegins(terms.until == InFlightUntil::kAnswerBegins);
+  out.setMaxHoldMs(ClampTo<std::uint32_t>(
+      static_cast<std::uint64_t>(std::max(Duration(0), terms.max_hold).count())));
+}
+
 }  // namespace
 
 void Write(const NodeCounts& counts, rpc::NodeCounts::Builder out) {
@@ -422,6 +431,7 @@
   }
   out.setWaitMs(ClampTo<std::uint32_t>(static_cast<std::uint64_t>(answer.wait.count())));
   out.setGrant(answer.grant);
+  out.setByInFlight(answer.by_in_flight);
 }
 
 // An unknown verdict, sent by a newer version, is not a grant.
@@ -429,6 +439,7 @@
   PermitAnswer answer;
   answer.wait = Duration(in.getWaitMs());
   answer.grant = in.getGrant();
+  answer.by_in_flight = in.getByInFlight();
   if (in.getVerdict() == rpc::PermitVerdict::GRANTED) {
     answer.verdict = PermitVerdict::kGranted;
   } else if (in.getVerdict() == rpc::PermitVerdict::REFUSED) {
