--- a/src/rudderloom/quota/quota_model_test.cpp
+++ b/src/rudderloom/quota/quota_model_test.cpp
@@ -268,7 +268,7 @@
     granted_.clear();
     node.log->MarkDelivered(report.number);
     node.log->Confirmed(report.number);
-    published_ = QuotaSnapshot{Now(), ledger_->Balances(Now()), {}};
+    published_ = QuotaSnapshot{Now(), ledger_->Balances(Now()), {}, {}};
     DeliverSnapshot(node, *published_);
   }
 
