--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -284,13 +284,14 @@
         without_turn_.size() < last_choice_.candidate_count) {
       co_return true;
     }
-    const bool may_hold = Between(arrived_, Now()) < MaxHold();
-    if (!may_hold) {
+    const Duration spent = Between(arrived_, Now());
+    const Duration wait = HoldTime(spent);
+    if (spent + wait > MaxHold()) {
       co_await Refuse(ForwardRefusal::kOverloaded);
       co_return false;
     }
     without_turn_.clear();
-    const bool answered = co_await Hold();
+    const bool answered = co_await Hold(wait);
     co_return !answered;
   }
 
@@ -298,15 +299,27 @@
     return {{service_, terms_.model}, checks_.Priority(), deadline_at_};
   }
 
+  // Time until the next decision on admission. A slot has been refused with the time at which there
+  // is one. A request of the most urgent kind that was refused a turn can't be on time anywhere.
+  Duration HoldTime(Duration spent) {
+    if (without_turn_.empty()) {
+      return HoldInterval(spent, state_.random());
+    }
+    if (terms_.model.empty()) {
+      return std::max(kMinSlotWait, retry_delay_);
+    }
+    return Rank() == 0 ? Duration::max() - spent : HoldInterval(spent, state_.random());
+  }
+
   // Waits before the next decision on admission; true if the request has been answered meanwhile.
-  Awaitable<bool> Hold() {
+  Awaitable<bool> Hold(Duration wait) {
     const TimePoint began = Now();
     {
       const ScopedUnitCount waiting(state_.units, RequestedUnits(service_, terms_),
                                     &UnitCount::waiting);
       const ScopedHold held(state_.held, HeldPosition());
       state_.metrics.Count({"rudderloom_held_total"});
-      guard_->WaitTimer().expires_after(HoldInterval(Between(arrived_, began), state_.random()));
+      guard_->WaitTimer().expires_after(wait);
       co_await guard_->WaitTimer().async_wait(kAsTuple);
     }
     waited_ += Between(began, Now());
