Ask the forecast before the turn, and queue one pause at most

Change: the forecast decides first, then the turn; the queue of an engine is at most one pause long.

--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -203,13 +203,18 @@
     return excluded;
   }
 
-  // Decides about the start of a model request, by its turn at the endpoint where many nodes share
-  // it, otherwise by the forecast. Requests that have started or been attempted are not refused.
+  // Decides about the start of a model request by the forecast, and where many nodes share the
+  // endpoint also by its turn there: the forecast does not know the prompts of the last 300 ms.
+  // Requests that have started or been attempted are not refused.
   Awaitable<Admission> DecideStart(const EndpointRecord& endpoint) {
     if (terms_.model.empty() || stream_.started || attempts_ > 0) {
       co_return Admission::kAdmitted;
     }
-    const AdmissionQuery query = MakeAdmissionQuery();
+    const Admission admission = DecideAdmission(MakeAdmissionQuery(), *route_);
+    if (admission != Admission::kAdmitted) {
+      decided_by_ = "forecast";
+      co_return admission;
+    }
     const PromptTurn turn = co_await AwaitPromptTurn(state_, *guard_, MakeTurnRequest(endpoint));
     waited_ += turn.waited;
     switch (turn.verdict) {
@@ -224,11 +229,7 @@
       case TurnVerdict::kNotSpaced:
         break;
     }
-    const Admission admission = DecideAdmission(query, *route_);
-    if (admission != Admission::kAdmitted) {
-      decided_by_ = "forecast";
-    }
-    co_return admission;
+    co_return Admission::kAdmitted;
   }
 
   AdmissionQuery MakeAdmissionQuery() const {
@@ -269,7 +270,8 @@
                                              last_choice_.added_load.unread_tokens,
                                              route_->longest_pause);
     const Duration spent = Between(arrived_, Now());
-    const Duration left = std::max(Duration(0), route_->goal - spent - IdleStart());
+    const Duration forecast = last_choice_.forecast.if_admitted_bound;
+    const Duration left = std::max(Duration(0), route_->goal - spent - forecast);
     request.max_wait = MaxTurnWait({left, route_->longest_pause, Rank(), spent >= MaxHold()});
     return request;
   }
--- a/src/rudderloom/forwarding/prompt_turn.cpp
+++ b/src/rudderloom/forwarding/prompt_turn.cpp
@@ -17,10 +17,8 @@
 }  // namespace
 
 Duration MaxTurnWait(const TurnNeeds& needs) {
-  if (needs.rank == 0 || needs.hold_is_over) {
-    return needs.time_left;
-  }
-  const std::uint32_t halvings = std::min(needs.rank, kMaxHalvings);
+  const std::uint32_t rank = needs.hold_is_over ? 0 : needs.rank;
+  const std::uint32_t halvings = std::min(rank, kMaxHalvings);
   return std::min(needs.time_left, needs.longest_pause / (1 << halvings));
 }
 
--- a/src/rudderloom/forwarding/prompt_turn_test.cpp
+++ b/src/rudderloom/forwarding/prompt_turn_test.cpp
@@ -10,7 +10,7 @@
 
 // Load: more prompts of several kinds than the engines of a model process.
 TEST_CASE("a less urgent request accepts a shorter queue than a more urgent one") {
-  CHECK(MaxTurnWait({kTimeLeft, kPause, 0, false}) == kTimeLeft);
+  CHECK(MaxTurnWait({kTimeLeft, kPause, 0, false}) == kPause);
   CHECK(MaxTurnWait({kTimeLeft, kPause, 1, false}) == Duration(200));
   CHECK(MaxTurnWait({kTimeLeft, kPause, 2, false}) == Duration(100));
   CHECK(MaxTurnWait({kTimeLeft, kPause, 1'000'000, false}) == Duration(25));
@@ -22,7 +22,7 @@
 }
 
 TEST_CASE("a patient request at the end of its hold does not starve behind urgent ones") {
-  CHECK(MaxTurnWait({kTimeLeft, kPause, 3, true}) == kTimeLeft);
+  CHECK(MaxTurnWait({kTimeLeft, kPause, 3, true}) == kPause);
 }
 
 }  // namespace
