--- a/include/rudderloom/forwarding/admission.hpp
+++ b/include/rudderloom/forwarding/admission.hpp
@@ -15,8 +15,8 @@
 /// @brief Forecast time from sending a request to an endpoint until its first event.
 /// @ingroup forwarding
 struct StartForecast {
-  Duration if_admitted{0};  ///< Queued behind the requests that are not deferred.
-  Duration if_deferred{0};  ///< Queued behind all requests at the endpoint.
+  Duration if_admitted{0};        ///< Queued behind the requests that are not deferred.
+  Duration if_deferred{0};        ///< Queued behind all requests at the endpoint.
   Duration if_admitted_bound{0};  ///< Not exceeded by nine of ten requests that are admitted.
   /// @brief Expected longest gap between two events, of this request and of those that run there.
   Duration longest_pause{0};
@@ -54,15 +54,15 @@
   Duration hold_limit{0};  ///< See `HoldLimit`.
   /// @brief Pause that an admitted request must leave free for more urgent ones that may arrive.
   Duration headroom{0};
-  bool is_next = true;     ///< No more urgent request waits at this node for the same model.
+  bool is_next = true;  ///< No more urgent request waits at this node for the same model.
 };
 
 /// @brief Admits, holds, defers or refuses a request.
 ///
-/// An endpoint processes prompts one after another, and its running streams pause meanwhile. Without
-/// admission control, all answers are late as soon as the load exceeds the endpoint's capacity. With
-/// it, as many answers are on time as the endpoint can serve. What can't be on time runs only where
-/// it delays nobody, and is refused otherwise.
+/// An endpoint processes prompts one after another, and its running streams pause meanwhile.
+/// Without admission control, all answers are late as soon as the load exceeds the endpoint's
+/// capacity. With it, as many answers are on time as the endpoint can serve. What can't be on time
+/// runs only where it delays nobody, and is refused otherwise.
 /// @ingroup forwarding
 Admission DecideAdmission(const AdmissionQuery& query, const Route& route);
 
--- a/include/rudderloom/forwarding/work_model.hpp
+++ b/include/rudderloom/forwarding/work_model.hpp
@@ -3,15 +3,15 @@
 #ifndef RUDDERLOOM_FORWARDING_WORK_MODEL_HPP
 #define RUDDERLOOM_FORWARDING_WORK_MODEL_HPP
 
-#include <cstdint>  // for uint32_t, uint64_t
-#include <map>      // for map
+#include <cstdint>   // for uint32_t, uint64_t
+#include <map>       // for map
 #include <optional>  // for optional
-#include <string>   // for string
-#include <utility>  // for pair
-#include <vector>   // for vector
+#include <string>    // for string
+#include <utility>   // for pair
+#include <vector>    // for vector
 
-#include "rudderloom/base/clock.hpp"               // for Duration
-#include "rudderloom/forwarding/load_fit.hpp"      // for LoadFit
+#include "rudderloom/base/clock.hpp"           // for Duration
+#include "rudderloom/forwarding/load_fit.hpp"  // for LoadFit
 
 namespace rudderloom {
 
@@ -35,11 +35,11 @@
 /// @brief A complete answer.
 /// @ingroup forwarding
 struct StreamSample {
-  EndpointWork work;            ///< At its endpoint when it was sent.
+  EndpointWork work;             ///< At its endpoint when it was sent.
   std::uint64_t tokens_out = 0;  ///< As estimated or bounded by the client.
   Duration first_event{0};       ///< From sending the request to its first event.
   Duration longest_pause{0};
-  Duration hold_time{0};  ///< From the first event to the end.
+  Duration hold_time{0};         ///< From the first event to the end.
   bool waited_for_slot = false;  ///< The endpoint had no free slot when the request was sent.
 };
 
--- a/src/rudderloom/forwarding/admission_test.cpp
+++ b/src/rudderloom/forwarding/admission_test.cpp
@@ -28,7 +28,8 @@
 
 AdmissionQuery MakeQuery(int if_admitted, int if_deferred, int spent) {
   AdmissionQuery query;
-  query.forecast = {Duration(if_admitted), Duration(if_deferred), Duration(if_admitted), Duration(0)};
+  query.forecast = {Duration(if_admitted), Duration(if_deferred), Duration(if_admitted),
+                    Duration(0)};
   query.spent = Duration(spent);
   return query;
 }
--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -4,18 +4,18 @@
 #include <optional>   // for optional
 #include <utility>    // for move
 
-#include "forwarding/request_checks.hpp"   // for RequestChecks
-#include "forwarding/attempt.hpp"          // for RunAttempt
-#include "forwarding/crash_check.hpp"      // for RecordConnectionBreak
-#include "forwarding/forward_refusal.hpp"  // for ForwardRefusal
-#include "forwarding/limit_check.hpp"      // for AcquirePermit
-#include "forwarding/prompt_turn.hpp"      // for AwaitPromptTurn
-#include "forwarding/request_end.hpp"      // for LogRequestEnd, LogFailedAttempt
-#include "forwarding/stream_version.hpp"   // for FindStreamVersion
-#include "forwarding/request_samples.hpp"  // for RecordStream, OfferedTime
-#include "forwarding/tried_endpoints.hpp"  // for TriedEndpoints
+#include "forwarding/request_checks.hpp"            // for RequestChecks
+#include "forwarding/attempt.hpp"                   // for RunAttempt
+#include "forwarding/crash_check.hpp"               // for RecordConnectionBreak
+#include "forwarding/forward_refusal.hpp"           // for ForwardRefusal
+#include "forwarding/limit_check.hpp"               // for AcquirePermit
+#include "forwarding/prompt_turn.hpp"               // for AwaitPromptTurn
+#include "forwarding/request_end.hpp"               // for LogRequestEnd, LogFailedAttempt
+#include "forwarding/stream_version.hpp"            // for FindStreamVersion
+#include "forwarding/request_samples.hpp"           // for RecordStream, OfferedTime
+#include "forwarding/tried_endpoints.hpp"           // for TriedEndpoints
 #include "rudderloom/forwarding/held_requests.hpp"  // for HeldRequest, ScopedHold
-#include "rudderloom/http/call_guard.hpp"  // for CallGuard
+#include "rudderloom/http/call_guard.hpp"           // for CallGuard
 
 namespace rudderloom {
 
@@ -245,9 +245,7 @@
   }
 
   // Number of more urgent kinds of request for the service.
-  std::uint32_t Rank() const {
-    return routes_->MoreUrgentPriorities(service_, route_->priority);
-  }
+  std::uint32_t Rank() const { return routes_->MoreUrgentPriorities(service_, route_->priority); }
 
   // Forecast time to the first event at an endpoint without other work.
   Duration IdleStart() const {
@@ -259,16 +257,15 @@
     if (state_.stopping) {
       return Duration(0);
     }
-    return terms_.model.empty() ? route_->goal / kPlainHoldDivisor : HoldLimit(*route_, IdleStart());
+    return terms_.model.empty() ? route_->goal / kPlainHoldDivisor
+                                : HoldLimit(*route_, IdleStart());
   }
 
   TurnRequest MakeTurnRequest(const EndpointRecord& endpoint) const {
     TurnRequest request;
     request.endpoint = endpoint;
-    request.spacing =
-        state_.balancer.Work().PromptSpacing(service_, terms_.model,
-                                             last_choice_.added_load.unread_tokens,
-                                             route_->longest_pause);
+    request.spacing = state_.balancer.Work().PromptSpacing(
+        service_, terms_.model, last_choice_.added_load.unread_tokens, route_->longest_pause);
     const Duration spent = Between(arrived_, Now());
     const Duration forecast = last_choice_.forecast.if_admitted_bound;
     const Duration left = std::max(Duration(0), route_->goal - spent - forecast);
@@ -591,7 +588,7 @@
     }
     if (answered) {
       RecordStream({service_, terms_, last_choice_, stream_.pace, endpoint.slots, started},
-                         state_.balancer.Work());
+                   state_.balancer.Work());
     }
     state_.metrics.Observe({"rudderloom_attempt_seconds", "service", service_},
                            std::chrono::duration<double>(Now() - started).count());
@@ -818,11 +815,11 @@
   StreamState stream_;
   TriedEndpoints tried_;
   std::optional<Duration> refused_delay_;  // told to the client
-  std::string_view decided_by_;  // what delayed or refused the request last; empty: nothing
-  bool sends_alone_ = false;  // the current attempt counts in `solo_sends`
+  std::string_view decided_by_;         // what delayed or refused the request last; empty: nothing
+  bool sends_alone_ = false;            // the current attempt counts in `solo_sends`
   std::set<std::string> without_turn_;  // endpoints that granted no turn since the last hold
-  std::shared_ptr<SlotUse> slot_;  // of the current attempt, if it needs one
-  EndpointChoice last_choice_;     // the latest chosen endpoint and what was known about it
+  std::shared_ptr<SlotUse> slot_;       // of the current attempt, if it needs one
+  EndpointChoice last_choice_;          // the latest chosen endpoint and what was known about it
   Admission admission_ = Admission::kAdmitted;
   Duration retry_delay_ = kMinRetryDelay;
   Duration waited_{0};  // time spent waiting for an endpoint that holds the model
--- a/src/rudderloom/forwarding/load_fit.cpp
+++ b/src/rudderloom/forwarding/load_fit.cpp
@@ -92,8 +92,7 @@
   samples_ = samples_ * retained + 1.0;
   for (std::size_t row = 0; row < 3; ++row) {
     for (std::size_t column = 0; column < 3; ++column) {
-      products_[row][column] =
-          products_[row][column] * retained + features[row] * features[column];
+      products_[row][column] = products_[row][column] * retained + features[row] * features[column];
     }
     targets_[row] = targets_[row] * retained + features[row] * time;
   }
--- a/src/rudderloom/forwarding/prompt_turn.cpp
+++ b/src/rudderloom/forwarding/prompt_turn.cpp
@@ -2,15 +2,15 @@
 
 #include <algorithm>  // for min
 
-#include "forwarding/await_answer.hpp"                         // for AwaitAnswer
+#include "forwarding/await_answer.hpp"                  // for AwaitAnswer
 #include "rudderloom/forwarding/in_flight_granter.hpp"  // for InFlightGranter
 
 namespace rudderloom {
 
 namespace {
 
-// With fewer nodes, what a node knows of the others' requests is enough to keep pauses: at most this
-// many prompts can arrive unseen.
+// With fewer nodes, what a node knows of the others' requests is enough to keep pauses: at most
+// this many prompts can arrive unseen.
 constexpr std::uint32_t kMinSpacedNodes = 32;
 constexpr std::uint32_t kMaxHalvings = 4;
 
@@ -59,8 +59,8 @@
     co_await guard.WaitTimer().async_wait(kAsTuple);
   }
   turn.waited = Between(began, Now());
-  turn.verdict = guard.Cause() == Interruption::kNone ? TurnVerdict::kGranted
-                                                      : TurnVerdict::kInterrupted;
+  turn.verdict =
+      guard.Cause() == Interruption::kNone ? TurnVerdict::kGranted : TurnVerdict::kInterrupted;
   co_return turn;
 }
 
--- a/src/rudderloom/forwarding/prompt_turn.hpp
+++ b/src/rudderloom/forwarding/prompt_turn.hpp
@@ -36,15 +36,15 @@
 struct TurnNeeds {
   Duration time_left{0};  // until the request must be sent to meet its goal
   Duration longest_pause{0};
-  std::uint32_t rank = 0;    // number of more urgent kinds of request
+  std::uint32_t rank = 0;     // number of more urgent kinds of request
   bool hold_is_over = false;  // the request has waited as long as it may
 };
 
-// The longest wait for a turn. The queue of an endpoint holds the prompts of one pause at most: more
-// would not raise what it serves, and each request would be sent when its goal has nearly passed.
-// Less urgent requests get a turn only while the queue is short, half as long for each rank, so that
-// more urgent ones find room; at the end of their hold they wait like the most urgent ones, so that
-// none starves.
+// The longest wait for a turn. The queue of an endpoint holds the prompts of one pause at most:
+// more would not raise what it serves, and each request would be sent when its goal has nearly
+// passed. Less urgent requests get a turn only while the queue is short, half as long for each
+// rank, so that more urgent ones find room; at the end of their hold they wait like the most urgent
+// ones, so that none starves.
 Duration MaxTurnWait(const TurnNeeds& needs);
 
 }  // namespace rudderloom
--- a/src/rudderloom/forwarding/request_samples.cpp
+++ b/src/rudderloom/forwarding/request_samples.cpp
@@ -15,9 +15,8 @@
 Duration OfferedTime(const WorkModel& work,
                      const std::string& service,
                      const RequestMetadata& terms) {
-  const Duration known =
-      work.HoldTime(service, terms.model, terms.tokens_out) +
-      work.Forecast(service, terms.model, {terms.tokens_in, 0}).first_event;
+  const Duration known = work.HoldTime(service, terms.model, terms.tokens_out) +
+                         work.Forecast(service, terms.model, {terms.tokens_in, 0}).first_event;
   return known > Duration(0) ? known : kAssumedHoldTime;
 }
 
--- a/src/rudderloom/forwarding/request_samples.hpp
+++ b/src/rudderloom/forwarding/request_samples.hpp
@@ -6,11 +6,11 @@
 #include <string>  // for string
 #include <vector>  // for vector
 
-#include "forwarding/attempt.hpp"                   // for StreamPace
-#include "rudderloom/forwarding/balancer.hpp"       // for EndpointChoice
-#include "rudderloom/forwarding/header_codec.hpp"   // for RequestMetadata
-#include "rudderloom/forwarding/work_model.hpp"     // for WorkModel
-#include "rudderloom/placement/demand.hpp"          // for UnitCount
+#include "forwarding/attempt.hpp"                  // for StreamPace
+#include "rudderloom/forwarding/balancer.hpp"      // for EndpointChoice
+#include "rudderloom/forwarding/header_codec.hpp"  // for RequestMetadata
+#include "rudderloom/forwarding/work_model.hpp"    // for WorkModel
+#include "rudderloom/placement/demand.hpp"         // for UnitCount
 
 namespace rudderloom {
 
