--- a/include/rudderloom/forwarding/admission.hpp
+++ b/include/rudderloom/forwarding/admission.hpp
@@ -54,6 +54,9 @@
   Duration hold_limit{0};  ///< See `HoldLimit`.
   /// @brief Pause that an admitted request must leave free for more urgent ones that may arrive.
   Duration headroom{0};
+  /// @brief Pause that the prompt causes at an idle endpoint. Spacing can't shorten it, so a long
+  /// prompt is not refused for it.
+  Duration own_pause{0};
   bool is_next = true;  ///< No more urgent request waits at this node for the same model.
 };
 
--- a/include/rudderloom/quota/spending.hpp
+++ b/include/rudderloom/quota/spending.hpp
@@ -108,7 +108,7 @@
   BalanceTable balances;
   /// @brief Spending of this process since its start that is included in the balances.
   std::map<CustomerKey, std::int64_t> counted;
-  TurnPlan turns;
+  TurnPlan turns = {};
 };
 
 /// @brief Null before the first digest.
--- a/src/rudderloom/forwarding/admission.cpp
+++ b/src/rudderloom/forwarding/admission.cpp
@@ -16,6 +16,8 @@
 // Starts at an idle endpoint that are kept in reserve at the end of the hold.
 constexpr int kReservedStarts = 3;
 constexpr int kHoldGoalDivisor = 4;
+// Part of the longest pause that other prompts may add to the pause of a long one.
+constexpr int kPauseMarginDivisor = 4;
 // Taken for the start at an idle endpoint while it is not known.
 constexpr Duration kMinIdleStart{100};
 
@@ -37,15 +39,19 @@
 
 Admission DecideAdmission(const AdmissionQuery& query, const Route& route) {
   const StartForecast& forecast = query.forecast;
-  const bool pauses_in_time = forecast.longest_pause <= route.longest_pause;
-  const bool leaves_headroom = forecast.longest_pause + query.headroom <= route.longest_pause;
+  const Duration limit =
+      std::max(route.longest_pause, query.own_pause + route.longest_pause / kPauseMarginDivisor);
+  const bool pauses_in_time = forecast.longest_pause <= limit;
+  const bool leaves_headroom =
+      forecast.longest_pause + std::min(query.headroom, limit / 2) <= limit;
   if (query.is_next && leaves_headroom && query.spent + forecast.if_admitted_bound <= route.goal) {
     return Admission::kAdmitted;
   }
   if (query.spent < query.hold_limit) {
     return Admission::kHeld;
   }
-  if (!pauses_in_time) {
+  // A request that has waited for half of its goal takes its chance, so that none starves.
+  if (!pauses_in_time && query.spent < route.goal / 2) {
     return Admission::kRefused;
   }
   if (query.spent + forecast.if_admitted <= route.goal) {
--- a/src/rudderloom/forwarding/admission_test.cpp
+++ b/src/rudderloom/forwarding/admission_test.cpp
@@ -53,6 +53,32 @@
   CHECK(DecideAdmission(query, route) == Admission::kRefused);
 }
 
+// Guards against long prompts that are never served, as each alone makes streams pause for too
+// long.
+TEST_CASE("a long prompt is not refused for the pause that it causes at an idle endpoint") {
+  const Route route = MakeRoute();
+  AdmissionQuery query = MakeQuery(100, 100, 0);
+  query.forecast.longest_pause = route.longest_pause + Duration(300);
+  query.own_pause = query.forecast.longest_pause;
+  query.hold_limit = Duration(50);
+  query.headroom = Duration(5'000);
+  CHECK(DecideAdmission(query, route) == Admission::kHeld);
+  query.headroom = Duration(0);
+  CHECK(DecideAdmission(query, route) == Admission::kAdmitted);
+  query.hold_limit = Duration(0);
+  query.forecast.longest_pause += route.longest_pause;
+  CHECK(DecideAdmission(query, route) == Admission::kRefused);
+}
+
+// Guards against a patient request that finds endpoints busy whenever it is considered.
+TEST_CASE("a request that was held for half of its goal is sent behind the others at last") {
+  const Route route = MakeRoute();
+  AdmissionQuery query = MakeQuery(500, 600, 300);
+  query.forecast.longest_pause = route.longest_pause * 2;
+  query.hold_limit = Duration(300);
+  CHECK(DecideAdmission(query, route) == Admission::kDeferred);
+}
+
 TEST_CASE("a less urgent request does not overtake a more urgent one that is held") {
   const Route route = MakeRoute();
   AdmissionQuery query = MakeQuery(100, 100, 0);
--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -241,6 +241,8 @@
     query.headroom =
         state_.balancer.Work().PromptTime(service_, terms_.model, terms_.tokens_in) * Rank();
     query.hold_limit = MaxHold();
+    const EndpointWork idle{last_choice_.added_load.unread_tokens, 0};
+    query.own_pause = state_.balancer.Work().Forecast(service_, terms_.model, idle).longest_pause;
     return query;
   }
 
@@ -279,8 +281,9 @@
     if (guard_->Cause() != Interruption::kNone) {
       co_return !co_await HandleInterruption();
     }
-    if (!without_turn_.empty() && without_turn_.size() < kMaxTurnEndpoints &&
-        without_turn_.size() < last_choice_.candidate_count) {
+    const bool tries_another = std::exchange(refused_turn_, false);
+    if (tries_another && without_turn_.size() < kMaxTurnEndpoints &&
+        last_choice_.candidate_count > 1) {
       co_return true;
     }
     const Duration spent = Between(arrived_, Now());
@@ -397,6 +400,7 @@
     decided_by_ = terms_.model.empty() ? "slots" : "turn";
     retry_delay_ = without_turn_.empty() ? next : std::min(retry_delay_, next);
     without_turn_.insert(endpoint.instance);
+    refused_turn_ = true;
   }
 
   // Latest useful start: shortly before the client gives up or the deadline passes.
@@ -817,6 +821,7 @@
   std::optional<Duration> refused_delay_;  // told to the client
   std::string_view decided_by_;         // what delayed or refused the request last; empty: nothing
   bool sends_alone_ = false;            // the current attempt counts in `solo_sends`
+  bool refused_turn_ = false;           // the last decision was a refused turn or slot
   std::set<std::string> without_turn_;  // endpoints that granted no turn since the last hold
   std::shared_ptr<SlotUse> slot_;       // of the current attempt, if it needs one
   EndpointChoice last_choice_;          // the latest chosen endpoint and what was known about it
