--- a/include/rudderloom/forwarding/forwarder.hpp
+++ b/include/rudderloom/forwarding/forwarder.hpp
@@ -152,6 +152,7 @@
   std::vector<UnconfirmedEnd> unconfirmed_ends = {};
   QuarantineTrials trials = {};
   SilentGranters silent_granters = {};
+  bool overload_control = false;  ///< See `FleetSettings`.
   HeldRequests held = {};
   SoloSends solo_sends{0.0};  ///< To services with few slots, while no granting node answers.
   ReaderMemory readers = ReaderMemory();  ///< Held for clients and endpoints that read slowly.
--- a/include/rudderloom/forwarding/held_requests.hpp
+++ b/include/rudderloom/forwarding/held_requests.hpp
@@ -7,6 +7,7 @@
 #include <map>      // for map
 #include <set>      // for multiset
 #include <string>   // for string
+#include <tuple>    // for tie
 
 #include "rudderloom/base/clock.hpp"  // for TimePoint
 
@@ -17,7 +18,9 @@
 struct HeldFor {
   std::string service;
   std::string model;
-  auto operator<=>(const HeldFor&) const = default;
+  bool operator<(const HeldFor& other) const {
+    return std::tie(service, model) < std::tie(other.service, other.model);
+  }
 };
 
 /// @brief A request that waits, and what decides on its turn.
--- a/src/rudderloom/endpoint_limits/granter_choice_test.cpp
+++ b/src/rudderloom/endpoint_limits/granter_choice_test.cpp
@@ -17,6 +17,7 @@
 
 std::vector<std::string> Addresses(int count) {
   std::vector<std::string> addresses;
+  addresses.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
     addresses.push_back("10.0.0." + std::to_string(i) + ":7000");
   }
--- a/src/rudderloom/endpoint_limits/shared_service_test.cpp
+++ b/src/rudderloom/endpoint_limits/shared_service_test.cpp
@@ -88,6 +88,7 @@
   constexpr int kServiceMs = 100;
   constexpr int kPlayMs = 20'000;
   std::vector<SoloSends> nodes;
+  nodes.reserve(kNodes);
   for (int i = 0; i < kNodes; ++i) {
     nodes.emplace_back(static_cast<double>(i) / kNodes);
   }
--- a/src/rudderloom/fleet/fleet_settings.cpp
+++ b/src/rudderloom/fleet/fleet_settings.cpp
@@ -75,6 +75,7 @@
                 [&](ObjectReader& nested) { ReadListeners(nested, settings.listen); });
   reader.Object("store", false, [&](ObjectReader& nested) { ReadStore(nested, settings); });
   reader.Object("bounds", true, [&](ObjectReader& nested) { ReadBounds(nested, settings.bounds); });
+  settings.overload_control = reader.Boolean("overload_control", settings.overload_control);
   settings.log_lines_per_second = static_cast<std::uint32_t>(
       reader.Integer("log_lines_per_second", 0, kMaxLogLines, settings.log_lines_per_second));
 }
--- a/src/rudderloom/fleet/fleet_settings_test.cpp
+++ b/src/rudderloom/fleet/fleet_settings_test.cpp
@@ -7,6 +7,7 @@
 
 constexpr const char* kSettings = R"({
   "interface": "fleet",
+  "overload_control": true,
   "node": {"name": "n", "availability_zone": "z", "memory_mb": 160},
   "listen": {"callers": "10.0.0.1:80", "readiness": "10.0.0.1:81", "peers": "10.0.0.1:82"},
   "store": {"address": "10.0.0.2:90"},
@@ -20,6 +21,7 @@
   const auto& settings = std::get<FleetSettings>(read);
   CHECK(settings.name == "n");
   CHECK(settings.memory_mb == 160);
+  CHECK(settings.overload_control);
   CHECK(settings.listen.metrics.empty());
   CHECK(settings.bounds.lease == Duration(4'000));
   CHECK(settings.bounds.drain == Duration(1'500));
--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -236,6 +236,11 @@
     AdmissionQuery query;
     query.forecast = last_choice_.forecast;
     query.spent = Between(arrived_, Now());
+    if (!state_.overload_control) {
+      query.forecast.if_admitted_bound = query.forecast.if_admitted;
+      query.forecast.longest_pause = Duration(0);
+      return query;
+    }
     query.is_next = !state_.held.AnyBefore(HeldPosition());
     // One prompt of each more urgent kind can follow without a pause that is too long.
     query.headroom =
@@ -256,7 +261,7 @@
   }
 
   Duration MaxHold() const {
-    if (state_.stopping) {
+    if (state_.stopping || !state_.overload_control) {
       return Duration(0);
     }
     return terms_.model.empty() ? route_->goal / kPlainHoldDivisor
@@ -266,6 +271,9 @@
   TurnRequest MakeTurnRequest(const EndpointRecord& endpoint) const {
     TurnRequest request;
     request.endpoint = endpoint;
+    if (!state_.overload_control) {
+      return request;
+    }
     request.spacing = state_.balancer.Work().PromptSpacing(
         service_, terms_.model, last_choice_.added_load.unread_tokens, route_->longest_pause);
     const Duration spent = Between(arrived_, Now());
@@ -366,7 +374,7 @@
     size.live_nodes = view->live_nodes;
     size.has_engine = service != nullptr && service->engine.has_value();
     const auto listed = view->by_service.find(service_);
-    if (!terms_.model.empty() || listed == view->by_service.end()) {
+    if (!state_.overload_control || !terms_.model.empty() || listed == view->by_service.end()) {
       return std::nullopt;
     }
     for (const std::uint32_t index : listed->second) {
--- a/src/rudderloom/forwarding/frontend.cpp
+++ b/src/rudderloom/forwarding/frontend.cpp
@@ -132,6 +132,7 @@
           MakeServer([this](HttpExchange& exchange) { return AnswerMetrics(exchange); })),
       on_sample_(std::move(on_sample)),
       sample_timer_(context) {
+  state_.overload_control = settings.overload_control;
   state_.readers.SetBounds(BoundsForMemory(settings.memory_mb));
   server_->LimitBodies(state_.readers.Bodies());
   gateway_server_->LimitBodies(state_.readers.Bodies());
--- a/src/rudderloom/forwarding/work_model.cpp
+++ b/src/rudderloom/forwarding/work_model.cpp
@@ -116,9 +116,9 @@
 }
 
 double WorkModel::TokensPerMillisecond(const std::string& service, const std::string& model) const {
-  static const LoadFit kPrior = LoadFit::ForFirstEvents();
+  static const LoadFit prior = LoadFit::ForFirstEvents();
   const Estimates* found = Find(service, model);
-  return 1.0 / (found == nullptr ? kPrior : found->first_event).PerToken();
+  return 1.0 / (found == nullptr ? prior : found->first_event).PerToken();
 }
 
 Duration WorkModel::PromptTime(const std::string& service,
