--- a/include/rudderloom/fleet/fleet_settings.hpp
+++ b/include/rudderloom/fleet/fleet_settings.hpp
@@ -41,6 +41,15 @@
   QuotaBounds quota;  ///< How far customers may exceed their limits.
 };
 
+/// @brief When requests are held, spaced and refused by the work at endpoints, and what all nodes
+/// send to services with few slots is bounded.
+/// @ingroup fleet
+enum class OverloadControl {
+  kOff,
+  kOn,
+  kAuto,  ///< While callers give up before a model can be loaded (see `RouteTable`).
+};
+
 /// @brief Contents of the settings file.
 /// @ingroup fleet
 struct FleetSettings {
@@ -50,9 +59,7 @@
   /// @brief Memory that the node may use, in MB; 0: not known, and what is held for clients and
   /// endpoints that read slowly is not bounded by it.
   std::uint64_t memory_mb = 0;
-  /// @brief Holds, spaces and refuses requests by the work at endpoints, and bounds what all nodes
-  /// send to services with few slots.
-  bool overload_control = false;
+  OverloadControl overload_control = OverloadControl::kOff;
   bool first_start = false;  ///< The whole system is starting for the first time.
   /// @brief Number of nodes per relay, in fleets of more than one and a half times as many nodes.
   /// With 16, the holder of a fleet of 300 nodes answers about as many relays as each relay answers
--- a/include/rudderloom/forwarding/forwarder.hpp
+++ b/include/rudderloom/forwarding/forwarder.hpp
@@ -17,6 +17,7 @@
 #include "rudderloom/endpoint_limits/granter_choice.hpp"    // for SilentGranters
 #include "rudderloom/endpoint_limits/permit_book.hpp"       // for PermitRequest
 #include "rudderloom/endpoint_limits/shared_service.hpp"    // for SoloSends
+#include "rudderloom/fleet/fleet_settings.hpp"              // for OverloadControl
 #include "rudderloom/forwarding/balancer.hpp"               // for Balancer
 #include "rudderloom/http/call_guard.hpp"                   // for CallGuards
 #include "rudderloom/forwarding/endpoint_connection.hpp"    // for ConnectionPool
@@ -152,7 +153,7 @@
   std::vector<UnconfirmedEnd> unconfirmed_ends = {};
   QuarantineTrials trials = {};
   SilentGranters silent_granters = {};
-  bool overload_control = false;  ///< See `FleetSettings`.
+  OverloadControl overload_control = OverloadControl::kOff;
   HeldRequests held = {};
   SoloSends solo_sends{0.0};  ///< To services with few slots, while no granting node answers.
   ReaderMemory readers = ReaderMemory();  ///< Held for clients and endpoints that read slowly.
--- a/include/rudderloom/routes/route_table.hpp
+++ b/include/rudderloom/routes/route_table.hpp
@@ -131,6 +131,11 @@
   /// @brief Returns how many priorities of routes to the service are more urgent than `priority`.
   std::uint32_t MoreUrgentPriorities(std::string_view service, std::uint32_t priority) const;
 
+  /// @brief True when callers give up before another copy of a model can be loaded: for some
+  /// service, the fastest load from the weight store takes much longer than the shortest timeout of
+  /// the stream routes to it.
+  bool CallersGiveUpBeforeLoads() const { return callers_give_up_before_loads_; }
+
   std::uint64_t Version() const { return version_; }
   const std::vector<Route>& Routes() const { return routes_; }
   const std::map<std::string, ServiceSpec, std::less<>>& Services() const { return services_; }
@@ -148,6 +153,7 @@
   std::map<std::string, std::set<std::uint32_t>, std::less<>> priorities_;  // by service
   ClientLimits limits_;
   bool needs_keys_ = false;
+  bool callers_give_up_before_loads_ = false;
   CustomerTable customers_;
 };
 
--- a/src/rudderloom/fleet/fleet_settings.cpp
+++ b/src/rudderloom/fleet/fleet_settings.cpp
@@ -55,6 +55,20 @@
   settings.store_watch_time = reader.Time("watch_time", settings.store_watch_time);
 }
 
+OverloadControl ReadOverloadControl(ObjectReader& reader) {
+  const std::string text = reader.String("overload_control", "off");
+  if (text == "on") {
+    return OverloadControl::kOn;
+  }
+  if (text == "auto") {
+    return OverloadControl::kAuto;
+  }
+  if (text != "off") {
+    reader.Fail("overload_control", "found \"" + text + "\", expected \"on\", \"off\" or \"auto\"");
+  }
+  return OverloadControl::kOff;
+}
+
 void ReadSettings(ObjectReader& reader, FleetSettings& settings) {
   const std::string interface = reader.String("interface");
   if (interface != kInterface) {
@@ -75,7 +89,7 @@
                 [&](ObjectReader& nested) { ReadListeners(nested, settings.listen); });
   reader.Object("store", false, [&](ObjectReader& nested) { ReadStore(nested, settings); });
   reader.Object("bounds", true, [&](ObjectReader& nested) { ReadBounds(nested, settings.bounds); });
-  settings.overload_control = reader.Boolean("overload_control", settings.overload_control);
+  settings.overload_control = ReadOverloadControl(reader);
   settings.log_lines_per_second = static_cast<std::uint32_t>(
       reader.Integer("log_lines_per_second", 0, kMaxLogLines, settings.log_lines_per_second));
 }
--- a/src/rudderloom/fleet/fleet_settings_test.cpp
+++ b/src/rudderloom/fleet/fleet_settings_test.cpp
@@ -7,7 +7,7 @@
 
 constexpr const char* kSettings = R"({
   "interface": "fleet",
-  "overload_control": true,
+  "overload_control": "auto",
   "node": {"name": "n", "availability_zone": "z", "memory_mb": 160},
   "listen": {"callers": "10.0.0.1:80", "readiness": "10.0.0.1:81", "peers": "10.0.0.1:82"},
   "store": {"address": "10.0.0.2:90"},
@@ -21,7 +21,7 @@
   const auto& settings = std::get<FleetSettings>(read);
   CHECK(settings.name == "n");
   CHECK(settings.memory_mb == 160);
-  CHECK(settings.overload_control);
+  CHECK(settings.overload_control == OverloadControl::kAuto);
   CHECK(settings.listen.metrics.empty());
   CHECK(settings.bounds.lease == Duration(4'000));
   CHECK(settings.bounds.drain == Duration(1'500));
@@ -36,6 +36,7 @@
     "node": {"name": "n", "availability_zone": "z"},
     "listen": {"callers": "here", "readiness": "10.0.0.1:81", "peers": "10.0.0.1:99999"},
     "store": {"address": "10.0.0.2:90"},
+    "overload_control": "sometimes",
     "bounds": {"lease": "4 hours", "unknown": 1}
   })");
   REQUIRE(std::holds_alternative<JsonErrors>(read));
@@ -44,7 +45,7 @@
     paths.insert(error.path);
   }
   CHECK(paths == std::set<std::string>{"/listen/callers", "/listen/peers", "/bounds/lease",
-                                       "/bounds/unknown"});
+                                       "/bounds/unknown", "/overload_control"});
 }
 
 TEST_CASE("settings of the other interface are rejected") {
--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -236,7 +236,7 @@
     AdmissionQuery query;
     query.forecast = last_choice_.forecast;
     query.spent = Between(arrived_, Now());
-    if (!state_.overload_control) {
+    if (!ControlsOverload()) {
       query.forecast.if_admitted_bound = query.forecast.if_admitted;
       query.forecast.longest_pause = Duration(0);
       return query;
@@ -251,6 +251,12 @@
     return query;
   }
 
+  bool ControlsOverload() const {
+    return state_.overload_control == OverloadControl::kOn ||
+           (state_.overload_control == OverloadControl::kAuto &&
+            routes_->CallersGiveUpBeforeLoads());
+  }
+
   // Number of more urgent kinds of request for the service.
   std::uint32_t Rank() const { return routes_->MoreUrgentPriorities(service_, route_->priority); }
 
@@ -261,7 +267,7 @@
   }
 
   Duration MaxHold() const {
-    if (state_.stopping || !state_.overload_control) {
+    if (state_.stopping || !ControlsOverload()) {
       return Duration(0);
     }
     return terms_.model.empty() ? route_->goal / kPlainHoldDivisor
@@ -271,7 +277,7 @@
   TurnRequest MakeTurnRequest(const EndpointRecord& endpoint) const {
     TurnRequest request;
     request.endpoint = endpoint;
-    if (!state_.overload_control) {
+    if (!ControlsOverload()) {
       return request;
     }
     request.spacing = state_.balancer.Work().PromptSpacing(
@@ -374,7 +380,7 @@
     size.live_nodes = view->live_nodes;
     size.has_engine = service != nullptr && service->engine.has_value();
     const auto listed = view->by_service.find(service_);
-    if (!state_.overload_control || !terms_.model.empty() || listed == view->by_service.end()) {
+    if (!ControlsOverload() || !terms_.model.empty() || listed == view->by_service.end()) {
       return std::nullopt;
     }
     for (const std::uint32_t index : listed->second) {
--- a/src/rudderloom/routes/route_table.cpp
+++ b/src/rudderloom/routes/route_table.cpp
@@ -1,6 +1,6 @@
 #include "rudderloom/routes/route_table.hpp"
 
-#include <algorithm>  // for find_if
+#include <algorithm>  // for any_of, find_if, min
 #include <cctype>     // for tolower
 #include <iterator>   // for distance
 #include <utility>    // for move
@@ -23,6 +23,27 @@
   return NormalizeHost(host) + std::string(prefix);
 }
 
+// A request that comes in the last third of a load can still wait for it.
+constexpr double kLoadTimeoutRatio = 1.5;
+
+bool LoadsOutlastCallers(const ServiceSpec& service, const std::vector<Route>& routes) {
+  if (!service.engine || service.engine->models.empty()) {
+    return false;
+  }
+  Duration fastest_load = Duration::max();
+  for (const ModelSpec& model : service.engine->models) {
+    fastest_load = std::min(fastest_load, model.load_time);
+  }
+  return std::any_of(routes.begin(), routes.end(), [&](const Route& route) {
+    const bool leads_there =
+        std::any_of(route.shares.begin(), route.shares.end(),
+                    [&](const ServiceShare& share) { return share.service == service.name; });
+    return leads_there && route.kind == RouteKind::kStream &&
+           std::chrono::duration<double>(fastest_load) >=
+               kLoadTimeoutRatio * std::chrono::duration<double>(route.timeout);
+  });
+}
+
 }  // namespace
 
 const ModelSpec* EngineSpec::Find(std::string_view name) const {
@@ -50,6 +71,9 @@
       priorities_[share.service].insert(routes_[i].priority);
     }
   }
+  callers_give_up_before_loads_ =
+      std::any_of(services_.begin(), services_.end(),
+                  [this](const auto& entry) { return LoadsOutlastCallers(entry.second, routes_); });
 }
 
 const Route* RouteTable::Find(std::string_view host, std::string_view target) const {
--- a/src/rudderloom/routes/route_table_test.cpp
+++ b/src/rudderloom/routes/route_table_test.cpp
@@ -59,5 +59,33 @@
   CHECK(table.MoreUrgentPriorities("unknown", 9) == 0);
 }
 
+// A model service with one route of each timeout.
+RouteTable MakeModelTable(Duration load_time, const std::vector<Duration>& timeouts) {
+  std::vector<Route> routes;
+  for (const Duration timeout : timeouts) {
+    Route route = MakeRoute("a.example", "/" + std::to_string(timeout.count()) + "/");
+    route.kind = RouteKind::kStream;
+    route.timeout = timeout;
+    routes.push_back(route);
+  }
+  ServiceSpec service;
+  service.name = "service";
+  service.engine.emplace();
+  ModelSpec model;
+  model.load_time = load_time;
+  service.engine->models = {model};
+  return RouteTable(1, routes, {service}, ClientLimits{});
+}
+
+// The failure: overload control changed how deployments are served that can load models in time.
+TEST_CASE("callers give up before loads only if their timeout is much shorter than every load") {
+  const std::vector<Duration> timeouts{Duration(20'000), Duration(5'000)};
+  CHECK(MakeModelTable(Duration(9'000), timeouts).CallersGiveUpBeforeLoads());
+  CHECK_FALSE(MakeModelTable(Duration(5'800), timeouts).CallersGiveUpBeforeLoads());
+  CHECK_FALSE(MakeModelTable(Duration(9'000), {Duration(20'000)}).CallersGiveUpBeforeLoads());
+  CHECK_FALSE(
+      RouteTable(1, {MakeRoute("a.example", "/")}, {}, ClientLimits{}).CallersGiveUpBeforeLoads());
+}
+
 }  // namespace
 }  // namespace rudderloom
--- a/tests/process/slow_readers_test.cpp
+++ b/tests/process/slow_readers_test.cpp
@@ -69,9 +69,11 @@
     const auto took = Between(start, Now());
     MESSAGE("others took " << took.count() << " ms");
     CHECK(took < Duration(5'000));
-    for (const auto& [id, response] : responses) {
+    // Clang captures no structured bindings, so the messages take their own copies.
+    for (const auto& entry : responses) {
+      const std::string& id = entry.first;
       CAPTURE(id);
-      CHECK(response.status == 200);
+      CHECK(entry.second.status == 200);
     }
     Measure();
   }
@@ -190,7 +192,9 @@
   }));
   const auto runs = cluster.RunCounts();
   int refused = 0;
-  for (const auto& [id, response] : responses) {
+  for (const auto& entry : responses) {
+    const std::string& id = entry.first;
+    const FleetResponse& response = entry.second;
     CAPTURE(id);
     CAPTURE(response.status);
     refused += SaysNotRun(response.status) ? 1 : 0;
