Estimate the speed of models by their size

Cause: a node of a fleet of 60 sees few answers of each model, so most forecasts came from the estimate of the whole service. Models that need more memory are up to four times slower: at an engine of a slow model 50 tokens a millisecond were assumed where it prefills 19, so turns let in twice the prompts that it processes. Change: WorkModel groups answers by model, by memory of the model, by service. Test: work_model_test, a model with few samples; not yet run.

--- a/include/rudderloom/forwarding/work_model.hpp
+++ b/include/rudderloom/forwarding/work_model.hpp
@@ -3,6 +3,7 @@
 #ifndef RUDDERLOOM_FORWARDING_WORK_MODEL_HPP
 #define RUDDERLOOM_FORWARDING_WORK_MODEL_HPP
 
+#include <compare>   // for strong_ordering
 #include <cstdint>   // for uint32_t, uint64_t
 #include <map>       // for map
 #include <optional>  // for optional
@@ -12,6 +13,7 @@
 
 #include "rudderloom/base/clock.hpp"           // for Duration
 #include "rudderloom/forwarding/load_fit.hpp"  // for LoadFit
+#include "rudderloom/routes/route_table.hpp"   // for RouteTablePtr
 
 namespace rudderloom {
 
@@ -48,12 +50,16 @@
 ///
 /// An engine makes one token for each running request per step, and processes prompts in between.
 /// Both the first event of a new stream and the gaps in the running ones grow with the prompt
-/// tokens to process and with the number of running requests; `LoadFit` learns how fast. A model
-/// without samples uses the estimate of its service. A service without samples gets zero times, so
-/// that no request is refused on a guess.
+/// tokens to process and with the number of running requests; `LoadFit` learns how fast. Larger
+/// models are slower, up to four times within a service, so a model with few samples uses the
+/// estimate of the models that need as much memory, and then that of its service. A service without
+/// samples gets zero times, so that no request is refused on a guess.
 /// @ingroup forwarding
 class WorkModel {
  public:
+  /// @brief Learns from the configuration which models need equal amounts of memory.
+  void ApplyConfiguration(const RouteTablePtr& routes);
+
   /// @brief Records a complete answer.
   void RecordStream(const std::string& service,
                     const std::string& model,
@@ -110,13 +116,22 @@
     LoadFit longest_pause = LoadFit::ForPauses();
     Answers answers;
   };
-  using Key = std::pair<std::string, std::string>;  // service, model; "" for all models
+  // Models whose answers share an estimate.
+  struct Group {
+    std::string service;
+    std::string model;            // empty: all models, or all of one size
+    std::uint64_t memory_mb = 0;  // 0: of all sizes
+    auto operator<=>(const Group&) const = default;
+  };
 
-  static std::vector<Key> KeysOf(const std::string& service, const std::string& model);
+  // The groups that a model belongs to, the smallest first.
+  std::vector<Group> GroupsOf(const std::string& service, const std::string& model) const;
   const Estimates* Find(const std::string& service, const std::string& model) const;
   const Answers* FindAnswers(const std::string& service, const std::string& model) const;
 
-  std::map<Key, Estimates> estimates_;
+  std::map<Group, Estimates> estimates_;
+  RouteTablePtr routes_;  // from which `sizes_` was made; null before the first configuration
+  std::map<std::pair<std::string, std::string>, std::uint64_t> sizes_;  // by service and model
 };
 
 }  // namespace rudderloom
--- a/src/rudderloom/forwarding/frontend.cpp
+++ b/src/rudderloom/forwarding/frontend.cpp
@@ -255,6 +255,7 @@
 
 void FleetFrontend::SetView(FleetViewPtr view) {
   if (view->routes) {
+    state_.balancer.Work().ApplyConfiguration(view->routes);
     server_->SetLimits(LimitsOf(view->routes->Limits()));
     gateway_server_->SetLimits(GatewayLimitsOf(view->routes->Limits()));
   }
--- a/src/rudderloom/forwarding/work_model.cpp
+++ b/src/rudderloom/forwarding/work_model.cpp
@@ -9,7 +9,8 @@
 
 // Decay per new sample: about fifty samples are effective.
 constexpr double kDecay = 0.02;
-// Minimum samples for a model's own estimate; below it, the service's estimate is used.
+// Minimum samples for the estimate of a model or of a size; below it, the next larger group's
+// estimate is used.
 constexpr double kMinSamples = 6.0;
 // Part of an endpoint's time that prompts may take.
 constexpr double kMinPromptShare = 0.5;
@@ -21,13 +22,33 @@
 
 }  // namespace
 
-std::vector<WorkModel::Key> WorkModel::KeysOf(const std::string& service,
-                                              const std::string& model) {
-  std::vector<Key> keys{Key(service, "")};
+void WorkModel::ApplyConfiguration(const RouteTablePtr& routes) {
+  if (!routes || routes == routes_) {
+    return;
+  }
+  routes_ = routes;
+  sizes_.clear();
+  for (const auto& [name, service] : routes->Services()) {
+    if (!service.engine) {
+      continue;
+    }
+    for (const ModelSpec& model : service.engine->models) {
+      sizes_[{name, model.name}] = model.memory_mb;
+    }
+  }
+}
+
+std::vector<WorkModel::Group> WorkModel::GroupsOf(const std::string& service,
+                                                  const std::string& model) const {
+  std::vector<Group> groups;
   if (!model.empty()) {
-    keys.emplace_back(service, model);
+    groups.push_back({service, model, 0});
+  }
+  if (const auto size = sizes_.find({service, model}); size != sizes_.end()) {
+    groups.push_back({service, "", size->second});
   }
-  return keys;
+  groups.push_back({service, "", 0});
+  return groups;
 }
 
 void WorkModel::RecordStream(const std::string& service,
@@ -36,8 +57,8 @@
   RecordAnswer(service, model, sample.tokens_out, sample.hold_time);
   const auto tokens = static_cast<double>(sample.work.unread_tokens);
   const auto requests = static_cast<double>(sample.work.requests);
-  for (const Key& key : KeysOf(service, model)) {
-    Estimates& estimates = estimates_[key];
+  for (const Group& group : GroupsOf(service, model)) {
+    Estimates& estimates = estimates_[group];
     // A wait for a slot is estimated from hold times.
     if (!sample.waited_for_slot) {
       estimates.first_event.Add(tokens, requests, static_cast<double>(sample.first_event.count()));
@@ -51,8 +72,8 @@
                              const std::string& model,
                              std::uint64_t tokens_out,
                              Duration hold_time) {
-  for (const Key& key : KeysOf(service, model)) {
-    Answers& answers = estimates_[key].answers;
+  for (const Group& group : GroupsOf(service, model)) {
+    Answers& answers = estimates_[group].answers;
     answers.samples = answers.samples * (1.0 - kDecay) + 1.0;
     answers.tokens = answers.tokens * (1.0 - kDecay) + static_cast<double>(tokens_out);
     answers.milliseconds =
@@ -62,20 +83,24 @@
 
 const WorkModel::Estimates* WorkModel::Find(const std::string& service,
                                             const std::string& model) const {
-  const auto own = estimates_.find({service, model});
-  if (own != estimates_.end() && own->second.first_event.Samples() >= kMinSamples) {
-    return &own->second;
+  const Estimates* largest = nullptr;
+  for (const Group& group : GroupsOf(service, model)) {
+    const auto found = estimates_.find(group);
+    if (found == estimates_.end() || found->second.first_event.Samples() <= 0.0) {
+      continue;
+    }
+    if (found->second.first_event.Samples() >= kMinSamples) {
+      return &found->second;
+    }
+    largest = &found->second;
   }
-  const auto service_wide = estimates_.find({service, ""});
-  const bool known =
-      service_wide != estimates_.end() && service_wide->second.first_event.Samples() > 0.0;
-  return known ? &service_wide->second : nullptr;
+  return largest;
 }
 
 const WorkModel::Answers* WorkModel::FindAnswers(const std::string& service,
                                                  const std::string& model) const {
-  for (const Key& key : {Key(service, model), Key(service, "")}) {
-    const auto found = estimates_.find(key);
+  for (const Group& group : GroupsOf(service, model)) {
+    const auto found = estimates_.find(group);
     if (found != estimates_.end() && found->second.answers.samples >= kMinSamples) {
       return &found->second.answers;
     }
--- a/src/rudderloom/forwarding/work_model_test.cpp
+++ b/src/rudderloom/forwarding/work_model_test.cpp
@@ -3,6 +3,8 @@
 
 #include <doctest/doctest.h>  // for TEST_CASE
 
+#include <map>     // for map
+#include <memory>  // for make_shared
 #include <random>  // for mt19937
 
 namespace rudderloom {
@@ -43,6 +45,47 @@
   CHECK(work.HoldTime("elsewhere", "fast", 400) == Duration(0));
 }
 
+RouteTablePtr TableOfModels(const std::map<std::string, std::uint64_t>& memory_by_model) {
+  ServiceSpec service;
+  service.name = "pool";
+  service.engine.emplace();
+  for (const auto& [name, memory_mb] : memory_by_model) {
+    ModelSpec model;
+    model.name = name;
+    model.memory_mb = memory_mb;
+    service.engine->models.push_back(model);
+  }
+  return std::make_shared<const RouteTable>(1, std::vector<Route>{},
+                                            std::vector<ServiceSpec>{service}, ClientLimits{});
+}
+
+// Load: sixty nodes that see few answers of each model, with models of different speeds. The
+// failure: a slow model was taken to be as fast as the average, and got twice the prompts that its
+// engines process.
+TEST_CASE("a model with few samples is as fast as the models of its size") {
+  WorkModel work;
+  work.ApplyConfiguration(TableOfModels(
+      {{"small", 65'000}, {"other_small", 65'000}, {"large", 72'000}, {"other_large", 72'000}}));
+  std::mt19937 random(5);
+  for (int i = 0; i < 40; ++i) {
+    const std::uint64_t tokens = 1'000 + 500 * (random() % 6);
+    StreamSample slow = MakeSample(tokens, 0, 1.0);
+    work.RecordStream("pool", "large", slow);
+    StreamSample fast = slow;
+    fast.first_event = slow.first_event / 4;
+    work.RecordStream("pool", "small", fast);
+  }
+  const Duration slow = work.Forecast("pool", "other_large", {4'000, 0}).first_event;
+  const Duration fast = work.Forecast("pool", "other_small", {4'000, 0}).first_event;
+  CHECK(slow >= Duration(200));
+  CHECK(fast <= Duration(100));
+  CHECK(work.PromptTime("pool", "other_large", 2'000) >=
+        2 * work.PromptTime("pool", "other_small", 2'000));
+  const Duration unknown = work.Forecast("pool", "not_configured", {4'000, 0}).first_event;
+  CHECK(unknown > fast);
+  CHECK(unknown < slow);
+}
+
 TEST_CASE("unread prompts ahead are part of the forecast although all prompts are alike") {
   WorkModel work;
   std::mt19937 random(3);
