Split the forwarder into a class for each of its jobs

One class of some 800 lines decided on the start of a request, obtained permits, waited for endpoints, ran attempts, decided on retries and logged the end, so that any change to one of these jobs had to be read against all of their shared members. RequestStart now decides on admission, turns and holds, RequestPermit obtains permits and slots, EndpointWait waits while no endpoint can take the request, AttemptRunner runs attempts, RetryDecision decides on retries, and the forwarder runs the loop, refuses and logs. ForwardedRequest holds the state that several of them need. Waits return the reason of a refusal instead of sending it, and the forwarder sends it.

--- /dev/null
+++ b/src/rudderloom/forwarding/forwarded_request.cpp
@@ -0,0 +1,49 @@
+#include "forwarding/forwarded_request.hpp"
+
+#include <algorithm>  // for min
+
+namespace rudderloom {
+
+ForwardedRequest::ForwardedRequest(ForwardingState& state, HttpExchange& exchange)
+    : arrived(Now()),
+      terms(state.dialect.ReadRequest(exchange.Request())),
+      checks(state, exchange, terms, arrived) {}
+
+TimePoint ForwardedRequest::LatestStart() const {
+  return std::min(deadline_at, arrived + route->patience) - kMinAttemptTime;
+}
+
+std::set<std::string> ForwardedRequest::Excluded() const {
+  std::set<std::string> excluded = tried.Excluded();
+  excluded.insert(without_turn.begin(), without_turn.end());
+  return excluded;
+}
+
+void ForwardedRequest::NoTurnAt(const EndpointRecord& endpoint, Duration next) {
+  decided_by = terms.model.empty() ? "slots" : "turn";
+  retry_delay = without_turn.empty() ? next : std::min(retry_delay, next);
+  without_turn.insert(endpoint.instance);
+  refused_turn = true;
+}
+
+bool ControlsOverload(const ForwardingState& state, const RouteTable& routes) {
+  return state.overload_control == OverloadControl::kOn ||
+         (state.overload_control == OverloadControl::kAuto && routes.CallersGiveUpBeforeLoads());
+}
+
+BalancerQuery MakeQuery(const ForwardingState& state,
+                        const ForwardedRequest& request,
+                        const std::set<std::string>& excluded,
+                        bool skip_limited) {
+  BalancerQuery query{request.service, request.terms, excluded};
+  query.limits = &state.limits;
+  query.skip_limited = skip_limited;
+  query.pauses = &state.pauses;
+  query.leaving = &state.leaving;
+  if (request.GoesOn()) {
+    query.software_version = request.stream.software_version;
+  }
+  return query;
+}
+
+}  // namespace rudderloom
--- /dev/null
+++ b/src/rudderloom/forwarding/request_start.cpp
@@ -0,0 +1,155 @@
+#include "forwarding/request_start.hpp"
+
+#include <algorithm>  // for max
+#include <utility>    // for exchange, move
+
+#include "forwarding/request_samples.hpp"           // for ScopedUnitCount
+#include "rudderloom/forwarding/held_requests.hpp"  // for HeldRequest, ScopedHold
+
+namespace rudderloom {
+
+namespace {
+
+// Requests to plain services wait for a slot for this part of their goal.
+constexpr int kPlainHoldDivisor = 4;
+// Endpoints that are asked for a turn before a request is held or refused.
+constexpr std::size_t kMaxTurnEndpoints = 3;
+constexpr Duration kMinSlotWait{2};
+
+}  // namespace
+
+Awaitable<Admission> RequestStart::Decide(const EndpointRecord& endpoint) {
+  if (request_.terms.model.empty() || request_.stream.started || request_.attempts > 0) {
+    co_return Admission::kAdmitted;
+  }
+  const Admission admission = DecideAdmission(MakeAdmissionQuery(), *request_.route);
+  if (admission != Admission::kAdmitted) {
+    request_.decided_by = "forecast";
+    co_return admission;
+  }
+  TurnRequest ask = MakeTurnRequest(endpoint);
+  const PromptTurn turn = co_await AwaitPromptTurn(state_, *request_.guard, std::move(ask));
+  request_.waited += turn.waited;
+  switch (turn.verdict) {
+    case TurnVerdict::kGranted:
+      request_.without_turn.clear();
+      co_return Admission::kAdmitted;
+    case TurnVerdict::kRefused:
+      request_.NoTurnAt(endpoint, turn.next);
+      co_return Admission::kHeld;
+    case TurnVerdict::kInterrupted:
+      co_return Admission::kHeld;
+    case TurnVerdict::kNotSpaced:
+      break;
+  }
+  co_return Admission::kAdmitted;
+}
+
+AdmissionQuery RequestStart::MakeAdmissionQuery() const {
+  const EndpointChoice& choice = request_.choice;
+  const std::string& model = request_.terms.model;
+  AdmissionQuery query;
+  query.forecast = choice.forecast;
+  query.spent = request_.Spent();
+  if (!ControlsOverload(state_, *request_.routes)) {
+    query.forecast.if_admitted_bound = query.forecast.if_admitted;
+    query.forecast.longest_pause = Duration(0);
+    return query;
+  }
+  query.is_next = !state_.held.AnyBefore(HeldPosition());
+  // One prompt of each more urgent kind can follow without a pause that is too long.
+  query.headroom =
+      state_.balancer.Work().PromptTime(request_.service, model, request_.terms.tokens_in) * Rank();
+  query.hold_limit = MaxHold();
+  const EndpointWork idle{choice.added_load.unread_tokens, 0};
+  query.own_pause = state_.balancer.Work().Forecast(request_.service, model, idle).longest_pause;
+  return query;
+}
+
+// Number of more urgent kinds of request for the service.
+std::uint32_t RequestStart::Rank() const {
+  return request_.routes->MoreUrgentPriorities(request_.service, request_.route->priority);
+}
+
+// Forecast time to the first event at an endpoint without other work.
+Duration RequestStart::IdleStart() const {
+  const EndpointWork idle{request_.choice.added_load.unread_tokens, 0};
+  return state_.balancer.Work()
+      .Forecast(request_.service, request_.terms.model, idle)
+      .first_event_bound;
+}
+
+Duration RequestStart::MaxHold() const {
+  if (state_.stopping || !ControlsOverload(state_, *request_.routes)) {
+    return Duration(0);
+  }
+  return request_.terms.model.empty() ? request_.route->goal / kPlainHoldDivisor
+                                      : HoldLimit(*request_.route, IdleStart());
+}
+
+TurnRequest RequestStart::MakeTurnRequest(const EndpointRecord& endpoint) const {
+  TurnRequest ask;
+  ask.endpoint = endpoint;
+  if (!ControlsOverload(state_, *request_.routes)) {
+    return ask;
+  }
+  const Route& route = *request_.route;
+  ask.spacing = state_.balancer.Work().PromptSpacing(request_.service, request_.terms.model,
+                                                     request_.choice.added_load.unread_tokens,
+                                                     route.longest_pause);
+  const Duration spent = request_.Spent();
+  const Duration forecast = request_.choice.forecast.if_admitted_bound;
+  const Duration left = std::max(Duration(0), route.goal - spent - forecast);
+  ask.max_wait = MaxTurnWait({left, route.longest_pause, Rank(), spent >= MaxHold()});
+  return ask;
+}
+
+Awaitable<std::optional<ForwardRefusal>> RequestStart::HoldOrRefuse() {
+  if (request_.guard->Cause() != Interruption::kNone) {
+    co_return std::nullopt;
+  }
+  const bool tries_another = std::exchange(request_.refused_turn, false);
+  if (tries_another && request_.without_turn.size() < kMaxTurnEndpoints &&
+      request_.choice.candidate_count > 1) {
+    co_return std::nullopt;
+  }
+  const Duration spent = request_.Spent();
+  const Duration wait = HoldTime(spent);
+  if (spent + wait > MaxHold()) {
+    co_return ForwardRefusal::kOverloaded;
+  }
+  request_.without_turn.clear();
+  co_await Hold(wait);
+  co_return std::nullopt;
+}
+
+HeldRequest RequestStart::HeldPosition() const {
+  return {
+      {request_.service, request_.terms.model}, request_.checks.Priority(), request_.deadline_at};
+}
+
+// Time until the next decision on admission. A slot has been refused with the time at which there
+// is one. A request of the most urgent kind that was refused a turn can't be on time anywhere.
+Duration RequestStart::HoldTime(Duration spent) {
+  if (request_.without_turn.empty()) {
+    return HoldInterval(spent, state_.random());
+  }
+  if (request_.terms.model.empty()) {
+    return std::max(kMinSlotWait, request_.retry_delay);
+  }
+  return Rank() == 0 ? Duration::max() - spent : HoldInterval(spent, state_.random());
+}
+
+Awaitable<void> RequestStart::Hold(Duration wait) {
+  const TimePoint began = Now();
+  {
+    const ScopedUnitCount waiting(state_.units, request_.Units(), &UnitCount::waiting);
+    const ScopedHold held(state_.held, HeldPosition());
+    state_.metrics.Count({"rudderloom_held_total"});
+    request_.guard->WaitTimer().expires_after(wait);
+    co_await request_.guard->WaitTimer().async_wait(kAsTuple);
+  }
+  request_.waited += Between(began, Now());
+}
+
+}  // namespace rudderloom
