--- a/tests/process/slow_readers_test.cpp
+++ b/tests/process/slow_readers_test.cpp
@@ -194,7 +194,7 @@
   int refused = 0;
   for (const auto& entry : responses) {
     const std::string& id = entry.first;
-    const FleetResponse& response = entry.second;
+    const Response& response = entry.second;
     CAPTURE(id);
     CAPTURE(response.status);
     refused += SaysNotRun(response.status) ? 1 : 0;
