--- a/include/rudderloom/forwarding/held_requests.hpp
+++ b/include/rudderloom/forwarding/held_requests.hpp
@@ -41,6 +41,9 @@
   /// @brief True if a more urgent request waits for the same model.
   bool AnyBefore(const HeldRequest& request) const;
 
+  /// @brief Number of requests that wait for the same model and are at least as urgent.
+  std::size_t CountUpTo(const HeldRequest& request) const;
+
   std::size_t Size() const;
 
  private:
@@ -61,6 +64,13 @@
   HeldRequest request_;
 };
 
+/// @brief True if a request that joins `ahead` held ones is expected to get a turn in time. One
+/// request may always be held, as other nodes may leave their turns unused.
+/// @param interval Time between two turns that fall to this node.
+/// @param left Time until which the request may be held.
+/// @ingroup forwarding
+bool GetsTurnBehind(std::size_t ahead, Duration interval, Duration left);
+
 /// @brief Time until a held request is considered again. It grows with the time that the request
 /// has waited, so that patient requests cost little, and differs between requests, so that not all
 /// nodes send to an endpoint at the same moment.
--- a/src/rudderloom/forwarding/admission_test.cpp
+++ b/src/rudderloom/forwarding/admission_test.cpp
@@ -152,5 +152,29 @@
   CHECK(missing.RecordMissing({"pool", "unknown", ""}, &service, At(0)) > At(20'000));
 }
 
+// Load: patient requests for a model whose engines urgent ones keep busy. The failure: all of them
+// were held until shortly before their goal, and then refused.
+TEST_CASE("only as many requests are held as are expected to get a turn in time") {
+  constexpr Duration kInterval{1'400};
+  constexpr Duration kLeft{2'400};
+  CHECK(GetsTurnBehind(0, kInterval, kLeft));
+  CHECK_FALSE(GetsTurnBehind(1, kInterval, kLeft));
+  CHECK(GetsTurnBehind(1, Duration(1'000), kLeft));
+  CHECK_FALSE(GetsTurnBehind(2, Duration(1'000), kLeft));
+  CHECK(GetsTurnBehind(0, Duration(10'000), kLeft));
+}
+
+TEST_CASE("held requests that are less urgent are not ahead") {
+  HeldRequests held;
+  const HeldRequest urgent{{"pool", "m"}, 0, TimePoint()};
+  const HeldRequest patient{{"pool", "m"}, 2, TimePoint()};
+  held.Add(patient);
+  CHECK(held.CountUpTo(urgent) == 0);
+  CHECK(held.CountUpTo(patient) == 1);
+  held.Add(urgent);
+  CHECK(held.CountUpTo(patient) == 2);
+  CHECK(held.CountUpTo({{"pool", "other"}, 2, TimePoint()}) == 0);
+}
+
 }  // namespace
 }  // namespace rudderloom
--- a/src/rudderloom/forwarding/held_requests.cpp
+++ b/src/rudderloom/forwarding/held_requests.cpp
@@ -1,6 +1,7 @@
 #include "rudderloom/forwarding/held_requests.hpp"
 
 #include <algorithm>  // for clamp
+#include <iterator>   // for distance
 #include <utility>    // for move
 
 namespace rudderloom {
@@ -37,6 +38,16 @@
   return found != priorities_.end() && *found->second.begin() < request.priority;
 }
 
+std::size_t HeldRequests::CountUpTo(const HeldRequest& request) const {
+  const auto found = priorities_.find(request.target);
+  if (found == priorities_.end()) {
+    return 0;
+  }
+  const auto& priorities = found->second;
+  return static_cast<std::size_t>(
+      std::distance(priorities.begin(), priorities.upper_bound(request.priority)));
+}
+
 std::size_t HeldRequests::Size() const {
   std::size_t size = 0;
   for (const auto& [target, priorities] : priorities_) {
@@ -54,6 +65,10 @@
   held_.Remove(request_);
 }
 
+bool GetsTurnBehind(std::size_t ahead, Duration interval, Duration left) {
+  return ahead == 0 || interval * (ahead + 1) <= left;
+}
+
 Duration HoldInterval(Duration waited, std::uint64_t random) {
   const Duration longest =
       std::clamp(waited / kHoldIntervalDivisor, kMinHoldInterval, kMaxHoldInterval);
--- a/src/rudderloom/forwarding/request_start.cpp
+++ b/src/rudderloom/forwarding/request_start.cpp
@@ -1,6 +1,6 @@
 #include "forwarding/request_start.hpp"
 
-#include <algorithm>  // for max
+#include <algorithm>  // for max, min
 #include <utility>    // for exchange, move
 
 #include "forwarding/request_samples.hpp"           // for ScopedUnitCount
@@ -15,13 +15,20 @@
 // Endpoints that are asked for a turn before a request is held or refused.
 constexpr std::size_t kMaxTurnEndpoints = 3;
 constexpr Duration kMinSlotWait{2};
+// Longest wait of a repeat for its turn, in the longest pauses that its route allows.
+constexpr int kRepeatWaitPauses = 2;
 
 }  // namespace
 
 Awaitable<Admission> RequestStart::Decide(const EndpointRecord& endpoint) {
-  if (request_.terms.model.empty() || request_.stream.started || request_.attempts > 0) {
+  if (request_.terms.model.empty() || request_.stream.started) {
     co_return Admission::kAdmitted;
   }
+  if (request_.attempts > 0) {
+    co_await SpaceRepeat(endpoint);
+    const bool interrupted = request_.guard->Cause() != Interruption::kNone;
+    co_return interrupted ? Admission::kHeld : Admission::kAdmitted;
+  }
   const Admission admission = DecideAdmission(MakeAdmissionQuery(), *request_.route);
   if (admission != Admission::kAdmitted) {
     request_.decided_by = "forecast";
@@ -45,6 +52,16 @@
   co_return Admission::kAdmitted;
 }
 
+// A repeat is not refused, since the request may have run. It takes a turn like others: when
+// connections to many endpoints break at once, their requests would otherwise all go to the
+// remaining ones within some milliseconds.
+Awaitable<void> RequestStart::SpaceRepeat(const EndpointRecord& endpoint) {
+  TurnRequest ask = MakeTurnRequest(endpoint);
+  ask.max_wait = request_.route->longest_pause * kRepeatWaitPauses;
+  const PromptTurn turn = co_await AwaitPromptTurn(state_, *request_.guard, std::move(ask));
+  request_.waited += turn.waited;
+}
+
 AdmissionQuery RequestStart::MakeAdmissionQuery() const {
   const EndpointChoice& choice = request_.choice;
   const std::string& model = request_.terms.model;
@@ -114,30 +131,55 @@
     co_return std::nullopt;
   }
   const Duration spent = request_.Spent();
-  const Duration wait = HoldTime(spent);
-  if (spent + wait > MaxHold()) {
+  const Duration left = MaxHold() - spent;
+  if (left <= Duration(0) || !GetsTurnWithin(left)) {
     co_return ForwardRefusal::kOverloaded;
   }
+  const Duration wait = std::min(left, HoldTime(spent));
   request_.without_turn.clear();
   co_await Hold(wait);
   co_return std::nullopt;
 }
 
+// False if the request can't be on time, so that it is refused now and not after a hold. A request
+// of the most urgent kind that was refused a turn can't be on time anywhere. Another one has to
+// wait for those that this node already holds for the model, each of which takes one of the turns
+// that fall to this node.
+bool RequestStart::GetsTurnWithin(Duration left) const {
+  if (request_.terms.model.empty()) {
+    return std::max(kMinSlotWait, request_.retry_delay) <= left;
+  }
+  if (!request_.without_turn.empty() && Rank() == 0) {
+    return false;
+  }
+  const bool was_held = request_.waited > Duration(0);
+  const std::size_t ahead = was_held ? 0 : state_.held.CountUpTo(HeldPosition());
+  return GetsTurnBehind(ahead, TurnInterval(), left);
+}
+
+// Time between two turns that fall to this node, over all endpoints that hold the model.
+Duration RequestStart::TurnInterval() const {
+  const Duration spacing =
+      state_.balancer.Work()
+          .PromptSpacing(request_.service, request_.terms.model,
+                         request_.choice.added_load.unread_tokens, request_.route->longest_pause)
+          .value_or(Duration(0));
+  const std::uint32_t nodes = std::max(1U, state_.views.Current()->live_nodes);
+  return spacing * nodes / std::max(1U, request_.choice.candidate_count);
+}
+
 HeldRequest RequestStart::HeldPosition() const {
   return {
       {request_.service, request_.terms.model}, request_.checks.Priority(), request_.deadline_at};
 }
 
 // Time until the next decision on admission. A slot has been refused with the time at which there
-// is one. A request of the most urgent kind that was refused a turn can't be on time anywhere.
+// is one.
 Duration RequestStart::HoldTime(Duration spent) {
-  if (request_.without_turn.empty()) {
-    return HoldInterval(spent, state_.random());
-  }
-  if (request_.terms.model.empty()) {
+  if (!request_.without_turn.empty() && request_.terms.model.empty()) {
     return std::max(kMinSlotWait, request_.retry_delay);
   }
-  return Rank() == 0 ? Duration::max() - spent : HoldInterval(spent, state_.random());
+  return HoldInterval(spent, state_.random());
 }
 
 Awaitable<void> RequestStart::Hold(Duration wait) {
--- a/src/rudderloom/forwarding/request_start.hpp
+++ b/src/rudderloom/forwarding/request_start.hpp
@@ -26,12 +26,15 @@
   Awaitable<std::optional<ForwardRefusal>> HoldOrRefuse();
 
  private:
+  Awaitable<void> SpaceRepeat(const EndpointRecord& endpoint);
   AdmissionQuery MakeAdmissionQuery() const;
   TurnRequest MakeTurnRequest(const EndpointRecord& endpoint) const;
   std::uint32_t Rank() const;
   Duration IdleStart() const;
   Duration MaxHold() const;
   HeldRequest HeldPosition() const;
+  bool GetsTurnWithin(Duration left) const;
+  Duration TurnInterval() const;
   Duration HoldTime(Duration spent);
   Awaitable<void> Hold(Duration wait);
 
