--- a/src/rudderloom/forwarding/prompt_turn.cpp
+++ b/src/rudderloom/forwarding/prompt_turn.cpp
@@ -1,6 +1,6 @@
 #include "forwarding/prompt_turn.hpp"
 
-#include <algorithm>  // for min
+#include <algorithm>  // for max, min
 
 #include "forwarding/await_answer.hpp"                  // for AwaitAnswer
 #include "rudderloom/forwarding/in_flight_granter.hpp"  // for InFlightGranter
@@ -12,14 +12,17 @@
 // With fewer nodes, what a node knows of the others' requests is enough to keep pauses: at most
 // this many prompts can arrive unseen.
 constexpr std::uint32_t kMinSpacedNodes = 32;
-constexpr std::uint32_t kMaxHalvings = 4;
+constexpr std::uint32_t kMaxRank = 16;
+// Part of the longest pause that requests of any kind accept as a queue.
+constexpr int kMinQueueDivisor = 8;
 
 }  // namespace
 
 Duration MaxTurnWait(const TurnNeeds& needs) {
-  const std::uint32_t rank = needs.hold_is_over ? 0 : needs.rank;
-  const std::uint32_t halvings = std::min(rank, kMaxHalvings);
-  return std::min(needs.time_left, needs.longest_pause / (1 << halvings));
+  const std::uint32_t rank = needs.hold_is_over ? 0 : std::min(needs.rank, kMaxRank);
+  const Duration queue =
+      std::max(needs.longest_pause / kMinQueueDivisor, needs.longest_pause - needs.prompt * rank);
+  return std::min(needs.time_left, queue);
 }
 
 Awaitable<PromptTurn> AwaitPromptTurn(ForwardingState& state,
--- a/src/rudderloom/forwarding/prompt_turn.hpp
+++ b/src/rudderloom/forwarding/prompt_turn.hpp
@@ -36,15 +36,17 @@
 struct TurnNeeds {
   Duration time_left{0};  // until the request must be sent to meet its goal
   Duration longest_pause{0};
+  Duration prompt{0};         // time that the endpoint needs for the prompt
   std::uint32_t rank = 0;     // number of more urgent kinds of request
   bool hold_is_over = false;  // the request has waited as long as it may
 };
 
 // The longest wait for a turn. The queue of an endpoint holds the prompts of one pause at most:
 // more would not raise what it serves, and each request would be sent when its goal has nearly
-// passed. Less urgent requests get a turn only while the queue is short, half as long for each
-// rank, so that more urgent ones find room; at the end of their hold they wait like the most urgent
-// ones, so that none starves.
+// passed. Less urgent requests get a turn only while the queue is shorter by a prompt for each rank:
+// when more is asked than the endpoint processes, the queue is full and the most urgent ones take
+// what gets free. At the end of their hold they wait like the most urgent ones, so that none
+// starves.
 Duration MaxTurnWait(const TurnNeeds& needs);
 
 }  // namespace rudderloom
--- a/src/rudderloom/forwarding/request_start.cpp
+++ b/src/rudderloom/forwarding/request_start.cpp
@@ -75,14 +75,18 @@
   }
   query.is_next = !state_.held.AnyBefore(HeldPosition());
   // One prompt of each more urgent kind can follow without a pause that is too long.
-  query.headroom =
-      state_.balancer.Work().PromptTime(request_.service, model, request_.terms.tokens_in) * Rank();
+  query.headroom = PromptTime() * Rank();
   query.hold_limit = MaxHold();
   const EndpointWork idle{choice.added_load.unread_tokens, 0};
   query.own_pause = state_.balancer.Work().Forecast(request_.service, model, idle).longest_pause;
   return query;
 }
 
+Duration RequestStart::PromptTime() const {
+  return state_.balancer.Work().PromptTime(request_.service, request_.terms.model,
+                                           request_.terms.tokens_in);
+}
+
 // Number of more urgent kinds of request for the service.
 std::uint32_t RequestStart::Rank() const {
   return request_.routes->MoreUrgentPriorities(request_.service, request_.route->priority);
@@ -117,7 +121,7 @@
   const Duration spent = request_.Spent();
   const Duration forecast = request_.choice.forecast.if_admitted_bound;
   const Duration left = std::max(Duration(0), route.goal - spent - forecast);
-  ask.max_wait = MaxTurnWait({left, route.longest_pause, Rank(), spent >= MaxHold()});
+  ask.max_wait = MaxTurnWait({left, route.longest_pause, PromptTime(), Rank(), spent >= MaxHold()});
   return ask;
 }
 
--- a/src/rudderloom/forwarding/request_start.hpp
+++ b/src/rudderloom/forwarding/request_start.hpp
@@ -29,6 +29,7 @@
   Awaitable<void> SpaceRepeat(const EndpointRecord& endpoint);
   AdmissionQuery MakeAdmissionQuery() const;
   TurnRequest MakeTurnRequest(const EndpointRecord& endpoint) const;
+  Duration PromptTime() const;
   std::uint32_t Rank() const;
   Duration IdleStart() const;
   Duration MaxHold() const;
