Admit, hold and defer retried requests by their own rules

Refusing a client a second time costs it the most, as it was told when to retry. DecideAdmission refuses a retried request only if its client leaves before an answer can come, and defers it otherwise; held requests that were retried go before new ones of their priority; MaxLatePrompts bounds the deferred prompts at an endpoint by half of the longest pause. Nothing uses this yet, and no existing case was changed.

--- a/include/rudderloom/forwarding/admission.hpp
+++ b/include/rudderloom/forwarding/admission.hpp
@@ -4,7 +4,8 @@
 #ifndef RUDDERLOOM_FORWARDING_ADMISSION_HPP
 #define RUDDERLOOM_FORWARDING_ADMISSION_HPP
 
-#include <cstdint>  // for uint32_t
+#include <cstdint>   // for uint32_t
+#include <optional>  // for optional
 
 #include "rudderloom/base/clock.hpp"          // for Duration
 #include "rudderloom/fleet/fleet_view.hpp"    // for EndpointLoad
@@ -46,17 +47,25 @@
 /// @ingroup forwarding
 Duration HoldLimit(const Route& route, Duration idle_start);
 
+/// @brief Like HoldLimit(), for a retried request: as long as its goal can still be met. It has
+/// been told when to retry, and refusing it again costs its caller the most.
+/// @ingroup forwarding
+Duration RetriedHoldLimit(const Route& route, Duration idle_start);
+
 /// @brief What is known of a request for the decision on its admission.
 /// @ingroup forwarding
 struct AdmissionQuery {
   StartForecast forecast;  ///< At the chosen endpoint.
-  Duration spent{0};       ///< Since the request arrived.
+  Duration spent{0};       ///< Since the client's first attempt.
   Duration hold_limit{0};  ///< See `HoldLimit`.
   /// @brief Pause that an admitted request must leave free for more urgent ones that may arrive.
   Duration headroom{0};
   /// @brief Pause that the prompt causes at an idle endpoint. Spacing can't shorten it, so a long
   /// prompt is not refused for it.
   Duration own_pause{0};
+  /// @brief Set for a retried request: time until its client leaves. It is refused only if no
+  /// answer can come by then.
+  std::optional<Duration> retry_time_left = {};
   bool is_next = true;  ///< No more urgent request waits at this node for the same model.
 };
 
--- a/include/rudderloom/forwarding/held_requests.hpp
+++ b/include/rudderloom/forwarding/held_requests.hpp
@@ -8,6 +8,7 @@
 #include <set>      // for multiset
 #include <string>   // for string
 #include <tuple>    // for tie
+#include <utility>  // for pair
 
 #include "rudderloom/base/clock.hpp"  // for TimePoint
 
@@ -29,6 +30,7 @@
   HeldFor target;
   std::uint32_t priority = 0;  ///< 0 is the most urgent.
   TimePoint deadline;
+  bool retried = false;  ///< Goes before new requests of its priority.
 };
 
 /// @brief The held requests of this node. Owned by the traffic thread.
@@ -38,13 +40,19 @@
   void Add(const HeldRequest& request);
   void Remove(const HeldRequest& request);
 
-  /// @brief True if a more urgent request waits for the same model.
+  /// @brief True if a more urgent request waits for the same model, or a retried one of the same
+  /// priority while `request` is new.
   bool AnyBefore(const HeldRequest& request) const;
 
   std::size_t Size() const;
 
  private:
-  std::map<HeldFor, std::multiset<std::uint32_t>> priorities_;
+  // Priority, and whether the request is new: retried ones sort first.
+  using Position = std::pair<std::uint32_t, bool>;
+
+  static Position PositionOf(const HeldRequest& request);
+
+  std::map<HeldFor, std::multiset<Position>> positions_;
 };
 
 /// @brief Counts a request as held during this object's lifetime.
--- a/src/rudderloom/forwarding/admission.cpp
+++ b/src/rudderloom/forwarding/admission.cpp
@@ -21,6 +21,12 @@
 // Taken for the start at an idle endpoint while it is not known.
 constexpr Duration kMinIdleStart{100};
 
+// Of a request that can't be on time.
+Admission DeferOrRefuse(const AdmissionQuery& query, const Route& route) {
+  const Duration left = query.retry_time_left.value_or(route.patience - query.spent);
+  return query.forecast.if_deferred <= left ? Admission::kDeferred : Admission::kRefused;
+}
+
 }  // namespace
 
 Duration EstimateSlotWait(std::uint32_t ahead, std::uint32_t slots, Duration hold_time) {
@@ -37,6 +43,10 @@
                                               : route.goal / kHoldGoalDivisor;
 }
 
+Duration RetriedHoldLimit(const Route& route, Duration idle_start) {
+  return std::max(HoldLimit(route, idle_start), route.goal - std::max(idle_start, kMinIdleStart));
+}
+
 Admission DecideAdmission(const AdmissionQuery& query, const Route& route) {
   const StartForecast& forecast = query.forecast;
   const Duration limit =
@@ -52,13 +62,12 @@
   }
   // A request that has waited for half of its goal takes its chance, so that none starves.
   if (!pauses_in_time && query.spent < route.goal / 2) {
-    return Admission::kRefused;
+    return query.retry_time_left ? DeferOrRefuse(query, route) : Admission::kRefused;
   }
   if (query.spent + forecast.if_admitted <= route.goal) {
     return Admission::kAdmitted;
   }
-  return query.spent + forecast.if_deferred <= route.patience ? Admission::kDeferred
-                                                              : Admission::kRefused;
+  return DeferOrRefuse(query, route);
 }
 
 std::uint32_t UrgencyOf(Admission admission,
--- a/src/rudderloom/forwarding/admission_test.cpp
+++ b/src/rudderloom/forwarding/admission_test.cpp
@@ -79,6 +79,31 @@
   CHECK(DecideAdmission(query, route) == Admission::kDeferred);
 }
 
+// Load: clients that were refused come back, and find the endpoints busy again.
+TEST_CASE("a retried request is not refused for pauses or the end of its hold") {
+  const Route route = MakeRoute();
+  AdmissionQuery query = MakeQuery(100, 900, 150);
+  query.forecast.longest_pause = route.longest_pause + Duration(1);
+  REQUIRE(DecideAdmission(query, route) == Admission::kRefused);
+  query.retry_time_left = Duration(1'000);
+  CHECK(DecideAdmission(query, route) == Admission::kDeferred);
+  query.hold_limit = RetriedHoldLimit(route, Duration(100));
+  CHECK(query.hold_limit == Duration(300));
+  CHECK(DecideAdmission(query, route) == Admission::kHeld);
+}
+
+// Guards against requests that are sent although their client leaves before the answer, and against
+// a patience that is counted from the client's first connection.
+TEST_CASE("a late retried request is deferred while its client can still be answered") {
+  const Route route = MakeRoute();
+  AdmissionQuery query = MakeQuery(100, 900, 3'000);
+  CHECK(DecideAdmission(query, route) == Admission::kRefused);
+  query.retry_time_left = Duration(900);
+  CHECK(DecideAdmission(query, route) == Admission::kDeferred);
+  query.retry_time_left = Duration(899);
+  CHECK(DecideAdmission(query, route) == Admission::kRefused);
+}
+
 TEST_CASE("a less urgent request does not overtake a more urgent one that is held") {
   const Route route = MakeRoute();
   AdmissionQuery query = MakeQuery(100, 100, 0);
@@ -115,6 +140,24 @@
   CHECK_FALSE(held.AnyBefore(patient));
 }
 
+// Guards against a client that is refused twice because new requests keep the endpoints busy.
+TEST_CASE("a held request that was retried goes before new ones of its priority only") {
+  HeldRequests held;
+  const HeldRequest fresh{{"pool", "m"}, 1, At(5'000)};
+  const HeldRequest retried{{"pool", "m"}, 1, At(5'000), true};
+  const HeldRequest urgent{{"pool", "m"}, 0, At(5'000)};
+  const ScopedHold fresh_hold(held, fresh);
+  CHECK_FALSE(held.AnyBefore(retried));
+  CHECK_FALSE(held.AnyBefore(fresh));
+  {
+    const ScopedHold retried_hold(held, retried);
+    CHECK(held.AnyBefore(fresh));
+    CHECK_FALSE(held.AnyBefore(retried));
+    CHECK_FALSE(held.AnyBefore(urgent));
+  }
+  CHECK_FALSE(held.AnyBefore(fresh));
+}
+
 TEST_CASE("urgency depends on priority, then on slack; deferred requests are last") {
   Route route = MakeRoute();
   const StartForecast soon{Duration(100), Duration(100), Duration(100), Duration(0)};
--- a/src/rudderloom/forwarding/held_requests.cpp
+++ b/src/rudderloom/forwarding/held_requests.cpp
@@ -14,33 +14,37 @@
 
 }  // namespace
 
+HeldRequests::Position HeldRequests::PositionOf(const HeldRequest& request) {
+  return {request.priority, !request.retried};
+}
+
 void HeldRequests::Add(const HeldRequest& request) {
-  priorities_[request.target].insert(request.priority);
+  positions_[request.target].insert(PositionOf(request));
 }
 
 void HeldRequests::Remove(const HeldRequest& request) {
-  const auto found = priorities_.find(request.target);
-  if (found == priorities_.end()) {
+  const auto found = positions_.find(request.target);
+  if (found == positions_.end()) {
     return;
   }
-  auto& priorities = found->second;
-  if (const auto one = priorities.find(request.priority); one != priorities.end()) {
-    priorities.erase(one);
+  auto& positions = found->second;
+  if (const auto one = positions.find(PositionOf(request)); one != positions.end()) {
+    positions.erase(one);
   }
-  if (priorities.empty()) {
-    priorities_.erase(found);
+  if (positions.empty()) {
+    positions_.erase(found);
   }
 }
 
 bool HeldRequests::AnyBefore(const HeldRequest& request) const {
-  const auto found = priorities_.find(request.target);
-  return found != priorities_.end() && *found->second.begin() < request.priority;
+  const auto found = positions_.find(request.target);
+  return found != positions_.end() && *found->second.begin() < PositionOf(request);
 }
 
 std::size_t HeldRequests::Size() const {
   std::size_t size = 0;
-  for (const auto& [target, priorities] : priorities_) {
-    size += priorities.size();
+  for (const auto& [target, positions] : positions_) {
+    size += positions.size();
   }
   return size;
 }
--- a/src/rudderloom/forwarding/prompt_turn.cpp
+++ b/src/rudderloom/forwarding/prompt_turn.cpp
@@ -1,6 +1,6 @@
 #include "forwarding/prompt_turn.hpp"
 
-#include <algorithm>  // for min
+#include <algorithm>  // for clamp, max, min
 
 #include "forwarding/await_answer.hpp"                  // for AwaitAnswer
 #include "rudderloom/forwarding/in_flight_granter.hpp"  // for InFlightGranter
@@ -13,6 +13,9 @@
 // this many prompts can arrive unseen.
 constexpr std::uint32_t kMinSpacedNodes = 32;
 constexpr std::uint32_t kMaxHalvings = 4;
+constexpr int kLatePauseDivisor = 2;
+// However short the prompts are: what other nodes send in 300 ms is not known.
+constexpr Duration::rep kMaxLatePrompts = 4;
 
 }  // namespace
 
@@ -22,6 +25,12 @@
   return std::min(needs.time_left, needs.longest_pause / (1 << halvings));
 }
 
+std::uint32_t MaxLatePrompts(Duration longest_pause, Duration prompt_time) {
+  const Duration prompt = std::max(Duration(1), prompt_time);
+  return static_cast<std::uint32_t>(
+      std::clamp<Duration::rep>(longest_pause / kLatePauseDivisor / prompt, 1, kMaxLatePrompts));
+}
+
 Awaitable<PromptTurn> AwaitPromptTurn(ForwardingState& state,
                                       CallGuard& guard,
                                       TurnRequest request) {
--- a/src/rudderloom/forwarding/prompt_turn.hpp
+++ b/src/rudderloom/forwarding/prompt_turn.hpp
@@ -47,6 +47,11 @@
 // ones, so that none starves.
 Duration MaxTurnWait(const TurnNeeds& needs);
 
+// Late prompts that may wait at an endpoint, sent by all nodes: as many as it processes in half of
+// the longest pause, and one at least. They are processed as soon as a slot is free, one after
+// another.
+std::uint32_t MaxLatePrompts(Duration longest_pause, Duration prompt_time);
+
 }  // namespace rudderloom
 
 #endif
--- a/src/rudderloom/forwarding/prompt_turn_test.cpp
+++ b/src/rudderloom/forwarding/prompt_turn_test.cpp
@@ -25,5 +25,13 @@
   CHECK(MaxTurnWait({kTimeLeft, kPause, 3, true}) == kPause);
 }
 
+// Load: all clients that were refused come back late, to the same endpoint.
+TEST_CASE("late prompts at an endpoint take half of a pause, one is always let in") {
+  CHECK(MaxLatePrompts(kPause, Duration(100)) == 2);
+  CHECK(MaxLatePrompts(kPause, Duration(5'000)) == 1);
+  CHECK(MaxLatePrompts(kPause, Duration(0)) == 4);
+  CHECK(MaxLatePrompts(Duration(0), Duration(100)) == 1);
+}
+
 }  // namespace
 }  // namespace rudderloom
