Count the time before a retried request at its node

The time spent of a retried request began anew at each attempt, so it was held, refused for pauses and ranked like a new one. Under overload control, Spent() and the urgency now count from the first attempt as far as the remaining time shows it. A request that can't be on time is sent with the lowest urgency, asks for turns behind all kinds of request, and is held until its time is over; at a plain service it gets free slots only. Adds rudderloom_retried_requests_total and spent_before_ms.

--- a/include/rudderloom/forwarding/forwarder.hpp
+++ b/include/rudderloom/forwarding/forwarder.hpp
@@ -19,6 +19,7 @@
 #include "rudderloom/endpoint_limits/shared_service.hpp"    // for SoloSends
 #include "rudderloom/fleet/fleet_settings.hpp"              // for OverloadControl
 #include "rudderloom/forwarding/balancer.hpp"               // for Balancer
+#include "rudderloom/forwarding/caller_deadlines.hpp"       // for CallerDeadlines
 #include "rudderloom/http/call_guard.hpp"                   // for CallGuards
 #include "rudderloom/forwarding/endpoint_connection.hpp"    // for ConnectionPool
 #include "rudderloom/forwarding/endpoint_reach.hpp"         // for EndpointReach
@@ -155,6 +156,7 @@
   SilentGranters silent_granters = {};
   OverloadControl overload_control = OverloadControl::kOff;
   HeldRequests held = {};
+  CallerDeadlines caller_deadlines = {};
   SoloSends solo_sends{0.0};  ///< To services with few slots, while no granting node answers.
   ReaderMemory readers = ReaderMemory();  ///< Held for clients and endpoints that read slowly.
 };
--- a/src/rudderloom/forwarding/attempt_runner.cpp
+++ b/src/rudderloom/forwarding/attempt_runner.cpp
@@ -59,7 +59,7 @@
   params.caller = request_.checks.EndpointCaller();
   params.urgency =
       UrgencyOf(request_.admission, route, request_.checks.Priority(), request_.choice.forecast,
-                request_.choice.hold_time, Between(request_.arrived, started));
+                request_.choice.hold_time, request_.SpentAt(started));
   params.answer_timeout = AnswerTimeout();
   params.event_timeout = route.longest_pause * kEventTimeoutPauses;
   params.stream = &request_.stream;
--- a/src/rudderloom/forwarding/forwarded_request.cpp
+++ b/src/rudderloom/forwarding/forwarded_request.cpp
@@ -31,6 +31,15 @@
          (state.overload_control == OverloadControl::kAuto && routes.CallersGiveUpBeforeLoads());
 }
 
+Duration TimeSpentBefore(ForwardingState& state, const ForwardedRequest& request) {
+  // The remaining time of a client that takes up a stream includes the time of its first events.
+  if (!ControlsOverload(state, *request.routes) || request.terms.resumes_stream) {
+    return Duration(0);
+  }
+  return state.caller_deadlines.WaitedBefore(request.route->name, request.terms.deadline,
+                                             request.arrived);
+}
+
 BalancerQuery MakeQuery(const ForwardingState& state,
                         const ForwardedRequest& request,
                         const std::set<std::string>& excluded,
--- a/src/rudderloom/forwarding/forwarded_request.hpp
+++ b/src/rudderloom/forwarding/forwarded_request.hpp
@@ -33,8 +33,15 @@
   // The client has events of this stream.
   bool GoesOn() const { return terms.resumes_stream || stream.started; }
 
-  // Time since its arrival.
-  Duration Spent() const { return Between(arrived, Now()); }
+  // Time that the client has waited for its answer, since its first attempt as far as known.
+  Duration Spent() const { return SpentAt(Now()); }
+  Duration SpentAt(TimePoint now) const { return spent_before + Between(arrived, now); }
+
+  // The client has made an attempt before this one.
+  bool Retried() const { return spent_before > Duration(0); }
+
+  // A retried request whose goal has passed: it is served behind all others.
+  bool Late() const { return Retried() && Spent() >= route->goal; }
 
   // Latest useful start: shortly before the client gives up or the deadline passes.
   TimePoint LatestStart() const;
@@ -55,6 +62,7 @@
   const Route* route = nullptr;
   std::string service;
   TimePoint deadline_at;
+  Duration spent_before{0};  // that the client had waited before this attempt; 0: not retried
   CallGuard* guard = nullptr;
   StreamState stream;
   TriedEndpoints tried;
@@ -75,6 +83,10 @@
 // True if requests are held, refused and granted slots by what their callers need.
 bool ControlsOverload(const ForwardingState& state, const RouteTable& routes);
 
+// How long the client has waited before this attempt, by the remaining time that it states. Zero
+// unless overload control is in force. Records the remaining time.
+Duration TimeSpentBefore(ForwardingState& state, const ForwardedRequest& request);
+
 // Constraints of the request on the choice of an endpoint. The arguments must outlive the query.
 BalancerQuery MakeQuery(const ForwardingState& state,
                         const ForwardedRequest& request,
--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -23,6 +23,7 @@
 namespace {
 
 constexpr std::uint32_t kMaxConnectFailures = 4;
+constexpr unsigned kNotRunStatus = 503;
 constexpr unsigned kTooManyRequests = 429;
 constexpr unsigned kUnavailable = 503;
 
@@ -48,6 +49,7 @@
       co_await Refuse(*refusal);
       co_return;
     }
+    request_.spent_before = TimeSpentBefore(state_, request_);
     request_.service = ChooseService(*request_.route, state_.random());
     state_.retries.CountRequest(request_.service, request_.arrived);
     request_.deadline_at =
@@ -311,6 +313,17 @@
     co_await exchange_.Send(std::move(reply));
   }
 
+  // Of a client's later attempt, for the counter.
+  std::string_view OutcomeOfRetried(std::string_view outcome, unsigned status) const {
+    if (outcome == "answered") {
+      return request_.admission == Admission::kDeferred ? "answered_deferred" : outcome;
+    }
+    if (outcome == "client_gone") {
+      return outcome;
+    }
+    return status == kNotRunStatus ? "refused" : "failed";
+  }
+
   // Age of what is known of other nodes' requests.
   Duration LoadAge() const {
     const TimePoint until = state_.views.Current()->holder_permits_until;
@@ -324,11 +337,16 @@
     if (state_.log_quota.Allows(Now())) {
       LogFailedAttempt({request_.terms.id, request_.checks.Digests().front(), request_.terms.prompt,
                         endpoint.instance, result.reason, result.error, result.status,
-                        result.retry_after, request_.attempts + 1, request_.Spent()});
+                        result.retry_after, request_.attempts + 1,
+                        Between(request_.arrived, Now())});
     }
   }
 
   void LogEnd(const std::string& instance, std::string_view outcome, unsigned status) {
+    if (request_.Retried()) {
+      state_.metrics.Count(
+          {"rudderloom_retried_requests_total", "outcome", OutcomeOfRetried(outcome, status)});
+    }
     if (!state_.log_quota.Allows(Now())) {
       return;
     }
@@ -341,6 +359,7 @@
     end.status = status;
     end.attempts = request_.attempts + 1;
     end.waited = request_.waited;
+    end.spent_before = request_.spent_before;
     end.retry_delay = refused_delay_;
     end.decided_by = request_.decided_by;
     end.load_age = LoadAge();
--- a/src/rudderloom/forwarding/frontend.cpp
+++ b/src/rudderloom/forwarding/frontend.cpp
@@ -256,6 +256,9 @@
 void FleetFrontend::SetView(FleetViewPtr view) {
   if (view->routes) {
     state_.balancer.Work().ApplyConfiguration(view->routes);
+    if (view->routes != state_.views.Current()->routes) {
+      state_.caller_deadlines.Trim(*view->routes);
+    }
     server_->SetLimits(LimitsOf(view->routes->Limits()));
     gateway_server_->SetLimits(GatewayLimitsOf(view->routes->Limits()));
   }
--- a/src/rudderloom/forwarding/request_end.cpp
+++ b/src/rudderloom/forwarding/request_end.cpp
@@ -70,6 +70,9 @@
         .With("service", end.service)
         .With("goal_ms", end.route->goal.count());
   }
+  if (end.spent_before > Duration(0)) {
+    line.With("spent_before_ms", end.spent_before.count());
+  }
   if (end.retry_delay) {
     line.With("retry_after_ms", end.retry_delay->count());
   }
--- a/src/rudderloom/forwarding/request_end.hpp
+++ b/src/rudderloom/forwarding/request_end.hpp
@@ -28,7 +28,8 @@
   std::string_view outcome = {};
   unsigned status = 0;
   std::uint32_t attempts = 0;
-  Duration waited{0};  // time spent waiting for an endpoint that holds the model
+  Duration waited{0};        // time spent waiting for an endpoint that holds the model
+  Duration spent_before{0};  // that the client had waited before this attempt
   std::optional<Duration> retry_delay = {};  // told to the client with a refusal
   std::string_view decided_by = {};          // part that delayed or refused it; empty: none
   Duration load_age{0};                      // of what was known of other nodes' requests
--- a/src/rudderloom/forwarding/request_permit.cpp
+++ b/src/rudderloom/forwarding/request_permit.cpp
@@ -75,7 +75,8 @@
   }
   SlotGrantBasis basis;
   basis.slots = endpoint.slots;
-  basis.goal = request_.route->goal;
+  // A late request gets a slot that is free, and no place in the queue.
+  basis.goal = request_.Late() ? Duration(0) : request_.route->goal;
   basis.typical_time = state_.balancer.Work().TypicalHoldTime(request_.service, "");
   basis.remaining = Between(Now(), request_.deadline_at);
   return SlotGrantTerms(basis);
--- a/src/rudderloom/forwarding/request_start.cpp
+++ b/src/rudderloom/forwarding/request_start.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/request_start.hpp"
 
 #include <algorithm>  // for max
+#include <limits>     // for numeric_limits
 #include <utility>    // for exchange, move
 
 #include "forwarding/request_samples.hpp"           // for ScopedUnitCount
@@ -25,15 +26,44 @@
   const Admission admission = DecideAdmission(MakeAdmissionQuery(), *request_.route);
   if (admission != Admission::kAdmitted) {
     request_.decided_by = "forecast";
+  }
+  if (admission == Admission::kDeferred && request_.Retried()) {
+    const Admission deferred = co_await DecideDeferred(endpoint);
+    co_return deferred;
+  }
+  if (admission != Admission::kAdmitted) {
     co_return admission;
   }
   TurnRequest ask = MakeTurnRequest(endpoint);
+  const Admission with_turn = co_await AwaitTurn(endpoint, std::move(ask), Admission::kAdmitted);
+  co_return with_turn;
+}
+
+// A retried request that can't be on time runs behind all others. The late prompts at an endpoint
+// are bounded, and ask for turns, so that streams there do not pause for them.
+Awaitable<Admission> RequestStart::DecideDeferred(const EndpointRecord& endpoint) {
+  const Duration prompt_time = state_.balancer.Work().PromptTime(
+      request_.service, request_.terms.model, request_.terms.tokens_in);
+  if (request_.choice.load.deferred >= MaxLatePrompts(request_.route->longest_pause, prompt_time)) {
+    request_.NoTurnAt(endpoint, request_.choice.forecast.if_deferred);
+    request_.decided_by = "late";
+    co_return Admission::kHeld;
+  }
+  TurnRequest ask = MakeLateTurnRequest(endpoint);
+  const Admission with_turn = co_await AwaitTurn(endpoint, std::move(ask), Admission::kDeferred);
+  co_return with_turn;
+}
+
+// Returns `granted` once the request has its turn, or if none is needed.
+Awaitable<Admission> RequestStart::AwaitTurn(const EndpointRecord& endpoint,
+                                             TurnRequest ask,
+                                             Admission granted) {
   const PromptTurn turn = co_await AwaitPromptTurn(state_, *request_.guard, std::move(ask));
   request_.waited += turn.waited;
   switch (turn.verdict) {
     case TurnVerdict::kGranted:
       request_.without_turn.clear();
-      co_return Admission::kAdmitted;
+      co_return granted;
     case TurnVerdict::kRefused:
       request_.NoTurnAt(endpoint, turn.next);
       co_return Admission::kHeld;
@@ -42,7 +72,7 @@
     case TurnVerdict::kNotSpaced:
       break;
   }
-  co_return Admission::kAdmitted;
+  co_return granted;
 }
 
 AdmissionQuery RequestStart::MakeAdmissionQuery() const {
@@ -56,6 +86,9 @@
     query.forecast.longest_pause = Duration(0);
     return query;
   }
+  if (request_.Retried()) {
+    query.retry_time_left = TimeLeft();
+  }
   query.is_next = !state_.held.AnyBefore(HeldPosition());
   // One prompt of each more urgent kind can follow without a pause that is too long.
   query.headroom =
@@ -83,8 +116,25 @@
   if (state_.stopping || !ControlsOverload(state_, *request_.routes)) {
     return Duration(0);
   }
-  return request_.terms.model.empty() ? request_.route->goal / kPlainHoldDivisor
-                                      : HoldLimit(*request_.route, IdleStart());
+  if (request_.terms.model.empty()) {
+    return request_.route->goal / kPlainHoldDivisor;
+  }
+  return request_.Retried() ? RetriedHoldLimit(*request_.route, IdleStart())
+                            : HoldLimit(*request_.route, IdleStart());
+}
+
+// Until the client leaves.
+Duration RequestStart::TimeLeft() const {
+  return Between(Now(), request_.LatestStart());
+}
+
+// True if the request may wait for this time before the next decision. A retried one may as long
+// as its client can still be answered.
+bool RequestStart::MayHold(Duration wait) const {
+  if (request_.Retried() && !state_.stopping) {
+    return wait + request_.choice.forecast.if_deferred <= TimeLeft();
+  }
+  return request_.Spent() + wait <= MaxHold();
 }
 
 TurnRequest RequestStart::MakeTurnRequest(const EndpointRecord& endpoint) const {
@@ -104,18 +154,29 @@
   return ask;
 }
 
+// Asks as if the request were of a kind that is less urgent than all others: the queue stays short
+// enough for these. It asks again until its client's time is over.
+TurnRequest RequestStart::MakeLateTurnRequest(const EndpointRecord& endpoint) const {
+  TurnRequest ask = MakeTurnRequest(endpoint);
+  const std::uint32_t kinds = request_.routes->MoreUrgentPriorities(
+      request_.service, std::numeric_limits<std::uint32_t>::max());
+  const Duration left = std::max(Duration(0), TimeLeft() - request_.choice.forecast.if_deferred);
+  ask.max_wait = MaxTurnWait({left, request_.route->longest_pause, kinds, false});
+  return ask;
+}
+
 Awaitable<std::optional<ForwardRefusal>> RequestStart::HoldOrRefuse() {
   if (request_.guard->Cause() != Interruption::kNone) {
     co_return std::nullopt;
   }
   const bool tries_another = std::exchange(request_.refused_turn, false);
-  if (tries_another && request_.without_turn.size() < kMaxTurnEndpoints &&
+  // A late request asks again and again: each time at one endpoint, so that asking costs little.
+  if (tries_another && !request_.Late() && request_.without_turn.size() < kMaxTurnEndpoints &&
       request_.choice.candidate_count > 1) {
     co_return std::nullopt;
   }
-  const Duration spent = request_.Spent();
-  const Duration wait = HoldTime(spent);
-  if (spent + wait > MaxHold()) {
+  const Duration wait = HoldTime(request_.Spent());
+  if (!MayHold(wait)) {
     co_return ForwardRefusal::kOverloaded;
   }
   request_.without_turn.clear();
@@ -123,9 +184,12 @@
   co_return std::nullopt;
 }
 
+// A late request has none of the others wait for it.
 HeldRequest RequestStart::HeldPosition() const {
+  const std::uint32_t priority =
+      request_.Late() ? std::numeric_limits<std::uint32_t>::max() : request_.checks.Priority();
   return {
-      {request_.service, request_.terms.model}, request_.checks.Priority(), request_.deadline_at};
+      {request_.service, request_.terms.model}, priority, request_.deadline_at, request_.Retried()};
 }
 
 // Time until the next decision on admission. A slot has been refused with the time at which there
@@ -137,7 +201,8 @@
   if (request_.terms.model.empty()) {
     return std::max(kMinSlotWait, request_.retry_delay);
   }
-  return Rank() == 0 ? Duration::max() - spent : HoldInterval(spent, state_.random());
+  return Rank() == 0 && !request_.Retried() ? Duration::max() - spent
+                                            : HoldInterval(spent, state_.random());
 }
 
 Awaitable<void> RequestStart::Hold(Duration wait) {
--- a/src/rudderloom/forwarding/request_start.hpp
+++ b/src/rudderloom/forwarding/request_start.hpp
@@ -28,6 +28,13 @@
  private:
   AdmissionQuery MakeAdmissionQuery() const;
   TurnRequest MakeTurnRequest(const EndpointRecord& endpoint) const;
+  TurnRequest MakeLateTurnRequest(const EndpointRecord& endpoint) const;
+  Awaitable<Admission> DecideDeferred(const EndpointRecord& endpoint);
+  Awaitable<Admission> AwaitTurn(const EndpointRecord& endpoint,
+                                 TurnRequest ask,
+                                 Admission granted);
+  Duration TimeLeft() const;
+  bool MayHold(Duration wait) const;
   std::uint32_t Rank() const;
   Duration IdleStart() const;
   Duration MaxHold() const;
