Give refused clients successive times to retry

All clients that were refused while an endpoint was full were told the same time and came back in the same moment. RetryTimes keeps the next free time of each model or plain service and spaces the told ones by what the endpoints take in, divided among the live nodes; the first time of a node lies anywhere in its first interval, since all nodes begin to refuse at once. Entries expire when their time has passed. Not used yet.

--- a/include/rudderloom/forwarding/forwarder.hpp
+++ b/include/rudderloom/forwarding/forwarder.hpp
@@ -28,6 +28,7 @@
 #include "rudderloom/forwarding/missing_units.hpp"          // for MissingUnits
 #include "rudderloom/forwarding/reader_memory.hpp"          // for ReaderMemory
 #include "rudderloom/forwarding/retry_budget.hpp"           // for RetryBudget
+#include "rudderloom/forwarding/retry_times.hpp"            // for RetryTimes
 #include "rudderloom/forwarding/view_source.hpp"            // for ViewSource
 #include "rudderloom/http/server.hpp"                       // for HttpExchange
 #include "rudderloom/placement/demand.hpp"                  // for UnitCount
@@ -157,6 +158,7 @@
   OverloadControl overload_control = OverloadControl::kOff;
   HeldRequests held = {};
   CallerDeadlines caller_deadlines = {};
+  RetryTimes retry_times = {};
   SoloSends solo_sends{0.0};  ///< To services with few slots, while no granting node answers.
   ReaderMemory readers = ReaderMemory();  ///< Held for clients and endpoints that read slowly.
 };
--- a/src/rudderloom/forwarding/forwarded_request.hpp
+++ b/src/rudderloom/forwarding/forwarded_request.hpp
@@ -21,8 +21,6 @@
 // Remaining time below which no attempt is started.
 constexpr Duration kMinAttemptTime{40};
 constexpr Duration kMinRetryDelay{300};
-// Clients that retry later than this are usually past their deadline.
-constexpr Duration kMaxRetryDelay{8'000};
 
 // A client's request over all its attempts: what the classes that decide on its start, wait for an
 // endpoint and send it tell each other. Owned by the forwarder of the request.
