Tell refused clients times at which the endpoints have room

The time to retry was that at which the endpoint had room for one request, for all that were refused. RefusalDelay, moved out of the forwarder, now takes a time from RetryTimes for requests that are refused as overloaded or shed while overload control is in force; other refusals, and all of them without overload control, are told what they were told before. Measured: forwarding_test passes (75 cases); platform_forwarding_test is not yet run.

--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -1,6 +1,6 @@
 #include "rudderloom/forwarding/forwarder.hpp"
 
-#include <algorithm>  // for clamp, max, min
+#include <algorithm>  // for min
 #include <optional>   // for optional
 #include <utility>    // for move
 
@@ -10,6 +10,7 @@
 #include "forwarding/forward_refusal.hpp"    // for ForwardRefusal
 #include "forwarding/forwarded_request.hpp"  // for ForwardedRequest
 #include "forwarding/limit_check.hpp"        // for RecordRejection
+#include "forwarding/refusal_delay.hpp"      // for RefusalDelay
 #include "forwarding/request_end.hpp"        // for LogRequestEnd, LogFailedAttempt
 #include "forwarding/request_permit.hpp"     // for RequestPermit
 #include "forwarding/request_samples.hpp"    // for OfferedTime
@@ -24,8 +25,6 @@
 
 constexpr std::uint32_t kMaxConnectFailures = 4;
 constexpr unsigned kNotRunStatus = 503;
-constexpr unsigned kTooManyRequests = 429;
-constexpr unsigned kUnavailable = 503;
 
 // Handles one client request over all its attempts.
 class RequestForwarder {
@@ -279,27 +278,11 @@
     co_return false;
   }
 
-  // Delay after which a retry is likely to be served.
-  std::optional<Duration> RetryDelay(ForwardRefusal refusal, unsigned status) const {
-    const bool not_run = status == kUnavailable || status == kTooManyRequests;
-    // Nobody will know more of the stream later.
-    if (!not_run || refusal == ForwardRefusal::kStreamVersion) {
-      return std::nullopt;
-    }
-    if (refusal == ForwardRefusal::kStopping) {
-      return Duration(0);  // other nodes can serve it at once
-    }
-    const Duration delay =
-        refusal == ForwardRefusal::kOverloaded
-            ? std::max(request_.retry_delay, request_.choice.forecast.if_deferred)
-            : request_.retry_delay;
-    return std::clamp(delay, kMinRetryDelay, kMaxRetryDelay);
-  }
-
   Awaitable<void> Refuse(ForwardRefusal refusal) {
     state_.metrics.Count({"rudderloom_refusals_total", "reason", NameOf(refusal)});
     const unsigned status = StatusOf(refusal, retry_.MayHaveRun());
-    refused_delay_ = request_.stream.started ? std::nullopt : RetryDelay(refusal, status);
+    refused_delay_ =
+        request_.stream.started ? std::nullopt : RefusalDelay(state_, request_, refusal, status);
     LogEnd("", NameOf(refusal), status);
     if (request_.stream.started) {
       // The client sees that the answer is truncated.
