--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -1,6 +1,6 @@
 #include "rudderloom/forwarding/forwarder.hpp"
 
-#include <algorithm>  // for clamp, max, min
+#include <algorithm>  // for min
 #include <optional>   // for optional
 #include <utility>    // for move
 
@@ -10,6 +10,7 @@
 #include "forwarding/forward_refusal.hpp"    // for ForwardRefusal
 #include "forwarding/forwarded_request.hpp"  // for ForwardedRequest
 #include "forwarding/limit_check.hpp"        // for RecordRejection
+#include "forwarding/refusal_delay.hpp"      // for RefusalDelay
 #include "forwarding/request_end.hpp"        // for LogRequestEnd, LogFailedAttempt
 #include "forwarding/request_permit.hpp"     // for RequestPermit
 #include "forwarding/request_samples.hpp"    // for OfferedTime
@@ -23,8 +24,7 @@
 namespace {
 
 constexpr std::uint32_t kMaxConnectFailures = 4;
-constexpr unsigned kTooManyRequests = 429;
-constexpr unsigned kUnavailable = 503;
+constexpr unsigned kNotRunStatus = 503;
 
 // Handles one client request over all its attempts.
 class RequestForwarder {
@@ -48,6 +48,7 @@
       co_await Refuse(*refusal);
       co_return;
     }
+    request_.spent_before = TimeSpentBefore(state_, request_);
     request_.service = ChooseService(*request_.route, state_.random());
     state_.retries.CountRequest(request_.service, request_.arrived);
     request_.deadline_at =
@@ -288,27 +289,11 @@
     co_return false;
   }
 
-  // Delay after which a retry is likely to be served.
-  std::optional<Duration> RetryDelay(ForwardRefusal refusal, unsigned status) const {
-    const bool not_run = status == kUnavailable || status == kTooManyRequests;
-    // Nobody will know more of the stream later.
-    if (!not_run || refusal == ForwardRefusal::kStreamVersion) {
-      return std::nullopt;
-    }
-    if (refusal == ForwardRefusal::kStopping) {
-      return Duration(0);  // other nodes can serve it at once
-    }
-    const Duration delay =
-        refusal == ForwardRefusal::kOverloaded
-            ? std::max(request_.retry_delay, request_.choice.forecast.if_deferred)
-            : request_.retry_delay;
-    return std::clamp(delay, kMinRetryDelay, kMaxRetryDelay);
-  }
-
   Awaitable<void> Refuse(ForwardRefusal refusal) {
     state_.metrics.Count({"rudderloom_refusals_total", "reason", NameOf(refusal)});
     const unsigned status = StatusOf(refusal, retry_.MayHaveRun());
-    refused_delay_ = request_.stream.started ? std::nullopt : RetryDelay(refusal, status);
+    refused_delay_ =
+        request_.stream.started ? std::nullopt : RefusalDelay(state_, request_, refusal, status);
     LogEnd("", NameOf(refusal), status);
     if (request_.stream.started) {
       // The client sees that the answer is truncated.
@@ -322,6 +307,17 @@
     co_await exchange_.Send(std::move(reply));
   }
 
+  // Of a client's later attempt, for the counter.
+  std::string_view OutcomeOfRetried(std::string_view outcome, unsigned status) const {
+    if (outcome == "answered") {
+      return request_.admission == Admission::kDeferred ? "answered_deferred" : outcome;
+    }
+    if (outcome == "client_gone") {
+      return outcome;
+    }
+    return status == kNotRunStatus ? "refused" : "failed";
+  }
+
   // Age of what is known of other nodes' requests.
   Duration LoadAge() const {
     const TimePoint until = state_.views.Current()->holder_permits_until;
@@ -335,11 +331,16 @@
     if (state_.log_quota.Allows(Now())) {
       LogFailedAttempt({request_.terms.id, request_.checks.Digests().front(), request_.terms.prompt,
                         endpoint.instance, result.reason, result.error, result.status,
-                        result.retry_after, request_.attempts + 1, request_.Spent()});
+                        result.retry_after, request_.attempts + 1,
+                        Between(request_.arrived, Now())});
     }
   }
 
   void LogEnd(const std::string& instance, std::string_view outcome, unsigned status) {
+    if (request_.Retried()) {
+      state_.metrics.Count(
+          {"rudderloom_retried_requests_total", "outcome", OutcomeOfRetried(outcome, status)});
+    }
     if (!state_.log_quota.Allows(Now())) {
       return;
     }
@@ -352,6 +353,7 @@
     end.status = status;
     end.attempts = request_.attempts + 1;
     end.waited = request_.waited;
+    end.spent_before = request_.spent_before;
     end.retry_delay = refused_delay_;
     end.decided_by = request_.decided_by;
     end.load_age = LoadAge();
--- a/src/rudderloom/forwarding/prompt_turn.hpp
+++ b/src/rudderloom/forwarding/prompt_turn.hpp
@@ -43,12 +43,17 @@
 
 // The longest wait for a turn. The queue of an endpoint holds the prompts of one pause at most:
 // more would not raise what it serves, and each request would be sent when its goal has nearly
-// passed. Less urgent requests get a turn only while the queue is shorter by a prompt for each rank:
-// when more is asked than the endpoint processes, the queue is full and the most urgent ones take
-// what gets free. At the end of their hold they wait like the most urgent ones, so that none
+// passed. Less urgent requests get a turn only while the queue is shorter by a prompt for each
+// rank: when more is asked than the endpoint processes, the queue is full and the most urgent ones
+// take what gets free. At the end of their hold they wait like the most urgent ones, so that none
 // starves.
 Duration MaxTurnWait(const TurnNeeds& needs);
 
+// Late prompts that may wait at an endpoint, sent by all nodes: as many as it processes in half of
+// the longest pause, and one at least. They are processed as soon as a slot is free, one after
+// another.
+std::uint32_t MaxLatePrompts(Duration longest_pause, Duration prompt_time);
+
 }  // namespace rudderloom
 
 #endif
--- a/src/rudderloom/forwarding/request_samples_test.cpp
+++ b/src/rudderloom/forwarding/request_samples_test.cpp
@@ -26,7 +26,7 @@
 
 RequestMetadata MakeTerms(std::uint64_t tokens_in) {
   RequestMetadata terms;
-  terms.model = "m";
+  terms.model = std::string("m");
   terms.tokens_in = tokens_in;
   terms.tokens_out = 24;
   return terms;
--- a/src/rudderloom/forwarding/request_start.cpp
+++ b/src/rudderloom/forwarding/request_start.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/request_start.hpp"
 
 #include <algorithm>  // for max, min
+#include <limits>     // for numeric_limits
 #include <utility>    // for exchange, move
 
 #include "forwarding/request_samples.hpp"           // for ScopedUnitCount
@@ -15,6 +16,7 @@
 // Endpoints that are asked for a turn before a request is held or refused.
 constexpr std::size_t kMaxTurnEndpoints = 3;
 constexpr Duration kMinSlotWait{2};
+constexpr int kRetriedHoldDivisor = 4;
 // Longest wait of a repeat for its turn, in the longest pauses that its route allows.
 constexpr int kRepeatWaitPauses = 2;
 
@@ -32,15 +34,43 @@
   const Admission admission = DecideAdmission(MakeAdmissionQuery(), *request_.route);
   if (admission != Admission::kAdmitted) {
     request_.decided_by = "forecast";
+  }
+  if (admission == Admission::kDeferred && request_.Retried()) {
+    const Admission deferred = co_await DecideDeferred(endpoint);
+    co_return deferred;
+  }
+  if (admission != Admission::kAdmitted) {
     co_return admission;
   }
   TurnRequest ask = MakeTurnRequest(endpoint);
+  const Admission with_turn = co_await AwaitTurn(endpoint, std::move(ask), Admission::kAdmitted);
+  co_return with_turn;
+}
+
+// A retried request that can't be on time runs behind all others. The late prompts at an endpoint
+// are bounded, and ask for turns, so that streams there do not pause for them.
+Awaitable<Admission> RequestStart::DecideDeferred(const EndpointRecord& endpoint) {
+  const std::uint32_t limit = MaxLatePrompts(request_.route->longest_pause, PromptTime());
+  if (request_.choice.load.deferred >= limit) {
+    request_.NoTurnAt(endpoint, request_.choice.forecast.if_deferred);
+    request_.decided_by = "late";
+    co_return Admission::kHeld;
+  }
+  TurnRequest ask = MakeLateTurnRequest(endpoint);
+  const Admission with_turn = co_await AwaitTurn(endpoint, std::move(ask), Admission::kDeferred);
+  co_return with_turn;
+}
+
+// Returns `granted` once the request has its turn, or if none is needed.
+Awaitable<Admission> RequestStart::AwaitTurn(const EndpointRecord& endpoint,
+                                             TurnRequest ask,
+                                             Admission granted) {
   const PromptTurn turn = co_await AwaitPromptTurn(state_, *request_.guard, std::move(ask));
   request_.waited += turn.waited;
   switch (turn.verdict) {
     case TurnVerdict::kGranted:
       request_.without_turn.clear();
-      co_return Admission::kAdmitted;
+      co_return granted;
     case TurnVerdict::kRefused:
       request_.NoTurnAt(endpoint, turn.next);
       co_return Admission::kHeld;
@@ -49,7 +79,7 @@
     case TurnVerdict::kNotSpaced:
       break;
   }
-  co_return Admission::kAdmitted;
+  co_return granted;
 }
 
 // A repeat is not refused, since the request may have run. It takes a turn like others: when
@@ -73,6 +103,9 @@
     query.forecast.longest_pause = Duration(0);
     return query;
   }
+  if (request_.Retried()) {
+    query.retry_time_left = TimeLeft();
+  }
   query.is_next = !state_.held.AnyBefore(HeldPosition());
   // One prompt of each more urgent kind can follow without a pause that is too long.
   query.headroom = PromptTime() * Rank();
@@ -104,8 +137,28 @@
   if (state_.stopping || !ControlsOverload(state_, *request_.routes)) {
     return Duration(0);
   }
-  return request_.terms.model.empty() ? request_.route->goal / kPlainHoldDivisor
-                                      : HoldLimit(*request_.route, IdleStart());
+  if (request_.terms.model.empty()) {
+    return request_.route->goal / kPlainHoldDivisor;
+  }
+  return request_.Retried() ? RetriedHoldLimit(*request_.route, IdleStart())
+                            : HoldLimit(*request_.route, IdleStart());
+}
+
+// Until the client leaves.
+Duration RequestStart::TimeLeft() const {
+  return Between(Now(), request_.LatestStart());
+}
+
+// Time for which the request may still be held. A retried one is held for a quarter of the time
+// that its client has left at most: one that is refused after a long hold has lost both.
+Duration RequestStart::HoldTimeLeft() const {
+  if (!request_.Retried() || state_.stopping) {
+    return MaxHold() - request_.Spent();
+  }
+  const Duration here = Between(request_.arrived, Now());
+  const Duration left = TimeLeft();
+  return std::min(left - request_.choice.forecast.if_deferred,
+                  (left + here) / kRetriedHoldDivisor - here);
 }
 
 TurnRequest RequestStart::MakeTurnRequest(const EndpointRecord& endpoint) const {
@@ -125,35 +178,46 @@
   return ask;
 }
 
+// Asks as if the request were of a kind that is less urgent than all others: the queue stays short
+// enough for these. It asks again until its client's time is over.
+TurnRequest RequestStart::MakeLateTurnRequest(const EndpointRecord& endpoint) const {
+  TurnRequest ask = MakeTurnRequest(endpoint);
+  const std::uint32_t kinds = request_.routes->MoreUrgentPriorities(
+      request_.service, std::numeric_limits<std::uint32_t>::max());
+  const Duration left = std::max(Duration(0), TimeLeft() - request_.choice.forecast.if_deferred);
+  ask.max_wait = MaxTurnWait({left, request_.route->longest_pause, PromptTime(), kinds, false});
+  return ask;
+}
+
 Awaitable<std::optional<ForwardRefusal>> RequestStart::HoldOrRefuse() {
   if (request_.guard->Cause() != Interruption::kNone) {
     co_return std::nullopt;
   }
   const bool tries_another = std::exchange(request_.refused_turn, false);
-  if (tries_another && request_.without_turn.size() < kMaxTurnEndpoints &&
+  // A late request asks again and again: each time at one endpoint, so that asking costs little.
+  if (tries_another && !request_.Late() && request_.without_turn.size() < kMaxTurnEndpoints &&
       request_.choice.candidate_count > 1) {
     co_return std::nullopt;
   }
-  const Duration spent = request_.Spent();
-  const Duration left = MaxHold() - spent;
+  const Duration left = HoldTimeLeft();
   if (left <= Duration(0) || !GetsTurnWithin(left)) {
     co_return ForwardRefusal::kOverloaded;
   }
-  const Duration wait = std::min(left, HoldTime(spent));
+  const Duration wait = std::min(left, HoldTime(request_.Spent()));
   request_.without_turn.clear();
   co_await Hold(wait);
   co_return std::nullopt;
 }
 
 // False if the request can't be on time, so that it is refused now and not after a hold. A request
-// of the most urgent kind that was refused a turn can't be on time anywhere. Another one has to
-// wait for those that this node already holds for the model, each of which takes one of the turns
-// that fall to this node.
+// of the most urgent kind that was refused a turn can't be on time anywhere; one that its client
+// retries is held all the same. Another one has to wait for those that this node already holds for
+// the model, each of which takes one of the turns that fall to this node.
 bool RequestStart::GetsTurnWithin(Duration left) const {
   if (request_.terms.model.empty()) {
     return std::max(kMinSlotWait, request_.retry_delay) <= left;
   }
-  if (!request_.without_turn.empty() && Rank() == 0) {
+  if (!request_.without_turn.empty() && Rank() == 0 && !request_.Retried()) {
     return false;
   }
   const bool was_held = request_.waited > Duration(0);
@@ -172,9 +236,12 @@
   return spacing * nodes / std::max(1U, request_.choice.candidate_count);
 }
 
+// A late request has none of the others wait for it.
 HeldRequest RequestStart::HeldPosition() const {
+  const std::uint32_t priority =
+      request_.Late() ? std::numeric_limits<std::uint32_t>::max() : request_.checks.Priority();
   return {
-      {request_.service, request_.terms.model}, request_.checks.Priority(), request_.deadline_at};
+      {request_.service, request_.terms.model}, priority, request_.deadline_at, request_.Retried()};
 }
 
 // Time until the next decision on admission. A slot has been refused with the time at which there
--- a/src/rudderloom/forwarding/request_start.hpp
+++ b/src/rudderloom/forwarding/request_start.hpp
@@ -30,6 +30,13 @@
   AdmissionQuery MakeAdmissionQuery() const;
   TurnRequest MakeTurnRequest(const EndpointRecord& endpoint) const;
   Duration PromptTime() const;
+  TurnRequest MakeLateTurnRequest(const EndpointRecord& endpoint) const;
+  Awaitable<Admission> DecideDeferred(const EndpointRecord& endpoint);
+  Awaitable<Admission> AwaitTurn(const EndpointRecord& endpoint,
+                                 TurnRequest ask,
+                                 Admission granted);
+  Duration TimeLeft() const;
+  Duration HoldTimeLeft() const;
   std::uint32_t Rank() const;
   Duration IdleStart() const;
   Duration MaxHold() const;
