Take the fitted pause again

Cause: counting all waiting prompts as a pause refused requests that the queue of turns had room for: it holds the prompts of one pause.

--- a/src/rudderloom/forwarding/work_model.cpp
+++ b/src/rudderloom/forwarding/work_model.cpp
@@ -1,6 +1,6 @@
 #include "rudderloom/forwarding/work_model.hpp"
 
-#include <algorithm>  // for clamp, max
+#include <algorithm>  // for clamp
 #include <cmath>      // for llround
 
 namespace rudderloom {
@@ -120,13 +120,8 @@
   const auto requests = static_cast<double>(work.requests);
   forecast.first_event = Rounded(found->first_event.Expect(tokens, requests));
   forecast.first_event_bound = Rounded(found->first_event.Bound(tokens, requests));
-  // An engine may process all waiting prompts between two events. The fit alone is too low where
-  // the load that nodes know of is old: a long pause then counts for an endpoint taken to be idle.
-  const double prompts = tokens * found->first_event.PerToken();
-  forecast.longest_pause =
-      Rounded(std::max(prompts, found->longest_pause.Expect(tokens, requests)));
-  forecast.longest_pause_bound =
-      Rounded(std::max(prompts, found->longest_pause.Bound(tokens, requests)));
+  forecast.longest_pause = Rounded(found->longest_pause.Expect(tokens, requests));
+  forecast.longest_pause_bound = Rounded(found->longest_pause.Bound(tokens, requests));
   return forecast;
 }
 
