Reinstate turns of nodes that can ask no granting node

Cause: the customers' bound is not kept by 60 nodes that can ask nobody, as each runs one request ahead of its share.

--- a/include/rudderloom/dissemination/digest.hpp
+++ b/include/rudderloom/dissemination/digest.hpp
@@ -70,6 +70,7 @@
   LoadsDue loads_due;
   /// @brief Nodes that forward requests; only for a node that needs them.
   GatewayList gateways;
+  TurnAssignment turns;          ///< Of the asking node.
   bool gateways_wanted = false;  ///< Some node needs them; relays name all of their group.
 };
 
--- a/include/rudderloom/dissemination/digest_source.hpp
+++ b/include/rudderloom/dissemination/digest_source.hpp
@@ -13,6 +13,7 @@
 #include "rudderloom/endpoint_limits/permit_book.hpp"  // for PermitBasis
 #include "rudderloom/placement/demand.hpp"             // for LoadSums
 #include "rudderloom/quota/grant_book.hpp"             // for GrantBasis
+#include "rudderloom/quota/turn_table.hpp"             // for TurnSpans
 
 namespace rudderloom {
 
@@ -29,6 +30,7 @@
   std::optional<TimePoint> configuration_confirmed_at;    ///< By the store.
   std::map<std::string, std::uint64_t> reports_counted;   ///< By node, see `SpendingLog`.
   std::shared_ptr<const GrantBasis> grants;               ///< Null: unknown to this node.
+  TurnSpans turns;                                        ///< Positions of the nodes that report.
   std::shared_ptr<const QuarantineTable> quarantine;      ///< Null: no requests are quarantined.
   LimitTable limits;
   GatewayList gateways;                  ///< As known to this node.
--- a/include/rudderloom/fleet/fleet_state.hpp
+++ b/include/rudderloom/fleet/fleet_state.hpp
@@ -26,6 +26,7 @@
 #include "rudderloom/quarantine/crash_news_log.hpp"        // for CrashNewsLog
 #include "rudderloom/quota/quota_ledger.hpp"               // for QuotaLedger
 #include "rudderloom/quota/spending_log.hpp"               // for SpendingLog
+#include "rudderloom/quota/turn_table.hpp"                 // for TurnTable
 
 namespace rudderloom {
 
@@ -125,6 +126,10 @@
   std::shared_ptr<const GrantBasis> MakeGrantBasis() const;
   std::shared_ptr<const GrantBasis> MakeRelayGrantBasis();
   void UpdateQuotaRelay(TimePoint now);
+  void UpdateTurnsAsHolder(TimePoint now);
+  void UpdateTurnsAsRelay(TimePoint now);
+  TurnPlan OwnTurns() const;
+  double RefillFraction(TimePoint now) const;
   void PublishBalances(BalanceTable balances, TimePoint made_at);
   void RecordCrashNews(const CrashNews& news, TimePoint now);
   void ApplyPeerCrashNews(const CrashNews& news, TimePoint now);
@@ -216,6 +221,8 @@
   LoadForecast forecast_;  // Computed with the last plan.
   SpendingLog spending_;
   QuotaLedger ledger_;
+  TurnTable turn_table_;                  // Of the nodes that report here.
+  std::optional<TimePoint> turn_origin_;  // Start of the turns' clock; empty before a digest.
   std::uint64_t grants_counted_ = 0;      // Number of the last grant booked or reported.
   QuotaSnapshotPtr quota_snapshot_;       // The newest made or received.
   std::uint64_t grants_in_balances_ = 0;  // Last grant included in the newest balances.
--- a/include/rudderloom/placement/demand.hpp
+++ b/include/rudderloom/placement/demand.hpp
@@ -79,6 +79,7 @@
   bool reaches_endpoints = true;        ///< False if it is cut off from all endpoints.
   bool needs_gateways = false;          ///< One of them does not reach all endpoints.
   GatewayList gateways = {};            ///< Of the nodes it reports for.
+  TimePoint heard_at = {};              ///< Of its last report.
 };
 
 /// @brief Demand for one unit.
--- a/include/rudderloom/quota/quota_account.hpp
+++ b/include/rudderloom/quota/quota_account.hpp
@@ -23,8 +23,13 @@
 struct QuotaDecision {
   QuotaVerdict verdict = QuotaVerdict::kGranted;
   Duration wait{0};
+  bool in_turn = false;  ///< Granted, or refused until then, by a turn of this node.
 };
 
+/// @brief Longest wait that a refusal states.
+/// @ingroup quota
+constexpr Duration kMaxQuotaWait{8'000};
+
 /// @brief Whether a granting node, the holder or a relay, can be asked.
 /// @ingroup quota
 enum class GranterReach {
@@ -43,9 +48,9 @@
 /// yet is deducted.
 ///
 /// While there is no holder, relays grant the same way, each its group's part. If no granting node
-/// can be asked, a node decides by its share alone. A request may run while the share is not
-/// negative, and the excess is owed: all nodes together overdraw by one request per node at most. A
-/// node without data on a customer uses a small fixed share.
+/// can be asked, a request that exceeds the share runs only in a turn of this node (`TurnAt`), and
+/// not before the last known debt of the customer is recovered. A share is never overdrawn. A node
+/// without data on a customer uses a small fixed share and has no turns.
 /// @ingroup quota
 class QuotaAccount {
  public:
@@ -71,6 +76,9 @@
   /// without asking.
   void RefusedByGranter(CustomerKey customer, Duration wait, TimePoint now);
 
+  /// @brief Records that the granting node did not answer: for a short time it is not asked.
+  void Unanswered(CustomerKey customer, TimePoint now);
+
   /// @brief Refunds a request that was granted by any node but refused for another reason.
   void Refund(CustomerKey customer, std::uint64_t amount);
 
@@ -86,7 +94,11 @@
     double share = 0.0;       // fraction of the customer's rate and balance
     double balance = 0.0;     // this node's part
     TimePoint refused_until;  // by the granting node
+    TimePoint alone_until;    // after an ask that it did not answer
     TimePoint refilled_at;
+    TimePoint debt_until;  // the last known negative balance is recovered
+    TimePoint turn_began_at;
+    double turn_spent = 0.0;  // of the budget of that turn
     TimePoint asked_at;
     DecayingRate asked;
     std::int64_t total_spent = 0;  // spent without asking since process start
@@ -97,6 +109,10 @@
   double MaxShare(const Account& account) const;
   double RefillRate(const Account& account, GranterReach reach, TimePoint now) const;
   void Refill(Account& account, GranterReach reach, TimePoint now) const;
+  bool HasTurns() const;
+  QuotaDecision DecideInTurn(Account& account, std::uint64_t amount, TimePoint now) const;
+  Duration WaitForShare(const Account& account, std::uint64_t amount, TimePoint now) const;
+  static void Spend(Account& account, std::uint64_t amount);
   void ApplySnapshot(CustomerKey customer, Account& account, TimePoint now) const;
 
   QuotaBounds bounds_;
--- a/include/rudderloom/quota/quota_ledger.hpp
+++ b/include/rudderloom/quota/quota_ledger.hpp
@@ -33,7 +33,12 @@
   void Begin(const PreviousBalances& former, AssumedBalance unknown, TimePoint now);
 
   /// @brief Refills the balances up to `now` and deducts the reported spending.
-  void Update(const SpendingTable& reported, const QuotaLimits& limits, TimePoint now);
+  /// @param refill_fraction Fraction of the rate that is refilled. The rest is reserved for nodes
+  /// that this node does not hear: they may spend it without its knowledge.
+  void Update(const SpendingTable& reported,
+              const QuotaLimits& limits,
+              TimePoint now,
+              double refill_fraction = 1.0);
 
   /// @brief Deducts a request that the holder granted.
   void Granted(const SpendRequest& granted, const QuotaLimits& limits, TimePoint now);
@@ -52,7 +57,7 @@
   };
 
   Entry& FindOrCreate(CustomerKey customer, const QuotaLimit& limit, TimePoint now);
-  void Refill(Entry& entry, const QuotaLimit& limit, TimePoint now) const;
+  void Refill(Entry& entry, const QuotaLimit& limit, TimePoint now, double fraction) const;
 
   QuotaBounds bounds_;
   PreviousBalances former_;
--- a/include/rudderloom/quota/spending.hpp
+++ b/include/rudderloom/quota/spending.hpp
@@ -81,6 +81,26 @@
 /// @ingroup quota
 using BalanceTable = std::map<CustomerKey, CustomerBalance>;
 
+/// @brief A node's place in the order in which nodes without a granting node take turns, as the
+/// holder's digest states it. See `TurnAt`.
+/// @ingroup quota
+struct TurnPlan {
+  std::uint32_t position = 0;   ///< From 1; 0: unknown.
+  std::uint32_t positions = 0;  ///< Number of live nodes when the holder made the digest.
+  TimePoint origin;             ///< Start of the holder's turn clock, in this node's time.
+  bool operator==(const TurnPlan&) const = default;
+};
+
+/// @brief A node's turns as sent with a digest.
+/// @ingroup quota
+struct TurnAssignment {
+  std::uint32_t position = 0;   ///< From 1; 0: the node has no turns.
+  std::uint32_t count = 0;      ///< Positions of the node and of those that report through it.
+  std::uint32_t positions = 0;  ///< Of all nodes.
+  Duration clock{0};            ///< Of the turns, when the holder made the digest.
+  bool operator==(const TurnAssignment&) const = default;
+};
+
 /// @brief The holder's balances for the traffic thread. Immutable once published.
 /// @ingroup quota
 struct QuotaSnapshot {
@@ -88,6 +108,7 @@
   BalanceTable balances;
   /// @brief Spending of this process since its start that is included in the balances.
   std::map<CustomerKey, std::int64_t> counted;
+  TurnPlan turns = {};
 };
 
 /// @brief Null before the first digest.
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -278,6 +278,11 @@
   loadsDue @22 :List(LoadDue);  # of units that the asking node's report names
   gateways @23 :List(Gateway);  # only where the asking node's report needs them
   gatewaysWanted @24 :Bool;     # some node needs them: relays name all of their group
+  # Order in which nodes that can ask no granting node run requests of customers with limits.
+  turnPosition @25 :UInt32;   # of the asking node, from 1; 0: it has no turns
+  turnCount @26 :UInt32;      # positions of the asking node and of those that report through it
+  turnPositions @27 :UInt32;  # of all nodes
+  turnClockMs @28 :Int64;     # the clock of the turns when the holder made this
 }
 
 enum SpendVerdict {
--- a/src/rudderloom/dissemination/digest_source.cpp
+++ b/src/rudderloom/dissemination/digest_source.cpp
@@ -124,6 +124,12 @@
       counted != statement.reports_counted.end()) {
     digest.report_counted = counted->second;
   }
+  digest.turns.position = 0;
+  digest.turns.count = 0;
+  if (const auto span = statement.turns.find(asking.node); span != statement.turns.end()) {
+    digest.turns.position = span->second.first;
+    digest.turns.count = span->second.count;
+  }
   digest.loads = statement.loads.Without(asking.node);
   digest.quarantine = QuarantineFor(statement, asking);
   digest.limits = LimitsFor(statement, asking);
--- a/src/rudderloom/dissemination/digest_source_test.cpp
+++ b/src/rudderloom/dissemination/digest_source_test.cpp
@@ -73,6 +73,16 @@
   CHECK(digest.loads_due == LoadsDue{{reported, {Duration(900), 3}}});
 }
 
+// A node that takes turns at another node's position doubles what runs in these.
+TEST_CASE("a digest has the asking node's own position, or none") {
+  DigestSource statement = MakeStatement();
+  statement.common.turns = {5, 16, 60, Duration(7'000)};
+  statement.turns = {{"n1", {6, 1}}};
+  CHECK(DigestFor(statement, Asking("n1"), At(500)).turns ==
+        TurnAssignment{6, 1, 60, Duration(7'000)});
+  CHECK(DigestFor(statement, Asking("n2"), At(500)).turns.position == 0);
+}
+
 TEST_CASE("a relay refuses nodes beyond its maximum and keeps its members") {
   DigestSource statement = MakeStatement();
   statement.max_members = 2;
--- a/src/rudderloom/fleet/fleet_dissemination.cpp
+++ b/src/rudderloom/fleet/fleet_dissemination.cpp
@@ -227,6 +227,9 @@
     }
   }
   received_ = ReceivedDigest{digest, now - digest.age};
+  if (digest.turns.positions > 0) {
+    turn_origin_ = received_->made_at - digest.turns.clock;
+  }
   spending_.Confirmed(digest.report_counted);
   PublishBalances(digest.balances, received_->made_at);
   UpdateQuotaRelay(now);
@@ -264,6 +267,9 @@
   statement->quarantine = MakeQuarantineTable(now);
   statement->limits = limits_.Table(now);
   statement->permits = MakePermitBasis();
+  common.turns = {0, 0, turn_table_.Positions(),
+                  std::chrono::duration_cast<Duration>(now - turn_origin_.value_or(now))};
+  statement->turns = turn_table_.Spans();
   common.nodes = live_nodes_;
   common.gateways_wanted = gateways_wanted_;
   common.renewals_fail = lease_.IsRenewalOverdue(now);
@@ -289,6 +295,8 @@
   statement->common.crash_news = news_log_.Current(now);
   statement->made_at = received_->made_at;
   statement->gateways = GatewaysToAnnounce(now);
+  UpdateTurnsAsRelay(now);
+  statement->turns = turn_table_.Spans();
   statement->loads = group_.Sums(now);
   for (const auto& [endpoint, load] : received_->digest.loads) {
     statement->loads.all[endpoint] += load;
--- a/src/rudderloom/fleet/fleet_quota.cpp
+++ b/src/rudderloom/fleet/fleet_quota.cpp
@@ -13,6 +13,54 @@
   counts.spending = std::move(report.table);
 }
 
+// As the holder: nodes without reports keep their positions for a while.
+void FleetState::UpdateTurnsAsHolder(TimePoint now) {
+  turn_origin_ = turn_origin_.value_or(now);
+  for (const ReportingNode& node : board_.ReportingNodes("", now)) {
+    turn_table_.Heard(node.name, node.represented_nodes, node.heard_at);
+  }
+  turn_table_.Expire(now);
+}
+
+// As a relay: divides the positions that the holder assigned to this node's group. Members beyond
+// these have no turns until the next digest.
+void FleetState::UpdateTurnsAsRelay(TimePoint now) {
+  const TurnAssignment& assigned = received_->digest.turns;
+  TurnSpans spans;
+  std::uint32_t next = assigned.position + 1;
+  const std::uint32_t end = assigned.position + assigned.count;
+  for (const auto& [node, loads] : group_.Sums(now).by_node) {
+    if (assigned.position > 0 && node != settings_.name && next < end) {
+      spans[node] = {next++, 1};
+    }
+  }
+  turn_table_.Assign(std::move(spans));
+}
+
+// Part of customers' rates that belongs to the nodes whose reports arrive. A new holder counts the
+// nodes that its predecessor knew.
+double FleetState::RefillFraction(TimePoint now) const {
+  const double heard = 1.0 - turn_table_.SilentFraction(now);
+  if (!received_ || now - held_since_ > kTurnReserveTime) {
+    return heard;
+  }
+  const double known = std::max(1U, received_->digest.nodes);
+  return std::min(heard, static_cast<double>(board_.Nodes(now)) / known);
+}
+
+TurnPlan FleetState::OwnTurns() const {
+  if (!turn_origin_) {
+    return {};
+  }
+  if (!holds_lease_) {
+    const TurnAssignment& assigned = received_->digest.turns;
+    return {assigned.position, assigned.positions, *turn_origin_};
+  }
+  const auto own = turn_table_.Spans().find(settings_.name);
+  const std::uint32_t position = own == turn_table_.Spans().end() ? 0 : own->second.first;
+  return {position, turn_table_.Positions(), *turn_origin_};
+}
+
 // Called when the lease is taken: continues from the last balances that this node knows, from the
 // holder's digest or else from the last lease record of the former holder.
 void FleetState::RestoreBalances(const FormerLease& lease, TimePoint now) {
@@ -52,7 +100,8 @@
 void FleetState::UpdateBalances(TimePoint now) {
   const SpendingReport report = spending_.Take(now);
   const QuotaLimits& limits = routes_.Get().Current()->Customers().Limits();
-  ledger_.Update(report.table, limits, now);
+  UpdateTurnsAsHolder(now);
+  ledger_.Update(report.table, limits, now, RefillFraction(now));
   spending_.MarkDelivered(report.number);
   spending_.Confirmed(report.number);
   PublishBalances(ledger_.Balances(now), now);
@@ -106,6 +155,11 @@
   basis->valid_until = TimePoint::max();
   basis->balances = quota_snapshot_->balances;
   basis->limits = routes_.Get().Current()->Customers().Limits();
+  // A holder that this relay does not hear may still grant what was left then. This relay grants
+  // only its group's part of the rate since, after any debt.
+  for (auto& [customer, balance] : basis->balances) {
+    balance.level = std::min<std::int64_t>(balance.level, 0);
+  }
   basis->unknown_since = quota_snapshot_->made_at;
   basis->fraction = std::min(1.0, static_cast<double>(quota_group_) / std::max(1U, live_nodes_));
   basis->counted = grants_in_balances_;
@@ -122,6 +176,7 @@
   word->made_at = made_at;
   word->balances = std::move(balances);
   word->counted = spending_.OwnCounted();
+  word->turns = OwnTurns();
   quota_snapshot_ = std::move(word);
   grants_in_balances_ = grants_counted_;
   view_changed_ = true;
--- a/src/rudderloom/fleet/fleet_quota_test.cpp
+++ b/src/rudderloom/fleet/fleet_quota_test.cpp
@@ -1,5 +1,6 @@
 // A customer's limit in a fleet of 30 nodes with relays, while nodes that keep balances fail.
 #include <doctest/doctest.h>  // for TEST_CASE
+#include <set>                // for set
 
 #include "fakes/fleet_world.hpp"  // for FleetWorld
 
@@ -98,6 +99,70 @@
   CHECK(parts <= 1.0);
 }
 
+// The failure: relays granted the same balance as a holder that they did not hear.
+TEST_CASE("relays grant the rate since the last balances, but not what these left") {
+  FleetWorld world(Options());
+  world.Play(8'000);
+  SpendEverywhere(world);
+  world.Play(2'000);
+  REQUIRE(world.BalanceAt(*world.Holder(), kName).value_or(0) > 0);
+  world.SetStoreDown(true);
+  world.Play(6'000);
+  REQUIRE_FALSE(world.Holder());
+  int granting = 0;
+  for (int i = 0; i < world.Nodes(); ++i) {
+    const auto grants = world.GrantBasisOf(i);
+    if (!grants) {
+      continue;
+    }
+    ++granting;
+    for (const auto& [customer, balance] : grants->balances) {
+      CHECK(balance.level <= 0);
+    }
+  }
+  CHECK(granting > 0);
+}
+
+// Returns the number of running nodes that have a position of their own.
+std::size_t NodesWithOwnTurns(const FleetWorld& world) {
+  std::set<std::uint32_t> positions;
+  for (int i = 0; i < world.Nodes(); ++i) {
+    const TurnPlan turns = world.TurnsOf(i);
+    if (world.Alive(i) && turns.position > 0 && turns.position <= turns.positions) {
+      positions.insert(turns.position);
+    }
+  }
+  return positions.size();
+}
+
+// Two nodes with one position would run twice the rate of a turn.
+TEST_CASE("each node has a position of its own, also after the holder was killed") {
+  FleetWorld world(Options());
+  world.Play(12'000);
+  SpendEverywhere(world);
+  world.Play(3'000);
+  CHECK(NodesWithOwnTurns(world) == static_cast<std::size_t>(world.Nodes()));
+  world.Kill(*world.Holder());
+  world.Play(20'000);
+  REQUIRE(world.Holder());
+  CHECK(NodesWithOwnTurns(world) == static_cast<std::size_t>(world.Nodes() - 1));
+}
+
+TEST_CASE("all nodes see the same clock of the turns, also after a change of the holder") {
+  FleetWorld world(Options());
+  world.Play(12'000);
+  const TimePoint origin = world.TurnsOf(0).origin;
+  world.Kill(*world.Holder());
+  world.Play(12'000);
+  for (int i = 0; i < world.Nodes(); ++i) {
+    if (world.Alive(i)) {
+      CAPTURE(i);
+      const auto error = std::chrono::abs(world.TurnsOf(i).origin - origin);
+      CHECK(error <= Duration(150));
+    }
+  }
+}
+
 TEST_CASE("after all processes were killed the lease record has the lowest balances") {
   FleetWorld world(Options());
   world.Play(8'000);
--- a/src/rudderloom/forwarding/await_answer.hpp
+++ b/src/rudderloom/forwarding/await_answer.hpp
@@ -14,22 +14,33 @@
 constexpr Duration kNodeAnswerTimeout{250};
 
 // Calls `send_request` once with a callback that takes the answer, or an empty value if there is
-// none. Returns empty after `kNodeAnswerTimeout`.
+// none. Returns empty after `kNodeAnswerTimeout`; an answer that comes later is passed to `on_late`
+// on the traffic thread.
 template <class Answer, class SendRequest>
-Awaitable<std::optional<Answer>> AwaitAnswer(asio::io_context& context, SendRequest send_request) {
+Awaitable<std::optional<Answer>> AwaitAnswer(asio::io_context& context,
+                                             SendRequest send_request,
+                                             std::function<void(const Answer&)> on_late = {}) {
   struct Waiting {
     Timer timer;
     std::optional<Answer> answer;
+    bool timed_out = false;
   };
   auto waiting = std::make_shared<Waiting>(Waiting{Timer(context), {}});
   waiting->timer.expires_after(kNodeAnswerTimeout);
-  send_request([&context, waiting](std::optional<Answer> answer) {
-    asio::post(context, [waiting, answer] {
+  send_request([&context, waiting, on_late](std::optional<Answer> answer) {
+    asio::post(context, [waiting, answer, on_late] {
+      if (waiting->timed_out) {
+        if (answer && on_late) {
+          on_late(*answer);
+        }
+        return;
+      }
       waiting->answer = answer;
       waiting->timer.cancel();
     });
   });
   co_await waiting->timer.async_wait(kAsTuple);
+  waiting->timed_out = !waiting->answer;
   co_return waiting->answer;
 }
 
--- a/src/rudderloom/forwarding/quota_grant.hpp
+++ b/src/rudderloom/forwarding/quota_grant.hpp
@@ -30,6 +30,7 @@
  private:
   // Decides from this node's local quota account.
   QuotaDecision Decide(GranterReach reach);
+  void CountAlone(const QuotaDecision& decision);
 
   ForwardingState& state_;
   SpendRequest spend_;
--- a/src/rudderloom/peers/fleet_codec.cpp
+++ b/src/rudderloom/peers/fleet_codec.cpp
@@ -334,6 +334,10 @@
   WriteLoads(digest.loads, out.initLoads(digest.loads.size()));
   WriteBalances(digest.balances, out.initBalances(digest.balances.size()));
   out.setReportCounted(digest.report_counted);
+  out.setTurnPosition(digest.turns.position);
+  out.setTurnCount(digest.turns.count);
+  out.setTurnPositions(digest.turns.positions);
+  out.setTurnClockMs(digest.turns.clock.count());
   if (digest.quarantine) {
     WriteQuarantine(*digest.quarantine, out.initQuarantine());
   }
@@ -371,6 +375,8 @@
   digest.loads = ReadLoads(in.getLoads());
   digest.balances = ReadBalances(in.getBalances());
   digest.report_counted = in.getReportCounted();
+  digest.turns = {in.getTurnPosition(), in.getTurnCount(), in.getTurnPositions(),
+                  Duration(in.getTurnClockMs())};
   if (in.hasQuarantine()) {
     digest.quarantine = ReadQuarantine(in.getQuarantine());
   }
--- a/src/rudderloom/peers/fleet_codec_test.cpp
+++ b/src/rudderloom/peers/fleet_codec_test.cpp
@@ -17,6 +17,7 @@
   digest.endpoints.version = StoreRevision(3, 1'234);
   digest.endpoints.whole = true;
   digest.serving.gone = {"i-gone"};
+  digest.turns = {17, 3, 60, Duration(123'456)};
   digest.loads_due = {{{"scribe-pool", "milo24", ""}, {Duration(5'200), 40}},
                       {{"scribe-pool", "milo24", "a1"}, {Duration(0), 0}}};
   for (int i = 0; i < endpoints; ++i) {
@@ -54,6 +55,18 @@
   CHECK(decoded.endpoints.values == original.endpoints.values);
   CHECK(decoded.endpoints_age == original.endpoints_age);
   CHECK(decoded.loads_due == original.loads_due);
+  CHECK(decoded.turns.position == 17);
+  CHECK(decoded.turns.count == 3);
+  CHECK(decoded.turns.positions == 60);
+  CHECK(decoded.turns.clock == Duration(123'456));
+}
+
+// Guards against nodes that take the absence of positions for the first one.
+TEST_CASE("the digest of an earlier build gives no turns") {
+  capnp::MallocMessageBuilder message;
+  const HolderDigest decoded = Read(message.initRoot<rpc::Digest>().asReader());
+  CHECK(decoded.turns.position == 0);
+  CHECK(decoded.turns.positions == 0);
 }
 
 // Returns a configuration with `count` routes and two services, one of them with an engine.
--- a/src/rudderloom/peers/holder_link.cpp
+++ b/src/rudderloom/peers/holder_link.cpp
@@ -21,6 +21,9 @@
 
 // The caller waits for this call. Between two availability zones it takes about 5 ms.
 constexpr Duration kCallTimeout{150};
+// A grant that comes after the caller has gone on is returned, see `QuotaGrant`. A holder with an
+// eighth of its CPU answers within this time.
+constexpr Duration kSpendCallTimeout{2'000};
 // Calls go to the holder and its standbys; others have been one of them before.
 constexpr std::size_t kMaxCallConnections = 16;
 
@@ -251,10 +254,18 @@
         .attach(kj::mv(connection));
   }
 
+  static Duration TimeoutOf(const PendingSpend&) { return kSpendCallTimeout; }
+
+  template <class Pending>
+  static Duration TimeoutOf(const Pending&) {
+    return kCallTimeout;
+  }
+
   template <class Pending>
   kj::Promise<void> Ask(const std::string& to, Pending pending) {
     auto shared_call = std::make_shared<Pending>(std::move(pending));
-    return timer_.timeoutAfter(ToKj(kCallTimeout), ConnectAndCall(to, shared_call->parameters))
+    return timer_
+        .timeoutAfter(ToKj(TimeoutOf(*shared_call)), ConnectAndCall(to, shared_call->parameters))
         .then([shared_call](auto&& answer) { shared_call->done(answer); },
               [this, to, shared_call](kj::Exception&&) {
                 call_connections_.erase(to);
--- a/src/rudderloom/quota/quota_account.cpp
+++ b/src/rudderloom/quota/quota_account.cpp
@@ -4,6 +4,8 @@
 #include <cmath>      // for ceil
 #include <utility>    // for move
 
+#include "rudderloom/quota/turn_schedule.hpp"  // for TurnAt
+
 namespace rudderloom {
 
 namespace {
@@ -16,6 +18,9 @@
 // any node. The other half is divided by demand.
 constexpr double kEqualFraction = 0.5;
 constexpr double kMillisecondsPerSecond = 1'000.0;
+// Time after an unanswered ask for which a node does not ask for that customer: a slow holder gets
+// fewer asks, and each of them may book a grant that is not used.
+constexpr Duration kAloneTime{1'000};
 // Maximum time for which a refusal is cached: other nodes may have refunded requests since.
 constexpr Duration kMaxRefusalTime{300};
 
@@ -29,9 +34,14 @@
   return snapshot_ && now - snapshot_->made_at < kMaxGrantDigestAge;
 }
 
-// Per second: the shared fraction while other nodes grant the rest, otherwise the full share.
+bool QuotaAccount::HasTurns() const {
+  return snapshot_ && snapshot_->turns.position > 0;
+}
+
+// Per second: the shared fraction while the rest is granted by other nodes or spent in turns,
+// otherwise the full share.
 double QuotaAccount::RefillRate(const Account& account, GranterReach reach, TimePoint now) const {
-  const bool alone = reach == GranterReach::kUnreachable && !HasFreshDigest(now);
+  const bool alone = reach == GranterReach::kUnreachable && !HasFreshDigest(now) && !HasTurns();
   const double fraction = alone ? 1.0 : kSharedFraction;
   return fraction * account.share * static_cast<double>(account.limit.per_second);
 }
@@ -78,26 +88,69 @@
                                    TimePoint now) {
   Account& account = accounts_[customer];
   Refill(account, reach, now);
-  if (reach == GranterReach::kReachable && account.balance < static_cast<double>(amount)) {
+  const bool asks = reach == GranterReach::kReachable && now >= account.alone_until;
+  if (asks && account.balance < static_cast<double>(amount)) {
     return now < account.refused_until
                ? QuotaDecision{QuotaVerdict::kRefused, Between(now, account.refused_until)}
                : QuotaDecision{QuotaVerdict::kAsk, Duration(0)};
   }
-  if (account.balance < 0.0) {
-    const double seconds = -account.balance / std::max(1.0, RefillRate(account, reach, now));
-    const double wait = seconds * kMillisecondsPerSecond;
-    return {QuotaVerdict::kRefused, Duration(static_cast<Duration::rep>(std::ceil(wait)))};
+  if (account.balance < static_cast<double>(amount)) {
+    return HasTurns() ? DecideInTurn(account, amount, now)
+                      : QuotaDecision{QuotaVerdict::kRefused, WaitForShare(account, amount, now)};
   }
   account.balance -= static_cast<double>(amount);
+  Spend(account, amount);
+  return {QuotaVerdict::kGranted, Duration(0)};
+}
+
+void QuotaAccount::Spend(Account& account, std::uint64_t amount) {
   account.total_spent += static_cast<std::int64_t>(amount);
   account.unreported.spent += static_cast<std::int64_t>(amount);
-  return {QuotaVerdict::kGranted, Duration(0)};
+}
+
+Duration QuotaAccount::WaitForShare(const Account& account,
+                                    std::uint64_t amount,
+                                    TimePoint now) const {
+  const double missing = static_cast<double>(amount) - account.balance;
+  const double rate = std::max(1.0, RefillRate(account, GranterReach::kUnreachable, now));
+  const double wait = std::ceil(missing / rate * kMillisecondsPerSecond);
+  return Duration(
+      static_cast<Duration::rep>(std::min(wait, static_cast<double>(kMaxQuotaWait.count()))));
+}
+
+// Turns of a node are at least half a cycle apart, also when its position has changed.
+QuotaDecision QuotaAccount::DecideInTurn(Account& account,
+                                         std::uint64_t amount,
+                                         TimePoint now) const {
+  const Turn turn = TurnAt(snapshot_->turns, account.limit, bounds_, now);
+  if (turn.cycle <= Duration(0)) {
+    return {QuotaVerdict::kRefused, WaitForShare(account, amount, now)};
+  }
+  const Duration since_last = std::chrono::duration_cast<Duration>(now - account.turn_began_at);
+  const bool is_new = turn.open && turn.began_at != account.turn_began_at;
+  if (is_new && since_last >= turn.cycle / 2) {
+    account.turn_began_at = turn.began_at;
+    account.turn_spent = 0.0;
+  }
+  const bool usable = turn.open && account.turn_began_at == turn.began_at &&
+                      now >= account.debt_until &&
+                      account.turn_spent + static_cast<double>(amount) <= turn.budget;
+  if (!usable) {
+    return {QuotaVerdict::kRefused, std::min(turn.wait, kMaxQuotaWait), true};
+  }
+  account.turn_spent += static_cast<double>(amount);
+  Spend(account, amount);
+  return {QuotaVerdict::kGranted, Duration(0), true};
 }
 
 void QuotaAccount::RefusedByGranter(CustomerKey customer, Duration wait, TimePoint now) {
   accounts_[customer].refused_until = now + std::min(wait, kMaxRefusalTime);
 }
 
+void QuotaAccount::Unanswered(CustomerKey customer, TimePoint now) {
+  accounts_[customer].alone_until = now + kAloneTime;
+}
+
 void QuotaAccount::Refund(CustomerKey customer, std::uint64_t amount) {
   const auto found = accounts_.find(customer);
   if (found == accounts_.end()) {
@@ -130,6 +183,10 @@
       kSharedFraction * std::max(0.0, std::min(MaxShare(account), account.share * level));
   account.balance = shared - static_cast<double>(account.total_spent - own);
   account.refilled_at = now;
+  const double debt = std::max(0.0, -static_cast<double>(reported.level));
+  const double rate = std::max(1.0, static_cast<double>(account.limit.per_second));
+  account.debt_until = snapshot_->made_at +
+                       Duration(static_cast<Duration::rep>(debt / rate * kMillisecondsPerSecond));
 }
 
 void QuotaAccount::ApplyDigest(QuotaSnapshotPtr snapshot, TimePoint now) {
--- a/src/rudderloom/quota/quota_ledger.cpp
+++ b/src/rudderloom/quota/quota_ledger.cpp
@@ -30,16 +30,23 @@
 }
 
 // The level is limited to one window's debt: earlier spending can't violate the bound any more.
-void QuotaLedger::Refill(Entry& entry, const QuotaLimit& limit, TimePoint now) const {
+void QuotaLedger::Refill(Entry& entry,
+                         const QuotaLimit& limit,
+                         TimePoint now,
+                         double fraction) const {
   const auto rate = static_cast<double>(limit.per_second);
   const double seconds = std::chrono::duration<double>(now - entry.refilled_at).count();
   const double min_level = -rate * std::chrono::duration<double>(bounds_.window).count();
   const auto max_level = static_cast<double>(MaxBalance(limit, bounds_));
-  entry.level = std::clamp(entry.level + rate * std::max(0.0, seconds), min_level, max_level);
+  entry.level =
+      std::clamp(entry.level + fraction * rate * std::max(0.0, seconds), min_level, max_level);
   entry.refilled_at = now;
 }
 
-void QuotaLedger::Update(const SpendingTable& reported, const QuotaLimits& limits, TimePoint now) {
+void QuotaLedger::Update(const SpendingTable& reported,
+                         const QuotaLimits& limits,
+                         TimePoint now,
+                         double refill_fraction) {
   std::erase_if(entries_, [&](const auto& entry) { return !limits.contains(entry.first); });
   for (const auto& [customer, spending] : reported) {
     if (const auto limit = limits.find(customer); limit != limits.end()) {
@@ -47,7 +54,7 @@
     }
   }
   for (auto& [customer, entry] : entries_) {
-    Refill(entry, limits.at(customer), now);
+    Refill(entry, limits.at(customer), now, refill_fraction);
     const auto found = reported.find(customer);
     entry.nodes = found == reported.end() ? 0 : found->second.nodes;
     if (found != reported.end()) {
--- a/tests/fakes/fleet_world.hpp
+++ b/tests/fakes/fleet_world.hpp
@@ -82,6 +82,8 @@
   /// @brief Returns the balance of the customer that the node last received, nullopt before the
   /// first.
   std::optional<std::int64_t> BalanceAt(int node, const std::string& customer) const;
+  /// @brief Returns the turns that the node last received, empty before the first.
+  TurnPlan TurnsOf(int node) const;
   /// @brief Reports crash news from the traffic of the node: requests under which endpoints
   /// crashed, or which endpoints answered.
   void See(int node, const CrashNews& news);
--- a/tests/fakes/fleet_world_views.cpp
+++ b/tests/fakes/fleet_world_views.cpp
@@ -27,6 +27,11 @@
   return found == view->quota->balances.end() ? std::nullopt : std::optional(found->second.level);
 }
 
+TurnPlan FleetWorld::TurnsOf(int node) const {
+  const FleetViewPtr& view = NodeAt(node).view;
+  return view && view->quota ? view->quota->turns : TurnPlan();
+}
+
 // Traffic requests a sample soon after crash news.
 void FleetWorld::See(int node, const CrashNews& news) {
   MergeNews(news, NodeAt(node).crash_news);
