Decide with the whole limit at the only node, and give turns a part of the rate

Cause: with turns, a node that was told to be the only live one refused every request larger than a share, and so did all nodes where the bounds allow neither overshoot nor slack, as the budgets of their turns were zero. Five cases of platform_forwarding_test failed for this. Change: the only node (position 1 of 1, by the holder's message or its own lease) spends the balance of all nodes. Without overshoot and slack, turns use half of the rate, and the quarter left over covers a budget as large as the burst. Refusals state the first share or turn that admits the request, or the next ask of a granting node. Settings without a quota window keep the earlier rule (QuotaBounds::enforced).

--- a/include/rudderloom/fleet/fleet_state.hpp
+++ b/include/rudderloom/fleet/fleet_state.hpp
@@ -129,6 +129,7 @@
   void UpdateTurnsAsHolder(TimePoint now);
   void UpdateTurnsAsRelay(TimePoint now);
   TurnPlan OwnTurns() const;
+  std::uint32_t TurnPositions() const;
   double RefillFraction(TimePoint now) const;
   void PublishBalances(BalanceTable balances, TimePoint made_at);
   void RecordCrashNews(const CrashNews& news, TimePoint now);
--- a/include/rudderloom/quota/quota_account.hpp
+++ b/include/rudderloom/quota/quota_account.hpp
@@ -50,7 +50,11 @@
 /// While there is no holder, relays grant the same way, each its group's part. If no granting node
 /// can be asked, a request that exceeds the share runs only in a turn of this node (`TurnAt`), and
 /// not before the last known debt of the customer is recovered. A share is never overdrawn. A node
-/// without data on a customer uses a small fixed share and has no turns.
+/// without data on a customer uses a small fixed share and has no turns: all nodes may be in this
+/// state at once. A node that was told to be the only one spends the balance of all nodes.
+///
+/// Where no bound on a window is enforced (`QuotaBounds::enforced`), a node that can ask nobody may
+/// run one request ahead of its share.
 /// @ingroup quota
 class QuotaAccount {
  public:
@@ -60,6 +64,8 @@
   /// requests. After that its relays do, each for the nodes that report to it.
   bool HasFreshDigest(TimePoint now) const;
 
+  const QuotaBounds& Bounds() const { return bounds_; }
+
   /// @brief Records a request. Call once per request, before any decision on it.
   void RecordRequest(CustomerKey customer,
                      const QuotaLimit& limit,
@@ -91,12 +97,14 @@
  private:
   struct Account {
     QuotaLimit limit;
-    double share = 0.0;       // fraction of the customer's rate and balance
-    double balance = 0.0;     // this node's part
-    TimePoint refused_until;  // by the granting node
-    TimePoint alone_until;    // after an ask that it did not answer
+    double share = 0.0;          // fraction of the customer's rate and balance
+    double balance = 0.0;        // this node's part
+    double fleet_balance = 0.0;  // of all nodes; valid while this is the only one
+    TimePoint refused_until;     // by the granting node
+    TimePoint alone_until;       // after an ask that it did not answer
     TimePoint refilled_at;
     TimePoint debt_until;  // the last known negative balance is recovered
+    TimePoint turns_from;  // the last known balance is recovered to the start level of turns
     TimePoint turn_began_at;
     double turn_spent = 0.0;  // of the budget of that turn
     TimePoint asked_at;
@@ -110,9 +118,18 @@
   double RefillRate(const Account& account, GranterReach reach, TimePoint now) const;
   void Refill(Account& account, GranterReach reach, TimePoint now) const;
   bool HasTurns() const;
+  bool IsOnlyNode() const;
+  QuotaDecision DecideAhead(Account& account,
+                            std::uint64_t amount,
+                            GranterReach reach,
+                            TimePoint now) const;
+  QuotaDecision DecideForAllNodes(Account& account, std::uint64_t amount, TimePoint now) const;
   QuotaDecision DecideInTurn(Account& account, std::uint64_t amount, TimePoint now) const;
-  Duration WaitForShare(const Account& account, std::uint64_t amount, TimePoint now) const;
+  QuotaDecision RefuseAlone(const Account& account, std::uint64_t amount, TimePoint now) const;
+  static Duration WaitForGrant(const Account& account, TimePoint now);
+  TimePoint TurnsFrom(const Account& account, double level) const;
   static void Spend(Account& account, std::uint64_t amount);
+  static void SpendShare(Account& account, std::uint64_t amount);
   void ApplySnapshot(CustomerKey customer, Account& account, TimePoint now) const;
 
   QuotaBounds bounds_;
--- a/include/rudderloom/quota/spending.hpp
+++ b/include/rudderloom/quota/spending.hpp
@@ -19,8 +19,19 @@
   Duration window{8'000};  ///< Sliding.
   double overshoot = 0.0;  ///< Fraction of what the limit allows within the window.
   double slack = 0.0;      ///< In addition, in the limit's unit.
+  /// @brief False where the settings state no window. Then nodes that can ask nobody may each run
+  /// one request ahead of their share.
+  bool enforced = true;
 };
 
+/// @brief Returns by how much requests may exceed a limit within a window.
+/// @ingroup quota
+double AllowedExcess(const QuotaLimit& limit, const QuotaBounds& bounds);
+
+/// @brief Fraction of the allowed excess that is added to the maximum balance.
+/// @ingroup quota
+constexpr double kBalanceFractionOfExcess = 0.25;
+
 /// @brief Returns the maximum balance: what a customer may spend at once after a time without
 /// requests.
 ///
--- a/include/rudderloom/quota/turn_schedule.hpp
+++ b/include/rudderloom/quota/turn_schedule.hpp
@@ -3,14 +3,33 @@
 #ifndef RUDDERLOOM_QUOTA_TURN_SCHEDULE_HPP
 #define RUDDERLOOM_QUOTA_TURN_SCHEDULE_HPP
 
+#include <cstdint>   // for uint64_t
+#include <optional>  // for optional
+
 #include "rudderloom/quota/spending.hpp"  // for QuotaBounds, TurnPlan
 
 namespace rudderloom {
 
-/// @brief Fraction of a customer's rate that turns use. The rest is spent by shares, which nodes
-/// keep during turns.
+/// @brief What a customer's turns add up to over all nodes.
+///
+/// Budgets are one, two or four units, on average two. Where the bounds allow an excess H over the
+/// limit, turns use three quarters of the rate, and the largest budget is H/4: with the open time
+/// they exceed that part of the rate by three eighths of H within a window.
+///
+/// Where they allow none, turns use half of the rate. The quarter that is left unused over a window
+/// then covers the largest budget, which is the burst or, for a burst that is too large for this,
+/// an eighth of what the rate gives within a window.
+/// @ingroup quota
+struct TurnTerms {
+  double unit = 0.0;         ///< In the limit's unit.
+  double per_second = 0.0;   ///< Spent by all turns.
+  double start_level = 0.0;  ///< Turns begin when the last known balance has recovered to this.
+  double LargestBudget() const;
+};
+
+/// @brief Returns the terms of the turns under a limit.
 /// @ingroup quota
-constexpr double kTurnFraction = 0.75;
+TurnTerms TurnTermsOf(const QuotaLimit& limit, const QuotaBounds& bounds);
 
 /// @brief A node's turns under one limit.
 /// @ingroup quota
@@ -24,15 +43,21 @@
 
 /// @brief Returns the node's turn at `now`. A node without a position has no turns.
 ///
-/// Turns begin one after the other, spaced so that their budgets add up to kTurnFraction * rate.
-/// What a turn leaves unused expires. Within any window W all nodes together therefore spend at
-/// most kTurnFraction * rate * W plus three eighths of the allowed overshoot, for any number of
-/// nodes.
+/// Turns begin one after the other, spaced so that their budgets add up to `TurnTerms::per_second`.
+/// What a turn leaves unused expires. Within any window all nodes together therefore spend at most
+/// that rate plus six units, for any number of nodes.
+/// @ingroup quota
+Turn TurnAt(const TurnPlan& plan, const TurnTerms& terms, TimePoint now);
+
+/// @brief Returns the time until the node's next turn whose budget admits a request of this amount.
+/// Empty if no turn of the node does.
+/// @param not_before The turn begins at this time or later.
 /// @ingroup quota
-Turn TurnAt(const TurnPlan& plan,
-            const QuotaLimit& limit,
-            const QuotaBounds& bounds,
-            TimePoint now);
+std::optional<Duration> WaitForTurn(const TurnPlan& plan,
+                                    const TurnTerms& terms,
+                                    std::uint64_t amount,
+                                    TimePoint not_before,
+                                    TimePoint now);
 
 }  // namespace rudderloom
 
--- a/src/rudderloom/fleet/fleet_dissemination.cpp
+++ b/src/rudderloom/fleet/fleet_dissemination.cpp
@@ -267,7 +267,7 @@
   statement->quarantine = MakeQuarantineTable(now);
   statement->limits = limits_.Table(now);
   statement->permits = MakePermitBasis();
-  common.turns = {0, 0, turn_table_.Positions(),
+  common.turns = {0, 0, TurnPositions(),
                   std::chrono::duration_cast<Duration>(now - turn_origin_.value_or(now))};
   statement->turns = turn_table_.Spans();
   common.nodes = live_nodes_;
--- a/src/rudderloom/fleet/fleet_quota.cpp
+++ b/src/rudderloom/fleet/fleet_quota.cpp
@@ -40,6 +40,9 @@
 // Part of customers' rates that belongs to the nodes whose reports arrive. A new holder counts the
 // nodes that its predecessor knew.
 double FleetState::RefillFraction(TimePoint now) const {
+  if (!settings_.bounds.quota.enforced) {
+    return 1.0;
+  }
   const double heard = 1.0 - turn_table_.SilentFraction(now);
   if (!received_ || now - held_since_ > kTurnReserveTime) {
     return heard;
@@ -58,7 +61,12 @@
   }
   const auto own = turn_table_.Spans().find(settings_.name);
   const std::uint32_t position = own == turn_table_.Spans().end() ? 0 : own->second.first;
-  return {position, turn_table_.Positions(), *turn_origin_};
+  return {position, TurnPositions(), *turn_origin_};
+}
+
+// Includes nodes that a new holder has not heard yet: it is not the only node because of them.
+std::uint32_t FleetState::TurnPositions() const {
+  return std::max(turn_table_.Positions(), live_nodes_);
 }
 
 // Called when the lease is taken: continues from the last balances that this node knows, from the
@@ -157,8 +165,10 @@
   basis->limits = routes_.Get().Current()->Customers().Limits();
   // A holder that this relay does not hear may still grant what was left then. This relay grants
   // only its group's part of the rate since, after any debt.
-  for (auto& [customer, balance] : basis->balances) {
-    balance.level = std::min<std::int64_t>(balance.level, 0);
+  if (settings_.bounds.quota.enforced) {
+    for (auto& [customer, balance] : basis->balances) {
+      balance.level = std::min<std::int64_t>(balance.level, 0);
+    }
   }
   basis->unknown_since = quota_snapshot_->made_at;
   basis->fraction = std::min(1.0, static_cast<double>(quota_group_) / std::max(1U, live_nodes_));
--- a/src/rudderloom/fleet/fleet_settings.cpp
+++ b/src/rudderloom/fleet/fleet_settings.cpp
@@ -44,7 +44,9 @@
   bounds.retry_extra = reader.Number("retry_extra", 0.0, kMaxRetryExtra, bounds.retry_extra);
   bounds.retry_window = reader.Time("retry_window", bounds.retry_window);
   bounds.configuration = reader.Time("configuration", bounds.configuration);
-  bounds.quota.window = reader.Time("quota_window", bounds.quota.window);
+  const Duration quota_window = reader.Time("quota_window", Duration(0));
+  bounds.quota.enforced = quota_window > Duration(0);
+  bounds.quota.window = bounds.quota.enforced ? quota_window : bounds.quota.window;
   bounds.quota.overshoot = reader.Number("quota_overshoot", 0.0, 1.0, bounds.quota.overshoot);
   bounds.quota.slack = reader.Number("quota_slack", 0.0, kMaxQuotaSlack, bounds.quota.slack);
 }
--- a/src/rudderloom/forwarding/quota_grant.cpp
+++ b/src/rudderloom/forwarding/quota_grant.cpp
@@ -76,7 +76,7 @@
   // The request is decided without a late grant, so that the granting node has booked it for
   // nothing.
   const auto return_late = [&state = state_, spend = spend_](const SpendAnswer& late) {
-    if (late.verdict == SpendVerdict::kGranted) {
+    if (late.verdict == SpendVerdict::kGranted && state.quota.Bounds().enforced) {
       state.quota.Refund(spend.customer, spend.amount);
       state.metrics.Count({"rudderloom_quota_late_grants_total"});
     }
--- a/src/rudderloom/quota/quota_account.cpp
+++ b/src/rudderloom/quota/quota_account.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>  // for clamp, max, min
 #include <cmath>      // for ceil
+#include <optional>   // for optional
 #include <utility>    // for move
 
 #include "rudderloom/quota/turn_schedule.hpp"  // for TurnAt
@@ -21,9 +22,23 @@
 // Time after an unanswered ask for which a node does not ask for that customer: a slow holder gets
 // fewer asks, and each of them may book a grant that is not used.
 constexpr Duration kAloneTime{1'000};
+// Limit of the times that are computed from amounts, which may be large where the rate is small.
+constexpr Duration kMaxRecovery = std::chrono::hours(1);
 // Maximum time for which a refusal is cached: other nodes may have refunded requests since.
 constexpr Duration kMaxRefusalTime{300};
 
+// Time until an amount is refilled.
+Duration TimeToRecover(double missing, double per_second) {
+  const double wait = std::ceil(missing / std::max(1.0, per_second) * kMillisecondsPerSecond);
+  return Duration(
+      static_cast<Duration::rep>(std::min(wait, static_cast<double>(kMaxRecovery.count()))));
+}
+
+// The same, as a refusal states it.
+Duration RecoveryTime(double missing, double per_second) {
+  return std::min(TimeToRecover(missing, per_second), kMaxQuotaWait);
+}
+
 }  // namespace
 
 double QuotaAccount::MaxShare(const Account& account) const {
@@ -35,7 +50,11 @@
 }
 
 bool QuotaAccount::HasTurns() const {
-  return snapshot_ && snapshot_->turns.position > 0;
+  return bounds_.enforced && snapshot_ && snapshot_->turns.position > 0;
+}
+
+bool QuotaAccount::IsOnlyNode() const {
+  return HasTurns() && snapshot_->turns.positions == 1;
 }
 
 // Per second: the shared fraction while the rest is granted by other nodes or spent in turns,
@@ -50,6 +69,9 @@
   const double seconds = std::chrono::duration<double>(now - account.refilled_at).count();
   account.balance =
       std::min(MaxShare(account), account.balance + RefillRate(account, reach, now) * seconds);
+  account.fleet_balance =
+      std::min(static_cast<double>(MaxBalance(account.limit, bounds_)),
+               account.fleet_balance + static_cast<double>(account.limit.per_second) * seconds);
   account.refilled_at = now;
 }
 
@@ -67,6 +89,10 @@
     account.share = 1.0 / kAssumedNodes;
     // The holder lists all active customers: any other customer has a full balance.
     account.balance = HasFreshDigest(now) ? kSharedFraction * MaxShare(account) : 0.0;
+    account.fleet_balance = static_cast<double>(MaxBalance(limit, bounds_));
+    if (snapshot_) {
+      account.turns_from = TurnsFrom(account, account.fleet_balance);
+    }
     ApplySnapshot(customer, account, now);
   }
   return account;
@@ -94,38 +120,98 @@
                ? QuotaDecision{QuotaVerdict::kRefused, Between(now, account.refused_until)}
                : QuotaDecision{QuotaVerdict::kAsk, Duration(0)};
   }
+  if (!bounds_.enforced) {
+    return DecideAhead(account, amount, reach, now);
+  }
+  if (!asks && IsOnlyNode()) {
+    return DecideForAllNodes(account, amount, now);
+  }
   if (account.balance < static_cast<double>(amount)) {
-    return HasTurns() ? DecideInTurn(account, amount, now)
-                      : QuotaDecision{QuotaVerdict::kRefused, WaitForShare(account, amount, now)};
+    return DecideInTurn(account, amount, now);
   }
-  account.balance -= static_cast<double>(amount);
-  Spend(account, amount);
-  return {QuotaVerdict::kGranted, Duration(0)};
+  SpendShare(account, amount);
+  return {};
+}
+
+// Without a bound on a window: a request may run while the share is not negative, and the excess is
+// owed.
+QuotaDecision QuotaAccount::DecideAhead(Account& account,
+                                        std::uint64_t amount,
+                                        GranterReach reach,
+                                        TimePoint now) const {
+  if (account.balance < 0.0) {
+    const double seconds = -account.balance / std::max(1.0, RefillRate(account, reach, now));
+    const double wait = seconds * kMillisecondsPerSecond;
+    return {QuotaVerdict::kRefused, Duration(static_cast<Duration::rep>(std::ceil(wait)))};
+  }
+  SpendShare(account, amount);
+  return {};
+}
+
+// The only node spends the balance of all nodes, and overdraws it by one request as the holder
+// does, within the three quarters of the allowed excess that the maximum balance leaves.
+QuotaDecision QuotaAccount::DecideForAllNodes(Account& account,
+                                              std::uint64_t amount,
+                                              TimePoint now) const {
+  const double overdraft = (1.0 - kBalanceFractionOfExcess) * AllowedExcess(account.limit, bounds_);
+  const double required = std::max(0.0, static_cast<double>(amount) - overdraft);
+  if (account.fleet_balance >= required) {
+    SpendShare(account, amount);
+    return {};
+  }
+  if (required > static_cast<double>(MaxBalance(account.limit, bounds_))) {
+    return {QuotaVerdict::kRefused, WaitForGrant(account, now)};
+  }
+  return {QuotaVerdict::kRefused, RecoveryTime(required - account.fleet_balance,
+                                               static_cast<double>(account.limit.per_second))};
 }
 
 void QuotaAccount::Spend(Account& account, std::uint64_t amount) {
+  account.fleet_balance -= static_cast<double>(amount);
   account.total_spent += static_cast<std::int64_t>(amount);
   account.unreported.spent += static_cast<std::int64_t>(amount);
 }
 
-Duration QuotaAccount::WaitForShare(const Account& account,
-                                    std::uint64_t amount,
-                                    TimePoint now) const {
-  const double missing = static_cast<double>(amount) - account.balance;
-  const double rate = std::max(1.0, RefillRate(account, GranterReach::kUnreachable, now));
-  const double wait = std::ceil(missing / rate * kMillisecondsPerSecond);
-  return Duration(
-      static_cast<Duration::rep>(std::min(wait, static_cast<double>(kMaxQuotaWait.count()))));
+void QuotaAccount::SpendShare(Account& account, std::uint64_t amount) {
+  account.balance -= static_cast<double>(amount);
+  Spend(account, amount);
+}
+
+// A request that no share and no turn admits runs by a grant only. The granting node is asked again
+// after a pause, and grants nothing before the last known debt is recovered.
+Duration QuotaAccount::WaitForGrant(const Account& account, TimePoint now) {
+  const Duration until_asked = std::max(kAloneTime, Between(now, account.alone_until));
+  return std::min(std::max(until_asked, Between(now, account.debt_until)), kMaxQuotaWait);
+}
+
+// Until the share or a turn of this node admits the request, whichever comes first.
+QuotaDecision QuotaAccount::RefuseAlone(const Account& account,
+                                        std::uint64_t amount,
+                                        TimePoint now) const {
+  std::optional<Duration> by_turn;
+  if (HasTurns()) {
+    by_turn = WaitForTurn(snapshot_->turns, TurnTermsOf(account.limit, bounds_), amount,
+                          account.turns_from, now);
+  }
+  std::optional<Duration> by_share;
+  if (static_cast<double>(amount) <= MaxShare(account)) {
+    by_share = RecoveryTime(static_cast<double>(amount) - account.balance,
+                            RefillRate(account, GranterReach::kUnreachable, now));
+  }
+  if (by_turn && (!by_share || *by_turn < *by_share)) {
+    return {QuotaVerdict::kRefused, std::min(*by_turn, kMaxQuotaWait), true};
+  }
+  return {QuotaVerdict::kRefused, by_share ? *by_share : WaitForGrant(account, now)};
 }
 
 // Turns of a node are at least half a cycle apart, also when its position has changed.
 QuotaDecision QuotaAccount::DecideInTurn(Account& account,
                                          std::uint64_t amount,
                                          TimePoint now) const {
-  const Turn turn = TurnAt(snapshot_->turns, account.limit, bounds_, now);
-  if (turn.cycle <= Duration(0)) {
-    return {QuotaVerdict::kRefused, WaitForShare(account, amount, now)};
+  if (!HasTurns()) {
+    return RefuseAlone(account, amount, now);
   }
+  const Turn turn = TurnAt(snapshot_->turns, TurnTermsOf(account.limit, bounds_), now);
   const Duration since_last = std::chrono::duration_cast<Duration>(now - account.turn_began_at);
   const bool is_new = turn.open && turn.began_at != account.turn_began_at;
   if (is_new && since_last >= turn.cycle / 2) {
@@ -133,22 +219,31 @@
     account.turn_spent = 0.0;
   }
   const bool usable = turn.open && account.turn_began_at == turn.began_at &&
-                      now >= account.debt_until &&
+                      now >= account.turns_from &&
                       account.turn_spent + static_cast<double>(amount) <= turn.budget;
   if (!usable) {
-    return {QuotaVerdict::kRefused, std::min(turn.wait, kMaxQuotaWait), true};
+    return RefuseAlone(account, amount, now);
   }
   account.turn_spent += static_cast<double>(amount);
   Spend(account, amount);
   return {QuotaVerdict::kGranted, Duration(0), true};
 }
 
+// Turns begin when the last known balance has recovered to their start level.
+TimePoint QuotaAccount::TurnsFrom(const Account& account, double level) const {
+  const double missing = TurnTermsOf(account.limit, bounds_).start_level - level;
+  return snapshot_->made_at +
+         TimeToRecover(std::max(0.0, missing), static_cast<double>(account.limit.per_second));
+}
+
 void QuotaAccount::RefusedByGranter(CustomerKey customer, Duration wait, TimePoint now) {
   accounts_[customer].refused_until = now + std::min(wait, kMaxRefusalTime);
 }
 
 void QuotaAccount::Unanswered(CustomerKey customer, TimePoint now) {
-  accounts_[customer].alone_until = now + kAloneTime;
+  if (bounds_.enforced) {
+    accounts_[customer].alone_until = now + kAloneTime;
+  }
 }
 
 void QuotaAccount::Refund(CustomerKey customer, std::uint64_t amount) {
@@ -158,6 +253,7 @@
   }
   Account& account = found->second;
   account.balance += static_cast<double>(amount);
+  account.fleet_balance += static_cast<double>(amount);
   account.total_spent -= static_cast<std::int64_t>(amount);
   account.unreported.spent -= static_cast<std::int64_t>(amount);
 }
@@ -181,12 +277,16 @@
   // A negative balance is recovered by the holder, which grants nothing in the meantime.
   const double shared =
       kSharedFraction * std::max(0.0, std::min(MaxShare(account), account.share * level));
-  account.balance = shared - static_cast<double>(account.total_spent - own);
+  const auto not_counted = static_cast<double>(account.total_spent - own);
+  account.balance = shared - not_counted;
+  account.fleet_balance =
+      std::min(level, static_cast<double>(MaxBalance(account.limit, bounds_))) - not_counted;
   account.refilled_at = now;
-  const double debt = std::max(0.0, -static_cast<double>(reported.level));
-  const double rate = std::max(1.0, static_cast<double>(account.limit.per_second));
-  account.debt_until = snapshot_->made_at +
-                       Duration(static_cast<Duration::rep>(debt / rate * kMillisecondsPerSecond));
+  const auto last_level = static_cast<double>(reported.level);
+  account.debt_until =
+      snapshot_->made_at +
+      TimeToRecover(std::max(0.0, -last_level), static_cast<double>(account.limit.per_second));
+  account.turns_from = TurnsFrom(account, last_level);
 }
 
 void QuotaAccount::ApplyDigest(QuotaSnapshotPtr snapshot, TimePoint now) {
--- a/src/rudderloom/quota/quota_account_test.cpp
+++ b/src/rudderloom/quota/quota_account_test.cpp
@@ -129,6 +129,66 @@
   CHECK(granted <= 88'000);
 }
 
+QuotaSnapshotPtr OnlyNodeSnapshot(std::int64_t level) {
+  auto snapshot = std::make_shared<QuotaSnapshot>(*MakeSnapshot(level, 1, 0, 0));
+  snapshot->turns = {1, 1, At(-60'000)};
+  return snapshot;
+}
+
+// Spends as much as possible alone for a time, and returns the total.
+std::uint64_t Saturate(QuotaAccount& account, std::uint64_t amount, int until_ms) {
+  std::uint64_t spent = 0;
+  for (int ms = 0; ms < until_ms; ms += 10) {
+    while (!SpendAlone(account, kLimit, amount, At(ms))) {
+      spent += amount;
+    }
+  }
+  return spent;
+}
+
+// The failure: the only node of a small deployment refused every request larger than a share while
+// it could not renew its lease.
+TEST_CASE("a node that was told to be the only one spends the whole limit, within the bound") {
+  for (const QuotaBounds& bounds : {kBounds, QuotaBounds{Duration(8'000), 0.0, 0.0}}) {
+    for (const std::uint64_t amount : {std::uint64_t{100}, kRequest, std::uint64_t{29'000}}) {
+      CAPTURE(bounds.slack);
+      CAPTURE(amount);
+      QuotaAccount account(bounds);
+      account.RecordRequest(kCustomer, kLimit, 0, At(0));
+      account.ApplyDigest(OnlyNodeSnapshot(MaxBalance(kLimit, bounds)), At(0));
+      const std::uint64_t spent = Saturate(account, amount, 8'000);
+      const double allowed = 8.0 * 29'000.0 + 29'000.0;
+      CHECK(static_cast<double>(spent) <= allowed + AllowedExcess(kLimit, bounds));
+      CHECK(static_cast<double>(spent) >= allowed - 29'000.0);
+    }
+  }
+}
+
+TEST_CASE("the only node states when the whole limit admits a request, and continues from debt") {
+  QuotaAccount account({Duration(8'000), 0.0, 0.0});
+  account.RecordRequest(kCustomer, kLimit, 0, At(0));
+  account.ApplyDigest(OnlyNodeSnapshot(-14'500), At(0));
+  CHECK(SpendAlone(account, kLimit, 14'500, At(0)) == Duration(1'000));
+  CHECK_FALSE(SpendAlone(account, kLimit, 14'500, At(1'000)));
+  // More than the burst: by a grant only.
+  CHECK(SpendAlone(account, kLimit, 29'001, At(1'000)) == Duration(1'000));
+}
+
+// Deployments whose settings state no window are served as before.
+TEST_CASE("where no window is enforced a node that can ask nobody runs one request ahead") {
+  QuotaBounds bounds = kBounds;
+  bounds.enforced = false;
+  QuotaAccount account(bounds);
+  CHECK_FALSE(SpendAlone(account, kLimit, kRequest, At(0)));
+  const auto wait = SpendAlone(account, kLimit, kRequest, At(100));
+  REQUIRE(wait);
+  // 9,300 tokens at 1/64 of the rate.
+  CHECK(*wait > Duration(20'000));
+  CHECK(*wait < Duration(21'000));
+  account.Unanswered(kCustomer, At(200));
+  CHECK(SpendOrAsk(account, kRequest, At(201)) == QuotaVerdict::kAsk);
+}
+
 TEST_CASE("refused requests are refunded, and the remaining spending is reported once") {
   QuotaAccount account(kBounds);
   account.RecordRequest(kCustomer, kLimit, 1, At(0));
--- a/src/rudderloom/quota/spending.cpp
+++ b/src/rudderloom/quota/spending.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-// Fraction of the allowed overshoot that is added to the maximum balance.
-constexpr double kOvershootFraction = 0.25;
 // Long enough for a customer with one request per second to appear steady.
 constexpr double kDecaySeconds = 5.0;
 
@@ -18,11 +16,15 @@
 
 }  // namespace
 
+double AllowedExcess(const QuotaLimit& limit, const QuotaBounds& bounds) {
+  const double allowed = static_cast<double>(limit.per_second) * Seconds(bounds.window) +
+                         static_cast<double>(limit.burst);
+  return bounds.overshoot * allowed + bounds.slack;
+}
+
 std::int64_t MaxBalance(const QuotaLimit& limit, const QuotaBounds& bounds) {
-  const auto burst = static_cast<double>(limit.burst);
-  const double allowed = static_cast<double>(limit.per_second) * Seconds(bounds.window) + burst;
-  return static_cast<std::int64_t>(burst + kOvershootFraction *
-                                               (bounds.overshoot * allowed + bounds.slack));
+  return static_cast<std::int64_t>(static_cast<double>(limit.burst) +
+                                   kBalanceFractionOfExcess * AllowedExcess(limit, bounds));
 }
 
 double AssumedLevel(AssumedBalance unknown,
--- a/src/rudderloom/quota/turn_schedule.cpp
+++ b/src/rudderloom/quota/turn_schedule.cpp
@@ -1,25 +1,39 @@
 #include "rudderloom/quota/turn_schedule.hpp"
 
+#include <algorithm>  // for max, min
+
 namespace rudderloom {
 
 namespace {
 
-// Parts of the allowed overshoot. Budgets are 1, 2 or 4 units, on average 2. The largest budget
-// adds a quarter of the overshoot to a window, and the open time an eighth: with spending that is
-// not booked yet they stay within the three quarters that `MaxBalance` leaves.
+// Parts of the allowed excess. The largest budget adds a quarter of it to a window, and the open
+// time an eighth: with spending that is not booked yet they stay within the three quarters that
+// `MaxBalance` leaves.
 constexpr double kUnitFraction = 0.0625;
+constexpr double kTurnFraction = 0.75;
+// Without an allowed excess. Shares spend a quarter of the rate, and turns half of it. The largest
+// budget and the open time then add at most three sixteenths of the rate over a window, which
+// leaves a sixteenth for clocks that differ and for spending that is not booked yet.
+constexpr double kTurnFractionWithoutExcess = 0.5;
+constexpr double kLargestFractionOfWindow = 0.125;
+// With the quarter of the rate that turns do not use, a window recovers three quarters of the level
+// before turns begin: the six units of the largest budget and the open time.
+constexpr double kStartLevelInUnits = 8.0;
+
 constexpr double kMeanUnits = 2.0;
-constexpr double kOpenFraction = 0.125;
+constexpr double kOpenUnits = 2.0;
+constexpr int kLargestUnits = 4;
+
+using Seconds = std::chrono::duration<double>;
 
 // Of four successive turns one has four units, one has two and two have one, so that requests of
 // different sizes run without the nodes agreeing on a size.
-double UnitsOf(std::int64_t turn) {
-  constexpr std::int64_t kLarge = 4;
-  constexpr std::int64_t kMedium = 2;
-  if (turn % kLarge == 0) {
-    return kLarge;
+int UnitsOf(std::int64_t turn) {
+  constexpr int kMediumUnits = 2;
+  if (turn % kLargestUnits == 0) {
+    return kLargestUnits;
   }
-  return turn % kMedium == 0 ? kMedium : 1;
+  return turn % kMediumUnits == 0 ? kMediumUnits : 1;
 }
 
 // An odd number of turns in a cycle gives each node turns of all sizes.
@@ -27,30 +41,35 @@
   return plan.positions | 1U;
 }
 
-double Headroom(const QuotaLimit& limit, const QuotaBounds& bounds) {
-  const double seconds = std::chrono::duration<double>(bounds.window).count();
-  const double allowed =
-      static_cast<double>(limit.per_second) * seconds + static_cast<double>(limit.burst);
-  return bounds.overshoot * allowed + bounds.slack;
+}  // namespace
+
+double TurnTerms::LargestBudget() const {
+  return kLargestUnits * unit;
 }
 
-}  // namespace
+TurnTerms TurnTermsOf(const QuotaLimit& limit, const QuotaBounds& bounds) {
+  const auto rate = static_cast<double>(limit.per_second);
+  const double excess = AllowedExcess(limit, bounds);
+  if (excess > 0.0) {
+    return {kUnitFraction * excess, kTurnFraction * rate, 0.0};
+  }
+  const double within_window = rate * Seconds(bounds.window).count();
+  const double largest =
+      std::min(static_cast<double>(limit.burst), kLargestFractionOfWindow * within_window);
+  const double unit = largest / kLargestUnits;
+  return {unit, kTurnFractionWithoutExcess * rate, kStartLevelInUnits * unit};
+}
 
-Turn TurnAt(const TurnPlan& plan,
-            const QuotaLimit& limit,
-            const QuotaBounds& bounds,
-            TimePoint now) {
+Turn TurnAt(const TurnPlan& plan, const TurnTerms& terms, TimePoint now) {
   Turn turn;
-  const double headroom = Headroom(limit, bounds);
-  const double rate = kTurnFraction * static_cast<double>(limit.per_second);
   const bool has_position = plan.position > 0 && plan.position <= plan.positions;
-  if (!has_position || rate <= 0.0 || headroom <= 0.0) {
+  if (!has_position || terms.per_second <= 0.0 || terms.unit <= 0.0) {
     return turn;
   }
-  using Seconds = std::chrono::duration<double>;
-  const double unit = kUnitFraction * headroom;
-  const auto spacing = std::chrono::ceil<Duration>(Seconds(kMeanUnits * unit / rate));
-  const auto open = std::chrono::duration_cast<Duration>(Seconds(kOpenFraction * headroom / rate));
+  const auto spacing =
+      std::chrono::ceil<Duration>(Seconds(kMeanUnits * terms.unit / terms.per_second));
+  const auto open = std::max(Duration(1), std::chrono::duration_cast<Duration>(
+                                              Seconds(kOpenUnits * terms.unit / terms.per_second)));
   const std::int64_t turns = TurnsPerCycle(plan);
   const auto offset = spacing * (plan.position - 1);
   const auto since_first = std::chrono::duration_cast<Duration>(now - plan.origin) - offset;
@@ -61,11 +80,31 @@
   }
   const std::int64_t cycle = since_first / turn.cycle;
   const Duration into_cycle = since_first % turn.cycle;
-  turn.budget = unit * UnitsOf(cycle * turns + plan.position - 1);
+  turn.budget = terms.unit * UnitsOf(cycle * turns + plan.position - 1);
   turn.began_at = now - into_cycle;
   turn.open = into_cycle < open;
   turn.wait = turn.cycle - into_cycle;
   return turn;
 }
 
+std::optional<Duration> WaitForTurn(const TurnPlan& plan,
+                                    const TurnTerms& terms,
+                                    std::uint64_t amount,
+                                    TimePoint not_before,
+                                    TimePoint now) {
+  if (terms.LargestBudget() < static_cast<double>(amount)) {
+    return std::nullopt;
+  }
+  const TimePoint from = std::max(now, not_before);
+  const Turn first = TurnAt(plan, terms, from);
+  // Four successive turns of a node have all sizes.
+  for (int i = 0; first.cycle > Duration(0) && i < kLargestUnits; ++i) {
+    const TimePoint begin = from + first.wait + i * first.cycle;
+    if (TurnAt(plan, terms, begin).budget >= static_cast<double>(amount)) {
+      return Between(now, begin);
+    }
+  }
+  return std::nullopt;
+}
+
 }  // namespace rudderloom
--- a/src/rudderloom/quota/turn_schedule_test.cpp
+++ b/src/rudderloom/quota/turn_schedule_test.cpp
@@ -21,6 +21,7 @@
 constexpr std::uint64_t kPrompt = 2'400;
 const QuotaLimit kLimit{QuotaUnit::kTokens, 40'000, 40'000, 200};
 const QuotaBounds kBounds{Duration(8'000), 0.1, 17'000.0};
+const QuotaBounds kNoExcess{Duration(8'000), 0.0, 0.0};
 constexpr double kHeadroom = 0.1 * 360'000.0 + 17'000.0;
 
 TimePoint At(int milliseconds) {
@@ -28,10 +29,12 @@
 }
 
 // Nodes whose last digest is of the time 0; each sees the shared clock with its own error.
-std::vector<QuotaAccount> NodesAlone(std::int64_t level, int max_clock_error_ms) {
+std::vector<QuotaAccount> NodesAlone(std::int64_t level,
+                                     int max_clock_error_ms,
+                                     const QuotaBounds& bounds = kBounds) {
   std::mt19937 random(1);
   std::uniform_int_distribution<int> error(0, max_clock_error_ms);
-  std::vector<QuotaAccount> nodes(kNodes, QuotaAccount(kBounds));
+  std::vector<QuotaAccount> nodes(kNodes, QuotaAccount(bounds));
   for (std::uint32_t i = 0; i < kNodes; ++i) {
     nodes[i].RecordRequest(kCustomer, kLimit, 0, At(0));
     auto snapshot = std::make_shared<QuotaSnapshot>();
@@ -115,10 +118,51 @@
   CHECK(later.total > 0);
 }
 
+// The failure: without an allowed overshoot the budgets of all turns were zero, and no request that
+// is larger than a share ran.
+TEST_CASE("without overshoot and slack, requests as large as the burst run within the bound") {
+  constexpr double kBound = 8.0 * 40'000.0 + 40'000.0;
+  for (const std::int64_t level : {-40'000, 0, 40'000}) {
+    for (const std::uint64_t amount : {200ULL, 2'400ULL, 9'300ULL, 40'000ULL}) {
+      CAPTURE(level);
+      CAPTURE(amount);
+      const Result result = Saturate(NodesAlone(level, 150, kNoExcess), amount, 0, 60'000);
+      MESSAGE("level ", level, ", amount ", amount, ": most in a window ", result.most,
+              ", per second ", result.total / 60);
+      // What was spent before the last digest in the window is the burst less its balance.
+      CHECK(static_cast<double>(result.most) <= kBound);
+      CHECK(result.total > 0);
+      const Result start = Saturate(NodesAlone(level, 150, kNoExcess), amount, 0, 8'000);
+      CHECK(static_cast<double>(start.total) + 40'000.0 - static_cast<double>(level) <= kBound);
+    }
+  }
+}
+
+TEST_CASE("a refusal states when a turn admits the request, and a larger one the next grant") {
+  std::vector<QuotaAccount> nodes = NodesAlone(0, 0);
+  QuotaAccount& account = nodes[3];
+  const auto decide = [&](std::uint64_t amount, int ms) {
+    return account.Decide(kCustomer, amount, GranterReach::kUnreachable, At(ms));
+  };
+  const QuotaDecision first = decide(kPrompt, 0);
+  REQUIRE(first.verdict == QuotaVerdict::kRefused);
+  CHECK(first.in_turn);
+  CHECK(first.wait > Duration(0));
+  CHECK(first.wait <= kMaxQuotaWait);
+  if (first.wait < kMaxQuotaWait) {
+    CHECK(decide(kPrompt, static_cast<int>(first.wait.count())).verdict == QuotaVerdict::kGranted);
+  }
+  const QuotaDecision too_large = decide(20'000, 0);
+  CHECK(too_large.verdict == QuotaVerdict::kRefused);
+  CHECK_FALSE(too_large.in_turn);
+  CHECK(too_large.wait == Duration(1'000));
+}
+
 TEST_CASE("a node without a position has no turn") {
-  CHECK(TurnAt({0, kNodes, At(0)}, kLimit, kBounds, At(100)).cycle == Duration(0));
-  CHECK(TurnAt({61, kNodes, At(0)}, kLimit, kBounds, At(100)).cycle == Duration(0));
-  CHECK(TurnAt({1, 0, At(0)}, kLimit, kBounds, At(100)).cycle == Duration(0));
+  const TurnTerms terms = TurnTermsOf(kLimit, kBounds);
+  CHECK(TurnAt({0, kNodes, At(0)}, terms, At(100)).cycle == Duration(0));
+  CHECK(TurnAt({61, kNodes, At(0)}, terms, At(100)).cycle == Duration(0));
+  CHECK(TurnAt({1, 0, At(0)}, terms, At(100)).cycle == Duration(0));
 }
 
 TEST_CASE("a node that is given another position has no second turn at once") {
