Deduct the turns of silent nodes when they come, and keep positions in groups

Cause: the holder kept a part of the rate in proportion to the number of silent nodes. Nodes with successive positions, as in a relay's group, spend three quarters of the rate for some seconds: 446,600 tokens ran in the model where 413,000 are allowed. Members of a group changed positions when another left, so that a member that was cut off shared one; nodes that a new holder sent to relays counted as silent for 12 s. Change: the ledger deducts the equal shares and the budget of each turn of a silent node, from when it was last heard, and a node counts as silent after 0.5 s instead of 0.75 s; budgets are H/20 to H/5 instead of H/16 to H/4, so that the sum of what is not counted in time fits (38,133 of 39,750). Relays keep the positions of members that leave for 12 s, and the holder assigns none to nodes that it sends to relays. Nodes alone spend equal shares of the rate.

Tests: in turn_schedule_test the sizes of requests follow the smaller budgets (13,000 to 10,500, 1,100 and 3,300 to 1,320 and 2,640), and its limits fall from 3/8 H to 3/10 H; the test of the silent part of the rate becomes one of the reserved times. New cases: successive positions, nodes that hear nothing beside a holder, 60 nodes that have heard nothing, and the recovery of balances after a change of the holder.

--- a/include/rudderloom/fleet/fleet_state.hpp
+++ b/include/rudderloom/fleet/fleet_state.hpp
@@ -127,10 +127,11 @@
   std::shared_ptr<const GrantBasis> MakeRelayGrantBasis();
   void UpdateQuotaRelay(TimePoint now);
   void UpdateTurnsAsHolder(TimePoint now);
+  bool ReportsToHolder(const ReportingNode& node) const;
   void UpdateTurnsAsRelay(TimePoint now);
   TurnPlan OwnTurns() const;
   std::uint32_t TurnPositions() const;
-  double RefillFraction(TimePoint now) const;
+  QuotaReserve ReserveForSilent(TimePoint now);
   void PublishBalances(BalanceTable balances, TimePoint made_at);
   void RecordCrashNews(const CrashNews& news, TimePoint now);
   void ApplyPeerCrashNews(const CrashNews& news, TimePoint now);
--- a/include/rudderloom/quota/quota_ledger.hpp
+++ b/include/rudderloom/quota/quota_ledger.hpp
@@ -5,9 +5,11 @@
 
 #include <map>       // for map
 #include <optional>  // for optional
+#include <vector>    // for vector
 
 #include "rudderloom/quota/grant_book.hpp"  // for SpendRequest
 #include "rudderloom/quota/spending.hpp"    // for BalanceTable
+#include "rudderloom/quota/turn_table.hpp"  // for SilentTurns
 
 namespace rudderloom {
 
@@ -18,6 +20,14 @@
   TimePoint made_at;  ///< When they were valid.
 };
 
+/// @brief What nodes that the holder does not hear may spend without its knowledge.
+/// @ingroup quota
+struct QuotaReserve {
+  double fraction = 0.0;            ///< Of each customer's rate.
+  std::vector<SilentTurns> silent;  ///< Their shares and the budgets of their turns.
+  TimePoint origin;                 ///< Start of the turns' clock.
+};
+
 /// @brief A token bucket per customer, with spending reported afterwards. Does no I/O; time is
 /// passed in.
 ///
@@ -32,13 +42,12 @@
   /// @brief Resets the ledger when this node acquires the lease.
   void Begin(const PreviousBalances& former, AssumedBalance unknown, TimePoint now);
 
-  /// @brief Refills the balances up to `now` and deducts the reported spending.
-  /// @param refill_fraction Fraction of the rate that is refilled. The rest is reserved for nodes
-  /// that this node does not hear: they may spend it without its knowledge.
+  /// @brief Refills the balances up to `now` and deducts the reported spending, and what nodes that
+  /// are not heard may have spent.
   void Update(const SpendingTable& reported,
               const QuotaLimits& limits,
               TimePoint now,
-              double refill_fraction = 1.0);
+              const QuotaReserve& reserve = {});
 
   /// @brief Deducts a request that the holder granted.
   void Granted(const SpendRequest& granted, const QuotaLimits& limits, TimePoint now);
@@ -57,7 +66,10 @@
   };
 
   Entry& FindOrCreate(CustomerKey customer, const QuotaLimit& limit, TimePoint now);
-  void Refill(Entry& entry, const QuotaLimit& limit, TimePoint now, double fraction) const;
+  void Refill(Entry& entry,
+              const QuotaLimit& limit,
+              TimePoint now,
+              const QuotaReserve& reserve) const;
 
   QuotaBounds bounds_;
   PreviousBalances former_;
--- a/include/rudderloom/quota/turn_schedule.hpp
+++ b/include/rudderloom/quota/turn_schedule.hpp
@@ -6,15 +6,16 @@
 #include <cstdint>   // for uint64_t
 #include <optional>  // for optional
 
-#include "rudderloom/quota/spending.hpp"  // for QuotaBounds, TurnPlan
+#include "rudderloom/quota/spending.hpp"    // for QuotaBounds, TurnPlan
+#include "rudderloom/quota/turn_table.hpp"  // for SilentTurns
 
 namespace rudderloom {
 
 /// @brief What a customer's turns add up to over all nodes.
 ///
 /// Budgets are one, two or four units, on average two. Where the bounds allow an excess H over the
-/// limit, turns use three quarters of the rate, and the largest budget is H/4: with the open time
-/// they exceed that part of the rate by three eighths of H within a window.
+/// limit, turns use three quarters of the rate, and the largest budget is H/5: with the open time
+/// they exceed that part of the rate by three tenths of H within a window.
 ///
 /// Where they allow none, turns use half of the rate. The quarter that is left unused over a window
 /// then covers the largest budget, which is the burst or, for a burst that is too large for this,
@@ -49,6 +50,11 @@
 /// @ingroup quota
 Turn TurnAt(const TurnPlan& plan, const TurnTerms& terms, TimePoint now);
 
+/// @brief Returns the budgets of all turns that begin in the times of silent nodes.
+/// @param origin Start of the turns' clock.
+/// @ingroup quota
+double TurnBudgets(const SilentTurns& silent, const TurnTerms& terms, TimePoint origin);
+
 /// @brief Returns the time until the node's next turn whose budget admits a request of this amount.
 /// Empty if no turn of the node does.
 /// @param not_before The turn begins at this time or later.
--- a/src/rudderloom/fleet/fleet_quota.cpp
+++ b/src/rudderloom/fleet/fleet_quota.cpp
@@ -13,42 +13,58 @@
   counts.spending = std::move(report.table);
 }
 
-// As the holder: nodes without reports keep their positions for a while.
+// As the holder: nodes without reports keep their positions for a while. A node that reports to a
+// relay gets its position there: with one here too, it would count as silent from then on.
 void FleetState::UpdateTurnsAsHolder(TimePoint now) {
   turn_origin_ = turn_origin_.value_or(now);
+  turn_table_.SetRange({1, 0});
   for (const ReportingNode& node : board_.ReportingNodes("", now)) {
-    turn_table_.Heard(node.name, node.represented_nodes, node.heard_at);
+    if (node.name == settings_.name || ReportsToHolder(node)) {
+      turn_table_.Heard(node.name, node.represented_nodes, node.heard_at);
+    }
   }
   turn_table_.Expire(now);
 }
 
+// False also until the relays are chosen.
+bool FleetState::ReportsToHolder(const ReportingNode& node) const {
+  NodeCounts counts;
+  counts.node = node.name;
+  counts.availability_zone = node.availability_zone;
+  counts.represented_nodes = node.represented_nodes;
+  return roster_ && roster_->RelayFor(counts).empty();
+}
+
 // As a relay: divides the positions that the holder assigned to this node's group. Members beyond
 // these have no turns until the next digest.
 void FleetState::UpdateTurnsAsRelay(TimePoint now) {
   const TurnAssignment& assigned = received_->digest.turns;
-  TurnSpans spans;
-  std::uint32_t next = assigned.position + 1;
-  const std::uint32_t end = assigned.position + assigned.count;
+  const bool has_members = assigned.position > 0 && assigned.count > 1;
+  turn_table_.SetRange({assigned.position + 1, has_members ? assigned.count - 1 : 0});
+  if (!has_members) {
+    return;
+  }
   for (const auto& [node, loads] : group_.Sums(now).by_node) {
-    if (assigned.position > 0 && node != settings_.name && next < end) {
-      spans[node] = {next++, 1};
+    if (node != settings_.name) {
+      turn_table_.Heard(node, 1, now);
     }
   }
-  turn_table_.Assign(std::move(spans));
+  turn_table_.Expire(now);
 }
 
-// Part of customers' rates that belongs to the nodes whose reports arrive. A new holder counts the
-// nodes that its predecessor knew.
-double FleetState::RefillFraction(TimePoint now) const {
+// What nodes whose reports do not arrive may spend. A new holder counts the nodes that its
+// predecessor knew.
+QuotaReserve FleetState::ReserveForSilent(TimePoint now) {
   if (!settings_.bounds.quota.enforced) {
-    return 1.0;
+    return {};
   }
-  const double heard = 1.0 - turn_table_.SilentFraction(now);
-  if (!received_ || now - held_since_ > kTurnReserveTime) {
-    return heard;
+  QuotaReserve reserve{turn_table_.MissingFraction(), turn_table_.TakeSilent(now), *turn_origin_};
+  if (received_ && now - held_since_ <= kTurnReserveTime) {
+    const double known = std::max(1U, received_->digest.nodes);
+    const double heard = std::min(1.0, static_cast<double>(board_.Nodes(now)) / known);
+    reserve.fraction = std::max(reserve.fraction, 1.0 - heard);
   }
-  const double known = std::max(1U, received_->digest.nodes);
-  return std::min(heard, static_cast<double>(board_.Nodes(now)) / known);
+  return reserve;
 }
 
 TurnPlan FleetState::OwnTurns() const {
@@ -64,9 +80,10 @@
   return {position, TurnPositions(), *turn_origin_};
 }
 
-// Includes nodes that a new holder has not heard yet: it is not the only node because of them.
+// A new holder that has heard no other node yet is not the only node.
 std::uint32_t FleetState::TurnPositions() const {
-  return std::max(turn_table_.Positions(), live_nodes_);
+  const std::uint32_t positions = turn_table_.Positions();
+  return positions > 1 ? positions : std::max(positions, live_nodes_);
 }
 
 // Called when the lease is taken: continues from the last balances that this node knows, from the
@@ -109,7 +126,7 @@
   const SpendingReport report = spending_.Take(now);
   const QuotaLimits& limits = routes_.Get().Current()->Customers().Limits();
   UpdateTurnsAsHolder(now);
-  ledger_.Update(report.table, limits, now, RefillFraction(now));
+  ledger_.Update(report.table, limits, now, ReserveForSilent(now));
   spending_.MarkDelivered(report.number);
   spending_.Confirmed(report.number);
   PublishBalances(ledger_.Balances(now), now);
--- a/src/rudderloom/fleet/fleet_quota_test.cpp
+++ b/src/rudderloom/fleet/fleet_quota_test.cpp
@@ -148,6 +148,32 @@
   CHECK(NodesWithOwnTurns(world) == static_cast<std::size_t>(world.Nodes() - 1));
 }
 
+// The failure: nodes that report to a new holder before they are sent to relays counted as silent
+// afterwards, and their part of customers' rates was kept for them twice.
+TEST_CASE("after a change of the holder balances recover at nearly the whole rate") {
+  FleetWorldOptions options = Options();
+  options.customers.front().quota.per_second = 5'000;
+  FleetWorld world(options);
+  world.Play(12'000);
+  world.Spend(*world.Holder(), kName, 200'000);
+  world.Play(2'000);
+  world.Kill(*world.Holder());
+  world.Play(6'000);
+  REQUIRE(world.Holder());
+  const int holder = *world.Holder();
+  world.Spend(holder, kName, 1);
+  world.Play(1'000);
+  const auto before = world.BalanceAt(holder, kName);
+  REQUIRE(before);
+  CHECK(*before < kBurst / 2);
+  world.Play(6'000);
+  const auto after = world.BalanceAt(holder, kName);
+  REQUIRE(after);
+  MESSAGE("recovered ", *after - *before, " of 30000");
+  // One of 30 nodes is dead, and its turns are kept for it.
+  CHECK(*after - *before >= 25'000);
+}
+
 TEST_CASE("all nodes see the same clock of the turns, also after a change of the holder") {
   FleetWorld world(Options());
   world.Play(12'000);
--- a/src/rudderloom/fleet/fleet_settings_test.cpp
+++ b/src/rudderloom/fleet/fleet_settings_test.cpp
@@ -30,6 +30,23 @@
   CHECK(settings.bounds.grace == Duration(8'000));
 }
 
+// Guards against a changed service of customers on deployments that state no window.
+TEST_CASE("the bound on customers' windows is enforced only where the settings state a window") {
+  const auto without = ParseFleetSettings(kSettings);
+  REQUIRE(std::holds_alternative<FleetSettings>(without));
+  const QuotaBounds& unset = std::get<FleetSettings>(without).bounds.quota;
+  CHECK_FALSE(unset.enforced);
+  CHECK(unset.window == Duration(8'000));
+  std::string text = kSettings;
+  text.replace(text.find("\"lease\""), 7, R"("quota_window": "6s", "quota_slack": 100, "lease")");
+  const auto with = ParseFleetSettings(text);
+  REQUIRE(std::holds_alternative<FleetSettings>(with));
+  const QuotaBounds& set = std::get<FleetSettings>(with).bounds.quota;
+  CHECK(set.enforced);
+  CHECK(set.window == Duration(6'000));
+  CHECK(set.slack == 100.0);
+}
+
 TEST_CASE("every error is reported with its JSON path") {
   const auto read = ParseFleetSettings(R"({
     "interface": "fleet",
--- a/src/rudderloom/quota/quota_account.cpp
+++ b/src/rudderloom/quota/quota_account.cpp
@@ -62,7 +62,11 @@
 double QuotaAccount::RefillRate(const Account& account, GranterReach reach, TimePoint now) const {
   const bool alone = reach == GranterReach::kUnreachable && !HasFreshDigest(now) && !HasTurns();
   const double fraction = alone ? 1.0 : kSharedFraction;
-  return fraction * account.share * static_cast<double>(account.limit.per_second);
+  // The holder reserves equal parts for nodes that it does not hear.
+  const double share = HasTurns() && !HasFreshDigest(now)
+                           ? std::min(account.share, 1.0 / snapshot_->turns.positions)
+                           : account.share;
+  return fraction * share * static_cast<double>(account.limit.per_second);
 }
 
 void QuotaAccount::Refill(Account& account, GranterReach reach, TimePoint now) const {
--- a/src/rudderloom/quota/quota_ledger.cpp
+++ b/src/rudderloom/quota/quota_ledger.cpp
@@ -2,8 +2,26 @@
 
 #include <algorithm>  // for clamp, max
 
+#include "rudderloom/quota/turn_schedule.hpp"  // for TurnBudgets
+
 namespace rudderloom {
 
+namespace {
+
+// A part in proportion to the time would not do for turns: those of a group of nodes may follow one
+// another, and spend all of the turns' part of the rate for some seconds.
+double SpentBySilent(const SilentTurns& silent,
+                     const QuotaLimit& limit,
+                     const QuotaBounds& bounds,
+                     TimePoint origin) {
+  const double seconds = std::chrono::duration<double>(silent.until - silent.after).count();
+  const double part = static_cast<double>(silent.span.count) / std::max(1U, silent.positions);
+  const double shares = kSharedFraction * part * static_cast<double>(limit.per_second) * seconds;
+  return shares + TurnBudgets(silent, TurnTermsOf(limit, bounds), origin);
+}
+
+}  // namespace
+
 void QuotaLedger::Begin(const PreviousBalances& former, AssumedBalance unknown, TimePoint now) {
   former_ = former;
   unknown_ = unknown;
@@ -33,20 +51,23 @@
 void QuotaLedger::Refill(Entry& entry,
                          const QuotaLimit& limit,
                          TimePoint now,
-                         double fraction) const {
+                         const QuotaReserve& reserve) const {
   const auto rate = static_cast<double>(limit.per_second);
   const double seconds = std::chrono::duration<double>(now - entry.refilled_at).count();
   const double min_level = -rate * std::chrono::duration<double>(bounds_.window).count();
   const auto max_level = static_cast<double>(MaxBalance(limit, bounds_));
-  entry.level =
-      std::clamp(entry.level + fraction * rate * std::max(0.0, seconds), min_level, max_level);
+  double refill = (1.0 - reserve.fraction) * rate * std::max(0.0, seconds);
+  for (const SilentTurns& silent : reserve.silent) {
+    refill -= SpentBySilent(silent, limit, bounds_, reserve.origin);
+  }
+  entry.level = std::clamp(entry.level + refill, min_level, max_level);
   entry.refilled_at = now;
 }
 
 void QuotaLedger::Update(const SpendingTable& reported,
                          const QuotaLimits& limits,
                          TimePoint now,
-                         double refill_fraction) {
+                         const QuotaReserve& reserve) {
   std::erase_if(entries_, [&](const auto& entry) { return !limits.contains(entry.first); });
   for (const auto& [customer, spending] : reported) {
     if (const auto limit = limits.find(customer); limit != limits.end()) {
@@ -54,7 +75,7 @@
     }
   }
   for (auto& [customer, entry] : entries_) {
-    Refill(entry, limits.at(customer), now, refill_fraction);
+    Refill(entry, limits.at(customer), now, reserve);
     const auto found = reported.find(customer);
     entry.nodes = found == reported.end() ? 0 : found->second.nodes;
     if (found != reported.end()) {
--- a/src/rudderloom/quota/quota_many_nodes_test.cpp
+++ b/src/rudderloom/quota/quota_many_nodes_test.cpp
@@ -48,6 +48,62 @@
   }
 }
 
+// Cuts off nodes with successive positions, at several steps; returns the most within a window.
+std::uint64_t MostWithSuccessiveNodesSilent(const Setup& setup, int count) {
+  std::uint64_t highest = 0;
+  for (int first = 1; first < setup.nodes; first += 14) {
+    for (const int step : {40, 47, 54}) {
+      std::vector<Fault> faults;
+      for (int i = first; i < std::min(first + count, setup.nodes); ++i) {
+        faults.push_back({step, i, FaultKind::kSilent});
+      }
+      highest = std::max(highest, Model(setup).Run(faults));
+    }
+  }
+  return highest;
+}
+
+// The failure: a relay's group has successive positions, so that its turns follow one another. A
+// part of the rate in proportion to the number of silent nodes did not cover them: 446,600 tokens
+// ran where 413,000 are allowed.
+TEST_CASE("nodes with successive turns that are cut off together stay within the bound") {
+  // The budgets of turns admit whole numbers of these requests, with little or much left over.
+  for (const std::uint64_t request : {1'320ULL, 2'400ULL, 2'640ULL}) {
+    for (const int idle_steps : {0, 40, 46}) {
+      Setup setup = kSixtyNodes;
+      setup.request = request;
+      setup.idle_steps = idle_steps;
+      std::uint64_t highest = 0;
+      for (const int count : {16, 32, 40, 48}) {
+        highest = std::max(highest, MostWithSuccessiveNodesSilent(setup, count));
+      }
+      MESSAGE("requests of ", request, " after ", idle_steps, " idle steps: most in a window ",
+              highest, " of ", setup.WindowBound());
+      CHECK(static_cast<double>(highest) <= setup.WindowBound());
+    }
+  }
+}
+
+// The failure: nodes that have heard nothing ran one request each, beside the grants of a holder.
+TEST_CASE("nodes that start and hear nothing for 12 s stay within the bound beside a holder") {
+  Setup setup = kSixtyNodes;
+  for (const std::uint64_t request : {100ULL, 2'400ULL}) {
+    for (const int count : {1, 30, 59}) {
+      std::vector<Fault> faults;
+      for (int i = 1; i <= count; ++i) {
+        faults.push_back({40, i, FaultKind::kKilled});
+        faults.push_back({40, i, FaultKind::kSilent});
+      }
+      setup.request = request;
+      const std::uint64_t most = Model(setup).Run(faults);
+      MESSAGE("requests of ", request, ", nodes ", count, ": most in a window ", most);
+      CHECK(static_cast<double>(most) <= setup.WindowBound());
+    }
+    const std::uint64_t most = Model(setup).Run({{40, 0, FaultKind::kAllKilled}});
+    CHECK(static_cast<double>(most) <= setup.WindowBound());
+  }
+}
+
 // The failure: a holder that was cut off from the store lost its lease under load.
 TEST_CASE("a change of the holder beside nodes that can't ask stays within the bound") {
   std::mt19937 random(2);
--- a/src/rudderloom/quota/quota_model.hpp
+++ b/src/rudderloom/quota/quota_model.hpp
@@ -6,6 +6,7 @@
 #include <algorithm>  // for max
 #include <deque>      // for deque
 #include <optional>   // for optional
+#include <random>     // for mt19937
 #include <vector>     // for vector
 
 #include "rudderloom/quota/grant_book.hpp"
@@ -25,6 +26,7 @@
 inline constexpr int kWindowSteps = 8'000 / kStepMs;
 // Steps without a holder after its loss.
 inline constexpr int kTakeoverSteps = 8;
+inline constexpr TimePoint kTurnOrigin{std::chrono::minutes(59)};
 
 enum class FaultKind {
   kReportLost,  // report of the node
@@ -53,6 +55,8 @@
   int substeps = 1;  // how often callers try within a step
   int steps = kSteps;
   int fault_steps = kTakeoverSteps;  // duration of a fault
+  double per_second = 0.0;           // requests of all callers; 0: all that may run
+  int idle_steps = 0;                // at the beginning, without requests
   double WindowBound() const {
     const double allowed =
         static_cast<double>(limit.per_second) * 8.0 + static_cast<double>(limit.burst);
@@ -79,6 +83,7 @@
       : setup_(setup), nodes_(static_cast<std::size_t>(setup.nodes)) {
     for (int i = 0; i < setup_.nodes; ++i) {
       Start(i);
+      turn_table_.Heard(std::to_string(i), 1, Now());
     }
     Begin(0, AssumedBalance::kFull);
   }
@@ -112,6 +117,14 @@
     return most;
   }
 
+  // A request of callers that do not send all that may run.
+  struct Outcome {
+    int step = 0;
+    int node = 0;
+    bool granted = false;
+  };
+  const std::vector<Outcome>& Outcomes() const { return outcomes_; }
+
   // Returns the amount granted in the whole run.
   std::uint64_t Total() const { return total_; }
 
@@ -197,8 +210,27 @@
     takeover_step_ = step_ + kTakeoverSteps;
   }
 
+  // Requests arrive at random times and nodes.
+  std::uint64_t SpendByDemand() {
+    const double mean = setup_.per_second * kStepMs / 1'000.0 / setup_.substeps;
+    std::uniform_int_distribution<int> node(0, setup_.nodes - 1);
+    std::uint64_t spent = 0;
+    for (int i = std::poisson_distribution<int>(mean)(random_); i > 0; --i) {
+      const int at = node(random_);
+      outcomes_.push_back({step_, at, TryRequest(at)});
+      spent += outcomes_.back().granted ? setup_.request : 0;
+    }
+    return spent;
+  }
+
   std::uint64_t Spend() {
+    if (setup_.per_second > 0.0) {
+      return SpendByDemand();
+    }
     std::uint64_t spent = 0;
+    if (step_ < setup_.idle_steps) {
+      return spent;
+    }
     // Another node is first each time, so that each gets some of what the holder grants.
     const int first = (step_ * setup_.substeps + substep_) * 7;
     for (int i = 0; i < setup_.nodes; ++i) {
@@ -302,9 +334,9 @@
   void DeliverSnapshot(Node& node, const QuotaSnapshot& published) {
     auto snapshot = std::make_shared<QuotaSnapshot>(published);
     snapshot->counted = node.log->OwnCounted();
-    snapshot->turns = {static_cast<std::uint32_t>(&node - nodes_.data()) + 1,
-                       static_cast<std::uint32_t>(setup_.nodes),
-                       TimePoint(std::chrono::minutes(59))};
+    const auto span = turn_table_.Spans().find(std::to_string(&node - nodes_.data()));
+    const std::uint32_t position = span == turn_table_.Spans().end() ? 0 : span->second.first;
+    snapshot->turns = {position, turn_table_.Positions(), kTurnOrigin};
     node.snapshot = snapshot;
     node.account->ApplyDigest(snapshot, Now());
   }
@@ -322,7 +354,7 @@
     turn_table_.Heard(std::to_string(holder_), 1, Now());
     turn_table_.Expire(Now());
     ledger_->Update(report.table, {{kCustomer, setup_.limit}}, Now(),
-                    1.0 - turn_table_.SilentFraction(Now()));
+                    {0.0, turn_table_.TakeSilent(Now()), kTurnOrigin});
     for (const SpendGrant& grant : granted_) {
       ledger_->Granted(grant.ask, {{kCustomer, setup_.limit}}, Now());
       grants_counted_ = grant.number;
@@ -349,6 +381,8 @@
   int step_ = 0;
   int substep_ = 0;
   std::uint64_t incarnations_ = 0;
+  std::mt19937 random_{1};
+  std::vector<Outcome> outcomes_;
 };
 
 }  // namespace rudderloom::quota_model
--- a/src/rudderloom/quota/turn_schedule.cpp
+++ b/src/rudderloom/quota/turn_schedule.cpp
@@ -6,10 +6,10 @@
 
 namespace {
 
-// Parts of the allowed excess. The largest budget adds a quarter of it to a window, and the open
-// time an eighth: with spending that is not booked yet they stay within the three quarters that
+// Part of the allowed excess. The largest budget adds a fifth of it to a window, and the open time
+// a tenth: with spending that is not booked yet they stay within the three quarters that
 // `MaxBalance` leaves.
-constexpr double kUnitFraction = 0.0625;
+constexpr double kUnitFraction = 0.05;
 constexpr double kTurnFraction = 0.75;
 // Without an allowed excess. Shares spend a quarter of the rate, and turns half of it. The largest
 // budget and the open time then add at most three sixteenths of the rate over a window, which
@@ -60,6 +60,21 @@
   return {unit, kTurnFractionWithoutExcess * rate, kStartLevelInUnits * unit};
 }
 
+double TurnBudgets(const SilentTurns& silent, const TurnTerms& terms, TimePoint origin) {
+  double budgets = 0.0;
+  for (std::uint32_t i = 0; i < silent.span.count; ++i) {
+    const TurnPlan plan{silent.span.first + i, silent.positions, origin};
+    TimePoint until = silent.until;
+    for (Turn turn = TurnAt(plan, terms, until);
+         turn.cycle > Duration(0) && turn.budget > 0.0 && turn.began_at > silent.after;
+         turn = TurnAt(plan, terms, until)) {
+      budgets += turn.budget;
+      until = turn.began_at - Duration(1);
+    }
+  }
+  return budgets;
+}
+
 Turn TurnAt(const TurnPlan& plan, const TurnTerms& terms, TimePoint now) {
   Turn turn;
   const bool has_position = plan.position > 0 && plan.position <= plan.positions;
--- a/src/rudderloom/quota/turn_schedule_test.cpp
+++ b/src/rudderloom/quota/turn_schedule_test.cpp
@@ -79,31 +79,30 @@
 }
 
 // The failure: each node without a granting node ran one request ahead, 144,000 tokens at once.
-TEST_CASE(
-    "60 nodes that can ask nobody exceed the rate by three eighths of the overshoot at most") {
-  for (const std::uint64_t amount : {700ULL, 2'400ULL, 3'200ULL, 6'000ULL, 13'000ULL}) {
+TEST_CASE("60 nodes that can ask nobody exceed the rate by three tenths of the overshoot at most") {
+  for (const std::uint64_t amount : {700ULL, 2'400ULL, 3'200ULL, 6'000ULL, 10'500ULL}) {
     CAPTURE(amount);
     const Result result = Saturate(NodesAlone(0, 0), amount, 0, 60'000);
     MESSAGE("amount ", amount, ": most in a window ", result.most, ", per second ",
             result.total / 60);
-    CHECK(static_cast<double>(result.most) <= 320'000.0 + 0.375 * kHeadroom);
+    CHECK(static_cast<double>(result.most) <= 320'000.0 + 0.3 * kHeadroom);
   }
 }
 
 TEST_CASE("clocks that differ by the longest answer time add that time at the rate") {
   const Result result = Saturate(NodesAlone(0, 150), kPrompt, 0, 60'000);
   MESSAGE("most in a window ", result.most);
-  CHECK(static_cast<double>(result.most) <= 320'000.0 + 0.375 * kHeadroom + 0.15 * 30'000.0);
+  CHECK(static_cast<double>(result.most) <= 320'000.0 + 0.3 * kHeadroom + 0.15 * 30'000.0);
 }
 
 // A smaller share alone would keep the bound, but no request of this size would ever run.
 TEST_CASE("requests larger than a share run at about the customer's rate, and at every node") {
-  for (const std::uint64_t amount : {1'100ULL, 3'300ULL}) {
+  for (const std::uint64_t amount : {1'320ULL, 2'640ULL}) {
     CAPTURE(amount);
     const Result result = Saturate(NodesAlone(0, 0), amount, 0, 60'000);
     CHECK(static_cast<double>(result.total) / 60.0 >= 0.7 * 40'000.0);
   }
-  const Result result = Saturate(NodesAlone(0, 0), 13'000, 0, 120'000);
+  const Result result = Saturate(NodesAlone(0, 0), 10'500, 0, 120'000);
   for (const std::uint64_t spent : result.by_node) {
     CHECK(spent > 0);
   }
@@ -158,6 +157,32 @@
   CHECK(too_large.wait == Duration(1'000));
 }
 
+// The failure: all nodes start at once, and each ran one request before it heard of the others.
+TEST_CASE("60 nodes that have heard nothing stay within the rate, and run no large request") {
+  for (const QuotaBounds& bounds : {kBounds, kNoExcess}) {
+    std::vector<QuotaAccount> nodes(kNodes, QuotaAccount(bounds));
+    for (QuotaAccount& node : nodes) {
+      node.RecordRequest(kCustomer, kLimit, 0, At(0));
+    }
+    CHECK(Saturate(nodes, kPrompt, 0, 60'000).total == 0);
+    const Result result = Saturate(nodes, 100, 60'000, 120'000);
+    CHECK(static_cast<double>(result.most) <= 8.0 * 40'000.0 + 40'000.0);
+  }
+}
+
+TEST_CASE("the budgets of all turns in a time add up, from any time on") {
+  const TurnTerms terms = TurnTermsOf(kLimit, kBounds);
+  const SilentTurns whole{{1, kNodes}, kNodes, At(0), At(60'000)};
+  const double budgets = TurnBudgets(whole, terms, At(-60'000));
+  CHECK(budgets == doctest::Approx(60.0 * 30'000.0).epsilon(0.03));
+  double parts = 0.0;
+  for (int ms = 0; ms < 60'000; ms += 250) {
+    parts += TurnBudgets({{1, 20}, kNodes, At(ms), At(ms + 250)}, terms, At(-60'000));
+    parts += TurnBudgets({{21, 40}, kNodes, At(ms), At(ms + 250)}, terms, At(-60'000));
+  }
+  CHECK(parts == doctest::Approx(budgets));
+}
+
 TEST_CASE("a node without a position has no turn") {
   const TurnTerms terms = TurnTermsOf(kLimit, kBounds);
   CHECK(TurnAt({0, kNodes, At(0)}, terms, At(100)).cycle == Duration(0));
@@ -181,7 +206,7 @@
       spent += 600;
     }
   }
-  CHECK(static_cast<double>(spent) <= 0.25 * kHeadroom);
+  CHECK(static_cast<double>(spent) <= 0.2 * kHeadroom);
 }
 
 }  // namespace
--- a/src/rudderloom/quota/turn_table_test.cpp
+++ b/src/rudderloom/quota/turn_table_test.cpp
@@ -37,17 +37,49 @@
   CHECK(table.Spans().at("relay") == TurnSpan{4, 3});
 }
 
-// A silent node may be alive and spend its part of the rate without reports that arrive.
-TEST_CASE("a silent node keeps its part of the rate for a time") {
+// A silent node may be alive, and takes its turns without reports that arrive.
+TEST_CASE("turns of a silent node are reserved from when it was last heard, each time once") {
   TurnTable table;
   table.Heard("a", 3, At(0));
   table.Heard("b", 1, At(0));
-  CHECK(table.SilentFraction(At(750)) == 0.0);
-  table.Heard("b", 1, At(751));
-  CHECK(table.SilentFraction(At(751)) == doctest::Approx(0.75));
+  CHECK(table.TakeSilent(At(500)).empty());
+  table.Heard("b", 1, At(501));
+  CHECK(table.TakeSilent(At(501)) == std::vector<SilentTurns>{{TurnSpan{1, 3}, 4, At(0), At(501)}});
+  CHECK(table.TakeSilent(At(700)) ==
+        std::vector<SilentTurns>{{TurnSpan{1, 3}, 4, At(501), At(700)}});
   table.Heard("b", 1, At(12'001));
   table.Expire(At(12'001));
-  CHECK(table.SilentFraction(At(12'001)) == 0.0);
+  CHECK(table.TakeSilent(At(12'001)).empty());
+}
+
+TEST_CASE("a part of the rate is kept for nodes that a relay no longer reports for") {
+  TurnTable table;
+  table.Heard("relay", 3, At(0));
+  table.Heard("b", 1, At(0));
+  CHECK(table.MissingFraction() == 0.0);
+  table.Heard("relay", 2, At(100));
+  CHECK(table.MissingFraction() == doctest::Approx(0.25));
+  // A group that stays smaller would otherwise take a part of the rate for good.
+  table.Heard("relay", 2, At(12'001));
+  CHECK(table.MissingFraction() == 0.0);
+}
+
+// The failure: when a member of a relay's group left, the positions of the others moved, and a
+// member that was cut off had the position of another one.
+TEST_CASE("members of a group keep their positions while others leave, within the range") {
+  TurnTable table;
+  table.SetRange({5, 2});
+  table.Heard("a", 1, At(0));
+  table.Heard("b", 1, At(0));
+  table.Heard("c", 1, At(0));
+  CHECK(table.Spans() == TurnSpans{{"a", {5, 1}}, {"b", {6, 1}}});
+  table.SetRange({5, 2});
+  table.Heard("b", 1, At(12'001));
+  table.Expire(At(12'001));
+  table.Heard("c", 1, At(12'001));
+  CHECK(table.Spans() == TurnSpans{{"b", {6, 1}}, {"c", {5, 1}}});
+  table.SetRange({9, 2});
+  CHECK(table.Spans().empty());
 }
 
 }  // namespace
