Leave room for a whole prompt between turns again

Cause: with half a prompt the existing test fails (428 of 400 ms): one more prompt than on average can arrive within a pause. Change: the spacing of turns is the former one; the test stands as it was.

--- a/src/rudderloom/forwarding/work_model.cpp
+++ b/src/rudderloom/forwarding/work_model.cpp
@@ -163,8 +163,7 @@
   if (pause <= 0.0) {
     return std::nullopt;
   }
-  const double share =
-      std::clamp(1.0 - (steps + prompt / 2.0) / pause, kMinPromptShare, kMaxPromptShare);
+  const double share = std::clamp(1.0 - (steps + prompt) / pause, kMinPromptShare, kMaxPromptShare);
   return Rounded(prompt / share);
 }
 
