--- a/tests/process/cluster.hpp
+++ b/tests/process/cluster.hpp
@@ -19,6 +19,7 @@
   unsigned status = 0;  ///< 0 if no complete response arrived.
   std::string body;
   HeaderList headers;
+  Duration duration{0};  ///< From the sending of the request; set by FleetCluster only.
   std::string Header(const std::string& name) const;
   boost::json::object Json() const;
 };
--- a/tests/process/fleet_cluster.cpp
+++ b/tests/process/fleet_cluster.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>  // for find
 #include <fstream>    // for ofstream
+#include <sstream>    // for istringstream
 
 #include "rudderloom/http/pause.hpp"  // for PauseFor
 
@@ -23,7 +24,7 @@
           {"path-prefix", prefix},
           {"route-kind", kind},
           {"timeout-ms", timeout.count()},
-          {"latency-goal-ms", 500},
+          {"latency-goal-ms", kRouteGoal.count()},
           {"priority", 1},
           {"service", service},
           {"max-attempts", 2},
@@ -122,6 +123,7 @@
   const std::string any_port = "127.0.0.1:0";
   const json::object settings{
       {"interface", "fleet"},
+      {"overload_control", overload_control_},
       {"node", json::object{{"name", name},
                             {"availability_zone", "zone-a"},
                             {"group_size", group_size},
@@ -189,11 +191,13 @@
     request.set("Token-Count", "10,40");
     request.set("Prompt-Prefix", call.prompt);
   }
+  const TimePoint sent_at = Now();
   CallTimeouts timeouts;
   timeouts.first_byte = Duration(10'000);
   timeouts.between = Duration(10'000);
   auto result =
       co_await Client().Call(address, std::move(request), timeouts, ConnectionReuse::kNever);
+  response.duration = Between(sent_at, Now());
   if (const auto* received = std::get_if<HttpResponse>(&result)) {
     response.status = received->result_int();
     response.body = received->body();
@@ -233,6 +237,18 @@
   return Cluster::Call(At(node).Address(3), "/metrics").body;
 }
 
+double FleetCluster::MetricSum(const std::string& node, const std::string& name) {
+  double sum = 0.0;
+  std::istringstream lines(Metrics(node));
+  for (std::string line; std::getline(lines, line);) {
+    const std::size_t name_end = line.find_first_of(" {");
+    if (name_end == name.size() && line.starts_with(name)) {
+      sum += std::stod(line.substr(line.rfind(' ') + 1));
+    }
+  }
+  return sum;
+}
+
 std::string FleetCluster::LeaseHolder() {
   for (const std::string& node : nodes_) {
     if (Metrics(node).find("rudderloom_lease_held 1") != std::string::npos) {
--- a/tests/process/fleet_cluster.hpp
+++ b/tests/process/fleet_cluster.hpp
@@ -9,6 +9,9 @@
 
 namespace rudderloom::tests {
 
+/// @brief The goal of each route for its answers.
+constexpr Duration kRouteGoal{500};
+
 /// @brief One client request to an entry node.
 struct FleetRequest {
   std::string node;
@@ -58,6 +61,8 @@
 
   /// @brief Sets the memory in MB that the nodes started from now on may use.
   void SetNodeMemory(int megabytes) { node_memory_ = megabytes; }
+  /// @brief Sets `overload_control` for the nodes started from now on: "on", "off" or "auto".
+  void SetOverloadControl(std::string value) { overload_control_ = std::move(value); }
   /// @brief Sets the timeout of the routes that are configured from now on.
   void SetRouteTimeout(Duration timeout) { route_timeout_ = timeout; }
 
@@ -77,6 +82,8 @@
 
   unsigned ReadyStatus(const std::string& node);
   std::string Metrics(const std::string& node);
+  /// @brief Returns the sum of a metric of a node over all labels; 0 if there is none.
+  double MetricSum(const std::string& node, const std::string& name);
   /// @brief Returns the name of the node that holds the lease; empty if none does.
   std::string LeaseHolder();
   /// @brief Returns how often each request ran, by id, summed over the live engines and services.
@@ -93,6 +100,7 @@
   std::vector<std::string> nodes_;
   bool uses_link_proxies_ = false;
   int node_memory_ = 0;
+  std::string overload_control_ = "off";
   Duration route_timeout_{5'000};
   std::map<std::string, std::unique_ptr<LinkProxy>> link_proxies_;  // by endpoint
   std::mutex node_processes_mutex_;
