Test slow readers, stalled uploads and endless answers at one node at once

The bounds of a node of 160 MB were tested for each kind of load alone, and their sum was unproven. The new case has 240 clients that don't read 16 MB each, 240 uploads that stall after 1 MB of 3 MB, and 48 answers without end, half of them read slowly.

The file did not compile, because it named a type that doesn't exist (FleetResponse).

--- a/tests/process/slow_readers_test.cpp
+++ b/tests/process/slow_readers_test.cpp
@@ -8,6 +8,7 @@
 #include "process/fleet_cluster.hpp"   // for FleetCluster
 #include "process/process_memory.hpp"  // for MemoryOf
 #include "process/raw_caller.hpp"      // for RawCaller
+#include "rudderloom/http/pause.hpp"   // for PauseFor
 
 namespace rudderloom::tests {
 namespace {
@@ -18,6 +19,9 @@
 constexpr std::size_t kAnswerBytes = 16 * 1024 * 1024;
 constexpr int kClientsThatReadOn = 24;
 constexpr int kOrdinaryRequests = 40;
+constexpr int kEndlessAnswers = 24;
+constexpr std::size_t kUploadBytes = 3 * 1024 * 1024;
+constexpr std::size_t kUploadedBytes = 1024 * 1024;
 constexpr Duration kReadTimeout{60'000};
 constexpr unsigned kUnavailable = 503;
 
@@ -31,11 +35,6 @@
          body;
 }
 
-double Gauge(const std::string& metrics, const std::string& name) {
-  const std::size_t at = metrics.find("\n" + name + " ");
-  return at == std::string::npos ? 0.0 : std::stod(metrics.substr(at + name.size() + 2));
-}
-
 // A node of 160 MB and a service of which it forwards answers.
 class SlowCluster : public FleetCluster {
  public:
@@ -50,6 +49,56 @@
     REQUIRE(WaitUntil([&] { return Send({"a", "/safe/x", "warm", ""}).status == 200; }));
   }
 
+  // Opens connections whose clients send a part of a request's body, or all of it if it is empty,
+  // and don't read the answer.
+  std::vector<std::unique_ptr<RawCaller>> OpenClients(const std::string& prefix,
+                                                      int count,
+                                                      std::size_t body_bytes = 0,
+                                                      const std::string& part = "") {
+    std::vector<std::unique_ptr<RawCaller>> clients;
+    const std::string address = At("a").Address(0);
+    for (int i = 0; i < count; ++i) {
+      const std::string id = prefix + std::to_string(i);
+      clients.push_back(std::make_unique<RawCaller>(address, SlowRequest(id, body_bytes, part)));
+      Measure();
+    }
+    return clients;
+  }
+
+  // Reads an answer without keeping it, a piece at a time, whenever this waits for a response.
+  Awaitable<void> ReadAndDiscard(std::string id) {
+    constexpr Duration kReadInterval{5};
+    tcp::socket socket(Context());
+    co_await socket.async_connect(ParseAddress(At("a").Address(0)), kAsTuple);
+    const std::string request = SlowRequest(id, 0, "");
+    co_await asio::async_write(socket, asio::buffer(request), kAsTuple);
+    std::vector<char> piece(64UL * 1024);
+    while (true) {
+      const auto [error, size] = co_await socket.async_read_some(asio::buffer(piece), kAsTuple);
+      if (error) {
+        co_return;
+      }
+      discarded_bytes_ += size;
+      co_await PauseFor(Context(), kReadInterval);
+    }
+  }
+
+  // Waits until all of these requests run at the service.
+  bool WaitUntilRun(const std::string& prefix, int count) {
+    return WaitUntil([&] {
+      Measure();
+      const auto runs = RunCounts();
+      for (int i = 0; i < count; ++i) {
+        if (!runs.contains(prefix + std::to_string(i))) {
+          return false;
+        }
+      }
+      return true;
+    });
+  }
+
+  std::size_t DiscardedBytes() const { return discarded_bytes_; }
+
   ProcessMemory Measure() {
     const ProcessMemory memory = MemoryOf(At("a").ProcessId());
     if (memory.Total() > most_.Total()) {
@@ -86,6 +135,7 @@
 
  private:
   ProcessMemory most_;
+  std::size_t discarded_bytes_ = 0;
 };
 
 // Guards against a node that fails because of what it holds for clients that don't read, in its
@@ -93,17 +143,12 @@
 TEST_CASE("clients that don't read hold less than half of a node's memory, and others are served") {
   SlowCluster cluster;
   cluster.SetFaults("desk", {{"long_answers", kSlowClients}, {"answer_bytes", kAnswerBytes}});
-  std::vector<std::unique_ptr<RawCaller>> clients;
-  const std::string address = cluster.At("a").Address(0);
-  for (int i = 0; i < kSlowClients; ++i) {
-    clients.push_back(
-        std::make_unique<RawCaller>(address, SlowRequest("slow" + std::to_string(i), 0, "")));
-  }
+  auto clients = cluster.OpenClients("slow", kSlowClients);
   // Some answers wait in the clients' own buffers and the node's socket alone.
   CHECK(cluster.WaitUntil(
       [&] {
         cluster.Measure();
-        return Gauge(cluster.Metrics("a"), "rudderloom_slow_readers") == kSlowClients;
+        return cluster.MetricSum("a", "rudderloom_slow_readers") == kSlowClients;
       },
       Duration(8'000)));
   cluster.CheckOthersServed("beside");
@@ -120,7 +165,7 @@
   CHECK(whole > 0);
   CHECK(cluster.WaitUntil([&] {
     cluster.Measure();
-    return Gauge(cluster.Metrics("a"), "rudderloom_slow_readers") == 0;
+    return cluster.MetricSum("a", "rudderloom_slow_readers") == 0;
   }));
   for (int i = kClientsThatReadOn; i < kSlowClients; ++i) {
     const Received received = clients[i]->Receive(kReadTimeout);
@@ -138,26 +183,59 @@
 
 // Guards against bodies that are each allowed and fill the node's memory together.
 TEST_CASE("request bodies that are sent slowly are bounded, and others are served") {
-  constexpr std::size_t kBodyBytes = 3 * 1024 * 1024;
   SlowCluster cluster;
-  std::vector<std::unique_ptr<RawCaller>> clients;
-  const std::string address = cluster.At("a").Address(0);
-  const std::string part(1024 * 1024, 'x');
+  const auto clients =
+      cluster.OpenClients("upload", kSlowClients, kUploadBytes, std::string(kUploadedBytes, 'x'));
+  cluster.CheckOthersServed("beside");
+  for (const auto& client : clients) {
+    const Received received = client->Receive(Duration(8'000));
+    // The part that it did not read may have reset the connection.
+    CHECK((!received.header || SaysNotRun(received.response.status)));
+  }
+  const auto runs = cluster.RunCounts();
   for (int i = 0; i < kSlowClients; ++i) {
-    clients.push_back(std::make_unique<RawCaller>(
-        address, SlowRequest("upload" + std::to_string(i), kBodyBytes, part)));
-    cluster.Measure();
+    CHECK_FALSE(runs.contains("upload" + std::to_string(i)));
+  }
+  cluster.CheckMemory();
+}
+
+// Guards against bounds that each hold for one kind of load and together exceed the memory.
+TEST_CASE("slow readers, stalled uploads and answers that never end are bounded together") {
+  SlowCluster cluster;
+  cluster.SetFaults("desk", {{"endless_answers", 2 * kEndlessAnswers}});
+  for (int i = 0; i < kEndlessAnswers; ++i) {
+    cluster.Spawn(cluster.ReadAndDiscard("endless-read" + std::to_string(i)));
   }
+  const auto endless = cluster.OpenClients("endless-unread", kEndlessAnswers);
+  REQUIRE(cluster.WaitUntilRun("endless-read", kEndlessAnswers));
+  REQUIRE(cluster.WaitUntilRun("endless-unread", kEndlessAnswers));
+  cluster.SetFaults("desk", {{"long_answers", kSlowClients}, {"answer_bytes", kAnswerBytes}});
+  const auto slow = cluster.OpenClients("slow", kSlowClients);
+  REQUIRE(cluster.WaitUntilRun("slow", kSlowClients));
+  // All are unread when the uploads begin.
+  CHECK(cluster.WaitUntil(
+      [&] {
+        cluster.Measure();
+        return cluster.MetricSum("a", "rudderloom_slow_readers") >= kSlowClients;
+      },
+      Duration(8'000)));
+  const auto uploads =
+      cluster.OpenClients("upload", kSlowClients, kUploadBytes, std::string(kUploadedBytes, 'x'));
+  const std::size_t discarded = cluster.DiscardedBytes();
   cluster.CheckOthersServed("beside");
-  for (const auto& client : clients) {
+  // The answers that are read went on beside the others.
+  CHECK(cluster.DiscardedBytes() > discarded);
+  for (const auto& client : uploads) {
     const Received received = client->Receive(Duration(8'000));
     // The part that it did not read may have reset the connection.
     CHECK((!received.header || SaysNotRun(received.response.status)));
+    cluster.Measure();
   }
   const auto runs = cluster.RunCounts();
   for (int i = 0; i < kSlowClients; ++i) {
     CHECK_FALSE(runs.contains("upload" + std::to_string(i)));
   }
+  cluster.CheckOthersServed("after");
   cluster.CheckMemory();
 }
 
@@ -194,7 +272,7 @@
   int refused = 0;
   for (const auto& entry : responses) {
     const std::string& id = entry.first;
-    const FleetResponse& response = entry.second;
+    const Response& response = entry.second;
     CAPTURE(id);
     CAPTURE(response.status);
     refused += SaysNotRun(response.status) ? 1 : 0;
