--- a/tests/process/slot_grants_test.cpp
+++ b/tests/process/slot_grants_test.cpp
@@ -178,8 +178,7 @@
   int next_id_ = 0;
 };
 
-// Guards against nodes that learn too late of the requests of the others, so that services reject
-// many requests and answer the rest late.
+// Guards against a limit that stays so low after rejections that slots are idle in an overload.
 TEST_CASE("slot grants: an overload takes little from what a shared service answers in time") {
   GrantCluster cluster(kShortQueue, "on");
   const double at_capacity = cluster.Goodput(1.0);
@@ -189,7 +188,8 @@
   CHECK(overloaded >= 0.95 * at_capacity);
 }
 
-// Guards against a limit that allows more requests in flight than are answered in time.
+// Guards against more requests in flight than are answered in time. Without grants there were 336,
+// and 4.5 answers in time per second.
 TEST_CASE("slot grants: a deep queue at a shared service delays no answers") {
   GrantCluster cluster(kDeepQueue, "on");
   const double at_capacity = cluster.Goodput(1.0);
