Give the lease holder's own traffic its new standbys at once

The holder published a view for its own requests only when something else changed, so it went on with the standbys of its last view, at first none. With overload control on it then chose another granting node than all others, itself, and granted its own requests beside theirs: 15 to 19 requests at an endpoint where the limit allows 14. The new case of fleet_limits_test fails without the change.

--- a/src/rudderloom/fleet/fleet_dissemination.cpp
+++ b/src/rudderloom/fleet/fleet_dissemination.cpp
@@ -324,7 +324,13 @@
   }
   auto roster = std::make_shared<Roster>(settings_.group_size);
   roster->Update(board_.ReportingNodes(settings_.name, now));
+  const bool same_standbys = roster_ && roster_->StandbyAddresses() == roster->StandbyAddresses();
   roster_ = std::move(roster);
+  if (!same_standbys) {
+    // The other nodes learn of them with the next digest, and all must choose the same granting
+    // nodes.
+    MarkViewUrgent();
+  }
   return true;
 }
 
--- a/src/rudderloom/fleet/fleet_limits_test.cpp
+++ b/src/rudderloom/fleet/fleet_limits_test.cpp
@@ -4,7 +4,8 @@
 
 #include <algorithm>  // for max
 
-#include "fakes/limited_traffic.hpp"  // for LimitedTraffic
+#include "fakes/limited_traffic.hpp"         // for LimitedTraffic
+#include "rudderloom/fleet/fleet_state.hpp"  // for FleetState
 
 namespace rudderloom {
 namespace {
@@ -179,5 +180,47 @@
   CHECK(traffic.Arrived(4'000) >= 2);
 }
 
+// Guards against a holder that goes on with the standbys of its last view: it chose other granting
+// nodes than all others, and 15 to 19 requests were granted where one node grants 14.
+TEST_CASE("a holder uses its new standbys at once") {
+  const auto at = [](int milliseconds) {
+    return TimePoint(std::chrono::hours(1)) + Duration(milliseconds);
+  };
+  FleetSettings settings;
+  settings.name = "n1";
+  settings.listen.peers = "n1:1";
+  FleetState state(settings, "x");
+  FleetViewPtr view;
+  const auto handle = [&](const fleet_message::Any& message, int ms) {
+    const auto effects = state.Handle(message, at(ms));
+    view = effects.view ? effects.view : view;
+    if (effects.lease_write) {
+      const StoreRevision revision{0, static_cast<std::uint64_t>(ms) + 1};
+      state.Handle(fleet_message::LeaseWritten{revision}, at(ms));
+    }
+  };
+  handle(fleet_message::RoutesSeen{std::make_shared<const RouteTable>(
+             1, std::vector<Route>{}, std::vector<ServiceSpec>{}, ClientLimits{})},
+         0);
+  handle(fleet_message::EndpointsListed{{}, StoreRevision{0, 1}}, 0);
+  handle(fleet_message::LeaseSeen{std::nullopt, {}, true}, 0);
+  for (int ms = 50; ms < 6'000; ms += 50) {
+    CAPTURE(ms);
+    for (const std::string name : {"n2", "n3"}) {
+      if (name == "n2" || ms >= 3'000) {
+        NodeCounts counts;
+        counts.node = name;
+        counts.address = name + ":1";
+        handle(fleet_message::PeerCountsReceived{counts}, ms);
+      }
+    }
+    handle(fleet_message::Tick{}, ms);
+    if (ms >= 2'000 && ms < 3'000) {
+      CHECK(view->standbys == std::vector<std::string>{"n2:1"});
+    }
+  }
+  CHECK(view->standbys == std::vector<std::string>{"n2:1", "n3:1"});
+}
+
 }  // namespace
 }  // namespace rudderloom
--- a/src/rudderloom/fleet/fleet_state.cpp
+++ b/src/rudderloom/fleet/fleet_state.cpp
@@ -141,7 +141,9 @@
   view_changed_ = view_changed_ || !NearlyEqual(forecast_, effects.placement.forecast);
   forecast_ = std::move(effects.placement.forecast);
   UpdateBalances(now);
-  live_nodes_ = CountNodes(now);
+  const std::uint32_t live_nodes = CountNodes(now);
+  view_changed_ = view_changed_ || live_nodes != live_nodes_;
+  live_nodes_ = live_nodes;
   ChooseRelays(now);
   effects.statement = MakeStatement(now);
 }
