--- a/tests/process/fleet_cluster.hpp
+++ b/tests/process/fleet_cluster.hpp
@@ -82,7 +82,8 @@
 
   unsigned ReadyStatus(const std::string& node);
   std::string Metrics(const std::string& node);
-  /// @brief Returns the sum of a metric of a node over all labels; 0 if there is none.
+  /// @brief Returns the sum of a metric of a node over all labels, or the value for those that
+  /// `name` ends with; 0 if there is none.
   double MetricSum(const std::string& node, const std::string& name);
   /// @brief Returns the name of the node that holds the lease; empty if none does.
   std::string LeaseHolder();
