--- a/tests/process/slow_readers_test.cpp
+++ b/tests/process/slow_readers_test.cpp
@@ -110,6 +110,7 @@
   // Sends requests of ordinary size and checks that all are served.
   void CheckOthersServed(const std::string& prefix) {
     std::vector<FleetRequest> calls;
+    calls.reserve(kOrdinaryRequests);
     for (int i = 0; i < kOrdinaryRequests; ++i) {
       calls.push_back({"a", "/safe/x", prefix + std::to_string(i), "", Duration(20 * i)});
     }
@@ -251,6 +252,7 @@
   }));
   cluster.At("desk").Signal(SIGSTOP);
   std::vector<FleetRequest> calls;
+  calls.reserve(kRequests);
   for (int i = 0; i < kRequests; ++i) {
     calls.push_back({"a", "/once/x", "large" + std::to_string(i), "", Duration(10 * i),
                      std::string(3 * 1024 * 1024, 'x')});
