--- a/include/rudderloom/endpoint_limits/in_flight.hpp
+++ b/include/rudderloom/endpoint_limits/in_flight.hpp
@@ -23,12 +23,26 @@
   kEnded,         ///< Costs are slots.
 };
 
+/// @brief Limit of a node that has no answers of the service yet: the highest that others passed
+/// within `kOthersLimitTime`. With a low limit of its own it would be refused while others keep the
+/// endpoint busy, and would never get an answer to learn from.
+/// @ingroup endpoint_limits
+constexpr std::uint32_t kLimitOfOthers = 0;
+
+/// @brief Time for which a limit that was passed counts for nodes that know none.
+/// @ingroup endpoint_limits
+constexpr Duration kOthersLimitTime{10'000};
+
+/// @brief Limit while no node has passed one, as when all nodes start.
+/// @ingroup endpoint_limits
+constexpr std::uint32_t kFirstInFlightLimit = 4;
+
 /// @brief Terms on which a request is granted by the work in flight at its endpoint.
 /// @ingroup endpoint_limits
 struct InFlightTerms {
   std::uint32_t cost = 1;  ///< 1 for a slot; at an engine the milliseconds to prefill the prompt.
   /// @brief Granted if the total cost in flight at the endpoint, including this one, is at most
-  /// this. Less urgent requests pass a lower limit.
+  /// this. Less urgent requests pass a lower limit. `kLimitOfOthers`: the asking node doesn't know.
   std::uint32_t limit = 0;
   Duration max_hold{0};  ///< After this time the request no longer counts, if no report arrives.
   InFlightUntil until = InFlightUntil::kEnded;
@@ -129,6 +143,8 @@
   bool Remove(GrantId grant, TimePoint now);
   void Expire(TimePoint now);
   std::uint32_t Progress(TimePoint now) const;
+  std::uint32_t LimitOfOthers(TimePoint now) const;
+  void RecordLimit(std::uint32_t limit, TimePoint now);
   std::uint32_t StartLimit(std::uint32_t limit, TimePoint now) const;
   std::uint32_t EffectiveLimit(std::uint32_t limit, TimePoint now) const;
   Duration WaitFor(std::uint32_t cost, std::uint32_t limit, TimePoint now) const;
@@ -143,7 +159,9 @@
   TimePoint next_expiry_ = TimePoint::max();
   std::optional<Lowered> lowered_;
   std::optional<TimePoint> first_asked_at_;
-  Duration typical_hold_;  // of requests that ended
+  std::uint32_t others_limit_ = 0;  // the highest passed lately
+  TimePoint others_limit_at_;       // when it was passed last
+  Duration typical_hold_;           // of requests that ended
   bool has_hold_ = false;
   std::map<std::uint32_t, TimePoint> next_turns_;  // of refused requests, by their limit
 };
--- a/include/rudderloom/forwarding/work_model.hpp
+++ b/include/rudderloom/forwarding/work_model.hpp
@@ -96,9 +96,9 @@
   /// there don't pause for longer than `longest_pause`.
   ///
   /// Between two events of a stream the endpoint makes its steps and processes the prompts that
-  /// arrive meanwhile, at worst one more than on average. The prompts may therefore take the part
-  /// of the time that the steps and one prompt leave of the pause, and half of it at least. Empty
-  /// if the route allows no pause.
+  /// arrive meanwhile. Within one pause, as many prompts may therefore arrive as fit beside the
+  /// steps. Prompts may take half of the endpoint's time at least. Empty if the route allows no
+  /// pause.
   std::optional<Duration> PromptSpacing(const std::string& service,
                                         const std::string& model,
                                         std::uint64_t unread_tokens,
--- a/src/rudderloom/endpoint_limits/in_flight.cpp
+++ b/src/rudderloom/endpoint_limits/in_flight.cpp
@@ -26,7 +26,13 @@
 }  // namespace
 
 InFlightDecision InFlightWork::Ask(GrantId grant, const InFlightTerms& asked, TimePoint now) {
-  const InFlightTerms terms = Bounded(asked);
+  InFlightTerms known = asked;
+  if (asked.limit == kLimitOfOthers) {
+    known.limit = LimitOfOthers(now);
+  } else {
+    RecordLimit(asked.limit, now);
+  }
+  const InFlightTerms terms = Bounded(known);
   Expire(now);
   first_asked_at_ = first_asked_at_.value_or(now);
   const std::uint32_t limit = EffectiveLimit(terms.limit, now);
@@ -45,6 +51,18 @@
   return grant;
 }
 
+std::uint32_t InFlightWork::LimitOfOthers(TimePoint now) const {
+  const bool recent = others_limit_ > 0 && now - others_limit_at_ < kOthersLimitTime;
+  return recent ? others_limit_ : kFirstInFlightLimit;
+}
+
+void InFlightWork::RecordLimit(std::uint32_t limit, TimePoint now) {
+  if (limit >= others_limit_ || now - others_limit_at_ >= kOthersLimitTime) {
+    others_limit_ = limit;
+    others_limit_at_ = now;
+  }
+}
+
 void InFlightWork::Accepted(GrantId grant, TimePoint now) {
   const auto found = requests_.find(grant);
   if (found != requests_.end() && found->second.until == InFlightUntil::kAnswerBegins) {
--- a/src/rudderloom/endpoint_limits/in_flight_test.cpp
+++ b/src/rudderloom/endpoint_limits/in_flight_test.cpp
@@ -370,5 +370,36 @@
   CHECK(after.AskInFlight(kEndpoint, kSlot, At(10)).verdict == PermitVerdict::kRefused);
 }
 
+// Load: a node starts while others keep the endpoint at their limit. The failure: it asked with the
+// slots as its limit, was refused as long as the overload lasted, and never learnt a higher one.
+TEST_CASE("a node that knows no limit is granted as many requests as others") {
+  const TimePoint start;
+  const TimePoint now = start + kInFlightStartTime;
+  InFlightWork work;
+  GrantId grant = 0;
+  const InFlightTerms settled{1, 14, Duration(20'000), InFlightUntil::kEnded};
+  const InFlightTerms fresh{1, kLimitOfOthers, Duration(20'000), InFlightUntil::kEnded};
+  work.Ask(++grant, settled, start);
+  for (int i = 0; i < 12; ++i) {
+    CHECK(std::holds_alternative<GrantId>(work.Ask(++grant, settled, now)));
+  }
+  CHECK(std::holds_alternative<GrantId>(work.Ask(++grant, fresh, now)));
+  CHECK(std::holds_alternative<InFlightRefusal>(work.Ask(++grant, fresh, now)));
+}
+
+TEST_CASE("while no node knows a limit, a few requests are in flight") {
+  const TimePoint start;
+  const TimePoint now = start + kInFlightStartTime;
+  InFlightWork work;
+  GrantId grant = 0;
+  const InFlightTerms fresh{1, kLimitOfOthers, Duration(20'000), InFlightUntil::kEnded};
+  work.Ask(++grant, fresh, start);
+  std::uint32_t granted = 1;
+  for (int i = 0; i < 10; ++i) {
+    granted += std::holds_alternative<GrantId>(work.Ask(++grant, fresh, now)) ? 1U : 0U;
+  }
+  CHECK(granted == kFirstInFlightLimit);
+}
+
 }  // namespace
 }  // namespace rudderloom
--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -79,23 +79,12 @@
   // Adds the request's expected service time to the demand. Refused requests count too; otherwise a
   // model under a burst would look idle.
   void CountDemand() {
-    const WorkModel& work = state_.balancer.Work();
-    const Duration offered = OfferedTime(work, request_.service, request_.terms);
+    const Duration offered = OfferedTime(state_.balancer.Work(), request_.service, request_.terms);
     for (const UnitName& unit : request_.Units()) {
-      state_.units[unit].offered += unit.adapter.empty() ? OfferedToModel(offered) : offered;
+      state_.units[unit].offered += offered;
     }
   }
 
-  Duration OfferedToModel(Duration offered) const {
-    const ServiceSpec* service = request_.routes->Service(request_.service);
-    const bool has_engine = service != nullptr && service->engine.has_value();
-    if (!has_engine || !ControlsOverload(state_, *request_.routes)) {
-      return offered;
-    }
-    const EngineLimits limits{service->engine->slots, request_.route->longest_pause};
-    return OfferedEngineTime(state_.balancer.Work(), request_.service, request_.terms, limits);
-  }
-
   // False if the client takes a stream up of which no version is known.
   Awaitable<bool> MayGoOn() {
     if (!request_.terms.resumes_stream) {
--- a/src/rudderloom/forwarding/request_permit.cpp
+++ b/src/rudderloom/forwarding/request_permit.cpp
@@ -79,7 +79,11 @@
   basis.goal = request_.Late() ? Duration(0) : request_.route->goal;
   basis.typical_time = state_.balancer.Work().TypicalHoldTime(request_.service, "");
   basis.remaining = Between(Now(), request_.deadline_at);
-  return SlotGrantTerms(basis);
+  InFlightTerms terms = SlotGrantTerms(basis);
+  if (basis.typical_time == Duration(0) && !request_.Late()) {
+    terms.limit = kLimitOfOthers;
+  }
+  return terms;
 }
 
 // Without a granting node, this node bounds what it sends by itself.
--- a/src/rudderloom/forwarding/request_samples.cpp
+++ b/src/rudderloom/forwarding/request_samples.cpp
@@ -20,16 +20,6 @@
   return known > Duration(0) ? known : kAssumedHoldTime;
 }
 
-Duration OfferedEngineTime(const WorkModel& work,
-                           const std::string& service,
-                           const RequestMetadata& terms,
-                           const EngineLimits& limits) {
-  const Duration prompt =
-      work.PromptSpacing(service, terms.model, terms.tokens_in, limits.longest_pause)
-          .value_or(Duration(0));
-  return std::max(OfferedTime(work, service, terms), prompt * limits.slots);
-}
-
 Duration BacklogTime(const WorkModel& work,
                      const std::string& service,
                      const RequestMetadata& terms,
--- a/src/rudderloom/forwarding/request_samples.hpp
+++ b/src/rudderloom/forwarding/request_samples.hpp
@@ -19,20 +19,6 @@
                      const std::string& service,
                      const RequestMetadata& terms);
 
-// Limits of an engine that a request for a model counts against.
-struct EngineLimits {
-  std::uint32_t slots = 1;
-  Duration longest_pause{0};  // that the request's route allows
-};
-
-// Like OfferedTime(), for all slots of an engine: an engine is as full as the larger part of its
-// slots and of the prompts that it can process without pauses that are too long. Where prompts are
-// long, it is full with a few slots in use.
-Duration OfferedEngineTime(const WorkModel& work,
-                           const std::string& service,
-                           const RequestMetadata& terms,
-                           const EngineLimits& limits);
-
 // How long a request waits at an idle endpoint behind `ahead` similar requests that arrive just
 // before it: until their prompts are processed or a slot is free, whichever is later.
 Duration BacklogTime(const WorkModel& work,
--- a/src/rudderloom/forwarding/request_start.cpp
+++ b/src/rudderloom/forwarding/request_start.cpp
@@ -16,7 +16,6 @@
 // Endpoints that are asked for a turn before a request is held or refused.
 constexpr std::size_t kMaxTurnEndpoints = 3;
 constexpr Duration kMinSlotWait{2};
-constexpr int kRetriedHoldDivisor = 4;
 // Longest wait of a repeat for its turn, in the longest pauses that its route allows.
 constexpr int kRepeatWaitPauses = 2;
 
@@ -149,16 +148,10 @@
   return Between(Now(), request_.LatestStart());
 }
 
-// Time for which the request may still be held. A retried one is held for a quarter of the time
-// that its client has left at most: one that is refused after a long hold has lost both.
+// Time for which the request may still be held. One whose goal has passed is not: if it is refused
+// after a hold, its client has waited twice for nothing.
 Duration RequestStart::HoldTimeLeft() const {
-  if (!request_.Retried() || state_.stopping) {
-    return MaxHold() - request_.Spent();
-  }
-  const Duration here = Between(request_.arrived, Now());
-  const Duration left = TimeLeft();
-  return std::min(left - request_.choice.forecast.if_deferred,
-                  (left + here) / kRetriedHoldDivisor - here);
+  return request_.Late() ? Duration(0) : MaxHold() - request_.Spent();
 }
 
 TurnRequest RequestStart::MakeTurnRequest(const EndpointRecord& endpoint) const {
@@ -194,8 +187,7 @@
     co_return std::nullopt;
   }
   const bool tries_another = std::exchange(request_.refused_turn, false);
-  // A late request asks again and again: each time at one endpoint, so that asking costs little.
-  if (tries_another && !request_.Late() && request_.without_turn.size() < kMaxTurnEndpoints &&
+  if (tries_another && request_.without_turn.size() < kMaxTurnEndpoints &&
       request_.choice.candidate_count > 1) {
     co_return std::nullopt;
   }
--- a/src/rudderloom/forwarding/work_model.cpp
+++ b/src/rudderloom/forwarding/work_model.cpp
@@ -1,7 +1,7 @@
 #include "rudderloom/forwarding/work_model.hpp"
 
-#include <algorithm>  // for clamp
-#include <cmath>      // for llround
+#include <algorithm>  // for clamp, max
+#include <cmath>      // for ceil, floor, llround
 
 namespace rudderloom {
 
@@ -163,8 +163,10 @@
   if (pause <= 0.0) {
     return std::nullopt;
   }
-  const double share = std::clamp(1.0 - (steps + prompt) / pause, kMinPromptShare, kMaxPromptShare);
-  return Rounded(prompt / share);
+  const double fitting = std::max(1.0, std::floor((pause - steps) / std::max(1.0, prompt)));
+  const double spacing =
+      std::clamp(pause / fitting, prompt / kMaxPromptShare, prompt / kMinPromptShare);
+  return Duration(static_cast<Duration::rep>(std::ceil(spacing)));
 }
 
 }  // namespace rudderloom
--- a/src/rudderloom/forwarding/work_model_test.cpp
+++ b/src/rudderloom/forwarding/work_model_test.cpp
@@ -130,20 +130,23 @@
 }
 
 // Load: more prompts than an endpoint processes while its streams keep their pauses.
-TEST_CASE("prompts are spaced so that two of them and the steps fit between two events") {
+TEST_CASE("the prompts that arrive within a pause fit into it beside the steps") {
   WorkModel work;
   std::mt19937 random(7);
   for (int i = 0; i < 100; ++i) {
     work.RecordStream("pool", "m", MakeSample(1'000 + random() % 9'000, 4, 1.0));
   }
   constexpr Duration kPause{400};
-  const Duration prompt = work.PromptTime("pool", "m", 2'400);
-  const auto spacing = work.PromptSpacing("pool", "m", 2'400, kPause);
-  REQUIRE(spacing);
-  // Prompts that arrive within a pause, one more, and the steps.
-  const double arriving = 400.0 / static_cast<double>(spacing->count());
-  CHECK((arriving + 1.0) * static_cast<double>(prompt.count()) <= 400.0);
-  CHECK(*spacing < prompt * 5 / 2);
+  const Duration steps = work.Forecast("pool", "m", {0, 0}).longest_pause;
+  for (const std::uint64_t tokens : {300, 700, 1'200, 2'400, 3'000, 5'000}) {
+    CAPTURE(tokens);
+    const Duration prompt = work.PromptTime("pool", "m", tokens);
+    const auto spacing = work.PromptSpacing("pool", "m", tokens, kPause);
+    REQUIRE(spacing);
+    const auto arriving = (kPause + *spacing - Duration(1)) / *spacing;
+    CHECK(steps + prompt * arriving <= kPause);
+    CHECK(*spacing <= prompt * 2 + Duration(1));
+  }
   // A prompt that takes most of the pause by itself gets half of the time.
   CHECK(work.PromptSpacing("pool", "m", 9'000, kPause) <=
         work.PromptTime("pool", "m", 9'000) * 2 + Duration(1));
