--- a/src/rudderloom/forwarding/request_start.cpp
+++ b/src/rudderloom/forwarding/request_start.cpp
@@ -171,14 +171,16 @@
   return ask;
 }
 
-// Asks as if the request were of a kind that is less urgent than all others: the queue stays short
-// enough for these. It asks again until its client's time is over.
+// Asks as if the request were of a kind that is less urgent than all others, and for half of its
+// goal at most: the queue stays short enough for new requests.
 TurnRequest RequestStart::MakeLateTurnRequest(const EndpointRecord& endpoint) const {
   TurnRequest ask = MakeTurnRequest(endpoint);
+  const Route& route = *request_.route;
   const std::uint32_t kinds = request_.routes->MoreUrgentPriorities(
       request_.service, std::numeric_limits<std::uint32_t>::max());
   const Duration left = std::max(Duration(0), TimeLeft() - request_.choice.forecast.if_deferred);
-  ask.max_wait = MaxTurnWait({left, request_.route->longest_pause, PromptTime(), kinds, false});
+  ask.max_wait = MaxTurnWait(
+      {std::min(left, route.goal / 2), route.longest_pause, PromptTime(), kinds, false});
   return ask;
 }
 
