--- a/tools/test.sh
+++ b/tools/test.sh
@@ -8,10 +8,13 @@
 tools/install.sh
 
 jobs=$(nproc)
+# A clone in another directory reuses compiled objects, also those with precompiled headers.
+export CCACHE_BASEDIR="$PWD" CCACHE_NOHASHDIR=1 CCACHE_SLOPPINESS=pch_defines,time_macros
 build() { # DIRECTORY SANITIZERS FLAGS
   local type=RelWithDebInfo
   [ -z "${3:-}" ] || type=None
-  cmake -S . -B "$1" -G Ninja -DCMAKE_BUILD_TYPE="$type" -DCMAKE_CXX_FLAGS="${3:-}" \
+  # ccache needs -fpch-preprocess to cache sources with precompiled headers.
+  cmake -S . -B "$1" -G Ninja -DCMAKE_BUILD_TYPE="$type" -DCMAKE_CXX_FLAGS="${3:--fpch-preprocess}" \
     -DRUDDERLOOM_SANITIZE="$2" -DCMAKE_CXX_COMPILER_LAUNCHER=ccache >/dev/null
   cmake --build "$1" -j "$jobs" | tail -n 1
 }
