--- a/src/rudderloom/forwarding/forwarded_request.cpp
+++ b/src/rudderloom/forwarding/forwarded_request.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>  // for min
 
+#include "forwarding/prompt_turn.hpp"  // for IsOverloadControlInForce
+
 namespace rudderloom {
 
 ForwardedRequest::ForwardedRequest(ForwardingState& state, HttpExchange& exchange)
@@ -27,8 +29,8 @@
 }
 
 bool ControlsOverload(const ForwardingState& state, const RouteTable& routes) {
-  return state.overload_control == OverloadControl::kOn ||
-         (state.overload_control == OverloadControl::kAuto && routes.CallersGiveUpBeforeLoads());
+  return IsOverloadControlInForce(state.overload_control, routes.CallersGiveUpBeforeLoads(),
+                                  state.views.Current()->live_nodes);
 }
 
 Duration TimeSpentBefore(ForwardingState& state, const ForwardedRequest& request) {
--- a/src/rudderloom/forwarding/prompt_turn.cpp
+++ b/src/rudderloom/forwarding/prompt_turn.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-// With fewer nodes, what a node knows of the others' requests is enough to keep pauses: at most
-// this many prompts can arrive unseen.
-constexpr std::uint32_t kMinSpacedNodes = 32;
 constexpr std::uint32_t kMaxRank = 16;
 // Part of the longest pause that requests of any kind accept as a queue.
 constexpr int kMinQueueDivisor = 8;
@@ -21,6 +18,15 @@
 
 }  // namespace
 
+bool IsOverloadControlInForce(OverloadControl setting,
+                              bool callers_give_up_before_loads,
+                              std::uint32_t live_nodes) {
+  if (setting != OverloadControl::kAuto) {
+    return setting == OverloadControl::kOn;
+  }
+  return callers_give_up_before_loads && live_nodes >= kMinSpacedNodes;
+}
+
 Duration MaxTurnWait(const TurnNeeds& needs) {
   const std::uint32_t rank = needs.hold_is_over ? 0 : std::min(needs.rank, kMaxRank);
   const Duration queue =
--- a/src/rudderloom/forwarding/prompt_turn.hpp
+++ b/src/rudderloom/forwarding/prompt_turn.hpp
@@ -33,6 +33,16 @@
                                       CallGuard& guard,
                                       TurnRequest request);
 
+// With fewer nodes, what a node knows of the others' requests is enough to keep pauses: at most
+// this many prompts can arrive unseen.
+constexpr std::uint32_t kMinSpacedNodes = 32;
+
+// `kAuto` needs so many nodes that prompts take turns: without turns, refusing more only makes more
+// clients come back.
+bool IsOverloadControlInForce(OverloadControl setting,
+                              bool callers_give_up_before_loads,
+                              std::uint32_t live_nodes);
+
 struct TurnNeeds {
   Duration time_left{0};  // until the request must be sent to meet its goal
   Duration longest_pause{0};
--- a/src/rudderloom/forwarding/prompt_turn_test.cpp
+++ b/src/rudderloom/forwarding/prompt_turn_test.cpp
@@ -36,5 +36,15 @@
   CHECK(MaxLatePrompts(Duration(0), Duration(100)) == 1);
 }
 
+// Guards against overload control in fleets that are too small for turns, where more clients were
+// refused twice and no more were served.
+TEST_CASE("automatic overload control needs slow loads and enough nodes for turns") {
+  CHECK(IsOverloadControlInForce(OverloadControl::kAuto, true, kMinSpacedNodes));
+  CHECK_FALSE(IsOverloadControlInForce(OverloadControl::kAuto, true, kMinSpacedNodes - 1));
+  CHECK_FALSE(IsOverloadControlInForce(OverloadControl::kAuto, false, kMinSpacedNodes));
+  CHECK(IsOverloadControlInForce(OverloadControl::kOn, false, 1));
+  CHECK_FALSE(IsOverloadControlInForce(OverloadControl::kOff, true, kMinSpacedNodes));
+}
+
 }  // namespace
 }  // namespace rudderloom
