Ask again who keeps a stream's version while the holder is replaced

Cause: a node asked the holder and its standbys for a stream's version once. While the killed holder is replaced, the holder doesn't answer, and a node that has just started knows no keeper but the last holder, which may be itself. Both were refused for good.

Change: the question is repeated each 100 ms, for one second at the most, while a keeper doesn't answer or no standby is known yet.

--- a/src/rudderloom/forwarding/stream_version.cpp
+++ b/src/rudderloom/forwarding/stream_version.cpp
@@ -1,6 +1,6 @@
 #include "forwarding/stream_version.hpp"
 
-#include <algorithm>  // for copy_if
+#include <algorithm>  // for copy_if, min
 #include <iterator>   // for back_inserter
 #include <utility>    // for move
 
@@ -10,8 +10,10 @@
 
 namespace {
 
-// A node that has just started learns the holder with its first answer.
-constexpr Duration kHolderWait{1'000};
+// A node that has just started learns the holder with its first answer and the standbys from the
+// next holder's, and a killed holder doesn't answer.
+constexpr Duration kKeeperWait{1'000};
+constexpr Duration kKeeperRetryInterval{100};
 
 // The nodes that are told of and asked for starts of streams: the lease holder, and those of which
 // one is the next holder.
@@ -32,6 +34,50 @@
   }
 }
 
+// What the nodes that keep starts of streams say of one.
+struct KeeperAnswers {
+  std::string version;        // empty if none of those that answered knows it
+  bool all_answered = false;  // and there are any
+};
+
+Awaitable<KeeperAnswers> AskKeepers(ForwardingState& state, std::string began_as) {
+  const std::vector<std::string> keepers = Keepers(state);
+  KeeperAnswers answers;
+  answers.all_answered = !keepers.empty();
+  for (const std::string& keeper : keepers) {
+    const auto send = [&](auto done) {
+      state.peers.ask_stream_version(keeper, began_as, std::move(done));
+    };
+    const auto answer = co_await AwaitAnswer<std::string>(state.context, send);
+    if (answer && !answer->empty()) {
+      answers.version = *answer;
+      co_return answers;
+    }
+    answers.all_answered = answers.all_answered && answer.has_value();
+  }
+  co_return answers;
+}
+
+// A node that has just started may know no keeper but the last holder, which may be itself.
+bool KnowsKeepers(const ForwardingState& state) {
+  return !state.standbys.empty() || state.views.Current()->live_nodes <= 1;
+}
+
+// Asks again while a keeper doesn't answer or is not known yet, for `kKeeperWait` at the most.
+// Empty if the stream's version can't be found out.
+Awaitable<std::string> AskKeepersUntilKnown(ForwardingState& state, std::string began_as) {
+  Timer timer(state.context);
+  const TimePoint until = Now() + kKeeperWait;
+  while (true) {
+    const KeeperAnswers answers = co_await AskKeepers(state, began_as);
+    const bool conclusive = answers.all_answered && KnowsKeepers(state);
+    if (!answers.version.empty() || conclusive || Now() >= until) {
+      co_return answers.version;
+    }
+    co_await state.views.WaitForNext(timer, std::min(until, Now() + kKeeperRetryInterval));
+  }
+}
+
 }  // namespace
 
 void RecordStreamStart(ForwardingState& state,
@@ -67,22 +113,8 @@
     co_return version;
   }
   if (version.empty() && !began_as.empty()) {
-    Timer timer(state.context);
-    const TimePoint holder_expected_by = Now() + kHolderWait;
-    while (Keepers(state).empty() && Now() < holder_expected_by) {
-      co_await state.views.WaitForNext(timer, holder_expected_by);
-    }
-    for (const std::string& keeper : Keepers(state)) {
-      const auto send = [&](auto done) {
-        state.peers.ask_stream_version(keeper, began_as, std::move(done));
-      };
-      const auto answer = co_await AwaitAnswer<std::string>(state.context, send);
-      if (answer && !answer->empty()) {
-        version = *answer;
-        source = "asked";
-        break;
-      }
-    }
+    version = co_await AskKeepersUntilKnown(state, began_as);
+    source = "asked";
   }
   if (version.empty()) {
     state.metrics.Count({"rudderloom_streams_taken_up_total", "version", "unknown"});
