--- a/src/rudderloom/forwarding/work_model.cpp
+++ b/src/rudderloom/forwarding/work_model.cpp
@@ -16,9 +16,9 @@
 constexpr double kMinPromptShare = 0.5;
 constexpr double kMaxPromptShare = 0.85;
 
-// Change of a typical share for each sample: a median of about fifty samples.
+// Step of the running median, which settles within some thirty samples.
 constexpr double kTypicalShareStep = 0.04;
-// Waits for prompts of other nodes at most double the expected time of a first event.
+// The least share: wrong samples shorten the time between prompts by half at the most.
 constexpr double kMinTypicalShare = 0.5;
 
 Duration Rounded(double milliseconds) {
@@ -163,8 +163,8 @@
 Duration WorkModel::PromptTime(const std::string& service,
                                const std::string& model,
                                std::uint64_t unread_tokens) const {
-  // The fitted times are means. Few requests that wait for prompts which other nodes have just sent
-  // raise them: engines answered in 0.65 to 0.7 of the expected time in the median.
+  // The fitted times are means, raised by the few requests that wait for prompts which other nodes
+  // have just sent. Engines were seen to answer in 0.64 to 0.7 of the expected time in the median.
   const auto typical = typical_shares_.find(service);
   const double share = typical == typical_shares_.end() ? 1.0 : typical->second.Value();
   return Rounded(share * static_cast<double>(unread_tokens) / TokensPerMillisecond(service, model));
