--- a/review/1/case.py
+++ b/review/1/case.py
@@ -20,9 +20,10 @@
           "load_overshoot": 1.1, "retry_ratio": 0.2, "retry_extra": 54, "retry_window": "10s",
           "configuration": "2s"}
 NODES = ("n0", "n1", "n2")
-WORKERS, CLIENTS, PLAY_S = 4, 12, float(os.environ.get("PLAY_S", "70"))
+WORKERS, CLIENTS, PLAY_S = 4, 18, float(os.environ.get("PLAY_S", "70"))
 GARBLE_SHARE, GARBLE_X, GARBLE_S, PAUSE_S = 0.5, 0.02, 5.5, 1.0
 BODY_BYTES = 2_000_000
+WORK_S = 0.03
 ALLOWED_LOST = 3
 SEED = os.environ.get("SEED", "1")
 
@@ -80,7 +81,7 @@
         body = await kit.read_body(reader, headers)
         self.record.write(f"{self.name} runs {request_id}")
         self.ran[request_id] = hashlib.sha256(body).hexdigest()
-        await asyncio.sleep(0.01)
+        await asyncio.sleep(WORK_S)
         writer.write(self.signed(kit.Request(method, target, headers, body), 200,
                                  request_id.encode()))
         await writer.drain()
