Keep a request's socket alive until its write has completed

Cause: EndpointConnection::StartRequest starts an asio::async_write on its member socket_ and nothing waits for its end. A body above 64 KB is written in steps. When the answer is complete before the request is written, EndpointLink::Release destroys the connection while a completed step is queued, and the operation goes on with a socket that is gone; if a new connection lies at that address, it gets the rest of the old body. AddressSanitizer names both places (heap-use-after-free in the write, freed by EndpointLink::Release through ConnectionPool::Put).

Ruled out: the parser and the read buffer, which only awaited reads use; the bytes of the request, which the completion owned before.

Change: the socket, the bytes and the state of the write are one object, owned by the connection and by the write. The connection closes the socket when it goes, so the write ends with its next step, whichever way the request ended. This is the only operation of the forwarding side that nobody awaits.

--- a/include/rudderloom/forwarding/endpoint_connection.hpp
+++ b/include/rudderloom/forwarding/endpoint_connection.hpp
@@ -30,12 +30,20 @@
 ///
 /// A connection is reused only if its state is certain: the request was written completely, the
 /// answer's end was framed by its length, and no surplus bytes followed.
+///
+/// The write of a request goes on while its answer is read, and nothing waits for its end: it owns
+/// the socket and the bytes together with this object, and ends soon after this object has closed
+/// the socket.
 /// @ingroup forwarding
 class EndpointConnection {
  public:
   struct End {};
 
   explicit EndpointConnection(asio::io_context& context);
+  EndpointConnection(const EndpointConnection&) = delete;
+  EndpointConnection& operator=(const EndpointConnection&) = delete;
+  /// @brief Closes the connection, also while a request is written.
+  ~EndpointConnection();
 
   /// @brief Limits the socket's buffers, before it connects. The system holds up to twice the size
   /// for each direction; 0 leaves the sizes to it.
@@ -82,18 +90,22 @@
 
  private:
   using Parser = http::response_parser<http::buffer_body>;
-  struct Write {
-    std::string bytes;
-    bool done = false;
-    bool failed = false;
+  // The state of the request's write.
+  enum class Write { kNone, kRunning, kDone, kFailed };
+  // What the write of a request uses until it has completed.
+  struct Channel {
+    explicit Channel(asio::io_context& context) : socket(context) {}
+    tcp::socket socket;
+    std::string request;  // empty once it was written
+    Write write = Write::kNone;
   };
 
   ConnectionFailure Failure(boost::system::error_code error) const;
 
-  tcp::socket socket_;
+  std::shared_ptr<Channel> channel_;
+  tcp::socket& socket_;  // of the channel
   beast::flat_buffer buffer_;
   std::unique_ptr<Parser> parser_;
-  std::shared_ptr<Write> write_;
   bool may_reuse_ = true;
   std::size_t buffer_bytes_ = 0;
 };
--- a/src/rudderloom/forwarding/endpoint_connection.cpp
+++ b/src/rudderloom/forwarding/endpoint_connection.cpp
@@ -23,7 +23,12 @@
 
 }  // namespace
 
-EndpointConnection::EndpointConnection(asio::io_context& context) : socket_(context) {}
+EndpointConnection::EndpointConnection(asio::io_context& context)
+    : channel_(std::make_shared<Channel>(context)), socket_(channel_->socket) {}
+
+EndpointConnection::~EndpointConnection() {
+  Close();
+}
 
 Awaitable<std::optional<ConnectionFailure>> EndpointConnection::Connect(std::string address) {
   tcp::endpoint endpoint;
@@ -54,18 +59,17 @@
 void EndpointConnection::StartRequest(const HttpRequest& request) {
   std::ostringstream head;
   head << request.base();
-  write_ = std::make_shared<Write>();
-  write_->bytes = head.str() + request.body();
-  asio::async_write(socket_, asio::buffer(write_->bytes),
-                    [write = write_](boost::system::error_code error, std::size_t) {
-                      write->bytes = std::string();
-                      write->done = true;
-                      write->failed = static_cast<bool>(error);
+  channel_->request = head.str() + request.body();
+  channel_->write = Write::kRunning;
+  asio::async_write(socket_, asio::buffer(channel_->request),
+                    [channel = channel_](boost::system::error_code error, std::size_t) {
+                      channel->request = std::string();
+                      channel->write = error ? Write::kFailed : Write::kDone;
                     });
 }
 
 ConnectionFailure EndpointConnection::Failure(boost::system::error_code error) const {
-  return {write_ != nullptr, error.message()};
+  return {channel_->write != Write::kNone, error.message()};
 }
 
 Awaitable<std::variant<EndpointConnection::End, ConnectionFailure>> EndpointConnection::ReadHead(
@@ -101,7 +105,7 @@
   }
   // The system tells the error of a connection once. If the write has taken it, the read sees a
   // close.
-  if (EndsWithConnection() && write_ && write_->failed) {
+  if (EndsWithConnection() && channel_->write == Write::kFailed) {
     co_return ConnectionFailure{true, "the request could not be written"};
   }
   co_return End{};
@@ -122,7 +126,7 @@
 bool EndpointConnection::Reusable() const {
   return may_reuse_ && socket_.is_open() && parser_ && parser_->is_done() &&
          parser_->get().keep_alive() && !parser_->get().need_eof() && buffer_.size() == 0 &&
-         write_ && write_->done && !write_->failed;
+         channel_->write == Write::kDone;
 }
 
 bool EndpointConnection::IsIdle() {
--- a/tests/fakes/scripted_endpoint.hpp
+++ b/tests/fakes/scripted_endpoint.hpp
@@ -71,6 +71,9 @@
 class ScriptedEndpoint {
  public:
   using Script = std::function<Awaitable<void>(const HttpRequest&, EndpointAnswer&)>;
+  // Runs once a request's head is in; false if the request was answered, so that its body is
+  // discarded.
+  using HeadScript = std::function<Awaitable<bool>(const HttpRequest&, EndpointAnswer&)>;
 
   ScriptedEndpoint(asio::io_context& context, Script script)
       : acceptor_(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)),
@@ -81,17 +84,23 @@
   }
   ~ScriptedEndpoint() { state_->script = nullptr; }
 
+  void SetHeadScript(HeadScript script) { state_->head_script = std::move(script); }
+
   const std::string& Address() const { return address_; }
   // Nobody listens at its address any more; open connections go on.
   void StopListening() { acceptor_.close(); }
   const std::vector<HttpRequest>& Requests() const { return state_->requests; }
   int Connections() const { return state_->connections; }
+  // Connections on which something arrived that is not a request.
+  int Malformed() const { return state_->malformed; }
 
  private:
   struct State {
     Script script;
+    HeadScript head_script;
     std::vector<HttpRequest> requests;
     int connections = 0;
+    int malformed = 0;
   };
 
   Awaitable<void> Accept() {
@@ -116,17 +125,35 @@
     while (socket->is_open()) {
       http::request_parser<http::string_body> parser;
       parser.body_limit(boost::none);
+      EndpointAnswer answer(*socket, connection);
+      const auto [head_error, head_size] =
+          co_await http::async_read_header(*socket, buffer, parser, kAsTuple);
+      if (head_error) {
+        state->malformed += IsMalformed(head_error) ? 1 : 0;
+        co_return;
+      }
+      bool runs = true;
+      if (state->head_script) {
+        runs = co_await state->head_script(parser.get(), answer);
+      }
       const auto [error, size] = co_await http::async_read(*socket, buffer, parser, kAsTuple);
       if (error || !state->script) {
         co_return;
       }
+      if (!runs) {
+        continue;
+      }
       const HttpRequest request = parser.release();
       state->requests.push_back(request);
-      EndpointAnswer answer(*socket, connection);
       co_await state->script(request, answer);
     }
   }
 
+  static bool IsMalformed(boost::system::error_code error) {
+    return error.category() == make_error_code(http::error::bad_method).category() &&
+           error != http::error::end_of_stream && error != http::error::partial_message;
+  }
+
   tcp::acceptor acceptor_;
   std::string address_;
   std::shared_ptr<State> state_;
