--- a/include/rudderloom/dissemination/digest.hpp
+++ b/include/rudderloom/dissemination/digest.hpp
@@ -75,6 +75,9 @@
   /// @brief Versions that have served lately, when the holder created the digest; empty if the
   /// holder doesn't know what served before it started.
   std::optional<VersionAges> software_versions;
+  /// @brief Versions at which streams may begin before the holder has confirmed their start; empty
+  /// if the holder is of an earlier version, which confirms nothing.
+  std::optional<VersionsByService> settled_versions;
 };
 
 /// @brief Adds the transit time to the ages of a digest and its contents.
--- a/include/rudderloom/dissemination/group_counts.hpp
+++ b/include/rudderloom/dissemination/group_counts.hpp
@@ -51,6 +51,7 @@
     TimePoint heard_at;
     bool needs_gateways = false;
     GatewayList gateways;
+    bool confirms_starts = true;
   };
 
   void AddOffered(const NodeCounts& counts);
--- a/include/rudderloom/fleet/fleet_state.hpp
+++ b/include/rudderloom/fleet/fleet_state.hpp
@@ -8,26 +8,27 @@
 #include <string>    // for string
 #include <vector>    // for vector
 
-#include "rudderloom/base/copy_on_change.hpp"              // for CopyOnChange
-#include "rudderloom/dissemination/configuration_log.hpp"  // for ConfigurationLog
-#include "rudderloom/dissemination/group_counts.hpp"       // for GroupCounts
-#include "rudderloom/dissemination/roster.hpp"             // for Roster
-#include "rudderloom/dissemination/source_choice.hpp"      // for SourceSelector
-#include "rudderloom/dissemination/digest_source.hpp"      // for DigestSource
-#include "rudderloom/dissemination/upstream.hpp"           // for Upstream
-#include "rudderloom/endpoint_limits/limit_exchange.hpp"   // for LimitExchange
-#include "rudderloom/fleet/control_lag.hpp"                // for ControlLag
-#include "rudderloom/fleet/endpoint_directory.hpp"         // for EndpointDirectory
-#include "rudderloom/fleet/fleet_settings.hpp"             // for FleetSettings
-#include "rudderloom/fleet/fleet_view.hpp"                 // for FleetViewPtr
-#include "rudderloom/fleet/messages.hpp"                   // for fleet_message::Any
-#include "rudderloom/placement/placement_keeper.hpp"       // for PlacementKeeper
-#include "rudderloom/quarantine/crash_book.hpp"            // for CrashBook
-#include "rudderloom/quarantine/crash_news_log.hpp"        // for CrashNewsLog
-#include "rudderloom/quota/quota_ledger.hpp"               // for QuotaLedger
-#include "rudderloom/quota/spending_log.hpp"               // for SpendingLog
-#include "rudderloom/quota/turn_table.hpp"                 // for TurnTable
-#include "rudderloom/stream_versions/kept_starts.hpp"      // for VersionKnowledge
+#include "rudderloom/base/copy_on_change.hpp"                  // for CopyOnChange
+#include "rudderloom/dissemination/configuration_log.hpp"      // for ConfigurationLog
+#include "rudderloom/dissemination/group_counts.hpp"           // for GroupCounts
+#include "rudderloom/dissemination/roster.hpp"                 // for Roster
+#include "rudderloom/dissemination/source_choice.hpp"          // for SourceSelector
+#include "rudderloom/dissemination/digest_source.hpp"          // for DigestSource
+#include "rudderloom/dissemination/upstream.hpp"               // for Upstream
+#include "rudderloom/endpoint_limits/limit_exchange.hpp"       // for LimitExchange
+#include "rudderloom/fleet/control_lag.hpp"                    // for ControlLag
+#include "rudderloom/fleet/endpoint_directory.hpp"             // for EndpointDirectory
+#include "rudderloom/fleet/fleet_settings.hpp"                 // for FleetSettings
+#include "rudderloom/fleet/fleet_view.hpp"                     // for FleetViewPtr
+#include "rudderloom/fleet/messages.hpp"                       // for fleet_message::Any
+#include "rudderloom/placement/placement_keeper.hpp"           // for PlacementKeeper
+#include "rudderloom/quarantine/crash_book.hpp"                // for CrashBook
+#include "rudderloom/quarantine/crash_news_log.hpp"            // for CrashNewsLog
+#include "rudderloom/quota/quota_ledger.hpp"                   // for QuotaLedger
+#include "rudderloom/quota/spending_log.hpp"                   // for SpendingLog
+#include "rudderloom/quota/turn_table.hpp"                     // for TurnTable
+#include "rudderloom/stream_versions/kept_starts.hpp"          // for VersionKnowledge
+#include "rudderloom/stream_versions/unrecorded_versions.hpp"  // for UnrecordedVersions
 
 namespace rudderloom {
 
@@ -193,6 +194,13 @@
   void UpdateVersions(FleetEffects& effects, TimePoint now);
   void RestoreVersions(const FormerLease& lease, TimePoint now);
   void ApplyVersions(const HolderDigest& digest, TimePoint now);
+  // `beginning`: versions of the endpoints at which streams may begin.
+  void UpdateUnrecordedVersions(const VersionsByService& beginning, TimePoint now);
+  void UpdateSettledVersions(const VersionsByService& beginning, TimePoint now);
+  // True if each node has the starts of streams confirmed.
+  bool AllConfirmStarts(TimePoint now);
+  // By the lease record as written last; none unless this node holds the lease.
+  VersionsByService RecordedVersions() const;
   void AddVersionsOfMovedStreams(const RouteTable& former, TimePoint now);
   // Marks a change that must reach request handling without delay.
   void MarkViewUrgent();
@@ -243,8 +251,14 @@
   std::uint64_t quarantine_changes_ = 0;  // Changes since this node took the lease.
   QuarantineListPtr quarantine_;          // As last published to request handling.
   ServiceVersions versions_;
-  VersionKnowledge version_knowledge_;  // As last published.
-  bool knows_version_history_ = false;  // From a holder or the lease record.
+  ServiceVersions beginning_versions_;  // Of endpoints at which streams may begin, as seen here.
+  UnrecordedVersions unrecorded_versions_;  // While this node holds the lease.
+  VersionsByService settled_versions_;      // See `FleetView`.
+  bool told_settled_ = false;               // A holder has told them, or this node held the lease.
+  bool read_settled_ = false;               // The lease record has told them.
+  std::optional<TimePoint> unconfirming_seen_at_;  // A node that has no starts confirmed.
+  VersionKnowledge version_knowledge_;             // As last published.
+  bool knows_version_history_ = false;             // From a holder or the lease record.
   std::optional<TimePoint> versions_watched_since_;
   TimePoint versions_observed_at_;
   LimitExchange limits_;
--- a/include/rudderloom/fleet/fleet_view.hpp
+++ b/include/rudderloom/fleet/fleet_view.hpp
@@ -67,6 +67,8 @@
   VersionsByService software_versions;
   /// @brief `software_versions` includes what served before this process started.
   bool knows_version_history = false;
+  /// @brief Versions at which streams may begin before the lease holder has confirmed their start.
+  VersionsByService settled_versions;
   std::uint32_t live_nodes = 1;  ///< Entry nodes that share limits, including this one.
   bool endpoints_known = false;  ///< The platform's list has been read.
   QuotaSnapshotPtr quota;        ///< Customer balances; null before the first are received.
--- a/include/rudderloom/forwarding/forwarder.hpp
+++ b/include/rudderloom/forwarding/forwarder.hpp
@@ -71,6 +71,14 @@
 /// @ingroup forwarding
 using StreamReportFunction = std::function<void(const std::string& node, const StreamStarts&)>;
 
+/// @brief Tells the lease holder at the given address at which software versions streams begin, and
+/// asks it to confirm that it knows. The callback may run on any thread; it receives an empty value
+/// if no answer came.
+/// @ingroup forwarding
+using StreamConfirmFunction = std::function<void(const std::string& holder,
+                                                 const StartsToConfirm& starts,
+                                                 std::function<void(std::optional<bool>)> done)>;
+
 /// @brief Asks the node at the given address what it knows of a stream. The callback may run on any
 /// thread; it receives an empty value if no answer came.
 /// @ingroup forwarding
@@ -92,6 +100,7 @@
   PermitRequestFunction ask_for_permit;
   PermitReportFunction report_permit;
   StreamReportFunction report_streams;
+  StreamConfirmFunction confirm_streams;
   StreamQueryFunction ask_stream_version;
   SavedStreamFunction find_saved_stream;
 };
@@ -151,6 +160,7 @@
   bool knows_version_history = false;      ///< As of the last view.
   VersionBook own_streams = {};            ///< That this node began.
   std::vector<std::string> standbys = {};  ///< The last ones known, by address.
+  TimePoint unconfirmed_at = {};  ///< When the lease holder last failed to confirm a start.
   /// @brief Instances that have told this node that they are leaving, and when they last did. The
   /// platform's list may tell it later, or never.
   std::map<std::string, TimePoint> leaving = {};
--- a/include/rudderloom/peers/holder_link.hpp
+++ b/include/rudderloom/peers/holder_link.hpp
@@ -33,8 +33,9 @@
   std::function<PermitAnswer(const PermitRequest&)> on_permit;
   /// @brief Called with what became of a request that this node granted. Must not block.
   std::function<void(const SlotReport&)> on_slot_report;
-  /// @brief Called when another node is about to begin streams. Must not block.
-  std::function<void(const StreamStarts&)> on_streams_begin;
+  /// @brief Called when another node is about to begin streams. Returns whether this node confirms
+  /// it, see `KeptStarts::Confirm`. Must not block.
+  std::function<bool(const StartsToConfirm&)> on_streams_begin;
   /// @brief Returns what this node knows of a stream. Must not block.
   std::function<StreamAnswer(const StreamQuery&)> stream_version;
   /// @brief Called when the report to the node at `to` failed.
@@ -50,6 +51,11 @@
 /// @ingroup peers
 using PermitCallback = std::function<void(std::optional<PermitAnswer>)>;
 
+/// @brief Receives whether the node confirms starts of streams; empty if the call failed. Called on
+/// the link's thread.
+/// @ingroup peers
+using ConfirmationCallback = std::function<void(std::optional<bool>)>;
+
 /// @brief Receives what the node knows; empty if the call failed. Called on the link's thread.
 /// @ingroup peers
 using StreamQueryCallback = std::function<void(std::optional<StreamAnswer>)>;
@@ -89,6 +95,10 @@
   /// @brief Tells the node at this address which streams begin. May be called from any thread.
   void Tell(const std::string& node, const StreamStarts& starts);
 
+  /// @brief Tells the node at this address which streams begin and asks it to confirm that. See the
+  /// first overload.
+  void Ask(const std::string& node, const StartsToConfirm& starts, ConfirmationCallback done);
+
   /// @brief Asks the node at this address at which version a stream began. See the first overload.
   void Ask(const std::string& node, const StreamQuery& query, StreamQueryCallback done);
 
--- a/include/rudderloom/placement/demand.hpp
+++ b/include/rudderloom/placement/demand.hpp
@@ -57,6 +57,9 @@
   bool reaches_endpoints = true;      ///< False if the node is cut off from all endpoints.
   bool needs_gateways = false;        ///< The node, or one it represents, lacks links to endpoints.
   GatewayList gateways;               ///< The node's own, and some of those that it represents.
+  /// @brief False if the node, or one it represents, is of an earlier version, which begins streams
+  /// at any version before the lease holder has confirmed it.
+  bool confirms_starts = true;
 };
 
 /// @brief Merges the offered load, spending, crashes and limits from a node's earlier, unreported
@@ -80,6 +83,7 @@
   bool needs_gateways = false;          ///< One of them does not reach all endpoints.
   GatewayList gateways = {};            ///< Of the nodes it reports for.
   TimePoint heard_at = {};              ///< Of its last report.
+  bool confirms_starts = true;          ///< See `NodeCounts`.
 };
 
 /// @brief Demand for one unit.
--- a/include/rudderloom/placement/lease_keeper.hpp
+++ b/include/rudderloom/placement/lease_keeper.hpp
@@ -40,6 +40,9 @@
   /// @brief That have served lately; empty if not known, or if later writes may be lost. None has
   /// if the lease was never held.
   std::optional<VersionsByService> software_versions = {};
+  /// @brief No node of the former holder was of an earlier version of this program, which has no
+  /// start of a stream confirmed.
+  bool confirms_starts = false;
   Duration blocked_for{0};
 };
 
@@ -124,6 +127,12 @@
     software_versions_ = std::move(versions);
   }
 
+  /// @brief Sets the unrecorded versions to include in the next write; does not trigger a write.
+  /// Empty: some node is of an earlier version of this program.
+  void SetUnrecordedVersions(std::optional<VersionOfService> versions) {
+    unrecorded_versions_ = std::move(versions);
+  }
+
   /// @brief Sets an additional delay before taking the lease, on top of the yield time that follows
   /// from the node's processor share.
   void SetExtraYield(Duration extra) { extra_yield_ = extra; }
@@ -164,6 +173,12 @@
   /// @brief The previous lease, before this process acquired it.
   const FormerLease& Former() const { return former_; }
 
+  /// @brief The lease record as last read or written; null before the first read, or if later
+  /// writes may be lost. Without a holder, the lease was never held.
+  const LeaseRecord* Record() const {
+    return version_ && !writes_may_be_lost_ ? &record_ : nullptr;
+  }
+
   /// @brief Address of the last known holder; empty if there is none.
   const std::string& HolderAddress() const { return record_.holder; }
 
@@ -233,6 +248,7 @@
   LowBalances low_balances_;
   std::set<RequestDigest> quarantined_;
   std::optional<VersionsByService> software_versions_;
+  std::optional<VersionOfService> unrecorded_versions_;
   TimePoint write_started_at_;
   std::optional<LeaseWrite> pending_write_;
   std::map<std::uint64_t, TimePoint> write_starts_;  // by renewal count, in the current epoch
--- a/include/rudderloom/placement/lease_record.hpp
+++ b/include/rudderloom/placement/lease_record.hpp
@@ -46,6 +46,10 @@
   /// if the holder doesn't know what served before it started, or is an earlier version of this
   /// program.
   std::optional<VersionsByService> software_versions = {};
+  /// @brief Versions at which streams began whose start no node knows, see `UnrecordedVersions`;
+  /// for nodes that have not heard of the holder. Empty if the holder or one of its nodes is an
+  /// earlier version of this program.
+  std::optional<VersionOfService> unrecorded_versions = {};
   bool operator==(const LeaseRecord&) const = default;
 };
 
--- a/include/rudderloom/stream_versions/kept_starts.hpp
+++ b/include/rudderloom/stream_versions/kept_starts.hpp
@@ -21,6 +21,13 @@
   std::string service;
 };
 
+/// @brief Starts of streams in a service that the lease holder is asked to confirm.
+/// @ingroup stream_versions
+struct StartsToConfirm {
+  StreamStarts starts;
+  std::string service;
+};
+
 /// @brief What a node knows about a stream.
 /// @ingroup stream_versions
 struct StreamAnswer {
@@ -33,6 +40,9 @@
   /// @brief The node has read the starts that earlier holders saved.
   bool has_loaded = false;
   bool from_self = false;  ///< The node has asked itself.
+  /// @brief At which it began if no node knows it, see `UnrecordedVersions`; empty: that proves
+  /// nothing.
+  std::string unrecorded_version;
 };
 
 /// @brief Versions that have served lately, as the control state knows them.
@@ -45,6 +55,10 @@
   /// @brief The node is stopping and has released the lease, and no other node is known to have
   /// taken it: it still saves the starts that it is told.
   bool saves_while_stopping = false;
+  VersionsByService recorded;   ///< At the lease holder: by the lease record as written last.
+  VersionOfService unrecorded;  ///< At the lease holder, see `UnrecordedVersions`.
+  /// @brief At which streams may begin before the lease holder has confirmed their start.
+  VersionsByService settled;
 };
 
 /// @brief The starts of streams of all nodes, at a node that keeps them: the lease holder and those
@@ -55,6 +69,10 @@
   /// @brief Records starts of which a node tells.
   void Record(const StreamStarts& starts, TimePoint now);
 
+  /// @brief Records starts. Returns true if every later answer of a lease holder takes them into
+  /// account: this node holds the lease, and its record lists their versions.
+  bool Confirm(const StartsToConfirm& told, TimePoint now);
+
   /// @brief Replaces what is known of versions.
   void SetKnowledge(VersionKnowledge knowledge);
 
--- a/include/rudderloom/stream_versions/service_versions.hpp
+++ b/include/rudderloom/stream_versions/service_versions.hpp
@@ -19,6 +19,20 @@
 /// @ingroup stream_versions
 using VersionAges = std::map<std::string, std::map<std::string, Duration>>;
 
+/// @brief One version of each service.
+/// @ingroup stream_versions
+using VersionOfService = std::map<std::string, std::string, std::less<>>;
+
+/// @brief Returns true if `versions` has this version of the service.
+/// @ingroup stream_versions
+bool HasVersion(const VersionsByService& versions,
+                const std::string& service,
+                const std::string& version);
+
+/// @brief Returns the versions that are in both.
+/// @ingroup stream_versions
+VersionsByService CommonVersions(const VersionsByService& left, const VersionsByService& right);
+
 /// @brief Returns the versions of a service, joined by commas, for logs.
 /// @ingroup stream_versions
 std::string VersionsText(const VersionsByService& versions, const std::string& service);
@@ -46,6 +60,9 @@
   /// @brief Returns the same with the time since each has served.
   VersionAges Ages(TimePoint now) const;
 
+  /// @brief Returns the versions that have served within `limit`.
+  VersionsByService Within(Duration limit, TimePoint now) const;
+
  private:
   std::map<std::string, std::map<std::string, TimePoint>> seen_at_;  // by service and version
 };
--- a/include/rudderloom/stream_versions/version_book.hpp
+++ b/include/rudderloom/stream_versions/version_book.hpp
@@ -48,6 +48,10 @@
   /// @brief Returns everything that is still remembered.
   StreamStarts All() const;
 
+  /// @brief Returns true if a start of this attempt would be known: its id is recordable, and no
+  /// start was dropped before its time for want of room.
+  bool WouldKnow(const std::string& began_as, TimePoint now) const;
+
   /// @brief Drops expired entries.
   void Trim(TimePoint now);
 
@@ -65,6 +69,7 @@
   std::unordered_map<std::string, Entry> entries_;  // by the id of the client's attempt
   std::deque<Recorded> order_;                      // a replaced entry stands in it twice
   std::size_t next_unsaved_ = 0;                    // index in `order_`
+  TimePoint dropped_at_;  // when a start was last dropped for want of room
 };
 
 }  // namespace rudderloom
--- a/include/rudderloom/stream_versions/version_decision.hpp
+++ b/include/rudderloom/stream_versions/version_decision.hpp
@@ -26,6 +26,7 @@
 enum class VersionVerdict {
   kBegan,     ///< The version at which the stream began is known.
   kOnly,      ///< It began at the only version that has served lately.
+  kFirst,     ///< It began at the version that was the only one before, as no node knows it.
   kUnknown,   ///< It is not known.
   kAskAgain,  ///< Some node may know more by and by.
 };
@@ -42,9 +43,11 @@
 ///
 /// That a node has seen a single version proves nothing: it may have started after another one had
 /// gone, or be cut off from news. The lease holder's word does, as each version is written to the
-/// lease record. While nobody holds the lease, a node relies on what it has seen itself, if half of
-/// the other nodes that keep starts answer and none of them has seen a further version. Nodes that
-/// know the stream at different versions don't know which of them began it.
+/// lease record; so does the holder's word at which version streams began that it doesn't know,
+/// unless another node has seen a version that the holder hasn't. While nobody holds the lease, a
+/// node relies on what it has seen itself, if half of the other nodes that keep starts answer and
+/// none of them has seen a further version. Nodes that know the stream at different versions don't
+/// know which of them began it.
 /// @ingroup stream_versions
 VersionDecision DecideVersion(const StreamInquiry& inquiry);
 
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -95,6 +95,8 @@
   cutOff @18 :Bool;                  # the node reaches no endpoint
   needsGateways @19 :Bool;           # the node, or one that it stands for, lacks links to some
   gateways @20 :List(Gateway);       # the node, or some of those that it stands for
+  confirmsStarts @21 :Bool;  # the node, and all that it stands for, begin no stream at a version that
+                             # isn't settled before the holder has confirmed its start
 }
 
 struct ServedModel {
@@ -292,6 +294,8 @@
   turnClockMs @28 :Int64;     # the clock of the turns when the holder made this
   servedVersions @29 :List(ServedVersion);
   knowsVersionHistory @30 :Bool;  # `servedVersions` has all; false in an earlier build
+  settledVersions @31 :List(ServedVersion);  # at which streams may begin before they are confirmed
+  tellsSettledVersions @32 :Bool;            # false in an earlier build, which confirms nothing
 }
 
 enum SpendVerdict {
@@ -340,12 +344,13 @@
       -> (verdict :PermitVerdict, waitMs :UInt32, grant :UInt64, byInFlight :Bool);
   slotUsed @3 (endpoint :UInt32, grant :UInt64, outcome :SlotOutcome) -> ();
   # Streams of which an endpoint is about to send the first event, and its software version.
-  streamsBegin @4 (streams :List(StreamStart)) -> ();
+  # `confirmed`: the lease is held here, and the lease record lists all their versions for `service`.
+  streamsBegin @4 (streams :List(StreamStart), service :Text) -> (confirmed :Bool);
   # At which software version did the stream begin? Empty: not known. `versions`: those of the
   # service that have served lately; all of them if `knowsHistory`. `isHolder`: the lease is held
-  # here. `hasLoaded`: the starts that were saved in the store are known. An earlier build answers
-  # with the first field only.
+  # here. `hasLoaded`: the starts that were saved in the store are known. `unrecordedVersion`: at which
+  # a stream began that no node knows. An earlier build answers with the first field only.
   streamVersion @5 (beganAs :Text, service :Text)
       -> (softwareVersion :Text, versions :List(Text), knowsHistory :Bool, isHolder :Bool,
-          hasLoaded :Bool);
+          hasLoaded :Bool, unrecordedVersion :Text);
 }
--- a/src/rudderloom/app/fleet_daemon.cpp
+++ b/src/rudderloom/app/fleet_daemon.cpp
@@ -183,6 +183,10 @@
     peers.report_streams = [this](const std::string& node, const StreamStarts& starts) {
       ReportStreams(node, starts);
     };
+    peers.confirm_streams = [this](const std::string& holder, const StartsToConfirm& starts,
+                                   ConfirmationCallback done) {
+      ConfirmStreams(holder, starts, std::move(done));
+    };
     peers.ask_stream_version = [this](const std::string& node, const StreamQuery& query,
                                       StreamQueryCallback done) {
       RequestStreamVersion(node, query, std::move(done));
@@ -214,8 +218,8 @@
     hooks.on_spend = [this](const SpendRequest& ask) { return AnswerSpend(ask); };
     hooks.on_permit = [this](const PermitRequest& ask) { return AnswerPermit(ask); };
     hooks.on_slot_report = [this](const SlotReport& report) { RecordSlotReport(report); };
-    hooks.on_streams_begin = [this](const StreamStarts& starts) {
-      stream_starts_.Record(starts, Now());
+    hooks.on_streams_begin = [this](const StartsToConfirm& starts) {
+      return stream_starts_.Confirm(starts, Now());
     };
     hooks.stream_version = [this](const StreamQuery& query) {
       return stream_starts_.Answer(query, Now());
@@ -301,6 +305,16 @@
     }
   }
 
+  void ConfirmStreams(const std::string& holder,
+                      const StartsToConfirm& starts,
+                      ConfirmationCallback done) {
+    if (holder == settings_.listen.peers) {
+      done(stream_starts_.Confirm(starts, Now()));
+    } else {
+      link_.Ask(holder, starts, std::move(done));
+    }
+  }
+
   void RequestStreamVersion(const std::string& node,
                             const StreamQuery& query,
                             StreamQueryCallback done) {
--- a/src/rudderloom/dissemination/group_counts.cpp
+++ b/src/rudderloom/dissemination/group_counts.cpp
@@ -26,8 +26,12 @@
   for (const auto& [unit, count] : counts.units) {
     waiting_ = waiting_ || count.waiting > 0;
   }
-  members_[counts.node] = {counts.units, std::make_shared<const LoadTable>(counts.loads), now,
-                           counts.needs_gateways, counts.gateways};
+  members_[counts.node] = {counts.units,
+                           std::make_shared<const LoadTable>(counts.loads),
+                           now,
+                           counts.needs_gateways,
+                           counts.gateways,
+                           counts.confirms_starts};
 }
 
 std::optional<NodeCounts> GroupCounts::Take(TimePoint now, std::size_t max_gateways) {
@@ -50,6 +54,7 @@
       summed.waiting += count.waiting;
     }
     sum.needs_gateways = sum.needs_gateways || member.needs_gateways;
+    sum.confirms_starts = sum.confirms_starts && member.confirms_starts;
     ++sum.represented_nodes;
   }
   sum.gateways = SelectGateways(Gateways(now), sum.node, max_gateways);
--- a/src/rudderloom/fleet/fleet_dissemination.cpp
+++ b/src/rudderloom/fleet/fleet_dissemination.cpp
@@ -275,6 +275,7 @@
   if (knows_version_history_) {
     common.software_versions = versions_.Ages(now);
   }
+  common.settled_versions = settled_versions_;
   common.nodes = live_nodes_;
   common.gateways_wanted = gateways_wanted_;
   common.renewals_fail = lease_.IsRenewalOverdue(now);
--- a/src/rudderloom/fleet/fleet_lease.cpp
+++ b/src/rudderloom/fleet/fleet_lease.cpp
@@ -207,6 +207,7 @@
 // again.
 void FleetState::ContinueHolding(FleetEffects& effects, TimePoint now) {
   placement_.ContinueLease(lease_.Former(), now);
+  unrecorded_versions_.ExcludeAll();
   held_epoch_ = lease_.Epoch();
   limits_.Begin(held_epoch_);
   effects.statement = MakeStatement(now);
--- a/src/rudderloom/fleet/fleet_state.cpp
+++ b/src/rudderloom/fleet/fleet_state.cpp
@@ -337,6 +337,7 @@
   view->load_forecast = CurrentForecast(now);
   view->software_versions = version_knowledge_.lately;
   view->knows_version_history = version_knowledge_.knows_history;
+  view->settled_versions = version_knowledge_.settled;
   const LoadTable loads = OtherLoads(now);
   const bool placed = holds_lease_ || DigestFresh(now);
   for (const auto& [instance, known] : directory_.Endpoints()) {
--- a/src/rudderloom/fleet/fleet_versions.cpp
+++ b/src/rudderloom/fleet/fleet_versions.cpp
@@ -1,5 +1,6 @@
 // Software versions that have served lately, which streams may have begun at.
-#include <utility>  // for move
+#include <algorithm>  // for any_of
+#include <utility>    // for exchange, move
 
 #include "rudderloom/base/log_line.hpp"                  // for LogLine
 #include "rudderloom/fleet/fleet_state.hpp"              // for FleetState
@@ -15,6 +16,22 @@
 constexpr Duration kMaxUnobserved{2'000};
 // After this time a node has seen by itself all versions that streams may have begun at.
 constexpr Duration kFullHistory{60'000};
+// A version at which no stream could begin for longer is settled anew by the lease holder. Longer
+// than a holder that can't reach the store keeps its lease, as its list of endpoints may be old.
+constexpr Duration kMaxAbsence{3'000};
+
+// Where what no node knows speaks for one version, starts at the others must be known.
+VersionsByService SettledVersions(VersionsByService recorded, const VersionOfService& unrecorded) {
+  for (const auto& [service, version] : unrecorded) {
+    recorded[service] = {version};
+  }
+  return recorded;
+}
+
+VersionsByService SettledVersionsOf(const LeaseRecord& record) {
+  return SettledVersions(record.software_versions.value_or(VersionsByService()),
+                         record.unrecorded_versions.value_or(VersionOfService()));
+}
 
 }  // namespace
 
@@ -29,13 +46,21 @@
   } else if (missed) {
     versions_watched_since_ = now;
     knows_version_history_ = false;
+    told_settled_ = false;
+    read_settled_ = false;
+    settled_versions_.clear();
   }
   versions_observed_at_ = now;
   VersionsByService present;
+  VersionsByService beginning;
   for (const auto& [instance, known] : directory_.Endpoints()) {
     present[known.record.service].insert(known.record.software_version);
+    if (!known.record.leaving) {
+      beginning[known.record.service].insert(known.record.software_version);
+    }
   }
   versions_.Observe(present, now);
+  beginning_versions_.Observe(beginning, now);
   knows_version_history_ = knows_version_history_ || now - *versions_watched_since_ >= kFullHistory;
   VersionKnowledge knowledge;
   knowledge.lately = versions_.Lately();
@@ -44,10 +69,16 @@
     knowledge.held_until = lease_.ValidUntil();
     knowledge.epoch = lease_.Epoch();
   }
+  UpdateUnrecordedVersions(beginning, now);
+  UpdateSettledVersions(beginning, now);
+  knowledge.recorded = RecordedVersions();
+  knowledge.unrecorded = unrecorded_versions_.Current();
+  knowledge.settled = settled_versions_;
   knowledge.saves_while_stopping = stopping_ && !holds_lease_ && held_epoch_ != 0 &&
                                    lease_.HolderAddress() == settings_.listen.peers;
   if (knowledge.lately != version_knowledge_.lately ||
-      knowledge.knows_history != version_knowledge_.knows_history) {
+      knowledge.knows_history != version_knowledge_.knows_history ||
+      knowledge.settled != version_knowledge_.settled) {
     MarkViewUrgent();
   }
   if (holds_lease_ && knows_version_history_) {
@@ -57,8 +88,62 @@
   effects.versions = std::move(knowledge);
 }
 
+VersionsByService FleetState::RecordedVersions() const {
+  const LeaseRecord* record = holds_lease_ ? lease_.Record() : nullptr;
+  return record != nullptr ? record->software_versions.value_or(VersionsByService())
+                           : VersionsByService();
+}
+
+bool FleetState::AllConfirmStarts(TimePoint now) {
+  const auto nodes = board_.ReportingNodes(settings_.name, now);
+  if (std::any_of(nodes.begin(), nodes.end(),
+                  [](const ReportingNode& node) { return !node.confirms_starts; })) {
+    unconfirming_seen_at_ = now;
+  }
+  return !unconfirming_seen_at_ || now - *unconfirming_seen_at_ >= kFullHistory;
+}
+
+void FleetState::UpdateUnrecordedVersions(const VersionsByService& beginning, TimePoint now) {
+  if (!holds_lease_ || !lease_.Holds(now)) {
+    unrecorded_versions_.Clear();
+    return;
+  }
+  const bool all_confirm = AllConfirmStarts(now);
+  if (!all_confirm || !knows_version_history_) {
+    unrecorded_versions_.Clear();
+  } else {
+    unrecorded_versions_.Update({RecordedVersions(), beginning, versions_.Lately()}, now);
+  }
+  lease_.SetUnrecordedVersions(all_confirm ? std::optional(unrecorded_versions_.Current())
+                                           : std::nullopt);
+}
+
+// What a lease holder has told stays valid for a version as long as streams may begin at it, and
+// some time longer. A node that has heard of no holder goes by the lease record.
+void FleetState::UpdateSettledVersions(const VersionsByService& beginning, TimePoint now) {
+  const LeaseRecord* record = lease_.Record();
+  if (holds_lease_) {
+    // Without a history, what no node knows proves nothing, and nothing needs to be known.
+    settled_versions_ = knows_version_history_
+                            ? SettledVersions(RecordedVersions(), unrecorded_versions_.Current())
+                            : beginning;
+    told_settled_ = true;
+  } else if (!told_settled_ && record != nullptr) {
+    settled_versions_ = record->holder.empty() ? beginning : SettledVersionsOf(*record);
+    if (!std::exchange(read_settled_, true)) {
+      beginning_versions_.Restore(settled_versions_, now);
+    }
+  }
+  settled_versions_ =
+      CommonVersions(settled_versions_, beginning_versions_.Within(kMaxAbsence, now));
+}
+
 // Called when the lease is taken.
 void FleetState::RestoreVersions(const FormerLease& lease, TimePoint now) {
+  unrecorded_versions_.Begin(lease.software_versions.value_or(VersionsByService()), now);
+  if (!lease.confirms_starts) {
+    unconfirming_seen_at_ = now;
+  }
   if (lease.software_versions) {
     versions_.Restore(*lease.software_versions, now);
     knows_version_history_ = true;
@@ -69,6 +154,15 @@
 }
 
 void FleetState::ApplyVersions(const HolderDigest& digest, TimePoint now) {
+  if (digest.settled_versions) {
+    settled_versions_ = *digest.settled_versions;
+    beginning_versions_.Restore(settled_versions_, now - digest.age);
+    told_settled_ = true;
+  } else if (digest.is_authoritative) {
+    // A holder of an earlier version confirms nothing.
+    settled_versions_ = beginning_versions_.Within(kMaxAbsence, now);
+    told_settled_ = true;
+  }
   if (!digest.software_versions) {
     return;
   }
@@ -82,6 +176,7 @@
   for (const MovedStreams& moved : FindMovedStreams(former, *routes_.Get().Current())) {
     if (const auto found = lately.find(moved.from); found != lately.end()) {
       versions_.Restore({{moved.to, found->second}}, now);
+      unrecorded_versions_.Exclude(moved.to);
     }
   }
 }
--- a/src/rudderloom/fleet/fleet_versions_test.cpp
+++ b/src/rudderloom/fleet/fleet_versions_test.cpp
@@ -334,7 +334,9 @@
     Schedule schedule(seed);
     schedule.Run();
     INFO(schedule.Text());
-    CHECK(schedule.Wrong() == std::vector<std::string>());
+    for (const std::string& wrong : schedule.Wrong()) {
+      FAIL_CHECK(wrong);
+    }
     const Outcome outcome = schedule.GoneOn(false);
     CHECK(outcome.Share() >= 0.5);
     least = std::min(least, outcome.Share());
--- a/src/rudderloom/forwarding/attempt.cpp
+++ b/src/rudderloom/forwarding/attempt.cpp
@@ -377,6 +377,10 @@
       }
       any_event = true;
       kept.Set(framer.PartialBytes() + events.size());
+      const bool may_begin = co_await MayBegin();
+      if (!may_begin) {
+        co_return NotConfirmed();
+      }
       const bool forwarded = co_await ForwardEvents(events);
       if (!forwarded) {
         guard_.ClientDisconnected();
@@ -393,6 +397,28 @@
     co_return co_await FinishStream();
   }
 
+  Awaitable<bool> MayBegin() {
+    if (params_.stream->started || !params_.may_begin) {
+      co_return true;
+    }
+    SetResponseTimeout(std::nullopt);
+    const bool may_begin = co_await params_.may_begin();
+    if (params_.answer_timeout) {
+      SetResponseTimeout(params_.event_timeout);
+    }
+    co_return may_begin;
+  }
+
+  // The endpoint is not at fault.
+  AttemptResult NotConfirmed() {
+    link_.Connection().ForbidReuse();
+    params_.stream->unconfirmed = true;
+    params_.stream->sequence = {};
+    AttemptResult result = Fail(AttemptOutcome::kFailed, "start_not_confirmed");
+    result.feedback = EndpointFeedback::kNeutral;
+    return result;
+  }
+
   // Appends complete events that the client has not received to `out`; false if one is missing.
   bool CollectEvents(EventFramer& framer, std::string& out) {
     while (auto event = framer.Next()) {
--- a/src/rudderloom/forwarding/attempt.hpp
+++ b/src/rudderloom/forwarding/attempt.hpp
@@ -38,7 +38,8 @@
   StreamPace pace;
   std::string weights_version;   // of the first attempt
   std::string software_version;  // of the endpoint that began it; empty: not known
-  std::string told_version;      // of the first attempt, which other nodes may have been told
+  std::string told_version;      // of the last attempt, which other nodes may have been told
+  bool unconfirmed = false;      // an attempt could not begin it at a version that isn't settled
   std::string_view version_known_by = "answer";  // how this node knows it, for logs
 };
 
@@ -56,6 +57,9 @@
   std::function<void()> on_connecting;      // called when another connection is opened
   std::function<void()> on_sent;            // called when the request is about to be written
   std::function<void()> on_answer_started;  // called when the answer starts
+  // Called before the first event of a stream is sent to the client; false if it must not be.
+  // Empty: it may be at once.
+  std::function<Awaitable<bool>()> may_begin;
 };
 
 enum class AttemptOutcome {
--- a/src/rudderloom/forwarding/attempt_runner.cpp
+++ b/src/rudderloom/forwarding/attempt_runner.cpp
@@ -22,7 +22,7 @@
   AttemptParams params = MakeParams(endpoint, started);
   AddCallbacks(endpoint, added_load, params);
   state_.balancer.RequestStarted(endpoint.instance, request_.terms, added_load, started);
-  RecordStart(endpoint, started);
+  RecordStart(endpoint, started, params);
   instance_ = endpoint.instance;
   connecting_ = true;
   AttemptResult result;
@@ -97,20 +97,35 @@
   return std::chrono::duration_cast<Duration>(route.goal * kAnswerTimeoutGoals);
 }
 
-void AttemptRunner::RecordStart(const EndpointRecord& endpoint, TimePoint started) {
+void AttemptRunner::RecordStart(const EndpointRecord& endpoint,
+                                TimePoint started,
+                                AttemptParams& params) {
   if (request_.GoesOn()) {
     if (state_.log_quota.Allows(started)) {
       LogResumedStream({request_.terms, endpoint, request_.stream.software_version,
                         request_.stream.version_known_by});
     }
   } else if (request_.route->kind == RouteKind::kStream) {
-    if (request_.stream.told_version.empty()) {
-      request_.stream.told_version = endpoint.software_version;
+    const StreamStart start{request_.terms.id, endpoint.software_version};
+    const std::string told = request_.stream.told_version;
+    request_.stream.told_version = endpoint.software_version;
+    RecordStreamStart(state_, request_.service, start);
+    const bool replaces_told = !told.empty() && told != endpoint.software_version;
+    if (request_.route->Repeatable() &&
+        (replaces_told || NeedsConfirmation(state_, request_.service, endpoint.software_version))) {
+      AwaitConfirmation(start, params);
     }
-    RecordStreamStart(state_, request_.service, {request_.terms.id, endpoint.software_version});
   }
 }
 
+// The first event is sent to the client only once the lease holder knows at which version the
+// stream begins.
+void AttemptRunner::AwaitConfirmation(const StreamStart& start, AttemptParams& params) {
+  auto confirmation = std::make_shared<StartConfirmation>(state_, request_.service, start);
+  confirmation->Ask();
+  params.may_begin = [confirmation, guard = request_.guard] { return confirmation->Await(*guard); };
+}
+
 void AttemptRunner::RecordEnd(const Started& attempt, const AttemptResult& result) {
   const std::string& instance = attempt.endpoint.instance;
   state_.balancer.RequestEnded(instance, attempt.added_load, result.feedback, Now());
--- a/src/rudderloom/forwarding/attempt_runner.hpp
+++ b/src/rudderloom/forwarding/attempt_runner.hpp
@@ -2,6 +2,7 @@
 #ifndef RUDDERLOOM_FORWARDING_ATTEMPT_RUNNER_HPP
 #define RUDDERLOOM_FORWARDING_ATTEMPT_RUNNER_HPP
 
+#include <memory>    // for make_shared
 #include <optional>  // for optional
 #include <string>    // for string
 
@@ -40,7 +41,8 @@
                     AttemptParams& params);
   EndpointLoad AddedLoad();
   std::optional<Duration> AnswerTimeout() const;
-  void RecordStart(const EndpointRecord& endpoint, TimePoint started);
+  void RecordStart(const EndpointRecord& endpoint, TimePoint started, AttemptParams& params);
+  void AwaitConfirmation(const StreamStart& start, AttemptParams& params);
   void RecordEnd(const Started& attempt, const AttemptResult& result);
   void RecordServiceTime(const Started& attempt);
   void EndSendAlone(const AttemptResult& result);
--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -130,14 +130,23 @@
     }
   }
 
-  // Other nodes have been told the version of a stream's first attempt, so retries before the first
-  // event stay at it while they can: a second telling may be lost.
+  // Other nodes have been told the version of a stream's last attempt, so retries before the first
+  // event stay at it while they can.
+  std::string PreferredStartVersion() const {
+    const StreamState& stream = request_.stream;
+    if (!stream.told_version.empty() && !stream.unconfirmed) {
+      return stream.told_version;
+    }
+    const bool begins_stream = request_.route->kind == RouteKind::kStream && !request_.GoesOn();
+    return begins_stream ? PreferredVersion(state_, request_.service) : std::string();
+  }
+
   std::variant<EndpointChoice, NoEndpointReason> ChooseEndpoint(const FleetView& view) {
     const std::set<std::string> excluded = request_.Excluded();
     BalancerQuery query = MakeQuery(state_, request_, excluded, permit_.AskedTooOften());
-    const std::string& told = request_.stream.told_version;
-    if (query.software_version.empty() && !told.empty()) {
-      query.software_version = told;
+    const std::string preferred = PreferredStartVersion();
+    if (query.software_version.empty() && !preferred.empty()) {
+      query.software_version = preferred;
       auto chosen = state_.balancer.Choose(view, query, Now());
       if (std::holds_alternative<EndpointChoice>(chosen)) {
         return chosen;
--- a/src/rudderloom/forwarding/stream_version.cpp
+++ b/src/rudderloom/forwarding/stream_version.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>   // for any_of, copy_if, find_if, min
 #include <functional>  // for hash
-#include <iterator>    // for back_inserter
+#include <iterator>    // for back_inserter, inserter
 #include <memory>      // for make_shared
 #include <utility>     // for move
 
@@ -20,6 +20,13 @@
 constexpr Duration kKeeperRetryInterval{100};
 // After this time without an answer of a lease holder the node reads the saved starts itself.
 constexpr Duration kHolderWait{300};
+// A holder that lists a new version in the lease record confirms starts at it within some 50 ms.
+constexpr Duration kConfirmationWait{600};
+constexpr Duration kConfirmationWaitAfterFailure{100};
+constexpr Duration kConfirmationCheckInterval{5};
+constexpr Duration kConfirmationRetryInterval{50};
+// After a start that was not confirmed, streams begin at settled versions for this time.
+constexpr Duration kAvoidUnsettledTime{2'000};
 
 // The nodes that are told of and asked for starts of streams: the lease holder, and those of which
 // one is the next holder.
@@ -126,6 +133,12 @@
   }
 }
 
+std::string_view KnownBy(VersionVerdict verdict) {
+  return verdict == VersionVerdict::kOnly    ? "only_version"
+         : verdict == VersionVerdict::kFirst ? "first_version"
+                                             : "asked";
+}
+
 bool AnyHolderAnswered(const StreamInquiry& inquiry) {
   return std::any_of(inquiry.answers.begin(), inquiry.answers.end(),
                      [](const auto& answer) { return answer && answer->is_holder; });
@@ -162,8 +175,90 @@
          });
 }
 
+// Versions of the service at which endpoints serve without the lease holder's confirmation.
+std::set<std::string> ServingSettledVersions(const FleetView& view, const std::string& service) {
+  std::set<std::string> serving;
+  const auto settled = view.settled_versions.find(service);
+  if (settled == view.settled_versions.end()) {
+    return serving;
+  }
+  std::copy_if(settled->second.begin(), settled->second.end(),
+               std::inserter(serving, serving.end()),
+               [&](const std::string& version) { return HasEndpointOf(view, service, version); });
+  return serving;
+}
+
 }  // namespace
 
+StartConfirmation::StartConfirmation(ForwardingState& state, std::string service, StreamStart start)
+    : state_(state), service_(std::move(service)), start_(std::move(start)), created_at_(Now()) {}
+
+void StartConfirmation::Ask() {
+  asked_at_ = Now();
+  const std::string& holder = state_.views.Current()->quota_holder;
+  if (holder.empty()) {
+    return;
+  }
+  state_.peers.confirm_streams(
+      holder, {{start_}, service_}, [self = shared_from_this()](std::optional<bool> confirmed) {
+        if (confirmed.value_or(false)) {
+          asio::post(self->state_.context, [self] { self->confirmed_ = true; });
+        }
+      });
+}
+
+std::optional<bool> StartConfirmation::GiveUp() const {
+  const bool failed_lately = Now() - state_.unconfirmed_at < kAvoidUnsettledTime;
+  const Duration wait = failed_lately ? kConfirmationWaitAfterFailure : kConfirmationWait;
+  if (Now() - created_at_ < wait) {
+    return std::nullopt;
+  }
+  const FleetView& view = *state_.views.Current();
+  if (!view.settled_versions.contains(service_) ||
+      HasVersion(view.settled_versions, service_, start_.software_version)) {
+    return true;
+  }
+  return ServingSettledVersions(view, service_).empty() ? std::nullopt : std::optional(false);
+}
+
+Awaitable<bool> StartConfirmation::Await(CallGuard& guard) {
+  std::optional<bool> may_begin;
+  while (!confirmed_ && !may_begin && !guard.Interrupted()) {
+    if (Now() - asked_at_ >= kConfirmationRetryInterval) {
+      Ask();
+    }
+    guard.WaitTimer().expires_after(kConfirmationCheckInterval);
+    co_await guard.WaitTimer().async_wait(kAsTuple);
+    may_begin = GiveUp();
+  }
+  const std::string_view result = confirmed_ ? "confirmed" : "unconfirmed";
+  state_.metrics.Count({"rudderloom_stream_confirmations_total", "result", result});
+  if (confirmed_) {
+    co_return true;
+  }
+  state_.unconfirmed_at = Now();
+  co_return may_begin.value_or(false);
+}
+
+bool NeedsConfirmation(const ForwardingState& state,
+                       const std::string& service,
+                       const std::string& software_version) {
+  const FleetView& view = *state.views.Current();
+  return SeveralLately(view.software_versions, service) &&
+         !HasVersion(view.settled_versions, service, software_version);
+}
+
+std::string PreferredVersion(const ForwardingState& state, const std::string& service) {
+  const FleetView& view = *state.views.Current();
+  const bool confirms =
+      Now() < view.holder_permits_until && Now() - state.unconfirmed_at >= kAvoidUnsettledTime;
+  if (confirms || !SeveralLately(view.software_versions, service)) {
+    return {};
+  }
+  const std::set<std::string> serving = ServingSettledVersions(view, service);
+  return serving.size() == 1 ? *serving.begin() : std::string();
+}
+
 std::uint64_t SplitKey(ForwardingState& state, const ForwardedRequest& request) {
   const RequestMetadata& terms = request.terms;
   const std::string& stream = terms.resumes_stream ? terms.began_as : terms.id;
@@ -232,7 +327,7 @@
         co_await AskKeepersUntilKnown(state, std::move(query), request.deadline_at);
     is_known = decision.verdict != VersionVerdict::kUnknown;
     found.software_version = decision.software_version;
-    found.known_by = decision.verdict == VersionVerdict::kOnly ? "only_version" : "asked";
+    found.known_by = KnownBy(decision.verdict);
   }
   const std::string_view label = is_known ? found.known_by : "unknown";
   state.metrics.Count({"rudderloom_streams_taken_up_total", "version", label});
--- a/src/rudderloom/peers/fleet_codec.cpp
+++ b/src/rudderloom/peers/fleet_codec.cpp
@@ -260,6 +260,7 @@
   }
   out.setCutOff(!counts.reaches_endpoints);
   out.setNeedsGateways(counts.needs_gateways);
+  out.setConfirmsStarts(counts.confirms_starts);
   if (!counts.gateways.empty()) {
     WriteGateways(counts.gateways, out.initGateways(counts.gateways.size()));
   }
@@ -298,6 +299,7 @@
   counts.limits_seen = in.getLimits().getVersion();
   counts.reaches_endpoints = !in.getCutOff();
   counts.needs_gateways = in.getNeedsGateways();
+  counts.confirms_starts = in.getConfirmsStarts();
   counts.gateways = ReadGateways(in.getGateways());
   for (const auto entry : in.getUnits()) {
     const UnitName unit{entry.getService().cStr(), entry.getModel().cStr(),
@@ -350,6 +352,10 @@
     out.setKnowsVersionHistory(true);
     WriteVersions(*digest.software_versions, out);
   }
+  if (digest.settled_versions) {
+    out.setTellsSettledVersions(true);
+    WriteSettledVersions(*digest.settled_versions, out);
+  }
   WritePacked(digest, out);
   if (digest.endpoints_age) {
     out.setEndpointsAgeMs(digest.endpoints_age->count());
@@ -392,6 +398,9 @@
   if (in.getKnowsVersionHistory()) {
     digest.software_versions = ReadVersions(in);
   }
+  if (in.getTellsSettledVersions()) {
+    digest.settled_versions = ReadSettledVersions(in);
+  }
   if (in.hasPackedChanges()) {
     ReadPacked(in, digest);
   }
--- a/src/rudderloom/peers/holder_link.cpp
+++ b/src/rudderloom/peers/holder_link.cpp
@@ -51,9 +51,16 @@
 using PendingSpend = PendingCall<SpendRequest, SpendCallback>;
 using PendingPermit = PendingCall<PermitRequest, PermitCallback>;
 using PendingStreamQuery = PendingCall<StreamQuery, StreamQueryCallback>;
+using PendingConfirmation = PendingCall<StartsToConfirm, ConfirmationCallback>;
 struct OutgoingCall {
   std::string to;  // address
-  std::variant<PendingSpend, PendingPermit, PendingStreamQuery, SlotReport, StreamStarts> pending;
+  std::variant<PendingSpend,
+               PendingPermit,
+               PendingStreamQuery,
+               PendingConfirmation,
+               SlotReport,
+               StreamStarts>
+      pending;
 };
 
 // State shared by the owner and the event loop thread.
@@ -140,7 +147,8 @@
   }
 
   kj::Promise<void> streamsBegin(StreamsBeginContext context) override {
-    hooks_.on_streams_begin(Read(context.getParams()));
+    const bool confirmed = hooks_.on_streams_begin(Read(context.getParams()));
+    context.getResults().setConfirmed(confirmed);
     return kj::READY_NOW;
   }
 
@@ -286,7 +294,7 @@
   kj::Promise<void> Ask(const std::string& to, StreamStarts starts) {
     return Tell(to, [starts = std::move(starts)](rpc::PlacementHolder::Client node) {
       auto request = node.streamsBeginRequest();
-      Write(starts, request);
+      Write({starts, ""}, request);
       return request.send().ignoreResult();
     });
   }
@@ -332,6 +340,13 @@
     return request.send().then([](auto&& response) { return Read(response); });
   }
 
+  static kj::Promise<bool> Call(rpc::PlacementHolder::Client holder,
+                                const StartsToConfirm& starts) {
+    auto request = holder.streamsBeginRequest();
+    Write(starts, request);
+    return request.send().then([](auto&& response) { return response.getConfirmed(); });
+  }
+
   // Calls to one node share a connection. Reports use a separate one, because they may go to a
   // relay.
   kj::Promise<std::shared_ptr<PeerConnection>> CallConnection(const std::string& to) {
@@ -443,6 +458,14 @@
   impl_->WakeLoop();
 }
 
+void HolderLink::Ask(const std::string& node,
+                     const StartsToConfirm& starts,
+                     ConfirmationCallback done) {
+  const std::lock_guard lock(impl_->mutex);
+  impl_->calls.push_back({node, PendingConfirmation{starts, std::move(done)}});
+  impl_->WakeLoop();
+}
+
 void HolderLink::Stop() {
   if (!impl_->thread.joinable()) {
     return;
--- a/src/rudderloom/peers/versions_codec.cpp
+++ b/src/rudderloom/peers/versions_codec.cpp
@@ -6,22 +6,24 @@
 
 namespace rudderloom {
 
-void Write(const StreamStarts& starts, rpc::PlacementHolder::StreamsBeginParams::Builder out) {
-  auto streams = out.initStreams(static_cast<unsigned>(starts.size()));
+void Write(const StartsToConfirm& told, rpc::PlacementHolder::StreamsBeginParams::Builder out) {
+  out.setService(told.service);
+  auto streams = out.initStreams(static_cast<unsigned>(told.starts.size()));
   unsigned index = 0;
-  for (const StreamStart& start : starts) {
+  for (const StreamStart& start : told.starts) {
     auto stream = streams[index++];
     stream.setBeganAs(start.began_as);
     stream.setSoftwareVersion(start.software_version);
   }
 }
 
-StreamStarts Read(rpc::PlacementHolder::StreamsBeginParams::Reader in) {
-  StreamStarts starts;
+StartsToConfirm Read(rpc::PlacementHolder::StreamsBeginParams::Reader in) {
+  StartsToConfirm told;
+  told.service = in.getService().cStr();
   for (const auto stream : in.getStreams()) {
-    starts.push_back({stream.getBeganAs().cStr(), stream.getSoftwareVersion().cStr()});
+    told.starts.push_back({stream.getBeganAs().cStr(), stream.getSoftwareVersion().cStr()});
   }
-  return starts;
+  return told;
 }
 
 void Write(const StreamQuery& query, rpc::PlacementHolder::StreamVersionParams::Builder out) {
@@ -43,6 +45,7 @@
   out.setKnowsHistory(answer.knows_history);
   out.setIsHolder(answer.is_holder);
   out.setHasLoaded(answer.has_loaded);
+  out.setUnrecordedVersion(answer.unrecorded_version);
 }
 
 StreamAnswer Read(rpc::PlacementHolder::StreamVersionResults::Reader in) {
@@ -54,6 +57,7 @@
   answer.knows_history = in.getKnowsHistory();
   answer.is_holder = in.getIsHolder();
   answer.has_loaded = in.getHasLoaded();
+  answer.unrecorded_version = in.getUnrecordedVersion().cStr();
   return answer;
 }
 
@@ -76,6 +80,30 @@
   }
 }
 
+void WriteSettledVersions(const VersionsByService& settled, rpc::Digest::Builder out) {
+  unsigned count = 0;
+  for (const auto& [service, versions] : settled) {
+    count += static_cast<unsigned>(versions.size());
+  }
+  auto entries = out.initSettledVersions(count);
+  unsigned index = 0;
+  for (const auto& [service, versions] : settled) {
+    for (const std::string& version : versions) {
+      auto entry = entries[index++];
+      entry.setService(service);
+      entry.setSoftwareVersion(version);
+    }
+  }
+}
+
+VersionsByService ReadSettledVersions(rpc::Digest::Reader in) {
+  VersionsByService settled;
+  for (const auto entry : in.getSettledVersions()) {
+    settled[entry.getService().cStr()].emplace(entry.getSoftwareVersion().cStr());
+  }
+  return settled;
+}
+
 VersionAges ReadVersions(rpc::Digest::Reader in) {
   VersionAges ages;
   for (const auto entry : in.getServedVersions()) {
--- a/src/rudderloom/peers/versions_codec.hpp
+++ b/src/rudderloom/peers/versions_codec.hpp
@@ -9,8 +9,8 @@
 
 namespace rudderloom {
 
-void Write(const StreamStarts& starts, rpc::PlacementHolder::StreamsBeginParams::Builder out);
-StreamStarts Read(rpc::PlacementHolder::StreamsBeginParams::Reader in);
+void Write(const StartsToConfirm& told, rpc::PlacementHolder::StreamsBeginParams::Builder out);
+StartsToConfirm Read(rpc::PlacementHolder::StreamsBeginParams::Reader in);
 
 void Write(const StreamQuery& query, rpc::PlacementHolder::StreamVersionParams::Builder out);
 StreamQuery Read(rpc::PlacementHolder::StreamVersionParams::Reader in);
@@ -18,6 +18,9 @@
 void Write(const StreamAnswer& answer, rpc::PlacementHolder::StreamVersionResults::Builder out);
 StreamAnswer Read(rpc::PlacementHolder::StreamVersionResults::Reader in);
 
+void WriteSettledVersions(const VersionsByService& settled, rpc::Digest::Builder out);
+VersionsByService ReadSettledVersions(rpc::Digest::Reader in);
+
 void WriteVersions(const VersionAges& ages, rpc::Digest::Builder out);
 VersionAges ReadVersions(rpc::Digest::Reader in);
 
--- a/src/rudderloom/placement/demand.cpp
+++ b/src/rudderloom/placement/demand.cpp
@@ -40,7 +40,7 @@
       counts.units, std::make_shared<const LoadTable>(counts.loads),
       ReportingNode{counts.node, counts.address, counts.availability_zone, counts.processor_share,
                     counts.represented_nodes, counts.reaches_endpoints, counts.needs_gateways,
-                    counts.gateways, now},
+                    counts.gateways, now, counts.confirms_starts},
       now};
   for (const auto& [unit, count] : counts.units) {
     if (count.running + count.waiting > 0 || count.offered > Duration(0)) {
--- a/src/rudderloom/placement/lease_keeper.cpp
+++ b/src/rudderloom/placement/lease_keeper.cpp
@@ -263,10 +263,12 @@
     if (!writes_may_be_lost_) {
       former.software_versions.emplace();
     }
+    former.confirms_starts = true;
     return former;
   }
   if (!writes_may_be_lost_) {
     former.software_versions = record.software_versions;
+    former.confirms_starts = record.unrecorded_versions.has_value();
   }
   // If writes may be lost, others may have held the lease after this machine and sent orders to
   // endpoints it had announced.
@@ -289,6 +291,7 @@
   write.record.low_balances = low_balances_;
   write.record.quarantined = quarantined_;
   write.record.software_versions = software_versions_;
+  write.record.unrecorded_versions = unrecorded_versions_;
   write.record.era = version_->Era();
   write.record.inherited_all = wanted_inherited_all_;
   return write;
@@ -316,6 +319,10 @@
   low_balances_ = former_.low_balances;
   quarantined_ = former_.quarantined;
   software_versions_ = former_.software_versions;
+  unrecorded_versions_.reset();
+  if (former_.confirms_starts) {
+    unrecorded_versions_.emplace();
+  }
   LeaseRecord record;
   record.holder = address_;
   record.incarnation = incarnation_;
@@ -326,6 +333,7 @@
   record.low_balances = low_balances_;
   record.quarantined = quarantined_;
   record.software_versions = software_versions_;
+  record.unrecorded_versions = unrecorded_versions_;
   record.era = version_->Era();
   record.inherited_all = wanted_inherited_all_;
   write_starts_.clear();
--- a/src/rudderloom/placement/lease_record.cpp
+++ b/src/rudderloom/placement/lease_record.cpp
@@ -104,6 +104,32 @@
   return versions;
 }
 
+boost::json::value VersionOfServiceToJson(const std::optional<VersionOfService>& versions) {
+  if (!versions) {
+    return {};
+  }
+  boost::json::object object;
+  for (const auto& [service, version] : *versions) {
+    object[service] = version;
+  }
+  return object;
+}
+
+std::optional<VersionOfService> VersionOfServiceAt(const boost::json::object& object,
+                                                   std::string_view key) {
+  const boost::json::value* found = object.if_contains({key.data(), key.size()});
+  if (found == nullptr || !found->is_object()) {
+    return std::nullopt;
+  }
+  VersionOfService versions;
+  for (const auto& [service, version] : found->as_object()) {
+    if (version.is_string()) {
+      versions.emplace(service, version.as_string());
+    }
+  }
+  return versions;
+}
+
 }  // namespace
 
 boost::json::object ToJson(const LeaseRecord& record) {
@@ -118,7 +144,8 @@
           {"quarantined", DigestsToJson(record.quarantined)},
           {"era", record.era ? boost::json::value(*record.era) : boost::json::value()},
           {"inherited_all", record.inherited_all},
-          {"software_versions", VersionsToJson(record.software_versions)}};
+          {"software_versions", VersionsToJson(record.software_versions)},
+          {"unrecorded_versions", VersionOfServiceToJson(record.unrecorded_versions)}};
 }
 
 LeaseRecord LeaseRecordFromJson(const boost::json::object& object) {
@@ -135,6 +162,7 @@
   record.era = EraAt(object);
   record.inherited_all = FlagAt(object, "inherited_all");
   record.software_versions = VersionsAt(object, "software_versions");
+  record.unrecorded_versions = VersionOfServiceAt(object, "unrecorded_versions");
   return record;
 }
 
--- a/src/rudderloom/stream_versions/kept_starts.cpp
+++ b/src/rudderloom/stream_versions/kept_starts.cpp
@@ -1,6 +1,7 @@
 #include "rudderloom/stream_versions/kept_starts.hpp"
 
-#include <utility>  // for move
+#include <algorithm>  // for all_of
+#include <utility>    // for move
 
 namespace rudderloom {
 
@@ -11,6 +12,17 @@
   }
 }
 
+bool KeptStarts::Confirm(const StartsToConfirm& told, TimePoint now) {
+  const std::lock_guard lock(mutex_);
+  for (const StreamStart& start : told.starts) {
+    book_.Record(start, now);
+  }
+  return now < knowledge_.held_until &&
+         std::all_of(told.starts.begin(), told.starts.end(), [&](const StreamStart& start) {
+           return HasVersion(knowledge_.recorded, told.service, start.software_version);
+         });
+}
+
 void KeptStarts::SetKnowledge(VersionKnowledge knowledge) {
   const std::lock_guard lock(mutex_);
   knowledge_ = std::move(knowledge);
@@ -26,6 +38,11 @@
   answer.knows_history = knowledge_.knows_history;
   answer.is_holder = now < knowledge_.held_until;
   answer.has_loaded = has_loaded_;
+  const auto unrecorded = knowledge_.unrecorded.find(query.service);
+  if (answer.is_holder && has_loaded_ && unrecorded != knowledge_.unrecorded.end() &&
+      book_.WouldKnow(query.began_as, now)) {
+    answer.unrecorded_version = unrecorded->second;
+  }
   return answer;
 }
 
--- a/src/rudderloom/stream_versions/service_versions.cpp
+++ b/src/rudderloom/stream_versions/service_versions.cpp
@@ -11,6 +11,25 @@
 
 }  // namespace
 
+bool HasVersion(const VersionsByService& versions,
+                const std::string& service,
+                const std::string& version) {
+  const auto found = versions.find(service);
+  return found != versions.end() && found->second.contains(version);
+}
+
+VersionsByService CommonVersions(const VersionsByService& left, const VersionsByService& right) {
+  VersionsByService common;
+  for (const auto& [service, versions] : left) {
+    for (const std::string& version : versions) {
+      if (HasVersion(right, service, version)) {
+        common[service].insert(version);
+      }
+    }
+  }
+  return common;
+}
+
 std::string VersionsText(const VersionsByService& versions, const std::string& service) {
   std::string text;
   const auto found = versions.find(service);
@@ -59,6 +78,18 @@
   return lately;
 }
 
+VersionsByService ServiceVersions::Within(Duration limit, TimePoint now) const {
+  VersionsByService within;
+  for (const auto& [service, seen] : seen_at_) {
+    for (const auto& [version, at] : seen) {
+      if (now - at <= limit) {
+        within[service].insert(version);
+      }
+    }
+  }
+  return within;
+}
+
 VersionAges ServiceVersions::Ages(TimePoint now) const {
   VersionAges ages;
   for (const auto& [service, seen] : seen_at_) {
--- a/src/rudderloom/stream_versions/version_book.cpp
+++ b/src/rudderloom/stream_versions/version_book.cpp
@@ -33,7 +33,11 @@
 
 void VersionBook::RecordSaved(const StreamStart& start, TimePoint now) {
   Trim(now);
-  if (!IsRecordable(start.began_as) || order_.size() >= kMaxEntries) {
+  if (!IsRecordable(start.began_as)) {
+    return;
+  }
+  if (order_.size() >= kMaxEntries) {
+    dropped_at_ = now;
     return;
   }
   const auto [entry, added] =
@@ -69,9 +73,14 @@
   return starts;
 }
 
+bool VersionBook::WouldKnow(const std::string& began_as, TimePoint now) const {
+  return IsRecordable(began_as) && now - dropped_at_ >= kRetention;
+}
+
 void VersionBook::Trim(TimePoint now) {
   while (!order_.empty() &&
          (now - order_.front().at >= kRetention || order_.size() > kMaxEntries)) {
+    dropped_at_ = now - order_.front().at < kRetention ? now : dropped_at_;
     const auto entry = entries_.find(order_.front().began_as);
     if (entry != entries_.end() && entry->second.recorded_at == order_.front().at) {
       entries_.erase(entry);
--- a/src/rudderloom/stream_versions/version_decision.cpp
+++ b/src/rudderloom/stream_versions/version_decision.cpp
@@ -1,6 +1,7 @@
 #include "rudderloom/stream_versions/version_decision.hpp"
 
 #include <algorithm>  // for any_of, all_of, count_if
+#include <utility>    // for move
 
 namespace rudderloom {
 
@@ -29,6 +30,16 @@
   return versions;
 }
 
+// The version that a lease holder names for streams that no node knows; empty if none does.
+std::string UnrecordedVersion(const StreamInquiry& inquiry, const std::set<std::string>& versions) {
+  for (const Answer& answer : inquiry.answers) {
+    if (answer && !answer->unrecorded_version.empty() && answer->versions == versions) {
+      return answer->unrecorded_version;
+    }
+  }
+  return {};
+}
+
 bool IsInformedHolder(const Answer& answer) {
   return answer && answer->is_holder && answer->knows_history;
 }
@@ -62,6 +73,9 @@
   if (versions.size() == 1 && (holder_vouches || others_agree)) {
     return {VersionVerdict::kOnly, *versions.begin()};
   }
+  if (std::string first = UnrecordedVersion(inquiry, versions); !first.empty()) {
+    return {VersionVerdict::kFirst, std::move(first)};
+  }
   const bool all_answered =
       std::all_of(answers.begin(), answers.end(), [](const Answer& answer) { return answer; });
   const bool holder_has_loaded = std::any_of(
--- a/src/rudderloom/stream_versions/version_decision_test.cpp
+++ b/src/rudderloom/stream_versions/version_decision_test.cpp
@@ -185,5 +185,17 @@
   }
 }
 
+// Guards against streams of the only version that are refused once a second one has appeared.
+TEST_CASE("a holder's word on streams that no node knows counts if it has seen all versions") {
+  StreamAnswer holder = HolderWithSaved({"v1", "v2"});
+  holder.unrecorded_version = "v1";
+  const StreamAnswer other = Node({"v1", "v2"});
+  CHECK(Decide(other, {holder, std::nullopt}) == VersionDecision{VersionVerdict::kFirst, "v1"});
+  CHECK(Decide(other, {holder, NodeThatBeganIt("v2", {"v1", "v2"})}) == Began("v2"));
+  // Its service has been given streams of another one, of which the holder hasn't heard.
+  CHECK(Decide(Node({"v1", "v2", "v3"}), {holder, other}).verdict != VersionVerdict::kFirst);
+  CHECK(Decide(other, {holder, Node({"v1", "v2", "v3"})}).verdict != VersionVerdict::kFirst);
+}
+
 }  // namespace
 }  // namespace rudderloom
--- a/tests/fakes/stream_traffic.cpp
+++ b/tests/fakes/stream_traffic.cpp
@@ -15,6 +15,9 @@
 constexpr int kKeeperRetryInterval = 100;
 constexpr int kHolderWait = 300;
 constexpr int kCallTimeout = 160;
+constexpr int kConfirmationWait = 600;
+constexpr int kConfirmationWaitAfterFailure = 100;
+constexpr int kAvoidUnsettledTime = 2'000;
 // As in `StartSaver`.
 constexpr int kSaveInterval = 100;
 constexpr int kCheckInterval = 20;
@@ -45,6 +48,7 @@
     if (begins && world_.Now() % kBeginInterval == 0) {
       Begin();
     }
+    AdvanceStarts();
     StartTries();
     for (Try& attempt : tries_) {
       Advance(attempt);
@@ -216,25 +220,116 @@
   if (!node) {
     return;
   }
-  const auto& endpoints = ProcessOf(*node).view->endpoints;
-  const EndpointRecord& endpoint = endpoints[random_() % endpoints.size()].record;
+  const auto endpoint = ChooseEndpoint(*node);
   // The platform lists an endpoint for some time after its end.
-  if (!running_.contains(endpoint.instance)) {
+  if (!endpoint || !running_.contains(endpoint->instance)) {
     return;
   }
-  TakenStream stream;
-  stream.began_as = "s" + std::to_string(streams_.size());
-  stream.version = endpoint.software_version;
+  Start start;
+  start.generation = world_.GenerationOf(*node);
+  TakenStream& stream = start.stream;
+  stream.began_as = "s" + std::to_string(begun_++);
+  stream.version = endpoint->software_version;
   stream.began_at = world_.Now();
   stream.began_node = *node;
-  const unsigned pause = 50 + random_() % (random_() % 2 == 0 ? kShortPause : kLongPause);
-  stream.next_try_at = world_.Now() + static_cast<int>(pause);
+  start.pause = static_cast<int>(50 + random_() % (random_() % 2 == 0 ? kShortPause : kLongPause));
   // The first endpoint of some ends before it has sent an event, so another one begins the stream.
-  const EndpointRecord& first = endpoints[random_() % endpoints.size()].record;
+  const auto& endpoints = ProcessOf(*node).view->endpoints;
+  const std::string first = endpoints[random_() % endpoints.size()].record.software_version;
+  bool needs_confirmation = NeedsConfirmation(*node, stream.version);
   if (random_() % kOneIsReplacedOf == 0) {
-    RecordStart(*node, {stream.began_as, first.software_version});
+    RecordStart(*node, {stream.began_as, first});
+    needs_confirmation = needs_confirmation || first != stream.version;
   }
   RecordStart(*node, {stream.began_as, stream.version});
+  if (needs_confirmation) {
+    starts_.push_back(start);
+  } else {
+    AddStream(start);
+  }
+}
+
+// Of a settled version, if the node can't count on a holder to confirm other starts.
+std::optional<EndpointRecord> StreamTraffic::ChooseEndpoint(int node) {
+  const Process& process = ProcessOf(node);
+  const bool confirms = world_.Time() < process.view->holder_permits_until &&
+                        world_.Now() - process.unconfirmed_at >= kAvoidUnsettledTime;
+  const std::set<std::string> settled = ServingSettledVersions(node);
+  const bool prefers = !confirms && SeveralLately(process.versions) && settled.size() == 1;
+  std::vector<EndpointRecord> choices;
+  for (const FleetEndpoint& endpoint : process.view->endpoints) {
+    if (!prefers || settled.contains(endpoint.record.software_version)) {
+      choices.push_back(endpoint.record);
+    }
+  }
+  return choices.empty() ? std::nullopt : std::optional(choices[random_() % choices.size()]);
+}
+
+std::set<std::string> StreamTraffic::ServingSettledVersions(int node) {
+  std::set<std::string> serving;
+  const FleetView& view = *ProcessOf(node).view;
+  for (const FleetEndpoint& endpoint : view.endpoints) {
+    if (HasVersion(view.settled_versions, kService, endpoint.record.software_version)) {
+      serving.insert(endpoint.record.software_version);
+    }
+  }
+  return serving;
+}
+
+bool StreamTraffic::NeedsConfirmation(int node, const std::string& version) {
+  const FleetView& view = *ProcessOf(node).view;
+  return SeveralLately(view.software_versions) &&
+         !HasVersion(view.settled_versions, kService, version);
+}
+
+bool StreamTraffic::Confirms(const Start& start) {
+  const int node = start.stream.began_node;
+  const auto holder = world_.ReachableNodeAt(node, ProcessOf(node).view->quota_holder);
+  return holder && ProcessOf(*holder).kept.Confirm(
+                       {{{start.stream.began_as, start.stream.version}}, kService}, world_.Time());
+}
+
+bool StreamTraffic::GivesUp(const Start& start) {
+  const int node = start.stream.began_node;
+  const Process& process = ProcessOf(node);
+  const bool failed_lately = world_.Now() - process.unconfirmed_at < kAvoidUnsettledTime;
+  const int wait = failed_lately ? kConfirmationWaitAfterFailure : kConfirmationWait;
+  if (world_.Now() - start.stream.began_at < wait) {
+    return false;
+  }
+  return !process.view->settled_versions.contains(kService) ||
+         !ServingSettledVersions(node).empty();
+}
+
+// A client whose node ends before the first event knows of no stream.
+void StreamTraffic::AdvanceStarts() {
+  std::vector<Start> waiting;
+  for (const Start& start : starts_) {
+    const int node = start.stream.began_node;
+    if (world_.GenerationOf(node) != start.generation) {
+      continue;
+    }
+    if (!world_.Runs(node)) {
+      waiting.push_back(start);
+    } else if (Confirms(start)) {
+      AddStream(start);
+    } else if (!GivesUp(start)) {
+      waiting.push_back(start);
+    } else {
+      ProcessOf(node).unconfirmed_at = world_.Now();
+      const std::set<std::string> settled = ServingSettledVersions(node);
+      if (settled.empty() || settled.contains(start.stream.version)) {
+        AddStream(start);
+      }
+    }
+  }
+  starts_ = std::move(waiting);
+}
+
+void StreamTraffic::AddStream(const Start& start) {
+  TakenStream stream = start.stream;
+  stream.began_at = world_.Now();
+  stream.next_try_at = world_.Now() + start.pause;
   streams_.push_back(stream);
 }
 
@@ -390,7 +485,8 @@
     text << "\"" << answer.software_version << "\" versions "
          << VersionsText({{kService, answer.versions}}, kService)
          << (answer.knows_history ? " history" : "") << (answer.is_holder ? " holder" : "")
-         << (answer.has_loaded ? " loaded" : "") << (answer.from_self ? " self" : "");
+         << (answer.has_loaded ? " loaded" : "") << (answer.from_self ? " self" : "")
+         << (answer.unrecorded_version.empty() ? "" : " unrecorded " + answer.unrecorded_version);
   };
   text << "; own: ";
   add(attempt.inquiry.own);
--- a/tests/fakes/stream_traffic.hpp
+++ b/tests/fakes/stream_traffic.hpp
@@ -2,12 +2,13 @@
 #ifndef RUDDERLOOM_TESTS_FAKES_STREAM_TRAFFIC_HPP
 #define RUDDERLOOM_TESTS_FAKES_STREAM_TRAFFIC_HPP
 
-#include <map>     // for map
-#include <memory>  // for unique_ptr
-#include <random>  // for mt19937
-#include <set>     // for set
-#include <string>  // for string
-#include <vector>  // for vector
+#include <map>       // for map
+#include <memory>    // for unique_ptr
+#include <optional>  // for optional
+#include <random>    // for mt19937
+#include <set>       // for set
+#include <string>    // for string
+#include <vector>    // for vector
 
 #include "fakes/fleet_world.hpp"                            // for FleetWorld
 #include "rudderloom/stream_versions/start_batch.hpp"       // for StartBatch
@@ -63,10 +64,18 @@
     int saver_runs_at = 0;
     std::optional<std::uint64_t> loaded_epoch;
     int read_at = -60'000;
+    int unconfirmed_at = -60'000;
     StartBatch pending;
     std::uint64_t last_number = 0;
   };
 
+  // A stream whose first event waits for the lease holder's confirmation of its start.
+  struct Start {
+    TakenStream stream;
+    int generation = 0;  // of the node's process
+    int pause = 0;       // until its client takes it up
+  };
+
   // A client's try to take a stream up at a node.
   struct Try {
     std::size_t stream = 0;
@@ -99,6 +108,13 @@
   void Save(int node, Process& process);
   void RecordStart(int node, const StreamStart& start);
   void Begin();
+  std::optional<EndpointRecord> ChooseEndpoint(int node);
+  std::set<std::string> ServingSettledVersions(int node);
+  bool NeedsConfirmation(int node, const std::string& version);
+  bool Confirms(const Start& start);
+  bool GivesUp(const Start& start);
+  void AdvanceStarts();
+  void AddStream(const Start& start);
   void StartTries();
   void StartTry(std::size_t stream);
   void Advance(Try& attempt);
@@ -120,6 +136,8 @@
   std::vector<SavedBatch> saved_;
   std::vector<TakenStream> streams_;
   std::vector<Try> tries_;
+  std::vector<Start> starts_;
+  int begun_ = 0;
   std::vector<std::string> wrong_;
 };
 
--- a/tests/process/fleet_version_restarts_test.cpp
+++ b/tests/process/fleet_version_restarts_test.cpp
@@ -293,6 +293,30 @@
   run.TakeUpAndCheck({{"v1", Expect::kGoOn}});
 }
 
+// Guards against streams of the only version that nobody knows once all nodes have been killed, as
+// starts are recorded only while several versions serve.
+TEST_CASE("streams of the only version go on if another appears while all nodes are killed") {
+  RestartRun run(14, {"v1"});
+  run.WaitForKillTime();
+  run.End(run.AllNodes(), How::kKill);
+  run.StartEngines("v2");
+  for (const int node : run.AllNodes()) {
+    run.StartNode(node);
+  }
+  run.WaitUntilAllReady();
+  run.TakeUpAndCheck({{"v1", Expect::kGoOn}});
+}
+
+// Guards against the same for the streams of a single node.
+TEST_CASE("streams of the only version go on if another appears after their node was killed") {
+  RestartRun run(15, {"v1"});
+  run.WaitForKillTime();
+  run.Restart({0, 1}, How::kKill);
+  run.StartEngines("v2");
+  run.Cluster().Sleep(kBegunBeforeKill);
+  run.TakeUpAndCheck({{"v1", Expect::kGoOn}});
+}
+
 // Guards against starts that nobody saves because the stopping holder has given the lease up.
 TEST_CASE("streams that begin while all nodes stop go on after the nodes have restarted") {
   RestartRun run(11);
