Clear the linter's findings in the new sources

Change: as it asks; the model's two branches that keep a start waiting are one. No behaviour changes.

--- a/src/rudderloom/stream_versions/unrecorded_versions.cpp
+++ b/src/rudderloom/stream_versions/unrecorded_versions.cpp
@@ -10,11 +10,9 @@
 // may have begun streams at it before this holder has listed the first one for so long.
 constexpr Duration kSettled{5'000};
 
-const std::set<std::string>& VersionsOf(const VersionsByService& versions,
-                                        const std::string& service) {
-  static const std::set<std::string> kNone;
+std::set<std::string> VersionsOf(const VersionsByService& versions, const std::string& service) {
   const auto found = versions.find(service);
-  return found == versions.end() ? kNone : found->second;
+  return found == versions.end() ? std::set<std::string>() : found->second;
 }
 
 }  // namespace
@@ -32,7 +30,7 @@
   std::erase_if(services_,
                 [&](const auto& entry) { return !evidence.lately.contains(entry.first); });
   for (const auto& [name, lately] : evidence.lately) {
-    const std::set<std::string>& recorded = VersionsOf(evidence.recorded, name);
+    const std::set<std::string> recorded = VersionsOf(evidence.recorded, name);
     Service& service = services_[name];
     if (lately.size() > 1) {
       UpdateService(service, recorded, VersionsOf(evidence.beginning, name), now);
--- a/tests/fakes/stream_traffic.cpp
+++ b/tests/fakes/stream_traffic.cpp
@@ -309,11 +309,9 @@
     if (world_.GenerationOf(node) != start.generation) {
       continue;
     }
-    if (!world_.Runs(node)) {
-      waiting.push_back(start);
-    } else if (Confirms(start)) {
+    if (world_.Runs(node) && Confirms(start)) {
       AddStream(start);
-    } else if (!GivesUp(start)) {
+    } else if (!world_.Runs(node) || !GivesUp(start)) {
       waiting.push_back(start);
     } else {
       ProcessOf(node).unconfirmed_at = world_.Now();
