Read the other entries of a list when one entry can't be read

Reported by an operator of another system: one odd entry among the workers, after which machines ended or no longer followed the list.

Cause: the store's response was parsed as a whole, with one error for all entries. Ruled out: a process that ends by itself. No sort of entry that was tried does that.

Change: ParseLeniently puts null in the place of what can't be read, without recursion over the text, so the reader of entries skips just that one.

Why it holds: each part is parsed on its own, and a field that is null is of the wrong type for the reader.

--- a/src/rudderloom/store/object_store.cpp
+++ b/src/rudderloom/store/object_store.cpp
@@ -3,9 +3,10 @@
 #include <algorithm>  // for find
 #include <charconv>   // for from_chars
 
-#include "rudderloom/base/json_fields.hpp"  // for TextAt
-#include "rudderloom/http/client.hpp"       // for HttpClient
-#include "rudderloom/http/pause.hpp"        // for PauseFor
+#include "rudderloom/base/json_fields.hpp"   // for TextAt
+#include "rudderloom/base/lenient_json.hpp"  // for ParseLeniently
+#include "rudderloom/http/client.hpp"        // for HttpClient
+#include "rudderloom/http/pause.hpp"         // for PauseFor
 
 namespace rudderloom {
 
@@ -114,7 +115,7 @@
  private:
   static void EmitEvent(std::string_view line, const std::function<void(WatchEvent)>& on_event) {
     json::error_code error;
-    const json::value value = json::parse({line.data(), line.size()}, error);
+    const json::value value = ParseLeniently(line, error);
     if (error || !value.is_object()) {
       return;
     }
@@ -272,7 +273,7 @@
       co_return ToStoreError(response);
     }
     json::error_code error;
-    json::value value = json::parse(response.body(), error);
+    json::value value = ParseLeniently(response.body(), error);
     if (error) {
       co_return StoreError{StoreError::Kind::kUnknown, "response is not valid JSON"};
     }
