Test the formats of settled versions and confirmations

Cause: no test encoded the new fields, and the model of streams has no wire. Change: round trips of the digest, the counts, the starts to confirm and the answer, what an earlier build's messages mean, and the lease record with and without unrecorded versions.

--- a/src/rudderloom/peers/fleet_codec_test.cpp
+++ b/src/rudderloom/peers/fleet_codec_test.cpp
@@ -4,6 +4,8 @@
 #include <doctest/doctest.h>  // for TEST_CASE
 #include <optional>           // for optional
 
+#include "peers/versions_codec.hpp"  // for Write, Read
+
 namespace rudderloom {
 namespace {
 
@@ -285,6 +287,41 @@
   CHECK(Read(out.asReader()).slot);
 }
 
+TEST_CASE(
+    "settled versions and confirmations of starts are unchanged after encoding and decoding") {
+  capnp::MallocMessageBuilder message;
+  HolderDigest digest;
+  digest.is_authoritative = true;
+  digest.settled_versions = VersionsByService{{"desk", {"v1"}}, {"pool", {"v1", "v2"}}};
+  Write(digest, message.initRoot<rpc::Digest>());
+  const HolderDigest decoded = Read(message.getRoot<rpc::Digest>().asReader());
+  CHECK(decoded.settled_versions == digest.settled_versions);
+  NodeCounts counts;
+  Write(counts, message.initRoot<rpc::NodeCounts>());
+  CHECK(Read(message.getRoot<rpc::NodeCounts>().asReader()).confirms_starts);
+  const StartsToConfirm told{{{"s", "v2"}}, "desk"};
+  Write(told, message.initRoot<rpc::PlacementHolder::StreamsBeginParams>());
+  const StartsToConfirm read =
+      Read(message.getRoot<rpc::PlacementHolder::StreamsBeginParams>().asReader());
+  CHECK(read.starts == told.starts);
+  CHECK(read.service == told.service);
+  StreamAnswer answer;
+  answer.unrecorded_version = "v1";
+  Write(answer, message.initRoot<rpc::PlacementHolder::StreamVersionResults>());
+  CHECK(Read(message.getRoot<rpc::PlacementHolder::StreamVersionResults>().asReader())
+            .unrecorded_version == "v1");
+}
+
+// Guards against a node of an earlier build that is taken for one whose starts are confirmed:
+// streams that nobody knows would be taken for older ones.
+TEST_CASE("a node of an earlier build has no starts confirmed, and its digest tells nothing") {
+  capnp::MallocMessageBuilder message;
+  message.initRoot<rpc::NodeCounts>();
+  CHECK_FALSE(Read(message.getRoot<rpc::NodeCounts>().asReader()).confirms_starts);
+  message.initRoot<rpc::Digest>();
+  CHECK_FALSE(Read(message.getRoot<rpc::Digest>().asReader()).settled_versions);
+}
+
 TEST_CASE("a digest without changes, from a node that holds no lease, can be decoded") {
   capnp::MallocMessageBuilder message;
   Write(HolderDigest(), message.initRoot<rpc::Digest>());
--- a/src/rudderloom/placement/lease_keeper_test.cpp
+++ b/src/rudderloom/placement/lease_keeper_test.cpp
@@ -370,5 +370,18 @@
   CHECK(object.record->low_balances == second.Former().low_balances);
 }
 
+// Guards against a record of an earlier build, whose nodes have no starts confirmed, taken for one
+// without unrecorded versions.
+TEST_CASE("a lease record keeps unrecorded versions, and that it tells none") {
+  LeaseRecord record;
+  record.software_versions = VersionsByService{{"pool", {"v1", "v2"}}};
+  for (const auto& versions : {std::optional<VersionOfService>(), std::optional(VersionOfService()),
+                               std::optional(VersionOfService{{"pool", "v1"}})}) {
+    record.unrecorded_versions = versions;
+    CHECK(LeaseRecordFromJson(ToJson(record)) == record);
+  }
+  CHECK_FALSE(LeaseRecordFromJson({}).unrecorded_versions);
+}
+
 }  // namespace
 }  // namespace rudderloom
