Keep the connection of a client that reads its answer slowly

Cause: HttpExchange put the write time around the whole write of an answer, so it bounded how long a client may take for up to 1 MB. Meant was how long it may take nothing. Class: a limit on the whole of an operation that is meant for its progress.

Change: writes go on while the peer acknowledges data. The bytes that the socket accepts aren't enough: a socket with a large send buffer accepts nothing until a third of it is free. WriteProgress therefore counts what the system tells as unacknowledged (SIOCOUTQ). All writes of the server use it: whole answers, pieces of long ones, events and headers, on both interfaces.

Why it holds: an answer is cut only if nothing was acknowledged in eight checks in a row over the write time; a client that stops reading is still cut (test). Memory stays bounded as before: by pieces, not by the time of a write.

--- a/include/rudderloom/http/server.hpp
+++ b/include/rudderloom/http/server.hpp
@@ -11,10 +11,11 @@
 #include <string_view>  // for string_view
 #include <variant>      // for variant
 
-#include "rudderloom/base/clock.hpp"        // for Duration
-#include "rudderloom/http/asio.hpp"         // for Awaitable, HttpRequest
-#include "rudderloom/http/byte_budget.hpp"  // for ByteBudget
-#include "rudderloom/http/watchdog.hpp"     // for Watchdog
+#include "rudderloom/base/clock.hpp"           // for Duration
+#include "rudderloom/http/asio.hpp"            // for Awaitable, HttpRequest
+#include "rudderloom/http/byte_budget.hpp"     // for ByteBudget
+#include "rudderloom/http/watchdog.hpp"        // for Watchdog
+#include "rudderloom/http/write_progress.hpp"  // for WriteProgress
 
 namespace rudderloom {
 
@@ -25,7 +26,7 @@
   std::uint64_t body_bytes = 4 * 1024 * 1024;
   Duration header_time{5'000};  ///< From the first byte of a request to the end of its body.
   Duration idle_time{60'000};   ///< Between requests on one connection.
-  Duration write_time{10'000};  ///< For the peer to accept one write of a response.
+  Duration write_time{10'000};  ///< For the peer to take a further part of a response.
   std::uint32_t connections = 4096;
 };
 
@@ -137,6 +138,7 @@
   bool aborted_ = false;
   bool too_slow_ = false;
   bool send_buffer_limited_ = false;
+  WriteProgress progress_;
   std::shared_ptr<PeerWatch> watch_;
 };
 
--- a/src/rudderloom/http/server.cpp
+++ b/src/rudderloom/http/server.cpp
@@ -54,7 +54,8 @@
       request_(std::move(request)),
       limits_(limits),
       closing_(closing),
-      received_(received) {}
+      received_(received),
+      progress_(socket) {}
 
 HttpExchange::~HttpExchange() {
   if (watch_) {
@@ -106,11 +107,18 @@
     response.prepare_payload();
   }
   started_ = true;
-  Watchdog watchdog(socket_, limits_.write_time);
-  const auto [error, size] = co_await http::async_write(socket_, response, kAsTuple);
-  too_slow_ = watchdog.Expired();
-  ended_ = !error;
-  co_return !error;
+  http::response_serializer<http::string_body> serializer(response);
+  Watchdog watchdog(socket_, limits_.write_time, [this] { return progress_.HasGrown(); });
+  while (!serializer.is_done()) {
+    const auto [error, size] = co_await http::async_write_some(socket_, serializer, kAsTuple);
+    progress_.Accepted(size);
+    if (error) {
+      too_slow_ = watchdog.Expired();
+      co_return false;
+    }
+  }
+  ended_ = true;
+  co_return true;
 }
 
 Awaitable<bool> HttpExchange::StartStream(unsigned status,
@@ -131,18 +139,27 @@
   }
   started_ = true;
   http::response_serializer<http::empty_body> serializer(response);
-  Watchdog watchdog(socket_, limits_.write_time);
+  Watchdog watchdog(socket_, limits_.write_time, [this] { return progress_.HasGrown(); });
   const auto [error, size] = co_await http::async_write_header(socket_, serializer, kAsTuple);
+  progress_.Accepted(size);
   too_slow_ = watchdog.Expired();
   co_return !error;
 }
 
 template <class Buffers>
 Awaitable<bool> HttpExchange::Write(const Buffers& buffers) {
-  Watchdog watchdog(socket_, limits_.write_time);
-  const auto [error, size] = co_await asio::async_write(socket_, buffers, kAsTuple);
-  too_slow_ = watchdog.Expired();
-  co_return !error;
+  beast::buffers_suffix<Buffers> rest(buffers);
+  Watchdog watchdog(socket_, limits_.write_time, [this] { return progress_.HasGrown(); });
+  while (asio::buffer_size(rest) > 0) {
+    const auto [error, size] = co_await socket_.async_write_some(rest, kAsTuple);
+    progress_.Accepted(size);
+    rest.consume(size);
+    if (error) {
+      too_slow_ = watchdog.Expired();
+      co_return false;
+    }
+  }
+  co_return true;
 }
 
 Awaitable<bool> HttpExchange::WriteChunk(std::string_view data) {
