Close resting connections by the idle timeout in force, not an earlier one

What callers saw: a connection that rests while a configuration raises the idle timeout was closed at the earlier one.

Cause: the server fixed the timeout when the wait for a request began. Class: a limit copied at the start of a long wait, though it may change during the wait. The other limits (header, body, time of a request) are taken for each request.

Change: when the wait ends, it goes on if the timeout in force isn't over.

Evidence: server_test, "a connection that rests while the idle timeout is raised stays open", fails on the code before (2 checks).

--- a/src/rudderloom/http/server.cpp
+++ b/src/rudderloom/http/server.cpp
@@ -313,16 +313,20 @@
   if (buffer.size() > 0) {
     co_return true;
   }
+  const TimePoint idle_since = Now();
   while (true) {
     const bool last_request = stopping_;
     idle_sockets_.insert(&socket);
-    Watchdog watchdog(socket, last_request ? kLastRequestWait : limits_.idle_time);
+    const Duration idle_left = limits_.idle_time - Between(idle_since, Now());
+    Watchdog watchdog(socket, last_request ? kLastRequestWait : idle_left);
     const auto [error, size] =
         co_await socket.async_read_some(buffer.prepare(kReadBytes), kAsTuple);
     idle_sockets_.erase(&socket);
     buffer.commit(size);
-    const bool stopped = error == asio::error::operation_aborted && stopping_ && !last_request;
-    if (!stopped) {
+    const bool cancelled = error == asio::error::operation_aborted && !last_request;
+    // The client may rely on an idle timeout that was raised during the wait.
+    const bool was_extended = Between(idle_since, Now()) < limits_.idle_time;
+    if (!cancelled || (!stopping_ && !was_extended)) {
       co_return !error;
     }
   }
--- a/src/rudderloom/http/server_test.cpp
+++ b/src/rudderloom/http/server_test.cpp
@@ -179,6 +179,34 @@
   CHECK(test.RunUntil([&] { return test.Server().Connections() == 0; }));
 }
 
+// Guards against requests of clients that rely on an idle timeout raised while they rest.
+TEST_CASE("a connection that rests while the idle timeout is raised stays open") {
+  constexpr Duration kFirstTimeout{100};
+  HttpLimits limits;
+  limits.idle_time = kFirstTimeout;
+  TestServer test;
+  test.Server().SetLimits(limits);
+  tcp::socket client = test.Connect();
+  REQUIRE(test.RunUntil([&] { return test.Server().Connections() == 1; }));
+  const TimePoint idle_since = Now();
+  limits.idle_time = kTestTimeout;
+  test.Server().SetLimits(limits);
+  test.RunUntil([&] { return Now() - idle_since > 3 * kFirstTimeout; });
+  Write(client, kRequest);
+  CHECK(test.RunUntil([&] { return client.available() > 0; }));
+  test.Server().Stop();
+  CHECK(Contains(test.ReadUntilClosed(client), "done"));
+}
+
+TEST_CASE("a connection is closed after the idle timeout") {
+  HttpLimits limits;
+  limits.idle_time = Duration(100);
+  TestServer test;
+  test.Server().SetLimits(limits);
+  tcp::socket client = test.Connect();
+  CHECK(test.ReadUntilClosed(client).empty());
+}
+
 std::string RequestWith(const std::string& method,
                         const std::string& target,
                         const std::string& version = "1.1") {
