Answer requests that have arrived when their connection is to be closed

What callers saw: no answer to a request that lay in the node's socket. - Timers: with more than 127 sockets ready after a delay of the node's thread, the idle time or the last wait of a stop expired first, and the request was read and dropped: 173 of 300 (a suspended node, real processes). - Pipelining: a request sent behind one that runs was dropped at a stop, unless it had been read together with it: 25 to 36 of 40 in each of 14 stops.

Cause: a reactor reports at most 128 events in a turn and then expires all timers, so a cancelled read says nothing about what has arrived; and the decision to close looked at the server's buffer only. Class: a connection's end that is decided without asking the socket.

Change: a wait that was cancelled goes on if the socket has data, and a response during a stop announces the close only if neither the buffer nor the socket holds a further request. What is served then is still bounded by the stop.

--- a/src/rudderloom/http/server.cpp
+++ b/src/rudderloom/http/server.cpp
@@ -73,7 +73,9 @@
 }
 
 bool HttpExchange::DecideKeepAlive() {
-  keep_alive_ = request_.keep_alive() && (!closing_ || received_.size() > 0);
+  boost::system::error_code ignored;
+  const bool has_next = received_.size() > 0 || (closing_ && socket_.available(ignored) > 0);
+  keep_alive_ = request_.keep_alive() && (!closing_ || has_next);
   return keep_alive_;
 }
 
@@ -323,12 +325,18 @@
         co_await socket.async_read_some(buffer.prepare(kReadBytes), kAsTuple);
     idle_sockets_.erase(&socket);
     buffer.commit(size);
-    const bool cancelled = error == asio::error::operation_aborted && !last_request;
-    // The client may rely on an idle timeout that was raised during the wait.
-    const bool was_extended = Between(idle_since, Now()) < limits_.idle_time;
-    if (!cancelled || (!stopping_ && !was_extended)) {
+    if (error != asio::error::operation_aborted) {
       co_return !error;
     }
+    // The client may rely on an idle timeout that was raised during the wait.
+    const bool has_idle_time = !stopping_ && Between(idle_since, Now()) < limits_.idle_time;
+    const bool has_stop_time = stopping_ && !last_request;
+    // Timers expire before the sockets are asked if this thread was delayed.
+    boost::system::error_code ignored;
+    const bool has_arrived = socket.available(ignored) > 0;
+    if (!has_idle_time && !has_stop_time && !has_arrived) {
+      co_return false;
+    }
   }
 }
 
