Answer a request whose handler fails

What callers saw: TRACE with content was closed without an answer (90 of 90, of which none had run): Beast throws when the request is prepared for an endpoint.

Cause: the server cut the connection after any exception of a handler, also where nothing of the response had been sent. Class: an error that ends a request without a word.

Change: 500 and a close, unless the response has started.

Evidence: server_closing_test, "a request whose handler fails before it answers gets 500", fails on the code before.

--- a/include/rudderloom/http/server.hpp
+++ b/include/rudderloom/http/server.hpp
@@ -206,6 +206,7 @@
       beast::flat_buffer& buffer,
       RequestParser& parser,
       ByteShare& body);
+  Awaitable<void> AnswerFailed(HttpExchange& exchange);
   Awaitable<void> Refuse(tcp::socket& socket, ReadFailure failure);
   static Awaitable<void> DiscardInput(tcp::socket& socket);
 
--- a/src/rudderloom/http/server.cpp
+++ b/src/rudderloom/http/server.cpp
@@ -20,6 +20,7 @@
 constexpr Duration kDiscardTime{500};
 // For a request that was sent before its client could see that the server stops.
 constexpr Duration kLastRequestWait{50};
+constexpr unsigned kInternalError = 500;
 
 ReadFailure ToReadFailure(boost::system::error_code error) {
   if (error == http::error::header_limit) {
@@ -394,11 +395,15 @@
   }
   ++active_requests_;
   HttpExchange exchange(socket, parser.release(), limits_, close_after_response_, buffer);
+  bool failed = false;
   try {
     co_await handlers_.handle(exchange);
   } catch (const std::exception& error) {
     LogLine("handler_failed", Severity::kError).With("error", error.what());
-    exchange.Abort();
+    failed = true;
+  }
+  if (failed) {
+    co_await AnswerFailed(exchange);
   }
   --active_requests_;
   if (exchange.TooSlow() && handlers_.slow_reader) {
@@ -412,6 +417,20 @@
   co_return exchange.KeepAlive();
 }
 
+// After a handler that threw: answers, unless the response has started and can only be cut.
+Awaitable<void> HttpServer::AnswerFailed(HttpExchange& exchange) {
+  if (exchange.Started()) {
+    exchange.Abort();
+    co_return;
+  }
+  exchange.StopWatching();
+  Reply reply;
+  reply.status = kInternalError;
+  reply.body = "{\"error\":\"internal\"}";
+  exchange.CloseAfterAnswer();
+  co_await exchange.Send(std::move(reply));
+}
+
 Awaitable<void> HttpServer::Refuse(tcp::socket& socket, ReadFailure failure) {
   HttpRequest request;
   request.version(11);
--- a/src/rudderloom/http/server_closing_test.cpp
+++ b/src/rudderloom/http/server_closing_test.cpp
@@ -149,5 +149,15 @@
   CHECK(received.find("done", first + 1) != std::string::npos);
 }
 
+// Guards against connections closed without an answer when a handler throws.
+TEST_CASE("a request whose handler fails before it answers gets 500") {
+  TestServer test;
+  tcp::socket& client = test.Connect();
+  asio::write(client, asio::buffer(std::string("GET /throw HTTP/1.1\r\nHost: x\r\n\r\n")));
+  REQUIRE(test.RunUntil([&] { return test.Server().Connections() == 1; }));
+  test.Server().Stop();
+  CHECK(Contains(test.ReadAll().front(), "HTTP/1.1 500"));
+}
+
 }  // namespace
 }  // namespace rudderloom
