Bound what a connection holds until it can be parsed

Cause: Beast throws length_error at a field of 64 KB, from within the read's own handler, so the exception leaves the thread's io_context. The limit on headers doesn't cover trailers and extensions, and the buffers of all connections grew without a limit. Class: input of a peer that is kept unparsed without a bound.

Change: the buffers of clients' connections, of endpoints' connections and of the HTTP client hold 60 KB, so that no field can reach 64 KB. More is 431 for a client and a broken answer of an endpoint. Headers of endpoints may have 60 KB.

Evidence: server_closing_test (trailer) and three cases of endpoint_connection_test fail on the code before ("field value too large" thrown from the io_context, an endless chunk extension taken for whole, a header of 12 KB not read).

--- a/include/rudderloom/forwarding/endpoint_connection.hpp
+++ b/include/rudderloom/forwarding/endpoint_connection.hpp
@@ -15,6 +15,7 @@
 
 #include "rudderloom/forwarding/header_codec.hpp"  // for AnswerHead
 #include "rudderloom/http/asio.hpp"                // for tcp
+#include "rudderloom/http/message_limits.hpp"      // for kMaxUnparsedBytes
 
 namespace rudderloom {
 
@@ -104,7 +105,7 @@
 
   std::shared_ptr<Channel> channel_;
   tcp::socket& socket_;  // of the channel
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{kMaxUnparsedBytes};
   std::unique_ptr<Parser> parser_;
   bool may_reuse_ = true;
   std::size_t buffer_bytes_ = 0;
--- a/include/rudderloom/http/client.hpp
+++ b/include/rudderloom/http/client.hpp
@@ -11,9 +11,10 @@
 #include <variant>   // for variant
 #include <vector>    // for vector
 
-#include "rudderloom/base/clock.hpp"       // for Duration
-#include "rudderloom/http/asio.hpp"        // for Awaitable
-#include "rudderloom/http/call_guard.hpp"  // for CallGuard
+#include "rudderloom/base/clock.hpp"           // for Duration
+#include "rudderloom/http/asio.hpp"            // for Awaitable
+#include "rudderloom/http/call_guard.hpp"      // for CallGuard
+#include "rudderloom/http/message_limits.hpp"  // for kMaxUnparsedBytes
 
 namespace rudderloom {
 
@@ -79,7 +80,7 @@
   tcp::socket socket_;
   CallTimeouts timeouts_;
   CallGuard* guard_;
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{kMaxUnparsedBytes};
   std::optional<Parser> parser_;  // of the header that was read last
 };
 
--- a/src/rudderloom/forwarding/endpoint_connection.cpp
+++ b/src/rudderloom/forwarding/endpoint_connection.cpp
@@ -75,6 +75,7 @@
 Awaitable<std::variant<EndpointConnection::End, ConnectionFailure>> EndpointConnection::ReadHead(
     bool is_head_request) {
   parser_ = std::make_unique<Parser>();
+  parser_->header_limit(kMaxUnparsedBytes);
   parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
   parser_->skip(is_head_request);
   const auto [error, size] = co_await http::async_read_header(socket_, buffer_, *parser_, kAsTuple);
--- a/src/rudderloom/forwarding/endpoint_connection_test.cpp
+++ b/src/rudderloom/forwarding/endpoint_connection_test.cpp
@@ -64,5 +64,67 @@
   CHECK_FALSE(answer.whole);
 }
 
+// Sends one answer and closes the connection.
+Awaitable<void> Answer(tcp::acceptor& acceptor, std::string bytes) {
+  auto [error, socket] = co_await acceptor.async_accept(kAsTuple);
+  std::string request(64, '\0');
+  co_await socket.async_read_some(asio::buffer(request), kAsTuple);
+  co_await asio::async_write(socket, asio::buffer(bytes), kAsTuple);
+}
+
+struct ReadResult {
+  bool has_head = false;
+  bool whole = false;
+};
+
+Awaitable<void> ReadWhole(EndpointConnection& connection, std::string address, ReadResult& result) {
+  co_await connection.Connect(std::move(address));
+  const HttpRequest request(http::verb::get, "/x", 11);
+  connection.StartRequest(request);
+  const auto head = co_await connection.ReadHead(false);
+  result.has_head = std::holds_alternative<EndpointConnection::End>(head);
+  if (result.has_head) {
+    const auto failure = co_await connection.SkipBody();
+    result.whole = !failure;
+  }
+}
+
+ReadResult ResultOf(const std::string& answer) {
+  asio::io_context context;
+  tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+  asio::co_spawn(context, Answer(acceptor, answer), asio::detached);
+  EndpointConnection connection(context);
+  ReadResult result;
+  const std::string address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  asio::co_spawn(context, ReadWhole(connection, address, result), asio::detached);
+  CHECK_NOTHROW(context.run());
+  return result;
+}
+
+const std::string kChunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n";
+
+// Guards against answers with large headers that are taken for broken ones.
+TEST_CASE("an answer with a header of 12 KB is read") {
+  const std::string field = "X: " + std::string(12'000, 'x') + "\r\n";
+  CHECK(ResultOf(kChunkedHead + field + "\r\n0\r\n\r\n").whole);
+}
+
+// Guards against fields that the parser can't hold: it throws from within the read, which ends the
+// process.
+TEST_CASE("an answer with a trailer of 64 KB is broken, and nothing is thrown") {
+  const ReadResult result =
+      ResultOf(kChunkedHead + "\r\n0\r\nX: " + std::string(65'534, 'x') + "\r\n\r\n");
+  CHECK(result.has_head);
+  CHECK_FALSE(result.whole);
+}
+
+// Guards against parts of a chunk's line that are kept without a bound.
+TEST_CASE("an answer with an endless chunk extension is broken") {
+  const ReadResult result =
+      ResultOf(kChunkedHead + "\r\n1;" + std::string(1'000'000, 'x') + "\r\na\r\n0\r\n\r\n");
+  CHECK(result.has_head);
+  CHECK_FALSE(result.whole);
+}
+
 }  // namespace
 }  // namespace rudderloom
--- a/src/rudderloom/http/client.cpp
+++ b/src/rudderloom/http/client.cpp
@@ -97,6 +97,7 @@
 
 void HttpStream::NewParser() {
   parser_.emplace();
+  parser_->header_limit(kMaxUnparsedBytes);
   parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
 }
 
--- a/src/rudderloom/http/server.cpp
+++ b/src/rudderloom/http/server.cpp
@@ -5,7 +5,8 @@
 #include <optional>  // for optional
 #include <utility>   // for move
 
-#include "rudderloom/base/log_line.hpp"  // for LogLine
+#include "rudderloom/base/log_line.hpp"        // for LogLine
+#include "rudderloom/http/message_limits.hpp"  // for kMaxUnparsedBytes
 
 namespace rudderloom {
 
@@ -23,7 +24,7 @@
 constexpr unsigned kInternalError = 500;
 
 ReadFailure ToReadFailure(boost::system::error_code error) {
-  if (error == http::error::header_limit) {
+  if (error == http::error::header_limit || error == http::error::buffer_overflow) {
     return ReadFailure::kHeaderTooLarge;
   }
   if (error == http::error::body_limit) {
@@ -298,7 +299,7 @@
   if (connections_ > limits_.connections) {
     co_await Refuse(socket, ReadFailure::kTooManyConnections);
   } else {
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(kMaxUnparsedBytes);
     while (co_await ServeOne(socket, buffer)) {
     }
   }
--- a/src/rudderloom/http/server_closing_test.cpp
+++ b/src/rudderloom/http/server_closing_test.cpp
@@ -159,5 +159,26 @@
   CHECK(Contains(test.ReadAll().front(), "HTTP/1.1 500"));
 }
 
+// Guards against fields that the parser can't hold: it throws from within a read, which ends the
+// process. Trailers are not bounded by the limit on headers.
+TEST_CASE("a request with a trailer of 64 KB is answered, and the server goes on") {
+  TestServer test;
+  tcp::socket& other = test.Connect();
+  asio::write(other, asio::buffer(std::string("GET /wait HTTP/1.1\r\nHost: x\r\n\r\n")));
+  REQUIRE(test.RunUntil([&] { return test.Server().Active() == 1; }));
+  tcp::socket& client = test.Connect();
+  const std::string request =
+      "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "1\r\na\r\n0\r\nX: " +
+      std::string(65'534, 't') + "\r\n\r\n";
+  asio::write(client, asio::buffer(request));
+  CHECK_NOTHROW(test.RunUntil([] { return false; }, Duration(200)));
+  test.Finish();
+  test.Server().Stop();
+  const std::vector<std::string> received = test.ReadAll();
+  CHECK(Contains(received.front(), "done"));
+  CHECK(Contains(received.back(), "HTTP/1.1 "));
+}
+
 }  // namespace
 }  // namespace rudderloom
