Wait without descriptors during a planned stop

Cause: each pause of the main thread made an io_context, whose reactor needs descriptors. The exception unwound Run() and destroyed joinable threads. Class: a stop that needs what has run out.

Change: the main thread sleeps. The wait needs no signals: the handlers stay registered with a context that isn't run.

--- a/src/rudderloom/app/wait.cpp
+++ b/src/rudderloom/app/wait.cpp
@@ -1,15 +1,12 @@
 #include "app/wait.hpp"
 
-#include "rudderloom/http/asio.hpp"  // for Timer
+#include <thread>  // for sleep_for
 
 namespace rudderloom {
 
+// An io_context's timer would need descriptors, of which a stop may find none.
 void BlockFor(Duration pause) {
-  asio::io_context context;
-  Timer timer(context, pause);
-  // Timer::wait() would throw when a signal interrupts it.
-  timer.async_wait([](boost::system::error_code) {});
-  context.run();
+  std::this_thread::sleep_for(pause);
 }
 
 }  // namespace rudderloom
