Don't take endpoints for unreachable when this node has no descriptors

Cause: any failure to connect counted against the endpoint, also those of this node (EMFILE, ENFILE, ENOBUFS, ENOMEM); and 4,096 clients' connections were allowed whatever the descriptors of the process. Class: an own shortage that is taken for a fault of others.

Change: such failures say nothing about the endpoint, and are counted apart (`no_resources`). Connections of clients may take three quarters of the descriptors, so that those to endpoints find one.

--- a/src/rudderloom/forwarding/attempt.cpp
+++ b/src/rudderloom/forwarding/attempt.cpp
@@ -127,7 +127,7 @@
     result.refused = failure.refused;
     result.error = failure.message;
     result.through_gateway = reason == "gateway";
-    if (state_.reach.CutOff()) {
+    if (state_.reach.CutOff() || failure.local) {
       result.feedback = EndpointFeedback::kNeutral;
     }
     return result;
--- a/src/rudderloom/forwarding/endpoint_connection.cpp
+++ b/src/rudderloom/forwarding/endpoint_connection.cpp
@@ -21,6 +21,12 @@
 // The endpoint may close slightly before the announced time.
 constexpr Duration kKeepAliveMargin{1'000};
 
+bool IsLocalError(const boost::system::error_code& error) {
+  return error == asio::error::no_descriptors || error == asio::error::no_buffer_space ||
+         error == asio::error::no_memory ||
+         error == boost::system::errc::too_many_files_open_in_system;
+}
+
 }  // namespace
 
 EndpointConnection::EndpointConnection(asio::io_context& context)
@@ -48,8 +54,11 @@
   }
   const auto [error] = co_await socket_.async_connect(endpoint, kAsTuple);
   if (error) {
-    const bool refused = error == asio::error::connection_refused;
-    co_return ConnectionFailure{false, "connect: " + error.message(), refused};
+    ConnectionFailure failure;
+    failure.message = "connect: " + error.message();
+    failure.refused = error == asio::error::connection_refused;
+    failure.local = IsLocalError(error);
+    co_return failure;
   }
   socket_.set_option(tcp::no_delay(true), ignored);
   EnableDeadPeerDetection(socket_, kPeerSilenceLimit);
--- a/src/rudderloom/forwarding/endpoint_connection_test.cpp
+++ b/src/rudderloom/forwarding/endpoint_connection_test.cpp
@@ -2,6 +2,10 @@
 
 #include <doctest/doctest.h>  // for TEST_CASE
 
+#include <optional>  // for optional
+
+#include "fakes/no_descriptors.hpp"  // for NoDescriptors
+
 namespace rudderloom {
 namespace {
 
@@ -126,5 +130,26 @@
   CHECK_FALSE(result.whole);
 }
 
+// Guards against endpoints that are taken for unreachable by a node without free descriptors.
+TEST_CASE("a connection that finds no descriptor is a failure of this node") {
+  asio::io_context context;
+  tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+  const std::string address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  EndpointConnection connection(context);
+  std::optional<ConnectionFailure> failure;
+  asio::co_spawn(
+      context,
+      [&]() -> Awaitable<void> {
+        std::string copy = address;
+        failure = co_await connection.Connect(std::move(copy));
+      },
+      asio::detached);
+  const tests::NoDescriptors no_descriptors;
+  context.run();
+  REQUIRE(failure);
+  CHECK(failure->local);
+  CHECK_FALSE(failure->refused);
+}
+
 }  // namespace
 }  // namespace rudderloom
--- a/src/rudderloom/forwarding/endpoint_link.cpp
+++ b/src/rudderloom/forwarding/endpoint_link.cpp
@@ -70,6 +70,7 @@
 void EndpointLink::CountConnect(const std::optional<ConnectionFailure>& failure) {
   const std::string_view result = !failure           ? "connected"
                                   : failure->refused ? "refused"
+                                  : failure->local   ? "no_resources"
                                                      : "no_answer";
   state_.metrics.Count({"rudderloom_endpoint_connects_total", "result", result});
 }
@@ -83,8 +84,9 @@
   }
   auto failure = co_await Open(endpoint_.address);
   CountConnect(failure);
-  const bool endpoint_failed = failure && (guard_.Cause() == Interruption::kNone ||
-                                           guard_.Cause() == Interruption::kEndpointSilent);
+  const bool endpoint_failed =
+      failure && !failure->local &&
+      (guard_.Cause() == Interruption::kNone || guard_.Cause() == Interruption::kEndpointSilent);
   if (endpoint_failed) {
     RecordUnreachable(state_, endpoint_);
   }
--- a/src/rudderloom/forwarding/frontend.cpp
+++ b/src/rudderloom/forwarding/frontend.cpp
@@ -1,8 +1,11 @@
 #include "rudderloom/forwarding/frontend.hpp"
 
-#include <array>   // for array
-#include <random>  // for random_device
-#include <set>     // for set
+#include <sys/resource.h>  // for getrlimit
+
+#include <algorithm>  // for min
+#include <array>      // for array
+#include <random>     // for random_device
+#include <set>        // for set
 
 #include "forwarding/client_write.hpp"               // for ReviewSlowReaders
 #include "forwarding/crash_check.hpp"                // for RecordCleared
@@ -57,8 +60,21 @@
   return reply;
 }
 
+// Leaves a quarter of the process's descriptors for connections to endpoints, nodes and the store.
+std::uint32_t MaxClientConnections() {
+  constexpr rlim_t kOwnShare = 4;
+  const std::uint32_t most = HttpLimits().connections;
+  rlimit descriptors{};
+  if (::getrlimit(RLIMIT_NOFILE, &descriptors) != 0) {
+    return most;
+  }
+  const rlim_t available = descriptors.rlim_cur - descriptors.rlim_cur / kOwnShare;
+  return static_cast<std::uint32_t>(std::min<rlim_t>(most, available));
+}
+
 HttpLimits LimitsOf(const ClientLimits& limits) {
   HttpLimits http;
+  http.connections = MaxClientConnections();
   http.header_bytes = limits.header_bytes;
   http.body_bytes = limits.body_bytes;
   http.header_time = limits.header_time;
