Let a started stream go on after an endpoint has rejected its rest

What callers saw: a stream cut in the middle, its connection closed. An engine that pauses for over four times the longest pause (it puts requests back when its memory runs out, or its machine is short of processor time) loses the stream to another one; if that one rejects the rest as full, the answer was cut, although other engines, or the first, would have gone on.

Cause: a rejection used up the attempts of the route (two), the endpoint that had been silent was not tried again, and the client's patience counted from the request's arrival, although its stream flows: a stream older than that was cut at the first moment without an endpoint. Class: limits for the start of a request that are applied to its continuation.

Change: a rejection of the rest of a started stream is no attempt (nothing ran; the retry budget is charged as before). When no untried endpoint is left, the silent one is asked again, and full ones every 100 ms, until the deadline. A stopping node waits for them too, within its stop.

A handover only once another one has accepted the rest is not built.

--- a/src/rudderloom/forwarding/endpoint_wait.cpp
+++ b/src/rudderloom/forwarding/endpoint_wait.cpp
@@ -14,6 +14,8 @@
 constexpr int kFreeSlotWaitDivisor = 2;
 constexpr Duration kFreeSlotCheckInterval{20};
 constexpr Duration kMinSlotWait{2};
+// Between attempts to go on with a started stream at endpoints that are full.
+constexpr Duration kFullRetryInterval{100};
 
 }  // namespace
 
@@ -21,6 +23,9 @@
   if (request_.tried.ReadmitFailed()) {
     co_return std::nullopt;
   }
+  if (request_.stream.started && request_.tried.ReadmitSilent()) {
+    co_return std::nullopt;
+  }
   if (reason == NoEndpointReason::kRateLimited) {
     request_.retry_delay = state_.limits.MinWait(Now());
     co_return ForwardRefusal::kEndpointLimit;
@@ -38,7 +43,8 @@
 
 // Waits for the next view if the model may become resident in time.
 Awaitable<std::optional<ForwardRefusal>> EndpointWait::AwaitResidency(NoEndpointReason reason) {
-  const bool may_become_resident = !request_.terms.model.empty() && !state_.stopping;
+  const bool may_wait = request_.stream.started || !state_.stopping;
+  const bool may_become_resident = !request_.terms.model.empty() && may_wait;
   const TimePoint expected_at = may_become_resident ? ExpectedResidency() : TimePoint::max();
   const TimePoint latest = request_.LatestStart();
   if (!may_become_resident || expected_at > latest || Now() >= latest) {
@@ -50,6 +56,9 @@
   }
   co_await WaitForView();
   request_.tried.ReadmitUnreachable();
+  if (request_.stream.started) {
+    request_.tried.ReadmitFull();
+  }
   co_return std::nullopt;
 }
 
@@ -76,7 +85,10 @@
   const ScopedUnitCount waiting(state_.units, request_.Units(), &UnitCount::waiting);
   state_.sample_soon();
   const TimePoint began = Now();
-  co_await state_.views.WaitForNext(request_.guard->WaitTimer(), request_.LatestStart());
+  const bool retries_full = request_.stream.started && request_.tried.AnyFull();
+  const TimePoint until = retries_full ? began + kFullRetryInterval : TimePoint::max();
+  co_await state_.views.WaitForNext(request_.guard->WaitTimer(),
+                                    std::min(until, request_.LatestStart()));
   request_.waited += Between(began, Now());
 }
 
--- a/src/rudderloom/forwarding/forwarded_request.cpp
+++ b/src/rudderloom/forwarding/forwarded_request.cpp
@@ -12,7 +12,9 @@
       checks(state, exchange, terms, arrived) {}
 
 TimePoint ForwardedRequest::LatestStart() const {
-  return std::min(deadline_at, arrived + route->patience) - kMinAttemptTime;
+  // The client of a started stream waits from the last event on.
+  const TimePoint patient_until = stream.started ? deadline_at : arrived + route->patience;
+  return std::min(deadline_at, patient_until) - kMinAttemptTime;
 }
 
 std::set<std::string> ForwardedRequest::Excluded() const {
--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -271,7 +271,10 @@
       RecordRejection(
           state_, {request_.service, endpoint, request_.choice.load.requests, request_.terms.id});
     }
-    ++request_.attempts;
+    // An endpoint that rejects the rest of a started stream does not end it.
+    if (!not_run || !request_.stream.started) {
+      ++request_.attempts;
+    }
     if (!not_run) {
       retry_.MarkMayHaveRun();
     }
--- a/src/rudderloom/forwarding/tried_endpoints.cpp
+++ b/src/rudderloom/forwarding/tried_endpoints.cpp
@@ -32,8 +32,10 @@
   if (result.feedback == EndpointFeedback::kShed) {
     return TriedEndpoints::Outcome::kFull;
   }
-  const bool can_serve = result.outcome == AttemptOutcome::kFailed && !result.silent;
-  return can_serve ? TriedEndpoints::Outcome::kFailed : TriedEndpoints::Outcome::kRefused;
+  if (result.outcome != AttemptOutcome::kFailed) {
+    return TriedEndpoints::Outcome::kRefused;
+  }
+  return result.silent ? TriedEndpoints::Outcome::kSilent : TriedEndpoints::Outcome::kFailed;
 }
 
 }  // namespace rudderloom
--- a/src/rudderloom/forwarding/tried_endpoints.hpp
+++ b/src/rudderloom/forwarding/tried_endpoints.hpp
@@ -15,7 +15,8 @@
 class TriedEndpoints {
  public:
   enum class Outcome {
-    kRefused,      // guaranteed not to have run it, or was silent: not tried again
+    kRefused,      // guaranteed not to have run it: not tried again
+    kSilent,       // sent nothing for too long: tried again only to go on with a started stream
     kFull,         // the same, as it had no room: holds the model
     kFailed,       // broke the connection or returned an error: the next attempt may succeed
     kUnreachable,  // could not be connected: may be tried again later
@@ -35,6 +36,8 @@
   // Make failed or unreachable endpoints available again; true if there were any.
   bool ReadmitFailed() { return Readmit(Outcome::kFailed); }
   bool ReadmitUnreachable() { return Readmit(Outcome::kUnreachable); }
+  bool ReadmitSilent() { return Readmit(Outcome::kSilent); }
+  bool ReadmitFull() { return Readmit(Outcome::kFull); }
 
  private:
   bool AnyExcluded(Outcome outcome) const;
