Fleet soak: judge requests without an answer, late answers and cut streams

A request that a node had for 200 ms and gives no answer to now counts whether or not an endpoint ran it; so do answers half a second after the deadline, and streams that the node cuts.

--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -17,6 +17,7 @@
 CUSTOMERS = {"member-a": "key-a-9d41c07be2a3", "member-b": "key-b-5f68e1b40c77"}
 UNKNOWN_KEY = "key-x-000000000000"
 STOP_SECONDS = 8
+DEADLINE_SECONDS = 5  # of the requests of Client, and the timeout of all routes
 CRASH_BODY = "ends whoever runs it"
 
 
@@ -94,6 +95,7 @@
         if daemon == self.daemon:  # an earlier build rejects settings that it does not know
             settings["listen"]["gateway"] = loopback
             settings["overload_control"] = self.overload_control
+            settings["log_lines_per_second"] = 100000  # checks read why a stream was cut
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(settings))
         self.start(name, [daemon, "daemon", "--settings", str(path)])
@@ -217,7 +219,8 @@
 
     def send(self, request_id):
         kind = self.random.choice(["once", "safe", "stream", "stream", "added"])
-        headers = {"Host": "h.example", "Request-Id": request_id, "Deadline-Ms": "5000",
+        headers = {"Host": "h.example", "Request-Id": request_id,
+                   "Deadline-Ms": str(DEADLINE_SECONDS * 1000),
                    "Authorization": f"Token {self.random.choice(list(CUSTOMERS.values()))}"}
         model = ""
         if kind == "stream":
@@ -231,6 +234,7 @@
             result.update(node=self.node, process=self.process.name)
             result["started"] = time.monotonic()
             self.connection.request("POST", f"/{kind}/x", body=b"body", headers=headers)
+            result["sent"] = time.monotonic()
             answer = self.connection.getresponse()
             result["status"] = answer.status
             if answer.getheader("Server-Limit"):
--- a/tools/fleet_soak.py
+++ b/tools/fleet_soak.py
@@ -16,6 +16,7 @@
 import json
 import pathlib
 import random
+import re
 import shutil
 import signal
 import subprocess
@@ -26,8 +27,8 @@
 import urllib.error
 
 from cluster import ROOT
-from fleet import (CRASH_BODY, SERVICES, ENGINES, MODELS, NODES, STOP_SECONDS, UNKNOWN_KEY, Client, call,
-                   send_request, start_fleet, expected_stream)
+from fleet import (CRASH_BODY, DEADLINE_SECONDS, SERVICES, ENGINES, MODELS, NODES, STOP_SECONDS,
+                   UNKNOWN_KEY, Client, call, send_request, start_fleet, expected_stream)
 
 CLIENTS = 12
 FAULT_INTERVAL = (0.2, 1.2)
@@ -51,6 +52,14 @@
 # A request may end this much before the kill, by the client's clock, and still count as interrupted
 # by it.
 KILL_CLOCK_SLACK = 0.3
+# A request that was sent this long before its connection ended had been read, and is owed an answer.
+LOSS_SLACK = 0.2
+# The final answer is due this long after the deadline at the latest.
+DEADLINE_SLACK = 0.5
+# A stream may be cut at the end of a planned stop if it was sent at most this long after the signal
+# and its endpoint was still at work in the last sixth of the time until the kill.
+STOP_SENT_SECONDS = 3
+STOP_LAST_PART = STOP_SECONDS * 5 / 6
 # A request that crashes the endpoints that run it: interval between two of them, time until all
 # nodes must know of three crashes, and how often settled nodes may still forward it after that.
 CRASH_INTERVAL = 0.25
@@ -78,6 +87,7 @@
         self.scheduled = []
         self.counts = {}
         self.killed = {}     # process name -> time of the kill
+        self.frozen = []     # (process name, start, end)
         self.problems = []
         self.stops = []
         self.malformed_entries = 0
@@ -140,6 +150,9 @@
     def freeze(self, name, seconds):
         process = self.fleet.processes[name]
         process.signal(signal.SIGSTOP)
+        # Thawed with the first fault after this time.
+        until = time.monotonic() + seconds + FAULT_INTERVAL[1]
+        self.frozen.append((process.name, time.monotonic(), until))
         self.schedule(seconds, lambda: process.signal(signal.SIGCONT))
 
     def freeze_node(self):
@@ -425,6 +438,65 @@
     return problems
 
 
+def log_lines(folder, request_ids):
+    """Returns the nodes' log lines of these requests, by id."""
+    lines = {request_id: [] for request_id in request_ids}
+    for path in folder.glob("n*.log"):
+        for line in path.read_text(errors="replace").splitlines():
+            found = re.search(r"request_id=(\S+)", line)
+            if found and found[1] in lines:
+                lines[found[1]].append(line[line.find("event="):])
+    return lines
+
+
+def endpoint_broke_off(lines):
+    """True if an endpoint, and not the node, ended an attempt in the middle."""
+    return any(re.search(r"reason=(cut|torn)_\w+", line) and "Operation canceled" not in line
+               and "Bad file descriptor" not in line for line in lines)
+
+
+def check_answers(fleet, injector, results):
+    """Checks that what a node had read was answered whole and in time.
+
+    Not counted: nodes that were killed or frozen, deadlines, streams that their endpoint broke off,
+    and those that a planned stop may cut.
+    """
+    problems = []
+    cut = []
+    stopped = {process.name: asked_at for process, asked_at in injector.stops}
+    for r in results:
+        if "sent" not in r:
+            continue
+        process = r["process"]
+        killed = injector.killed.get(process)
+        if killed is not None and r["ended"] >= killed - KILL_CLOCK_SLACK:
+            continue
+        if any(name == process and start <= r["ended"] and end >= r["started"]
+               for name, start, end in injector.frozen):
+            continue
+        if r["ended"] - r["started"] > DEADLINE_SECONDS + DEADLINE_SLACK:
+            problems.append(f"LATE {r['id']} {r['kind']}: {process} held it for "
+                            f"{r['ended'] - r['started']:.2f} s")
+        if r["whole"]:
+            continue
+        if r["status"] == 0:
+            if r["ended"] - r["sent"] > LOSS_SLACK:
+                problems.append(f"LOST {r['id']} {r['kind']}: {process} gave no answer for "
+                                f"{r['ended'] - r['sent']:.2f} s: {r['error']}")
+            continue
+        signal_at = stopped.get(process)
+        may_be_cut = (signal_at is not None and r["started"] <= signal_at + STOP_SENT_SECONDS
+                      and r["ended"] >= signal_at + STOP_LAST_PART)
+        if not may_be_cut and r["ended"] - r["started"] < DEADLINE_SECONDS - 0.05:
+            cut.append(r)
+    lines = log_lines(fleet.folder, [r["id"] for r in cut])
+    for r in cut:
+        if not endpoint_broke_off(lines[r["id"]]):
+            problems.append(f"CUT {r['id']} {r['kind']} {r['model']} by {r['process']} after "
+                            f"{r['ended'] - r['started']:.2f} s: " + " | ".join(lines[r["id"]]))
+    return problems
+
+
 def check_results(fleet, injector, clients):
     """Returns the violated guarantees, one line each, and all results in order of their end."""
     problems = list(injector.problems)
@@ -452,7 +524,7 @@
         interrupted = killed is not None and r["ended"] >= killed - KILL_CLOCK_SLACK
         if r["status"] == 0 and ran > 0 and not interrupted:
             problems.append(f"LOST {r['id']} ran, but {r.get('process')} gave no answer: {r['error']}")
-    return problems, results
+    return problems + check_answers(fleet, injector, results), results
 
 
 def check_recovery(fleet):
