Don't take an endpoint for silent while its event is being processed

What callers saw: streams cut, or withdrawn from a sound engine, after the node's thread had been delayed. On machines of their own nodes share processors, so delays of that length happen.

Cause: after a delay the response deadline's timer expires in the same turn of the reactor in which the event arrives, and before the read that got it is processed. The guard closed the connection; the event still went to the client, and the next read failed.

Change: the guard confirms silence: when the deadline passes, what has arrived gets 10 ms to be processed; what is processed sets a new deadline.

--- a/include/rudderloom/http/call_guard.hpp
+++ b/include/rudderloom/http/call_guard.hpp
@@ -79,6 +79,7 @@
     TimePoint deadline_at;
     std::function<bool()> may_abandon_endpoint;
     std::optional<TimePoint> response_deadline;
+    bool confirms_silence = false;  // the response deadline has passed once
     TimePoint timer_expiry;
     std::function<void()> cancel;
     Interruption cause = Interruption::kNone;
--- a/src/rudderloom/http/call_guard.cpp
+++ b/src/rudderloom/http/call_guard.cpp
@@ -5,6 +5,11 @@
 
 namespace rudderloom {
 
+namespace {
+// After a delay of this thread, timers expire before what has arrived meanwhile is processed.
+constexpr Duration kArrivalTime{10};
+}  // namespace
+
 CallGuard::CallGuard(asio::io_context& context,
                      CallGuards& guards,
                      TimePoint deadline_at,
@@ -30,6 +35,7 @@
 
 void CallGuard::SetResponseDeadline(std::optional<TimePoint> deadline) {
   state_->response_deadline = deadline;
+  state_->confirms_silence = false;
   // A later deadline is handled when the timer fires; only an earlier one requires rearming.
   if (deadline && *deadline < state_->timer_expiry) {
     Arm(state_);
@@ -82,6 +88,12 @@
       return;
     }
     if (state->response_deadline && now >= *state->response_deadline) {
+      if (!state->confirms_silence) {
+        state->confirms_silence = true;
+        state->response_deadline = now + kArrivalTime;
+        Arm(state);
+        return;
+      }
       if (state->may_abandon_endpoint()) {
         Interrupt(*state, Interruption::kEndpointSilent);
         return;
