Let a started stream wait for an endpoint like any other time

What callers saw: streams cut in a few milliseconds, though their clients would have waited and endpoints that hold the model were left: after four refused connections (engines replaced since the last list), or because engines that crash from rejections were full half a goal after the request had come.

The wait for a free slot lasts until the deadline.

The wait for a free slot has no test of its own.

--- a/src/rudderloom/forwarding/endpoint_wait.cpp
+++ b/src/rudderloom/forwarding/endpoint_wait.cpp
@@ -65,12 +65,14 @@
 // Waits for an endpoint that may be used as long as the answer can still be in time.
 Awaitable<std::optional<ForwardRefusal>> EndpointWait::AwaitFreeSlot(NoEndpointReason reason) {
   const TimePoint now = Now();
-  const TimePoint latest = std::min(request_.LatestStart(),
-                                    request_.arrived + request_.route->goal / kFreeSlotWaitDivisor);
+  const TimePoint in_time = request_.arrived + request_.route->goal / kFreeSlotWaitDivisor;
+  const TimePoint latest =
+      request_.stream.started ? request_.LatestStart() : std::min(request_.LatestStart(), in_time);
   const Duration pause = reason == NoEndpointReason::kPaused ? ShortestPause(now) : Duration(0);
   const Duration wait =
       std::clamp(state_.limits.MinPause(now), kMinSlotWait, kFreeSlotCheckInterval);
-  if (state_.stopping || now + std::max(pause, wait) > latest) {
+  const bool may_wait = request_.stream.started || !state_.stopping;
+  if (!may_wait || now + std::max(pause, wait) > latest) {
     request_.retry_delay = std::max(pause, kMinRetryDelay);
     co_return ForwardRefusal::kOverloaded;
   }
--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -257,7 +257,7 @@
 
   Awaitable<NextStep> HandleConnectFailure() {
     request_.last_refusal = ForwardRefusal::kConnect;
-    if (++connect_failures_ < kMaxConnectFailures) {
+    if (request_.stream.started || ++connect_failures_ < kMaxConnectFailures) {
       co_return NextStep::kChoose;
     }
     co_await Refuse(request_.last_refusal);
