Don't send a stream through the gateway that has just broken it off

Cause: a gateway that breaks off before an answer's header counted as failed, one that breaks off within the answer did not, so the last attempt could go to it again. Class: one of two places where a connection ends is not told.

Change: both count.

--- a/src/rudderloom/forwarding/endpoint_link.cpp
+++ b/src/rudderloom/forwarding/endpoint_link.cpp
@@ -205,6 +205,11 @@
 EndpointLink::ReadSome() {
   auto chunk = co_await connection_->ReadSome();
   state_.answered_at = Now();
+  const bool broken =
+      std::holds_alternative<ConnectionFailure>(chunk) && guard_.Cause() == Interruption::kNone;
+  if (gateway_ && broken) {
+    state_.gateways.Failed(gateway_->address, Now());
+  }
   co_return chunk;
 }
 
--- a/tests/process/fleet_cluster.cpp
+++ b/tests/process/fleet_cluster.cpp
@@ -134,7 +134,10 @@
                               {"metrics", any_port},
                               {"gateway", any_port}}},
       {"store", json::object{{"address", At("store").Address()}, {"call_time", "500ms"}}},
-      {"bounds", json::object{{"lease", "600ms"}, {"grace", "5s"}, {"configuration", "4s"}}}};
+      {"bounds", json::object{{"lease", "600ms"},
+                              {"grace", "5s"},
+                              {"configuration", "4s"},
+                              {"retry_extra", retry_extra_}}}};
   const std::string path = SettingsPath(name);
   std::ofstream(path) << json::serialize(settings);
   Program& node = Start(name, std::string(RUDDERLOOM_BINARIES) + "/rudderloom/app/rudderloom",
--- a/tests/process/fleet_cluster.hpp
+++ b/tests/process/fleet_cluster.hpp
@@ -63,6 +63,9 @@
   void SetNodeMemory(int megabytes) { node_memory_ = megabytes; }
   /// @brief Sets `overload_control` for the nodes started from now on: "on", "off" or "auto".
   void SetOverloadControl(std::string value) { overload_control_ = std::move(value); }
+  /// @brief Sets the retries that the nodes started from now on may make beyond a share of
+  /// requests.
+  void SetRetryExtra(double retries) { retry_extra_ = retries; }
   /// @brief Sets the timeout of the routes that are configured from now on.
   void SetRouteTimeout(Duration timeout) { route_timeout_ = timeout; }
 
@@ -102,6 +105,7 @@
   bool uses_link_proxies_ = false;
   int node_memory_ = 0;
   std::string overload_control_ = "off";
+  double retry_extra_ = 50.0;
   Duration route_timeout_{5'000};
   std::map<std::string, std::unique_ptr<LinkProxy>> link_proxies_;  // by endpoint
   std::mutex node_processes_mutex_;
