Don't ask a second endpoint for an answer that is arriving

Cause: the time limit for an endpoint's answer was not renewed while the answer arrived.

Change: each part of an answer renews it, as each event of a stream does.

Evidence: platform_pauses_test_5 fails on the code before (2 requests, 1 expected) and passes.

--- a/src/rudderloom/forwarding/attempt.cpp
+++ b/src/rudderloom/forwarding/attempt.cpp
@@ -237,6 +237,7 @@
         }
         co_return co_await PassOn(std::move(reply.body), *kept);
       }
+      SetResponseTimeout(params_.answer_timeout);
       auto chunk = co_await link_.ReadSome();
       if (std::holds_alternative<ConnectionFailure>(chunk)) {
         co_return ConnectionBroken(
