Leave streams to endpoints that pause where they can't go on elsewhere

Cause: the time for the next event ran on while the client's write was waited for, when nothing is read from the endpoint; and a silent endpoint was given up without asking whether the stream can go on. Class: as, the node's own delay taken for the endpoint's.

Change: the time is off while a client takes events. A started stream is withdrawn only if its events are numbered and it isn't suspected of crashes.

--- a/src/rudderloom/forwarding/attempt.cpp
+++ b/src/rudderloom/forwarding/attempt.cpp
@@ -450,12 +450,18 @@
 
   Awaitable<bool> ForwardEvents(const std::string& events) {
     params_.on_answer_started();
+    // Nothing is read from the endpoint until the client has taken the events.
+    SetResponseTimeout(std::nullopt);
     const bool started = co_await StartClientStream();
     if (!started) {
       co_return false;
     }
     params_.stream->pace.RecordEvents(Now());
-    co_return co_await WriteToClient(events);
+    const bool written = co_await WriteToClient(events);
+    if (params_.answer_timeout) {
+      SetResponseTimeout(params_.event_timeout);
+    }
+    co_return written;
   }
 
   Awaitable<AttemptResult> FinishStream() {
--- a/src/rudderloom/forwarding/retry_decision.cpp
+++ b/src/rudderloom/forwarding/retry_decision.cpp
@@ -7,6 +7,11 @@
 namespace rudderloom {
 
 bool RetryDecision::MayAbandon(const std::string& instance) {
+  const StreamState& stream = request_.stream;
+  const bool can_go_on = !stream.started || (stream.has_events && stream.sequence.Numbered());
+  if (!can_go_on || request_.checks.Suspected(*state_.views.Current())) {
+    return false;
+  }
   std::set<std::string> excluded = request_.tried.Excluded();
   excluded.insert(instance);
   constexpr bool kSkipLimited = true;
--- a/src/rudderloom/forwarding/retry_decision.hpp
+++ b/src/rudderloom/forwarding/retry_decision.hpp
@@ -15,9 +15,9 @@
   RetryDecision(ForwardingState& state, ForwardedRequest& request)
       : state_(state), request_(request) {}
 
-  // Abandons a silent endpoint only if another one can take the request and the retry budget allows
-  // it, and takes the retry from the budget at once. Otherwise a pending answer would be lost for
-  // nothing.
+  // Abandons a silent endpoint only if another one can take the request, or the rest of its stream,
+  // and the retry budget allows it, and takes the retry from the budget at once. Otherwise a
+  // pending answer would be lost for nothing.
   bool MayAbandon(const std::string& instance);
 
   // Records an attempt after which the request may have run.
