Ask full endpoints less and less often to go on with a stream

By arithmetic, rejections ten times a second per stream drain the service's retry budget, also for other requests.

Change: full endpoints are asked again after 100, 200, 400 ms and so on, whatever the views, and services without models wait too.

--- a/src/rudderloom/forwarding/endpoint_wait.cpp
+++ b/src/rudderloom/forwarding/endpoint_wait.cpp
@@ -14,8 +14,6 @@
 constexpr int kFreeSlotWaitDivisor = 2;
 constexpr Duration kFreeSlotCheckInterval{20};
 constexpr Duration kMinSlotWait{2};
-// Between attempts to go on with a started stream at endpoints that are full.
-constexpr Duration kFullRetryInterval{100};
 
 }  // namespace
 
@@ -43,8 +41,8 @@
 
 // Waits for the next view if the model may become resident in time.
 Awaitable<std::optional<ForwardRefusal>> EndpointWait::AwaitResidency(NoEndpointReason reason) {
-  const bool may_wait = request_.stream.started || !state_.stopping;
-  const bool may_become_resident = !request_.terms.model.empty() && may_wait;
+  const bool may_become_resident =
+      request_.stream.started || (!request_.terms.model.empty() && !state_.stopping);
   const TimePoint expected_at = may_become_resident ? ExpectedResidency() : TimePoint::max();
   const TimePoint latest = request_.LatestStart();
   if (!may_become_resident || expected_at > latest || Now() >= latest) {
@@ -56,12 +54,19 @@
   }
   co_await WaitForView();
   request_.tried.ReadmitUnreachable();
-  if (request_.stream.started) {
-    request_.tried.ReadmitFull();
-  }
+  ReadmitForStream();
   co_return std::nullopt;
 }
 
+// Asks full endpoints again to go on with a started stream, less and less often.
+void EndpointWait::ReadmitForStream() {
+  const TimePoint now = Now();
+  if (request_.stream.started && now >= full_retry_at_ && request_.tried.ReadmitFull()) {
+    full_retry_interval_ *= 2;
+    full_retry_at_ = now + full_retry_interval_;
+  }
+}
+
 // Waits for an endpoint that may be used as long as the answer can still be in time.
 Awaitable<std::optional<ForwardRefusal>> EndpointWait::AwaitFreeSlot(NoEndpointReason reason) {
   const TimePoint now = Now();
@@ -87,8 +92,11 @@
   const ScopedUnitCount waiting(state_.units, request_.Units(), &UnitCount::waiting);
   state_.sample_soon();
   const TimePoint began = Now();
+  if (full_retry_at_ == TimePoint()) {
+    full_retry_at_ = began + full_retry_interval_;
+  }
   const bool retries_full = request_.stream.started && request_.tried.AnyFull();
-  const TimePoint until = retries_full ? began + kFullRetryInterval : TimePoint::max();
+  const TimePoint until = retries_full ? full_retry_at_ : TimePoint::max();
   co_await state_.views.WaitForNext(request_.guard->WaitTimer(),
                                     std::min(until, request_.LatestStart()));
   request_.waited += Between(began, Now());
@@ -115,6 +123,9 @@
   if (request_.tried.AnyUnreachable()) {
     return Now();  // an endpoint holds it and may become reachable at any moment
   }
+  if (request_.stream.started && (request_.tried.AnyFull() || request_.terms.model.empty())) {
+    return Now();  // an endpoint may have room at any moment
+  }
   const ServiceSpec* service = request_.routes->Service(request_.service);
   const std::vector<UnitName> units = request_.Units();
   // An adapter is never resident without its model, and it is not known here which of them is
--- a/src/rudderloom/forwarding/endpoint_wait.hpp
+++ b/src/rudderloom/forwarding/endpoint_wait.hpp
@@ -23,6 +23,7 @@
   Awaitable<std::optional<ForwardRefusal>> AwaitResidency(NoEndpointReason reason);
   Awaitable<std::optional<ForwardRefusal>> AwaitFreeSlot(NoEndpointReason reason);
   Awaitable<void> WaitForView();
+  void ReadmitForStream();
   bool VersionGone() const;
   TimePoint ExpectedResidency();
   Duration FullEndpointDelay() const;
@@ -34,6 +35,9 @@
   // Requests waiting for the same unit when its forecast was first seen. Not updated, so that those
   // that arrive later don't cause a refusal.
   std::optional<std::uint32_t> waiting_ahead_;
+  // When full endpoints are asked again to go on with a started stream.
+  Duration full_retry_interval_{100};
+  TimePoint full_retry_at_;
 };
 
 }  // namespace rudderloom
--- a/src/rudderloom/forwarding/tried_endpoints.hpp
+++ b/src/rudderloom/forwarding/tried_endpoints.hpp
@@ -17,7 +17,7 @@
   enum class Outcome {
     kRefused,      // guaranteed not to have run it: not tried again
     kSilent,       // sent nothing for too long: tried again only to go on with a started stream
-    kFull,         // the same, as it had no room: holds the model
+    kFull,         // had no room, so it did not run it: holds the model
     kFailed,       // broke the connection or returned an error: the next attempt may succeed
     kUnreachable,  // could not be connected: may be tried again later
   };
