Forward a request of any method with its body

What callers saw (review): after 40 TRACE requests with content at one endpoint, 60 later requests all went to the other one.

Cause: Beast's prepare_payload throws for TRACE, and the exception left the request's load with the endpoint for the life of its instance.

Change: the length is set without it, here and at gateways, so that the body reaches the endpoint unchanged.

--- a/src/rudderloom/forwarding/attempt.cpp
+++ b/src/rudderloom/forwarding/attempt.cpp
@@ -6,7 +6,7 @@
 #include "forwarding/client_write.hpp"     // for ClientWrite
 #include "forwarding/endpoint_link.hpp"    // for EndpointLink
 #include "forwarding/gateway_headers.hpp"  // for kGatewayConnectionRefused
-#include "forwarding/hop_by_hop.hpp"       // for IsHopByHop, EndToEndHeaders
+#include "forwarding/hop_by_hop.hpp"       // for IsHopByHop, SetPayloadLength
 #include "forwarding/kept_answer.hpp"      // for KeptAnswer
 
 namespace rudderloom {
@@ -167,8 +167,7 @@
     }
     state_.dialect.Write(terms, request);
     request.body() = original.body();
-    // Sets Content-Length also for an empty body, where the method allows one.
-    request.prepare_payload();
+    SetPayloadLength(request);
     return request;
   }
 
--- a/src/rudderloom/forwarding/gateway_server.cpp
+++ b/src/rudderloom/forwarding/gateway_server.cpp
@@ -7,7 +7,7 @@
 #include "forwarding/crash_check.hpp"      // for RecordConnectionBreak
 #include "forwarding/endpoint_link.hpp"    // for EndpointLink
 #include "forwarding/gateway_headers.hpp"  // for kGatewayKeyHeader
-#include "forwarding/hop_by_hop.hpp"       // for EndToEndHeaders
+#include "forwarding/hop_by_hop.hpp"       // for EndToEndHeaders, SetPayloadLength
 #include "forwarding/kept_answer.hpp"      // for KeptAnswer
 #include "rudderloom/base/log_line.hpp"    // for LogLine
 
@@ -102,7 +102,7 @@
       request.erase(name);
     }
     EraseHopByHop(request);
-    request.prepare_payload();
+    SetPayloadLength(request);
     return request;
   }
 
--- a/src/rudderloom/forwarding/hop_by_hop.cpp
+++ b/src/rudderloom/forwarding/hop_by_hop.cpp
@@ -25,6 +25,14 @@
   }
 }
 
+void SetPayloadLength(HttpRequest& request) {
+  if (request.body().empty()) {
+    request.prepare_payload();
+  } else {
+    request.content_length(request.body().size());
+  }
+}
+
 HeaderList EndToEndHeaders(const AnswerHead& head) {
   HeaderList headers;
   for (const auto& field : head) {
--- a/src/rudderloom/forwarding/hop_by_hop.hpp
+++ b/src/rudderloom/forwarding/hop_by_hop.hpp
@@ -11,6 +11,10 @@
 // Removes them from a request.
 void EraseHopByHop(HttpRequest& request);
 
+// Sets Content-Length, for an empty body only where the method allows one. Unlike Beast's
+// prepare_payload, accepts a body of any method.
+void SetPayloadLength(HttpRequest& request);
+
 // Returns the other headers of an answer, without its content type.
 HeaderList EndToEndHeaders(const AnswerHead& head);
 
