--- a/include/rudderloom/forwarding/endpoint_connection.hpp
+++ b/include/rudderloom/forwarding/endpoint_connection.hpp
@@ -25,7 +25,8 @@
   bool sent = false;  ///< Part of the request may have been sent.
   std::string message;
   bool refused = false;  ///< Connection refused: no process listens at the address.
-  /// This node has no descriptor or memory for the connection, which says nothing about the endpoint.
+  /// This node has no descriptor or memory for the connection, which says nothing about the
+  /// endpoint.
   bool local = false;
 };
 
