--- a/tools/fleet_soak.py
+++ b/tools/fleet_soak.py
@@ -524,7 +524,7 @@
         interrupted = killed is not None and r["ended"] >= killed - KILL_CLOCK_SLACK
         if r["status"] == 0 and ran > 0 and not interrupted:
             problems.append(f"LOST {r['id']} ran, but {r.get('process')} gave no answer: {r['error']}")
-    return problems + check_answers(fleet, injector, results), results
+    return problems, results
 
 
 def check_recovery(fleet):
@@ -645,8 +645,9 @@
                 program = fleet.processes[f"n{i}"].command[0]
                 problems.append(f"n{i} ({program}) exited unexpectedly with status {status}")
         broken, results = check_results(fleet, injector, clients)
-        # Earlier builds do not apply the limits.
-        problems += [] if other else check_limits(injector, results)
+        # Earlier builds do not apply the limits, and cut streams that could go on.
+        if not other:
+            problems += check_limits(injector, results) + check_answers(fleet, injector, results)
         return problems + broken + check_keys(fleet), results, injector.counts
     finally:
         fleet.stop_all()
