--- a/review/common-2/platform_standin.py
+++ b/review/common-2/platform_standin.py
@@ -567,6 +567,7 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(case / "record.txt")
     nodes = []
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # ends the nodes as well
 
     async def bounded(folder):
         return await asyncio.wait_for(main(record, pathlib.Path(folder), trouble, nodes), limit_s)
