Reject answers whose status is not between 100 and 599

What callers saw: an endpoint's answer with status 000 was delivered as the answer, for every kind of request, directly and through a gateway. As a status below 200 has no body, it came without a length, and clients waited for its end until their connection's idle timeout. The same held for 001 and 099; 600 and 999 reached callers of requests that may not be repeated with the endpoint's stamp.

Cause: Beast's parser takes any three digits for a status. Attempts, gateways, orders, reports, the store and our own interface each took a parsed header on trust. 101 was skipped as an interim answer, although no request asks for another protocol and what follows is no HTTP answer.

Change: ReadAnswerHead decides for all readers of answers what a valid header is; interim answers are skipped there instead of in two loops. A rejected answer ends its attempt as any unreadable one does: the connection is closed, the endpoint counts as failed, what may be repeated goes to another endpoint, the rest gets 502 without the endpoint's stamp.

Why it holds: a header is only handed on by the function that checks it, and there is no other reader of answers (async_read_header and response_parser appear nowhere else in the product).

--- a/include/rudderloom/forwarding/endpoint_connection.hpp
+++ b/include/rudderloom/forwarding/endpoint_connection.hpp
@@ -14,6 +14,7 @@
 #include <vector>    // for vector
 
 #include "rudderloom/forwarding/header_codec.hpp"  // for AnswerHead
+#include "rudderloom/http/answer_head.hpp"         // for AnswerParser
 #include "rudderloom/http/asio.hpp"                // for tcp
 #include "rudderloom/http/message_limits.hpp"      // for kMaxUnparsedBytes
 
@@ -60,8 +61,8 @@
   /// @brief Starts writing a request. The answer may be read at the same time.
   void StartRequest(const HttpRequest& request);
 
-  /// @brief Reads the next answer header. `is_head_request` marks the answer to a HEAD request,
-  /// which has no body.
+  /// @brief Reads the next answer header, without interim ones. `is_head_request` marks the answer
+  /// to a HEAD request, which has no body.
   Awaitable<std::variant<End, ConnectionFailure>> ReadHead(bool is_head_request);
 
   /// @brief The answer header that was read last.
@@ -93,7 +94,6 @@
   void Close();
 
  private:
-  using Parser = http::response_parser<http::buffer_body>;
   // The state of the request's write.
   enum class Write { kNone, kRunning, kDone, kFailed };
   // What the write of a request uses until it has completed.
@@ -109,7 +109,7 @@
   std::shared_ptr<Channel> channel_;
   tcp::socket& socket_;  // of the channel
   beast::flat_buffer buffer_{kMaxUnparsedBytes};
-  std::unique_ptr<Parser> parser_;
+  std::optional<AnswerParser> parser_;
   bool may_reuse_ = true;
   std::size_t buffer_bytes_ = 0;
 };
--- a/include/rudderloom/http/client.hpp
+++ b/include/rudderloom/http/client.hpp
@@ -12,6 +12,7 @@
 #include <vector>    // for vector
 
 #include "rudderloom/base/clock.hpp"           // for Duration
+#include "rudderloom/http/answer_head.hpp"     // for AnswerParser
 #include "rudderloom/http/asio.hpp"            // for Awaitable
 #include "rudderloom/http/call_guard.hpp"      // for CallGuard
 #include "rudderloom/http/message_limits.hpp"  // for kMaxUnparsedBytes
@@ -72,16 +73,13 @@
   tcp::socket TakeSocket() { return std::move(socket_); }
 
  private:
-  using Parser = http::response_parser<http::buffer_body>;
-
-  void NewParser();
   HttpFailure FailureAfterSend(boost::system::error_code error, bool timed_out) const;
 
   tcp::socket socket_;
   CallTimeouts timeouts_;
   CallGuard* guard_;
   beast::flat_buffer buffer_{kMaxUnparsedBytes};
-  std::optional<Parser> parser_;  // of the header that was read last
+  std::optional<AnswerParser> parser_;  // of the header that was read last
 };
 
 /// @brief Makes the kernel drop a connection once its peer has been silent for `limit`, even while
--- a/src/rudderloom/forwarding/endpoint_connection.cpp
+++ b/src/rudderloom/forwarding/endpoint_connection.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>  // for max
 #include <array>      // for array
 #include <charconv>   // for from_chars
-#include <limits>     // for numeric_limits
 #include <sstream>    // for ostringstream
 
 #include "rudderloom/http/client.hpp"  // for ParseAddress, EnableDeadPeerDetection
@@ -83,11 +82,7 @@
 
 Awaitable<std::variant<EndpointConnection::End, ConnectionFailure>> EndpointConnection::ReadHead(
     bool is_head_request) {
-  parser_ = std::make_unique<Parser>();
-  parser_->header_limit(kMaxUnparsedBytes);
-  parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
-  parser_->skip(is_head_request);
-  const auto [error, size] = co_await http::async_read_header(socket_, buffer_, *parser_, kAsTuple);
+  const auto error = co_await ReadAnswerHead(socket_, buffer_, parser_, is_head_request);
   if (error) {
     co_return Failure(error);
   }
--- a/src/rudderloom/forwarding/endpoint_link.cpp
+++ b/src/rudderloom/forwarding/endpoint_link.cpp
@@ -167,7 +167,6 @@
 
 Awaitable<std::variant<AnswerMetadata, LinkFailure>> EndpointLink::ReadHead(std::string request_id,
                                                                             bool is_head_request) {
-  constexpr unsigned kStatusClass = 100;
   while (true) {
     auto read = co_await connection_->ReadHead(is_head_request);
     if (auto* failure = std::get_if<ConnectionFailure>(&read)) {
@@ -182,9 +181,6 @@
     if (!GatewayRefusal().empty()) {
       co_return AnswerMetadata();
     }
-    if (connection_->Head().result_int() / kStatusClass == 1) {
-      continue;
-    }
     const AnswerMetadata answer = state_.dialect.ReadAnswer(connection_->Head(), endpoint_.id);
     if (answer.request_id.empty() || answer.request_id == request_id) {
       StopWaiting();
--- /dev/null
+++ b/src/rudderloom/http/broken_answers_test.cpp
@@ -0,0 +1,59 @@
+// Answers to the HTTP client that are not valid HTTP.
+#include <doctest/doctest.h>  // for TEST_CASE
+
+#include "fakes/scripted_endpoint.hpp"  // for ScriptedEndpoint
+#include "rudderloom/http/client.hpp"   // for HttpClient
+
+namespace rudderloom {
+namespace {
+
+using fakes::EndpointAnswer;
+using fakes::ScriptedEndpoint;
+
+constexpr Duration kTimeout{1'000};
+
+// Sends a call whose answer are these bytes, on a connection that stays open.
+std::variant<HttpResponse, HttpFailure> CallAnsweredWith(const std::string& bytes) {
+  asio::io_context context;
+  ScriptedEndpoint server(context,
+                          [&](const HttpRequest&, EndpointAnswer& answer) -> Awaitable<void> {
+                            std::string copy = bytes;
+                            co_await answer.Write(std::move(copy));
+                          });
+  HttpClient client(context);
+  HttpRequest request = MakeRequest(http::verb::get, server.Address(), "/x");
+  const CallTimeouts times{kTimeout, kTimeout, kTimeout};
+  std::optional<std::variant<HttpResponse, HttpFailure>> result;
+  asio::co_spawn(context,
+                 client.Call(server.Address(), std::move(request), times, ConnectionReuse::kNever),
+                 [&](const std::exception_ptr&, auto received) { result = std::move(received); });
+  while (!result) {
+    context.run_one();
+  }
+  return *result;
+}
+
+// A broken answer is noticed at once, and the call may have been carried out.
+void CheckBroken(const std::string& bytes) {
+  CAPTURE(bytes);
+  const auto result = CallAnsweredWith(bytes);
+  const auto* failure = std::get_if<HttpFailure>(&result);
+  CHECK(failure != nullptr);
+  if (failure != nullptr) {
+    CHECK(failure->may_have_been_sent);
+    CHECK_FALSE(failure->timed_out);
+  }
+}
+
+// Guards against orders, reports and calls to the store that are answered by no answer.
+TEST_CASE("an answer to a call whose status is not between 100 and 599 is a failure") {
+  for (const char* status : {"000", "001", "099", "101", "600", "999"}) {
+    const std::string head = "HTTP/1.1 " + std::string(status) + " X\r\n";
+    CheckBroken(head + "Content-Length: 2\r\n\r\n{}");
+    CheckBroken(head + "\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+    CheckBroken("HTTP/1.1 103 Early Hints\r\n\r\n" + head + "Content-Length: 2\r\n\r\n{}");
+  }
+}
+
+}  // namespace
+}  // namespace rudderloom
--- a/src/rudderloom/http/client.cpp
+++ b/src/rudderloom/http/client.cpp
@@ -6,7 +6,6 @@
 #include <algorithm>  // for max
 #include <array>      // for array
 #include <charconv>   // for from_chars
-#include <limits>     // for numeric_limits
 #include <optional>   // for optional
 #include <stdexcept>  // for invalid_argument
 
@@ -83,7 +82,6 @@
 
 HttpStream::HttpStream(tcp::socket socket, CallTimeouts times, CallGuard* guard)
     : socket_(std::move(socket)), timeouts_(times), guard_(guard) {
-  NewParser();
   if (guard_ != nullptr) {
     guard_->SetCancel([this] { CloseSocket(socket_); });
   }
@@ -95,12 +93,6 @@
   }
 }
 
-void HttpStream::NewParser() {
-  parser_.emplace();
-  parser_->header_limit(kMaxUnparsedBytes);
-  parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
-}
-
 HttpFailure HttpStream::FailureAfterSend(boost::system::error_code error, bool timed_out) const {
   HttpFailure failure;
   failure.may_have_been_sent = true;
@@ -118,19 +110,12 @@
     failure.may_have_been_sent = written > 0;
     co_return failure;
   }
-  constexpr unsigned kStatusClass = 100;
-  while (true) {
-    parser_->skip(request.method() == http::verb::head);
-    const auto [error, size] =
-        co_await http::async_read_header(socket_, buffer_, *parser_, kAsTuple);
-    if (error) {
-      co_return FailureAfterSend(error, watchdog.Expired());
-    }
-    if (Status() / kStatusClass != 1) {
-      co_return End{};
-    }
-    NewParser();
+  const bool is_head_request = request.method() == http::verb::head;
+  const auto error = co_await ReadAnswerHead(socket_, buffer_, parser_, is_head_request);
+  if (error) {
+    co_return FailureAfterSend(error, watchdog.Expired());
   }
+  co_return End{};
 }
 
 unsigned HttpStream::Status() const {
