Reject answers in which a line of the header begins with a blank

What callers saw: an answer in whose header a field's name began with a blank or a tab was delivered with that line as a part of the field before it, "Server-Stamp: stamp Content-Length: 10" for one. If the line was the one that tells where the body ends, callers of a connection that stayed open got 504 at their deadline, and of one that was closed the raw bytes, chunk sizes included, as a whole body. Behind Request-Id, the answer was taken for that of another request.

Cause: Beast's parser joins such a line to the field before it (obs-fold), by a rule that RFC 9112, 5.2 has withdrawn. Nothing tells afterwards that it did.

--- a/include/rudderloom/http/answer_head.hpp
+++ b/include/rudderloom/http/answer_head.hpp
@@ -19,6 +19,9 @@
 /// can't pass on. They are errors here, so every reader of answers uses this function:
 /// - `bad_status`: the status is not between 100 and 599, or announces another protocol, which no
 ///   request of this process asks for.
+/// - `bad_obs_fold`: a line begins with a blank. It may have been a field of its own, such as the
+/// one
+///   that tells where the body ends.
 /// @param parser Receives a new parser, which has read the header if there was no error.
 /// @param is_head_request The answer to a HEAD request has no body.
 /// @return The error of the connection or of the parser; none if the header is complete and valid.
--- a/src/rudderloom/http/broken_answers_test.cpp
+++ b/src/rudderloom/http/broken_answers_test.cpp
@@ -55,5 +55,29 @@
   }
 }
 
+// Guards against calls that take a line for a part of the field before it, or for none.
+TEST_CASE("an answer to a call with a blank or a control byte in a field's name is a failure") {
+  for (const char* line :
+       {" X: a", "\tX: a", "X : a", "X\t: a", "X X: a", "X\x01: a", "\x7fX: a", ": a", "X",
+        " Content-Length: 2", "Content-Length : 2", "Content Length: 2"}) {
+    const std::string broken = std::string(line) + "\r\n";
+    CheckBroken("HTTP/1.1 200 OK\r\n" + broken + "Content-Length: 2\r\n\r\n{}");
+    CheckBroken("HTTP/1.1 200 OK\r\nName: value\r\n" + broken + "\r\n{}");
+    CheckBroken("HTTP/1.1 103 Early Hints\r\nLink: x\r\n" + broken +
+                "\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+  }
+}
+
+// Guards against sound answers that are taken for broken ones.
+TEST_CASE("an answer to a call whose body begins with a blank line is whole") {
+  for (const std::string body : {" {}", "\r\n {}", "\t\r\n\t"}) {
+    const auto result = CallAnsweredWith("HTTP/1.1 200 OK\r\nName:\t value \r\nContent-Length: " +
+                                         std::to_string(body.size()) + "\r\n\r\n" + body);
+    REQUIRE(std::holds_alternative<HttpResponse>(result));
+    CHECK(std::get<HttpResponse>(result).body() == body);
+    CHECK(std::get<HttpResponse>(result)["Name"] == "value");
+  }
+}
+
 }  // namespace
 }  // namespace rudderloom
