Reject answers in another transfer coding than chunks

What callers saw: an answer with "Transfer-Encoding: gzip", "gzip, chunked", "chunked, gzip" or a misspelt coding was delivered as whole, with the coded bytes or the chunk sizes as its body, and without the field that names the coding, as it concerns one connection only.

Cause: Beast's parser decodes chunks if that coding is the last one named, and else reads until the connection ends; other codings are ignored. Found by a table of broken framing fields, beside the names that the issue reports.

Change: ReadAnswerHead rejects such answers. No request of this process offers another coding (TE is not passed on), so no sound endpoint uses one (RFC 9112, 7.4).

Why it holds: the check is in the one place that hands headers on; a second field of that name is an error of the parser behind "chunked" and found by the check before it.

--- a/include/rudderloom/http/answer_head.hpp
+++ b/include/rudderloom/http/answer_head.hpp
@@ -22,6 +22,8 @@
 /// - `bad_obs_fold`: a line begins with a blank. It may have been a field of its own, such as the
 /// one
 ///   that tells where the body ends.
+/// - `bad_transfer_encoding`: the body has another transfer coding than chunks, which no request of
+///   this process accepts, and which is not decoded.
 /// @param parser Receives a new parser, which has read the header if there was no error.
 /// @param is_head_request The answer to a HEAD request has no body.
 /// @return The error of the connection or of the parser; none if the header is complete and valid.
--- a/src/rudderloom/http/answer_head.cpp
+++ b/src/rudderloom/http/answer_head.cpp
@@ -23,6 +23,10 @@
   if (status < kFirstStatus || status > kLastStatus || status == kSwitchingProtocols) {
     return http::error::bad_status;
   }
+  const auto coding = parser.get().find(http::field::transfer_encoding);
+  if (coding != parser.get().end() && !beast::iequals(coding->value(), "chunked")) {
+    return http::error::bad_transfer_encoding;
+  }
   return {};
 }
 
--- a/src/rudderloom/http/broken_answers_test.cpp
+++ b/src/rudderloom/http/broken_answers_test.cpp
@@ -68,6 +68,15 @@
   }
 }
 
+// Guards against a coded body that is taken for the body itself.
+TEST_CASE("an answer to a call in another transfer coding than chunks is a failure") {
+  for (const char* coding :
+       {"gzip", "gzip, chunked", "chunked, gzip", "identity", "xchunked", ""}) {
+    CheckBroken("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + std::string(coding) +
+                "\r\n\r\n2\r\n{}\r\n0\r\n\r\n");
+  }
+}
+
 // Guards against sound answers that are taken for broken ones.
 TEST_CASE("an answer to a call whose body begins with a blank line is whole") {
   for (const std::string body : {" {}", "\r\n {}", "\t\r\n\t"}) {
