Keep trailers of a stream without events out of its header

What callers saw: a stream answered with no event and with trailers reached the client with the trailers as fields of its header, among them "Server-Stamp" in place of the endpoint's own.

Cause: at the end of the body, Beast's parser adds trailers to the header that it holds, and the header for the client was taken from there when the client's stream began, which is after the end if there are no events. Other answers took it before the body.

Change: an attempt keeps what the client gets of the header before it reads the body.

Why it holds: nothing of the body has been parsed when the header is kept, whatever arrived with it.

--- a/src/rudderloom/forwarding/attempt.cpp
+++ b/src/rudderloom/forwarding/attempt.cpp
@@ -217,15 +217,12 @@
   }
 
   Awaitable<AttemptResult> HandleAnswer() {
+    KeepClientHead();
     if (params_.route->kind == RouteKind::kStream && IsSuccess(status_)) {
       co_return co_await RelayStream();
     }
     Reply reply;
     reply.status = status_;
-    const auto& head = link_.Connection().Head();
-    const auto type = head[http::field::content_type];
-    reply.content_type.assign(type.data(), type.size());
-    reply.headers = ClientHeaders(head);
     auto kept = std::make_shared<KeptAnswer>(state_.readers.Answers());
     while (true) {
       kept->Set(reply.body.size());
@@ -248,13 +245,20 @@
       }
       reply.body += std::get<std::string>(chunk);
     }
+    reply.content_type = std::move(content_type_);
+    reply.headers = std::move(client_headers_);
     co_return co_await ClassifyAnswer(std::move(reply), std::move(kept));
   }
 
-  static HeaderList ClientHeaders(const AnswerHead& head) {
-    HeaderList headers = EndToEndHeaders(head);
-    std::erase_if(headers, [](const auto& header) { return IsGatewayHeader(header.first); });
-    return headers;
+  // Keeps what the client gets of the header. At the end of the body, the parser adds its trailers to
+  // the fields of the header.
+  void KeepClientHead() {
+    const AnswerHead& head = link_.Connection().Head();
+    const auto type = head[http::field::content_type];
+    content_type_.assign(type.data(), type.size());
+    client_headers_ = EndToEndHeaders(head);
+    std::erase_if(client_headers_,
+                  [](const auto& header) { return IsGatewayHeader(header.first); });
   }
 
   // An answer that would not be sent to the client, or not without a retry, is not passed on.
@@ -442,9 +446,7 @@
     if (params_.stream->software_version.empty()) {
       params_.stream->software_version = params_.endpoint.software_version;
     }
-    const AnswerHead& head = link_.Connection().Head();
-    const auto type = head[http::field::content_type];
-    co_return co_await exchange_.StartStream(status_, std::string(type), ClientHeaders(head));
+    co_return co_await exchange_.StartStream(status_, content_type_, client_headers_);
   }
 
   Awaitable<bool> ForwardEvents(const std::string& events) {
@@ -485,6 +487,8 @@
   EndpointLink link_;
   unsigned status_ = 0;
   AnswerMetadata terms_;
+  std::string content_type_;
+  HeaderList client_headers_;
 };
 
 }  // namespace
