Give up an answer after 32 interim ones

Cause: interim answers were skipped for as long as they came.

Change: the header behind 32 interim answers is an error, and the request gets its answer at once.

Why it holds: every loop over what a peer sends before its answer now has a bound of its own, in bytes for a header and in number for headers.

--- a/include/rudderloom/http/answer_head.hpp
+++ b/include/rudderloom/http/answer_head.hpp
@@ -24,6 +24,8 @@
 ///   that tells where the body ends.
 /// - `bad_transfer_encoding`: the body has another transfer coding than chunks, which no request of
 ///   this process accepts, and which is not decoded.
+/// - `header_limit`: the header is longer than kMaxUnparsedBytes, or comes after too many interim
+/// ones.
 /// @param parser Receives a new parser, which has read the header if there was no error.
 /// @param is_head_request The answer to a HEAD request has no body.
 /// @return The error of the connection or of the parser; none if the header is complete and valid.
--- a/src/rudderloom/http/answer_head.cpp
+++ b/src/rudderloom/http/answer_head.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr std::size_t kReadBytes = 16 * 1024;
+constexpr int kMaxInterimAnswers = 32;
 constexpr unsigned kFirstStatus = 100;
 constexpr unsigned kFirstFinalStatus = 200;
 constexpr unsigned kLastStatus = 599;
@@ -86,7 +87,7 @@
                                                     beast::flat_buffer& buffer,
                                                     std::optional<AnswerParser>& parser,
                                                     bool is_head_request) {
-  while (true) {
+  for (int interim = 0; interim <= kMaxInterimAnswers; ++interim) {
     parser.emplace();
     parser->header_limit(kMaxUnparsedBytes);
     parser->body_limit(std::numeric_limits<std::uint64_t>::max());
@@ -96,6 +97,7 @@
       co_return error;
     }
   }
+  co_return http::error::header_limit;
 }
 
 }  // namespace rudderloom
--- a/src/rudderloom/http/broken_answers_test.cpp
+++ b/src/rudderloom/http/broken_answers_test.cpp
@@ -77,6 +77,31 @@
   }
 }
 
+std::string Repeat(const std::string& part, std::size_t bytes) {
+  std::string text;
+  while (text.size() < bytes) {
+    text += part;
+  }
+  return text;
+}
+
+// Guards against headers that are kept in memory, or read until a timeout, however long they are.
+TEST_CASE("an answer to a call whose header doesn't end is a failure") {
+  constexpr std::size_t kBytes = 8 * 1024 * 1024;
+  const std::string status = "HTTP/1.1 200 OK\r\n";
+  for (const std::string& bytes :
+       {status + Repeat("X: a\r\n", kBytes), status + Repeat("X", kBytes),
+        status + "X: " + Repeat("a", kBytes), "HTTP/1.1 200 " + Repeat("O", kBytes),
+        Repeat("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", kBytes)}) {
+    const auto result = CallAnsweredWith(bytes);
+    const auto* failure = std::get_if<HttpFailure>(&result);
+    CAPTURE(bytes.substr(0, 64));
+    REQUIRE(failure != nullptr);
+    CHECK(failure->may_have_been_sent);
+    CHECK_FALSE(failure->timed_out);
+  }
+}
+
 // Guards against sound answers that are taken for broken ones.
 TEST_CASE("an answer to a call whose body begins with a blank line is whole") {
   for (const std::string body : {" {}", "\r\n {}", "\t\r\n\t"}) {
--- a/tests/fakes/scripted_endpoint.hpp
+++ b/tests/fakes/scripted_endpoint.hpp
@@ -21,8 +21,10 @@
   // Number of the connection: 1 for the first that was accepted.
   int Connection() const { return connection_; }
 
-  Awaitable<void> Write(std::string bytes) {
-    co_await asio::async_write(socket_, asio::buffer(bytes), kAsTuple);
+  // False once the other side has closed.
+  Awaitable<bool> Write(std::string bytes) {
+    const auto [error, size] = co_await asio::async_write(socket_, asio::buffer(bytes), kAsTuple);
+    co_return !error;
   }
 
   // Waits until the other side closes, or for `limit`; true when it closed.
