Bound the bodies that calls have read in part, together

What callers saw: nothing yet; other operators report a machine that ran out of memory over answers without end. Here each call was bounded, at 4 MiB for orders, reports and the store and at 16 MiB on our own interface, but not all calls of a process: in the test, 24 answers without end made one client hold 75 MB until their timeouts, and a lease holder asks up to 1,600 endpoints for reports.

Cause: a limit for one message where the memory is that of all.

Change: the bodies that one HttpClient's calls have read in part have 16 MiB in all, and on our own interface 128 MiB; beyond that a body may have 16 KiB, or 256 KiB. Both read through one function. Requests of the platform's interface had such a budget, which is unchanged.

Evidence: "the bodies that calls have read in part are bounded together, and others are read" on with only the tests added: 75,497,472 bytes held at the timeouts, allowed 16,777,216; passes now. The budget of our own interface has no test of its own (the same function, by reading).

Why it holds: what exceeds the budget fails at once, whoever sends it, and a body of ordinary size is read meanwhile; the test has such a call beside the others.

--- a/include/rudderloom/callers/call_context.hpp
+++ b/include/rudderloom/callers/call_context.hpp
@@ -10,6 +10,7 @@
 #include "rudderloom/callers/dispatcher.hpp"      // for Dispatcher
 #include "rudderloom/callers/request_info.hpp"    // for RequestInfo
 #include "rudderloom/claims/claim_keeper.hpp"     // for ClaimKeeper
+#include "rudderloom/http/byte_budget.hpp"        // for ByteBudget
 #include "rudderloom/http/client.hpp"             // for HttpClient
 #include "rudderloom/http/call_guard.hpp"         // for CallGuard
 #include "rudderloom/quarantine/crash_watch.hpp"  // for CrashWatch
@@ -28,6 +29,7 @@
   ClaimKeeper& claims;
   Metrics& metrics;
   CrashWatch& crashes;
+  ByteBudget& bodies;  ///< Of responses that have been read in part.
   /// @brief Called with `endpoint#incarnation` when a response announces a shutdown.
   std::function<void(std::string)> on_endpoint_leaving;
 };
@@ -61,9 +63,11 @@
 /// @ingroup callers
 AttemptFailure ClassifyFailure(const HttpFailure& failure, AttemptFailure on_disconnect);
 
-/// @brief Reads the rest of the response body. Fails if it exceeds 16 MiB.
+/// @brief Reads the rest of the response body. Fails if it exceeds 16 MiB, or 256 KiB while the
+/// budget for bodies is exhausted.
 /// @ingroup callers
-Awaitable<std::variant<std::string, HttpFailure>> ReadFullBody(HttpStream& response);
+Awaitable<std::variant<std::string, HttpFailure>> ReadFullBody(CallContext& shared,
+                                                               HttpStream& response);
 
 /// @brief Waits before a retry, at most until `guard` interrupts the request.
 /// @ingroup callers
--- a/include/rudderloom/callers/frontend.hpp
+++ b/include/rudderloom/callers/frontend.hpp
@@ -81,6 +81,7 @@
   RetryPolicy retries_;
   ClaimKeeper claims_;
   CrashWatch crashes_;
+  ByteBudget bodies_;
   CallContext shared_;
   CallGuards guards_;
   std::shared_ptr<HttpServer> server_;
--- a/include/rudderloom/http/client.hpp
+++ b/include/rudderloom/http/client.hpp
@@ -14,6 +14,7 @@
 #include "rudderloom/base/clock.hpp"           // for Duration
 #include "rudderloom/http/answer_head.hpp"     // for AnswerParser
 #include "rudderloom/http/asio.hpp"            // for Awaitable
+#include "rudderloom/http/byte_budget.hpp"     // for ByteBudget
 #include "rudderloom/http/call_guard.hpp"      // for CallGuard
 #include "rudderloom/http/message_limits.hpp"  // for kMaxUnparsedBytes
 
@@ -82,6 +83,11 @@
   std::optional<AnswerParser> parser_;  // of the header that was read last
 };
 
+/// @brief Reads the rest of a response's body.
+/// @param held Counts what has been read. The body is too long once the share is full.
+/// @ingroup http
+Awaitable<std::variant<std::string, HttpFailure>> ReadBody(HttpStream& stream, ByteShare& held);
+
 /// @brief Makes the kernel drop a connection once its peer has been silent for `limit`, even while
 /// no data is being sent: a peer that lost power or its network link never closes the connection.
 /// @ingroup http
@@ -96,7 +102,7 @@
 /// @ingroup http
 class HttpClient {
  public:
-  explicit HttpClient(asio::io_context& context) : context_(context) {}
+  explicit HttpClient(asio::io_context& context);
 
   /// @brief Sends a request and returns the response once its header has been read.
   /// @param guard Interrupts the call and the reading of its response; null for none. It must
@@ -108,7 +114,8 @@
       ConnectionReuse reuse,
       CallGuard* guard = nullptr);
 
-  /// @brief Sends a request and reads the complete response.
+  /// @brief Sends a request and reads the complete response. Fails if the body has over 4 MiB, or
+  /// over 16 KiB while the bodies of all calls that are being read have over 16 MiB.
   Awaitable<std::variant<HttpResponse, HttpFailure>> Call(std::string address,
                                                           HttpRequest request,
                                                           CallTimeouts times,
@@ -132,6 +139,9 @@
   void CloseIdleUnusedSince(const std::string& address, TimePoint cutoff);
 
   asio::io_context& context_;
+  // Of the bodies that calls have read in part. Shared with the calls, which may outlive this
+  // object while they are destroyed.
+  std::shared_ptr<ByteBudget> bodies_;
   std::map<std::string, std::vector<IdleConnection>> idle_connections_;
 };
 
--- a/src/rudderloom/callers/call_context.cpp
+++ b/src/rudderloom/callers/call_context.cpp
@@ -6,7 +6,9 @@
 
 namespace {
 constexpr std::size_t kMaxResponseBytes = 16 * 1024 * 1024;
-}
+// Allowed while the bodies of all calls exhaust their budget.
+constexpr std::size_t kFreeResponseBytes = 256 * 1024;
+}  // namespace
 
 Awaitable<void> SendRefusal(CallContext& shared,
                             HttpExchange& exchange,
@@ -85,24 +87,10 @@
   return failure.timed_out ? AttemptFailure::kTimeout : on_disconnect;
 }
 
-Awaitable<std::variant<std::string, HttpFailure>> ReadFullBody(HttpStream& response) {
-  std::string text;
-  while (true) {
-    auto piece = co_await response.ReadSome();
-    if (auto* failure = std::get_if<HttpFailure>(&piece)) {
-      co_return std::move(*failure);
-    }
-    if (std::holds_alternative<HttpStream::End>(piece)) {
-      co_return text;
-    }
-    text += std::get<std::string>(piece);
-    if (text.size() > kMaxResponseBytes) {
-      HttpFailure failure;
-      failure.may_have_been_sent = true;
-      failure.message = "the response body is too large";
-      co_return failure;
-    }
-  }
+Awaitable<std::variant<std::string, HttpFailure>> ReadFullBody(CallContext& shared,
+                                                               HttpStream& response) {
+  ByteShare held(shared.bodies, kFreeResponseBytes, kMaxResponseBytes);
+  co_return co_await ReadBody(response, held);
 }
 
 bool ReportIfLeaving(CallContext& shared,
--- a/src/rudderloom/callers/completion_call.cpp
+++ b/src/rudderloom/callers/completion_call.cpp
@@ -235,7 +235,7 @@
     reply.status = response.Status();
     reply.content_type = response.Header("Content-Type");
     reply.headers.emplace_back(header::kRequestId, info_.request_id);
-    auto body = co_await ReadFullBody(response);
+    auto body = co_await ReadFullBody(shared_, response);
     if (auto* failure = std::get_if<HttpFailure>(&body)) {
       end.failure = ClassifyFailure(*failure, AttemptFailure::kBrokenMidAnswer);
       co_return;
@@ -248,7 +248,7 @@
     Reply reply;
     reply.content_type = response.Header("Content-Type");
     reply.headers.emplace_back(header::kRequestId, info_.request_id);
-    auto body = co_await ReadFullBody(response);
+    auto body = co_await ReadFullBody(shared_, response);
     if (auto* failure = std::get_if<HttpFailure>(&body)) {
       end.failure = ClassifyFailure(*failure, AttemptFailure::kBrokenMidAnswer);
       co_return;
--- a/src/rudderloom/callers/frontend.cpp
+++ b/src/rudderloom/callers/frontend.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+// Of all responses that have been read in part, so that faulty endpoints don't fill the memory.
+constexpr std::size_t kMaxBodyBytes = 128 * 1024 * 1024;
+
 constexpr Duration kSampleInterval{100};
 constexpr std::string_view kServicesPath = "/services/";
 
@@ -52,6 +55,7 @@
       client_(context),
       retries_(settings.retries, SeedFrom(incarnation) + 1),
       claims_(context, store, incarnation, settings.claims, metrics),
+      bodies_(kMaxBodyBytes),
       shared_{context,
               settings,
               dispatcher_,
@@ -60,6 +64,7 @@
               claims_,
               metrics,
               crashes_,
+              bodies_,
               [this](std::string endpoint) {
                 hooks_.post(message::EndpointAnnouncedLeaving{std::move(endpoint)});
               }} {}
--- a/src/rudderloom/callers/service_call.cpp
+++ b/src/rudderloom/callers/service_call.cpp
@@ -265,7 +265,7 @@
       }
     }
     reply.headers.emplace_back(header::kRequestId, info_.request_id);
-    auto body = co_await ReadFullBody(response);
+    auto body = co_await ReadFullBody(shared_, response);
     if (auto* failure = std::get_if<HttpFailure>(&body)) {
       co_return std::move(*failure);
     }
--- a/src/rudderloom/http/broken_answers_test.cpp
+++ b/src/rudderloom/http/broken_answers_test.cpp
@@ -12,8 +12,10 @@
 
 constexpr Duration kTimeout{1'000};
 
+using CallResult = std::variant<HttpResponse, HttpFailure>;
+
 // Sends a call whose answer are these bytes, on a connection that stays open.
-std::variant<HttpResponse, HttpFailure> CallAnsweredWith(const std::string& bytes) {
+CallResult CallAnsweredWith(const std::string& bytes) {
   asio::io_context context;
   ScriptedEndpoint server(context,
                           [&](const HttpRequest&, EndpointAnswer& answer) -> Awaitable<void> {
@@ -23,7 +25,7 @@
   HttpClient client(context);
   HttpRequest request = MakeRequest(http::verb::get, server.Address(), "/x");
   const CallTimeouts times{kTimeout, kTimeout, kTimeout};
-  std::optional<std::variant<HttpResponse, HttpFailure>> result;
+  std::optional<CallResult> result;
   asio::co_spawn(context,
                  client.Call(server.Address(), std::move(request), times, ConnectionReuse::kNever),
                  [&](const std::exception_ptr&, auto received) { result = std::move(received); });
@@ -102,6 +104,59 @@
   }
 }
 
+// Guards against many faulty peers that fill the memory together, each within the bound for one.
+TEST_CASE("the bodies that calls have read in part are bounded together, and others are read") {
+  constexpr std::size_t kCalls = 24;
+  constexpr std::size_t kBytes = 3 * 1024 * 1024;
+  constexpr std::size_t kMaxHeldBytes = 16 * 1024 * 1024;
+  asio::io_context context;
+  std::size_t sent = 0;
+  const std::string part = "HTTP/1.1 200 OK\r\n\r\n" + std::string(kBytes, 'x');
+  ScriptedEndpoint faulty(context,
+                          [&](const HttpRequest&, EndpointAnswer& answer) -> Awaitable<void> {
+                            std::string bytes = part;
+                            co_await answer.Write(std::move(bytes));
+                            ++sent;
+                          });
+  const std::string whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+  ScriptedEndpoint sound(context,
+                         [&](const HttpRequest&, EndpointAnswer& answer) -> Awaitable<void> {
+                           std::string bytes = whole;
+                           co_await answer.Write(std::move(bytes));
+                         });
+  HttpClient client(context);
+  std::vector<CallResult> results(kCalls + 1);
+  std::size_t ended = 0;
+  const auto call = [&](const std::string& address, CallResult& result) {
+    HttpRequest request = MakeRequest(http::verb::get, address, "/x");
+    const CallTimeouts times{kTimeout, kTimeout, kTimeout};
+    asio::co_spawn(context,
+                   client.Call(address, std::move(request), times, ConnectionReuse::kNever),
+                   [&](const std::exception_ptr&, CallResult received) {
+                     result = std::move(received);
+                     ++ended;
+                   });
+  };
+  for (std::size_t i = 0; i < kCalls; ++i) {
+    call(faulty.Address(), results[i]);
+  }
+  while (sent < kCalls) {
+    context.run_one();
+  }
+  call(sound.Address(), results[kCalls]);
+  while (ended <= kCalls) {
+    context.run_one();
+  }
+  CHECK(std::holds_alternative<HttpResponse>(results[kCalls]));
+  std::size_t held_until_timeout = 0;
+  for (std::size_t i = 0; i < kCalls; ++i) {
+    const auto* failure = std::get_if<HttpFailure>(&results[i]);
+    REQUIRE(failure != nullptr);
+    held_until_timeout += failure->timed_out ? kBytes : 0;
+  }
+  CHECK(held_until_timeout <= kMaxHeldBytes);
+}
+
 // Guards against sound answers that are taken for broken ones.
 TEST_CASE("an answer to a call whose body begins with a blank line is whole") {
   for (const std::string body : {" {}", "\r\n {}", "\t\r\n\t"}) {
--- a/src/rudderloom/http/client.cpp
+++ b/src/rudderloom/http/client.cpp
@@ -18,6 +18,10 @@
 constexpr std::size_t kChunkBytes = 16 * 1024;
 // Four times the largest list of the platform's store.
 constexpr std::size_t kMaxCallBytes = 4 * 1024 * 1024;
+// Of all calls together, so that many faulty peers don't fill a node's memory. Most bodies are
+// shorter than what each call may hold besides.
+constexpr std::size_t kMaxHeldBytes = 16 * 1024 * 1024;
+constexpr std::size_t kFreeCallBytes = 16 * 1024;
 constexpr std::size_t kMaxIdlePerAddress = 64;
 
 constexpr int kKeepaliveProbes = 2;
@@ -163,6 +167,27 @@
   return parser_->is_done() && parser_->get().keep_alive() && socket_.is_open();
 }
 
+Awaitable<std::variant<std::string, HttpFailure>> ReadBody(HttpStream& stream, ByteShare& held) {
+  std::string body;
+  while (true) {
+    auto chunk = co_await stream.ReadSome();
+    if (auto* failure = std::get_if<HttpFailure>(&chunk)) {
+      co_return std::move(*failure);
+    }
+    if (std::holds_alternative<HttpStream::End>(chunk)) {
+      co_return body;
+    }
+    body += std::get<std::string>(chunk);
+    held.Set(body.size());
+    if (held.Full()) {
+      co_return HttpFailure{true, false, false, "the response is too long"};
+    }
+  }
+}
+
+HttpClient::HttpClient(asio::io_context& context)
+    : context_(context), bodies_(std::make_shared<ByteBudget>(kMaxHeldBytes)) {}
+
 std::optional<tcp::socket> HttpClient::TakeIdle(const std::string& address) {
   auto& connections = idle_connections_[address];
   while (!connections.empty()) {
@@ -262,19 +287,13 @@
   for (const auto& [name, value] : stream->EndToEndHeaders()) {
     response.insert(name, value);
   }
-  while (true) {
-    auto chunk = co_await stream->ReadSome();
-    if (auto* failure = std::get_if<HttpFailure>(&chunk)) {
-      co_return *failure;
-    }
-    if (std::holds_alternative<HttpStream::End>(chunk)) {
-      break;
-    }
-    response.body() += std::get<std::string>(chunk);
-    if (response.body().size() > kMaxCallBytes) {
-      co_return HttpFailure{true, false, false, "the response is too long"};
-    }
+  const std::shared_ptr<ByteBudget> bodies = bodies_;
+  ByteShare held(*bodies, kFreeCallBytes, kMaxCallBytes);
+  auto body = co_await ReadBody(*stream, held);
+  if (auto* failure = std::get_if<HttpFailure>(&body)) {
+    co_return std::move(*failure);
   }
+  response.body() = std::move(std::get<std::string>(body));
   Release(address, std::move(stream));
   co_return response;
 }
