Bound the events of streams on our own interface

An engine that sends a body without the end of an event made a node keep all of it until the call's deadline.

Cause: EventRelay kept an incomplete event of any length. The platform's interface has a bound of 1 MiB.

Change: the same bound; a longer event ends the attempt like a gap, so the stream goes on elsewhere if its events are numbered, and else ends with an error event.

Evidence: "an event that is too long ends the attempt, and the next one goes on" with the bound taken out (64 times as high): 4,194,304 bytes kept, all that the test feeds, and 2 checks fail; passes now. Not run over real processes.

Why it holds: the relay is the only place that keeps a part of an event between two reads.

--- a/include/rudderloom/attempts/event_relay.hpp
+++ b/include/rudderloom/attempts/event_relay.hpp
@@ -3,6 +3,7 @@
 #ifndef RUDDERLOOM_ATTEMPTS_EVENT_RELAY_HPP
 #define RUDDERLOOM_ATTEMPTS_EVENT_RELAY_HPP
 
+#include <cstddef>      // for size_t
 #include <cstdint>      // for int64_t
 #include <string>       // for string
 #include <string_view>  // for string_view
@@ -16,9 +17,17 @@
 class EventRelay {
  public:
   /// @brief Result of processing a chunk.
-  enum class Verdict { kOk, kGap };
+  enum class Verdict {
+    kOk,
+    kGap,      ///< An event is missing.
+    kTooLong,  ///< An event is longer than kMaxEventBytes.
+  };
 
-  /// @brief Processes a body chunk of the current attempt and appends complete events to `out`.
+  /// @brief The most that is held of an incomplete event, in bytes.
+  static constexpr std::size_t kMaxEventBytes = 1024 * 1024;
+
+  /// @brief Processes a body chunk of the current attempt and appends complete events to `out`. The
+  /// attempt has failed unless the verdict is kOk.
   Verdict Feed(std::string_view chunk, std::string& out);
 
   /// @brief Starts the next attempt and drops an incomplete event of the previous one.
--- a/src/rudderloom/attempts/attempts_test.cpp
+++ b/src/rudderloom/attempts/attempts_test.cpp
@@ -52,6 +52,25 @@
                     "an endpoint that begins again");
 }
 
+// Guards against an event without end that fills the memory.
+TEST_CASE("an event that is too long ends the attempt, and the next one goes on") {
+  EventRelay relay;
+  std::string out;
+  REQUIRE(relay.Feed(Event(0), out) == EventRelay::Verdict::kOk);
+  const std::string chunk(16 * 1024, 'x');
+  std::size_t fed = 0;
+  auto verdict = EventRelay::Verdict::kOk;
+  while (verdict == EventRelay::Verdict::kOk && fed < 4 * EventRelay::kMaxEventBytes) {
+    verdict = relay.Feed(chunk, out);
+    fed += chunk.size();
+  }
+  CHECK(verdict == EventRelay::Verdict::kTooLong);
+  CHECK(fed <= EventRelay::kMaxEventBytes + chunk.size());
+  relay.NextAttempt();
+  CHECK(relay.Feed(Answer(1, 3), out) == EventRelay::Verdict::kOk);
+  CHECK(out == Answer(0, 3));
+}
+
 TEST_CASE("a gap in the events is detected and nothing after it is forwarded") {
   EventRelay relay;
   std::string out;
--- a/src/rudderloom/attempts/event_relay.cpp
+++ b/src/rudderloom/attempts/event_relay.cpp
@@ -41,7 +41,7 @@
     start = next;
   }
   partial_.erase(0, start);
-  return Verdict::kOk;
+  return partial_.size() > kMaxEventBytes ? Verdict::kTooLong : Verdict::kOk;
 }
 
 EventRelay::Verdict EventRelay::AppendEvent(std::string_view event, std::string& out) {
--- a/src/rudderloom/callers/completion_call.cpp
+++ b/src/rudderloom/callers/completion_call.cpp
@@ -277,7 +277,7 @@
         end.caller_disconnected = true;
         co_return;
       }
-      if (verdict == EventRelay::Verdict::kGap) {
+      if (verdict != EventRelay::Verdict::kOk) {
         end.failure = AttemptFailure::kBrokenMidAnswer;
         break;
       }
