Bound the lines of a watch on the store

What callers saw: nothing yet. A store that sends a line without end in a watch makes a node of our own interface keep all of it, and search all of it for the line's end with every read.

Cause: the parser of watch lines had no bound, like the events of streams.

Change: a watch whose line is over 4 MiB ends as unreachable, and is begun again as after any other end.

The platform's interface reads its watches as whole answers of 4 MiB at most.

Why it holds: nothing else of a watch is kept between two reads.

--- a/src/rudderloom/store/object_store.cpp
+++ b/src/rudderloom/store/object_store.cpp
@@ -101,7 +101,8 @@
 // Splits the body of a watch response into lines and parses each as an event.
 class WatchLineParser {
  public:
-  void Feed(std::string_view chunk, const std::function<void(WatchEvent)>& on_event) {
+  // False if a line is too long.
+  bool Feed(std::string_view chunk, const std::function<void(WatchEvent)>& on_event) {
     text_ += chunk;
     std::size_t start = 0;
     for (std::size_t end = text_.find('\n'); end != std::string::npos;
@@ -110,9 +111,13 @@
       start = end + 1;
     }
     text_.erase(0, start);
+    return text_.size() <= kMaxLineBytes;
   }
 
  private:
+  // Four times the largest object of the platform's store.
+  static constexpr std::size_t kMaxLineBytes = 4 * 1024 * 1024;
+
   static void EmitEvent(std::string_view line, const std::function<void(WatchEvent)>& on_event) {
     json::error_code error;
     const json::value value = ParseLeniently(line, error);
@@ -245,7 +250,9 @@
       }
       const std::string& text = std::get<std::string>(chunk);
       observer_("watch_bytes", kind, text.size());
-      line_parser.Feed(text, on_event);
+      if (!line_parser.Feed(text, on_event)) {
+        co_return StoreError{StoreError::Kind::kUnreachable, "a line of the watch is too long"};
+      }
     }
   }
 
