Use no connection again that has carried more than its answer

What callers saw: nothing yet. If an endpoint sends more than a whole answer, what had been read of that was dropped, and the rest, if it came after the next call was sent, was the answer to that call: to a report, or to a repeatable call of a service on our own interface, whose answers are not matched by an id.

Cause: HttpStream::Reusable asked for the end of the answer only. EndpointConnection, which attempts use, also asks that nothing follows it.

Change: the same two conditions.

Evidence: "a connection that has carried more than the answer isn't used for another call" failed on the commit before (one connection for two calls), and passes now. Found by reading, while looking for other readers of broken answers. Gateways and attempts were checked by reading; they had the conditions.

Why it holds: bytes that have been read behind the answer rule the connection out, and bytes that have arrived but were not read are found when it is taken from the pool, as before.

--- a/include/rudderloom/http/client.hpp
+++ b/include/rudderloom/http/client.hpp
@@ -68,7 +68,8 @@
   /// @brief Returns the next chunk of the body, End after a complete body, or a failure.
   Awaitable<std::variant<std::string, End, HttpFailure>> ReadSome();
 
-  /// @brief True once the body is complete and the connection can serve another call.
+  /// @brief True once the body is complete and the connection can serve another call: the body's
+  /// end was told by its header, and no surplus bytes followed.
   bool Reusable() const;
 
   tcp::socket TakeSocket() { return std::move(socket_); }
--- a/src/rudderloom/http/broken_answers_test.cpp
+++ b/src/rudderloom/http/broken_answers_test.cpp
@@ -157,6 +157,34 @@
   CHECK(held_until_timeout <= kMaxHeldBytes);
 }
 
+// Guards against bytes behind an answer that are taken for the answer to the next call.
+TEST_CASE("a connection that has carried more than the answer isn't used for another call") {
+  asio::io_context context;
+  const std::string answer_and_more =
+      "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nownHTTP/1.1 200 OK\r\nContent-";
+  ScriptedEndpoint server(context,
+                          [&](const HttpRequest&, EndpointAnswer& answer) -> Awaitable<void> {
+                            std::string bytes = answer_and_more;
+                            co_await answer.Write(std::move(bytes));
+                          });
+  HttpClient client(context);
+  for (int call = 1; call <= 2; ++call) {
+    HttpRequest request = MakeRequest(http::verb::get, server.Address(), "/x");
+    const CallTimeouts times{kTimeout, kTimeout, kTimeout};
+    std::optional<CallResult> result;
+    asio::co_spawn(
+        context,
+        client.Call(server.Address(), std::move(request), times, ConnectionReuse::kAllowed),
+        [&](const std::exception_ptr&, CallResult received) { result = std::move(received); });
+    while (!result) {
+      context.run_one();
+    }
+    REQUIRE(std::holds_alternative<HttpResponse>(*result));
+    CHECK(std::get<HttpResponse>(*result).body() == "own");
+    CHECK(server.Connections() == call);
+  }
+}
+
 // Guards against sound answers that are taken for broken ones.
 TEST_CASE("an answer to a call whose body begins with a blank line is whole") {
   for (const std::string body : {" {}", "\r\n {}", "\t\r\n\t"}) {
--- a/src/rudderloom/http/client.cpp
+++ b/src/rudderloom/http/client.cpp
@@ -164,7 +164,8 @@
 }
 
 bool HttpStream::Reusable() const {
-  return parser_->is_done() && parser_->get().keep_alive() && socket_.is_open();
+  return parser_->is_done() && parser_->get().keep_alive() && !parser_->get().need_eof() &&
+         buffer_.size() == 0 && socket_.is_open();
 }
 
 Awaitable<std::variant<std::string, HttpFailure>> ReadBody(HttpStream& stream, ByteShare& held) {
