--- a/include/rudderloom/http/answer_head.hpp
+++ b/include/rudderloom/http/answer_head.hpp
@@ -19,13 +19,11 @@
 /// can't pass on. They are errors here, so every reader of answers uses this function:
 /// - `bad_status`: the status is not between 100 and 599, or announces another protocol, which no
 ///   request of this process asks for.
-/// - `bad_obs_fold`: a line begins with a blank. It may have been a field of its own, such as the
-/// one
-///   that tells where the body ends.
+/// - `bad_obs_fold`: a line begins with a blank. It may have been a field of its own, such as that
+///   of the body's length.
 /// - `bad_transfer_encoding`: the body has another transfer coding than chunks, which no request of
 ///   this process accepts, and which is not decoded.
-/// - `header_limit`: the header is longer than kMaxUnparsedBytes, or comes after too many interim
-/// ones.
+/// - `header_limit`: the header is longer than kMaxUnparsedBytes, or follows too many interim ones.
 /// @param parser Receives a new parser, which has read the header if there was no error.
 /// @param is_head_request The answer to a HEAD request has no body.
 /// @return The error of the connection or of the parser; none if the header is complete and valid.
--- a/src/rudderloom/forwarding/attempt.cpp
+++ b/src/rudderloom/forwarding/attempt.cpp
@@ -250,8 +250,8 @@
     co_return co_await ClassifyAnswer(std::move(reply), std::move(kept));
   }
 
-  // Keeps what the client gets of the header. At the end of the body, the parser adds its trailers to
-  // the fields of the header.
+  // Keeps what the client gets of the header. At the end of the body, the parser adds its trailers
+  // to the fields of the header.
   void KeepClientHead() {
     const AnswerHead& head = link_.Connection().Head();
     const auto type = head[http::field::content_type];
--- a/src/rudderloom/store/object_store_test.cpp
+++ b/src/rudderloom/store/object_store_test.cpp
@@ -75,7 +75,7 @@
   asio::co_spawn(
       context,
       [&]() -> Awaitable<void> {
-        const auto ignore = [](WatchEvent) {};
+        const auto ignore = [](const WatchEvent&) {};
         ended = co_await store->Watch("nodes", StoreRevision(0, 1), ignore);
       },
       asio::detached);
--- a/tests/process/stop_test.cpp
+++ b/tests/process/stop_test.cpp
@@ -269,6 +269,7 @@
     const std::string node = cluster.At("a").Address();
     const TimePoint stop_at = Now() + kStopAfter;
     std::vector<std::future<std::vector<ClientRequest>>> clients;
+    clients.reserve(kClients + kRestingClients);
     for (int i = 0; i < kClients; ++i) {
       clients.push_back(std::async(std::launch::async, SendUntilGone, node,
                                    i % 2 == 0 ? "/once/x" : "/safe/x", "c" + std::to_string(i),
