Take no event of a run for a duplicate because of its id alone

Callers saw: the id of a stream's first event is wrong and too high. Nothing was retried, counted or logged.

Cause: EventSequence dropped every event whose id is not above the last one. That is right for what a further attempt repeats at its start. Within a run events arrive in the order in which they were sent, so an id that doesn't rise shows that the endpoint numbers wrongly.

Change: EventSequence has a file of its own and knows where an attempt begins. - Only a further attempt may repeat events, at its start; what it repeats must end with the last event, byte for byte. - Within a run an id that doesn't fit ends the attempt if the last id is right, as two equal steps lead to it: the stream goes on elsewhere behind it. Otherwise nobody knows which id is wrong: the run is relayed whole, and the stream can't go on elsewhere any more. - A further attempt that brings nothing new ends the stream only behind an id that is right. - Steps may be shorter than others. A step that is longer than any before is a gap, as it was. The event is counted (rudderloom_misnumbered_streams_total) and logged with its endpoint, which is avoided for a while.

Tried: any step that differs from the first as a gap, as before. A first id that is one too low then makes sound runs of all endpoints end as gaps, and the new test fails.

--- a/include/rudderloom/forwarding/event_framer.hpp
+++ b/include/rudderloom/forwarding/event_framer.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// Splits a stream of server-sent events into complete events and tracks their ids.
+/// Splits a stream of server-sent events into complete events.
 #ifndef RUDDERLOOM_FORWARDING_EVENT_FRAMER_HPP
 #define RUDDERLOOM_FORWARDING_EVENT_FRAMER_HPP
 
@@ -34,31 +34,6 @@
   std::string pending_;
 };
 
-/// @brief Decides which events of an answer are forwarded to the client, across one or more
-/// attempts.
-/// @ingroup forwarding
-class EventSequence {
- public:
-  enum class Verdict {
-    kPass,
-    kDuplicate,  ///< Already forwarded; must be dropped.
-    kGap,        ///< An event is missing in between; the attempt has failed.
-  };
-
-  Verdict Take(const StreamEvent& event);
-
-  /// @brief Id of the last forwarded event; empty before the first.
-  const std::optional<std::uint64_t>& Last() const { return last_; }
-
-  /// @brief True while every event had an id, so that another attempt can resume the stream.
-  bool Numbered() const { return numbered_; }
-
- private:
-  std::optional<std::uint64_t> last_;
-  std::optional<std::uint64_t> step_;  ///< Difference between ids, known after two events.
-  bool numbered_ = true;
-};
-
 }  // namespace rudderloom
 
 #endif
--- a/src/rudderloom/forwarding/attempt.cpp
+++ b/src/rudderloom/forwarding/attempt.cpp
@@ -8,6 +8,7 @@
 #include "forwarding/gateway_headers.hpp"  // for kGatewayConnectionRefused
 #include "forwarding/hop_by_hop.hpp"       // for IsHopByHop, SetPayloadLength
 #include "forwarding/kept_answer.hpp"      // for KeptAnswer
+#include "rudderloom/base/log_line.hpp"    // for LogLine
 
 namespace rudderloom {
 
@@ -352,6 +353,7 @@
     const bool resumable = params_.answer_timeout.has_value();
     bool any_event = false;
     EventFramer framer;
+    params_.stream->sequence.BeginAttempt();
     KeptAnswer kept(state_.readers.Answers(), KeptAnswer::kFreeEventBytes);
     while (true) {
       auto chunk = co_await link_.ReadSome();
@@ -381,8 +383,7 @@
         }
       }
       if (!collected.in_order) {
-        link_.Connection().ForbidReuse();
-        co_return Fail(AttemptOutcome::kFailed, "gap_in_stream");
+        co_return Gap();
       }
       kept.Set(framer.PartialBytes());
       if (kept.Full()) {
@@ -397,9 +398,17 @@
       link_.Connection().ForbidReuse();
       co_return Fail(AttemptOutcome::kFailed, "torn_stream");
     }
+    if (!params_.stream->sequence.MayEnd()) {
+      co_return Gap();
+    }
     co_return co_await FinishStream();
   }
 
+  AttemptResult Gap() {
+    link_.Connection().ForbidReuse();
+    return Fail(AttemptOutcome::kFailed, "gap_in_stream");
+  }
+
   Awaitable<bool> MayBegin() {
     if (params_.stream->started || !params_.may_begin) {
       co_return true;
@@ -430,9 +439,11 @@
 
   // The sequence counts the returned events as received, so they must be forwarded whatever follows.
   CollectedEvents CollectEvents(EventFramer& framer) {
+    EventSequence& sequence = params_.stream->sequence;
+    const bool was_misnumbered = sequence.Misnumbered();
     CollectedEvents collected;
     while (auto event = framer.Next()) {
-      const auto verdict = params_.stream->sequence.Take(*event);
+      const auto verdict = sequence.Take(*event);
       if (verdict == EventSequence::Verdict::kGap) {
         collected.in_order = false;
         break;
@@ -441,9 +452,22 @@
         collected.text += event->text;
       }
     }
+    if (sequence.Misnumbered() && !was_misnumbered) {
+      RecordMisnumbered();
+    }
     return collected;
   }
 
+  void RecordMisnumbered() {
+    state_.metrics.Count({"rudderloom_misnumbered_streams_total"});
+    if (state_.log_quota.Allows(Now())) {
+      LogLine("stream_misnumbered", Severity::kWarning)
+          .With("request_id", params_.terms->id)
+          .With("endpoint", params_.endpoint.instance)
+          .With("last_event", *params_.stream->sequence.Last());
+    }
+  }
+
   // GCC 12 miscompiles co_await after && or ||, so each co_await is a statement of its own.
   Awaitable<bool> StartClientStream() {
     if (params_.stream->started) {
@@ -476,7 +500,8 @@
     AttemptResult result;
     result.status = status_;
     result.outcome = AttemptOutcome::kAnswered;
-    result.feedback = EndpointFeedback::kServed;
+    result.feedback = params_.stream->sequence.Misnumbered() ? EndpointFeedback::kFailed
+                                                              : EndpointFeedback::kServed;
     result.ends_with_connection = link_.EndsWithConnection();
     const bool started = co_await StartClientStream();
     if (!started) {
--- a/src/rudderloom/forwarding/event_framer.cpp
+++ b/src/rudderloom/forwarding/event_framer.cpp
@@ -53,23 +53,4 @@
   return event;
 }
 
-EventSequence::Verdict EventSequence::Take(const StreamEvent& event) {
-  if (!event.id) {
-    numbered_ = false;
-    return Verdict::kPass;
-  }
-  if (last_ && *event.id <= *last_) {
-    return Verdict::kDuplicate;
-  }
-  if (last_) {
-    const std::uint64_t step = *event.id - *last_;
-    if (step_ && step != *step_) {
-      return Verdict::kGap;
-    }
-    step_ = step;
-  }
-  last_ = event.id;
-  return Verdict::kPass;
-}
-
 }  // namespace rudderloom
--- a/src/rudderloom/forwarding/retry_decision.cpp
+++ b/src/rudderloom/forwarding/retry_decision.cpp
@@ -8,7 +8,7 @@
 
 bool RetryDecision::MayAbandon(const std::string& instance) {
   const StreamState& stream = request_.stream;
-  const bool can_go_on = !stream.started || (stream.has_events && stream.sequence.Numbered());
+  const bool can_go_on = !stream.started || (stream.has_events && stream.sequence.Resumable());
   if (!can_go_on || request_.checks.Suspected(*state_.views.Current())) {
     return false;
   }
@@ -38,7 +38,7 @@
   if (stream.started && !stream.has_events) {
     return false;
   }
-  return not_run || !stream.started || stream.sequence.Numbered();
+  return not_run || !stream.started || stream.sequence.Resumable();
 }
 
 bool RetryDecision::MayRepeat(bool not_run) {
