Send nothing for a client that leaves while its request waits for other nodes

Callers saw nothing; endpoints did: while the lease holder is dead, streams that clients take up wait for up to 1.25 s for the nodes that keep starts.

Cause: the wait had timers of its own, so that the interruption ended nothing and nobody asked for it afterwards. The guard of the request was used up then: SetCancel closes a connection that is not open yet, which has no effect, and neither the client nor the deadline nor the limit for connecting ends the attempt any more. A deadline that passes in the wait and the end of a planned stop had the same effect. The same wait for an answer of another node stands in turns, slots and permits (250 ms each).

Change: - CallGuard::AwaitTimer ends with the request, also if it was interrupted before. AwaitAnswer and the lookup of a stream's version wait with it. - A request that is interrupted is ended before an endpoint is chosen, after each decision, and once more right before it would be written, also at a gateway. A connection that was closed doesn't open. - Requests of clients that have left are not counted as demand, nor for the retry budget; slots that are granted to them late are given back; neither the endpoint nor the granting node is blamed.

--- a/include/rudderloom/forwarding/endpoint_connection.hpp
+++ b/include/rudderloom/forwarding/endpoint_connection.hpp
@@ -55,7 +55,7 @@
   void LimitBuffers(std::size_t bytes) { buffer_bytes_ = bytes; }
   std::size_t BufferBytes() const { return buffer_bytes_; }
 
-  /// @brief Connects to the address; Close() interrupts it.
+  /// @brief Connects to the address; Close() interrupts it. Fails if Close() was called before.
   Awaitable<std::optional<ConnectionFailure>> Connect(std::string address);
 
   /// @brief Starts writing a request. The answer may be read at the same time.
@@ -111,6 +111,7 @@
   beast::flat_buffer buffer_{kMaxUnparsedBytes};
   std::optional<AnswerParser> parser_;
   bool may_reuse_ = true;
+  bool closed_ = false;
   std::size_t buffer_bytes_ = 0;
 };
 
--- a/include/rudderloom/http/call_guard.hpp
+++ b/include/rudderloom/http/call_guard.hpp
@@ -70,6 +70,11 @@
   /// @brief Timer for other waits; cancelled on an interruption.
   Timer& WaitTimer() { return state_->wait_timer; }
 
+  /// @brief Waits until the timer expires or is cancelled; returns at once if the request is
+  /// interrupted, also if that was before. Replaces the function that cancels.
+  /// @param timer Must outlive the wait.
+  Awaitable<void> AwaitTimer(Timer& timer);
+
  private:
   struct State {
     State(asio::io_context& context, TimePoint until)
--- a/src/rudderloom/forwarding/attempt.cpp
+++ b/src/rudderloom/forwarding/attempt.cpp
@@ -45,6 +45,9 @@
   Awaitable<AttemptResult> Run() {
     auto failure = co_await Connect();
     while (!failure) {
+      if (!link_.MaySend()) {
+        co_return NotConnected("interrupted", {});
+      }
       if (Now() > params_.send_by) {
         link_.Release();
         co_return PermitExpired();
@@ -128,12 +131,18 @@
     result.refused = failure.refused;
     result.error = failure.message;
     result.through_gateway = reason == "gateway";
-    if (state_.reach.CutOff() || failure.local) {
+    if (state_.reach.CutOff() || failure.local || WasGivenUp()) {
       result.feedback = EndpointFeedback::kNeutral;
     }
     return result;
   }
 
+  // The request was interrupted, and not because of the endpoint.
+  bool WasGivenUp() const {
+    return guard_.Cause() != Interruption::kNone &&
+           guard_.Cause() != Interruption::kEndpointSilent;
+  }
+
   static AttemptResult PermitExpired() {
     AttemptResult result;
     result.outcome = AttemptOutcome::kNotConnected;
@@ -176,9 +185,7 @@
     AttemptResult result;
     result.outcome = outcome;
     result.reason = reason;
-    const bool endpoint_failed =
-        guard_.Cause() == Interruption::kNone || guard_.Cause() == Interruption::kEndpointSilent;
-    result.feedback = endpoint_failed ? EndpointFeedback::kFailed : EndpointFeedback::kNeutral;
+    result.feedback = WasGivenUp() ? EndpointFeedback::kNeutral : EndpointFeedback::kFailed;
     if (guard_.Cause() == Interruption::kEndpointSilent) {
       result.reason = "silent";
       result.silent = true;
--- a/src/rudderloom/forwarding/await_answer.hpp
+++ b/src/rudderloom/forwarding/await_answer.hpp
@@ -6,7 +6,8 @@
 #include <memory>      // for make_shared
 #include <optional>    // for optional
 
-#include "rudderloom/http/asio.hpp"  // for Awaitable, Timer
+#include "rudderloom/http/asio.hpp"        // for Awaitable, Timer
+#include "rudderloom/http/call_guard.hpp"  // for CallGuard
 
 namespace rudderloom {
 
@@ -14,12 +15,17 @@
 constexpr Duration kNodeAnswerTimeout{250};
 
 // Calls `send_request` once with a callback that takes the answer, or an empty value if there is
-// none. Returns empty after `kNodeAnswerTimeout`; an answer that comes later is passed to `on_late`
-// on the traffic thread.
+// none. Returns empty after `kNodeAnswerTimeout`, and when the request of `guard` is interrupted; an
+// answer that comes later is passed to `on_late` on the traffic thread. A null guard interrupts
+// nothing.
 template <class Answer, class SendRequest>
 Awaitable<std::optional<Answer>> AwaitAnswer(asio::io_context& context,
+                                             CallGuard* guard,
                                              SendRequest send_request,
                                              std::function<void(const Answer&)> on_late = {}) {
+  if (guard != nullptr && guard->Interrupted()) {
+    co_return std::nullopt;
+  }
   struct Waiting {
     Timer timer;
     std::optional<Answer> answer;
@@ -39,7 +45,11 @@
       waiting->timer.cancel();
     });
   });
-  co_await waiting->timer.async_wait(kAsTuple);
+  if (guard != nullptr) {
+    co_await guard->AwaitTimer(waiting->timer);
+  } else {
+    co_await waiting->timer.async_wait(kAsTuple);
+  }
   waiting->timed_out = !waiting->answer;
   co_return waiting->answer;
 }
--- a/src/rudderloom/forwarding/endpoint_connection.cpp
+++ b/src/rudderloom/forwarding/endpoint_connection.cpp
@@ -42,6 +42,9 @@
   } catch (const std::invalid_argument& error) {
     co_return ConnectionFailure{false, error.what()};
   }
+  if (closed_) {
+    co_return ConnectionFailure{false, "closed"};
+  }
   boost::system::error_code ignored;
   if (buffer_bytes_ > 0) {
     // The receive buffer's size decides the window that is offered with the connection's first
@@ -158,6 +161,7 @@
 }
 
 void EndpointConnection::Close() {
+  closed_ = true;
   boost::system::error_code ignored;
   socket_.close(ignored);
 }
--- a/src/rudderloom/forwarding/endpoint_connection_test.cpp
+++ b/src/rudderloom/forwarding/endpoint_connection_test.cpp
@@ -151,5 +151,22 @@
   CHECK_FALSE(failure->refused);
 }
 
+// Guards against a request that is sent although its connection was closed before it was opened.
+TEST_CASE("a connection that was closed doesn't connect") {
+  asio::io_context context;
+  tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+  EndpointConnection connection(context);
+  connection.Close();
+  std::optional<ConnectionFailure> failure;
+  asio::co_spawn(context,
+                 connection.Connect("127.0.0.1:" +
+                                    std::to_string(acceptor.local_endpoint().port())),
+                 [&](const std::exception_ptr&, auto result) { failure = std::move(result); });
+  context.run();
+  REQUIRE(failure);
+  CHECK_FALSE(failure->sent);
+  CHECK_FALSE(failure->refused);
+}
+
 }  // namespace
 }  // namespace rudderloom
--- a/src/rudderloom/forwarding/endpoint_link.cpp
+++ b/src/rudderloom/forwarding/endpoint_link.cpp
@@ -76,6 +76,9 @@
 }
 
 Awaitable<std::optional<ConnectionFailure>> EndpointLink::Connect() {
+  if (guard_.Interrupted()) {
+    co_return ConnectionFailure{false, "interrupted"};
+  }
   connection_ = state_.pool.Take(endpoint_.instance, Now());
   if (TakeIfSmallEnough()) {
     reused_ = true;
--- a/src/rudderloom/forwarding/endpoint_link.hpp
+++ b/src/rudderloom/forwarding/endpoint_link.hpp
@@ -33,6 +33,9 @@
   // once all have been tried.
   Awaitable<std::optional<ConnectionFailure>> ConnectToGateway();
 
+  // True if the request may be written: it was not interrupted while the connection was opened.
+  bool MaySend() const { return !guard_.Interrupted(); }
+
   // Starts writing the request. `may_withdraw`: it is sent elsewhere if the node turns out to be
   // cut off before an answer arrives.
   void Send(HttpRequest request, bool may_withdraw);
--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -56,14 +56,7 @@
                     [this] { return MayAbandonEndpoint(); });
     request_.guard = &guard;
     exchange_.WatchPeer([&guard] { guard.ClientDisconnected(); });
-    const bool may_go_on = co_await MayGoOn();
-    state_.retries.CountRequest(request_.service, request_.arrived);
-    CountDemand();
-    if (may_go_on) {
-      co_await TryEndpoints();
-    } else {
-      co_await Refuse(ForwardRefusal::kStreamVersion);
-    }
+    co_await Serve();
     exchange_.StopWatching();
     request_.guard = nullptr;
   }
@@ -76,6 +69,23 @@
     kEnd,     // the request has been answered or aborted
   };
 
+  Awaitable<void> Serve() {
+    const bool may_go_on = co_await MayGoOn();
+    if (request_.guard->Cause() != Interruption::kClientDisconnected) {
+      state_.retries.CountRequest(request_.service, request_.arrived);
+      CountDemand();
+    }
+    const bool ended = co_await HandleInterruption();
+    if (ended) {
+      co_return;
+    }
+    if (may_go_on) {
+      co_await TryEndpoints();
+    } else {
+      co_await Refuse(ForwardRefusal::kStreamVersion);
+    }
+  }
+
   // Adds the request's expected service time to the demand. Refused requests count too; otherwise a
   // model under a burst would look idle.
   void CountDemand() {
@@ -107,6 +117,10 @@
   Awaitable<void> TryEndpoints() {
     NextStep next = NextStep::kChoose;
     while (next != NextStep::kEnd) {
+      const bool ended = co_await HandleInterruption();
+      if (ended) {
+        co_return;
+      }
       const FleetViewPtr view = state_.views.Current();
       const auto refusal = Recheck(*view);
       if (refusal) {
@@ -181,6 +195,11 @@
   // Decides whether the request may be sent to the endpoint now.
   Awaitable<NextStep> ObtainStart(const EndpointRecord& endpoint) {
     request_.admission = co_await start_.Decide(endpoint);
+    const std::optional<ForwardRefusal> not_refused;
+    if (request_.guard->Interrupted()) {
+      const NextStep next = co_await AfterWait(not_refused);
+      co_return next;
+    }
     if (request_.admission == Admission::kHeld) {
       const NextStep next = co_await HoldOrRefuse();
       co_return next;
@@ -197,7 +216,6 @@
       const NextStep next = co_await HoldOrRefuse();
       co_return next;
     }
-    const std::optional<ForwardRefusal> not_refused;
     const NextStep next = co_await AfterWait(not_refused);
     co_return next;
   }
--- a/src/rudderloom/forwarding/gateway_server.cpp
+++ b/src/rudderloom/forwarding/gateway_server.cpp
@@ -75,6 +75,10 @@
       co_await Refuse(failure->refused ? kGatewayConnectionRefused : kGatewayUnreachable);
       co_return;
     }
+    if (!link.MaySend()) {
+      Abort("interrupted");
+      co_return;
+    }
     sent_ = true;
     guard.SetResponseDeadline(std::nullopt);
     HttpRequest request = WithoutGatewayHeaders();
--- a/src/rudderloom/forwarding/limit_check.cpp
+++ b/src/rudderloom/forwarding/limit_check.cpp
@@ -110,7 +110,9 @@
 }
 
 // Asks the granting node of the endpoint.
-Awaitable<AcquiredPermit> AskInFlight(ForwardingState& state, const PermitNeeds& needs) {
+Awaitable<AcquiredPermit> AskInFlight(ForwardingState& state,
+                                      CallGuard& guard,
+                                      const PermitNeeds& needs) {
   AcquiredPermit permit;
   permit.in_flight = InFlightOutcome::kUnanswered;
   permit.may_send = true;
@@ -124,10 +126,20 @@
     ask.endpoint = key;
     ask.in_flight = needs.in_flight;
     const auto send = [&](auto done) { state.peers.ask_for_permit(granter, ask, std::move(done)); };
-    answer = co_await AwaitAnswer<PermitAnswer>(state.context, send);
+    const InFlightUntil until = needs.in_flight->until;
+    const auto is_unused = std::make_shared<bool>(false);
+    const auto return_late = [&state, is_unused, granter, key, asked_at,
+                              until](const PermitAnswer& late) {
+      if (*is_unused && late.by_in_flight && late.verdict == PermitVerdict::kGranted) {
+        std::make_shared<SlotUse>(state, granter, key, late.grant, asked_at, until);
+      }
+    };
+    answer = co_await AwaitAnswer<PermitAnswer>(state.context, &guard, send, return_late);
+    *is_unused = guard.Interrupted();
+    permit.may_send = !*is_unused;
     if (answer && answer->by_in_flight) {
       state.silent_granters.Answered(granter, asked_at);
-    } else {
+    } else if (!*is_unused) {
       state.silent_granters.NoAnswer(granter, asked_at, Now());
     }
   }
@@ -162,7 +174,10 @@
   if (!granter.empty()) {
     const PermitRequest ask{key, limit, std::max(Duration(0), needs.max_wait), needs.slot};
     const auto send = [&](auto done) { state.peers.ask_for_permit(granter, ask, std::move(done)); };
-    answer = co_await AwaitAnswer<PermitAnswer>(state.context, send);
+    answer = co_await AwaitAnswer<PermitAnswer>(state.context, &guard, send);
+  }
+  if (guard.Interrupted()) {
+    co_return permit;
   }
   if (!answer || answer->verdict == PermitVerdict::kNotGranting) {
     if (state.limits.MaySendWithoutPermit(key, nodes, Now())) {
@@ -242,7 +257,7 @@
   if (!needs.in_flight || needs.slot) {
     co_return co_await AcquireLimitPermit(state, guard, std::move(needs));
   }
-  AcquiredPermit permit = co_await AskInFlight(state, needs);
+  AcquiredPermit permit = co_await AskInFlight(state, guard, needs);
   if (!permit.may_send) {
     co_return permit;
   }
--- a/src/rudderloom/forwarding/prompt_turn.cpp
+++ b/src/rudderloom/forwarding/prompt_turn.cpp
@@ -58,7 +58,11 @@
   ask.endpoint = key;
   ask.spacing = SpacingTerms{*request.spacing, request.max_wait};
   const auto send = [&](auto done) { state.peers.ask_for_permit(granter, ask, std::move(done)); };
-  const auto answer = co_await AwaitAnswer<PermitAnswer>(state.context, send);
+  const auto answer = co_await AwaitAnswer<PermitAnswer>(state.context, &guard, send);
+  if (guard.Interrupted()) {
+    turn.verdict = TurnVerdict::kInterrupted;
+    co_return turn;
+  }
   if (!answer || !answer->by_in_flight) {
     state.silent_granters.NoAnswer(granter, asked_at, Now());
     state.metrics.Count({"rudderloom_prompt_turns_total", "result", "unanswered"});
--- a/src/rudderloom/forwarding/quota_grant.cpp
+++ b/src/rudderloom/forwarding/quota_grant.cpp
@@ -81,7 +81,7 @@
       state.metrics.Count({"rudderloom_quota_late_grants_total"});
     }
   };
-  const auto answer = co_await AwaitAnswer<SpendAnswer>(state_.context, ask, return_late);
+  const auto answer = co_await AwaitAnswer<SpendAnswer>(state_.context, nullptr, ask, return_late);
   if (answer && answer->verdict == SpendVerdict::kGranted) {
     granted_ = true;
     co_return std::nullopt;
--- a/src/rudderloom/forwarding/request_permit.cpp
+++ b/src/rudderloom/forwarding/request_permit.cpp
@@ -28,6 +28,9 @@
       request_.choice.has_unlimited_alternative ? Duration(0) : kMaxPermitWait;
   needs->max_wait = std::min(patience, max_wait);
   const AcquiredPermit permit = co_await AcquirePermit(state_, *request_.guard, std::move(*needs));
+  if (request_.guard->Interrupted()) {
+    co_return false;
+  }
   request_.slot = permit.may_send ? permit.slot : nullptr;
   if (permit.in_flight == InFlightOutcome::kRefused) {
     request_.NoTurnAt(endpoint, permit.wait);
--- a/src/rudderloom/forwarding/stream_version.cpp
+++ b/src/rudderloom/forwarding/stream_version.cpp
@@ -87,6 +87,7 @@
   Timer all_done;
 };
 
+// An interruption ends the wait for all keepers, see AskKeepers.
 Awaitable<void> AskKeeper(ForwardingState& state,
                           std::string keeper,
                           StreamQuery query,
@@ -95,7 +96,7 @@
   const auto send = [&](auto done) {
     state.peers.ask_stream_version(keeper, query, std::move(done));
   };
-  auto answer = co_await AwaitAnswer<StreamAnswer>(state.context, send);
+  auto answer = co_await AwaitAnswer<StreamAnswer>(state.context, nullptr, send);
   pending->answers[index] = std::move(answer);
   if (--pending->missing == 0) {
     pending->all_done.cancel();
@@ -103,7 +104,7 @@
 }
 
 // Asks all nodes that keep starts.
-Awaitable<StreamInquiry> AskKeepers(ForwardingState& state, StreamQuery query) {
+Awaitable<StreamInquiry> AskKeepers(ForwardingState& state, CallGuard& guard, StreamQuery query) {
   const std::vector<std::string> keepers = Keepers(state);
   StreamInquiry inquiry;
   inquiry.own = OwnAnswer(state, query.service);
@@ -117,16 +118,19 @@
     asio::co_spawn(state.context, AskKeeper(state, keepers[i], query, i, pending), asio::detached);
   }
   if (pending->missing > 0) {
-    co_await pending->all_done.async_wait(kAsTuple);
+    co_await guard.AwaitTimer(pending->all_done);
   }
   inquiry.answers = pending->answers;
   co_return inquiry;
 }
 
 // Looks the stream up in the store, as a node that has just taken the lease does.
-Awaitable<void> AddSavedStart(ForwardingState& state, StreamQuery query, StreamInquiry& inquiry) {
+Awaitable<void> AddSavedStart(ForwardingState& state,
+                              CallGuard& guard,
+                              StreamQuery query,
+                              StreamInquiry& inquiry) {
   const auto send = [&](auto done) { state.peers.find_saved_stream(query, std::move(done)); };
-  auto answer = co_await AwaitAnswer<StreamAnswer>(state.context, send);
+  auto answer = co_await AwaitAnswer<StreamAnswer>(state.context, &guard, send);
   if (answer) {
     answer->from_self = true;
     inquiry.answers.push_back(std::move(answer));
@@ -144,27 +148,29 @@
                      [](const auto& answer) { return answer && answer->is_holder; });
 }
 
-// Asks again until `deadline` or for `kKeeperWait` at the most.
+// Asks again for `kKeeperWait` at the most. Undecided if the request is interrupted.
 Awaitable<VersionDecision> AskKeepersUntilKnown(ForwardingState& state,
-                                                StreamQuery query,
-                                                TimePoint deadline) {
+                                                CallGuard& guard,
+                                                StreamQuery query) {
   Timer timer(state.context);
   const TimePoint started = Now();
-  const TimePoint until = std::min(deadline, started + kKeeperWait);
-  while (true) {
-    StreamInquiry inquiry = co_await AskKeepers(state, query);
+  const TimePoint until = started + kKeeperWait;
+  VersionDecision decision;
+  while (!guard.Interrupted()) {
+    StreamInquiry inquiry = co_await AskKeepers(state, guard, query);
     const bool holder_missing = !AnyHolderAnswered(inquiry);
     if (holder_missing && Now() - started >= kHolderWait) {
-      co_await AddSavedStart(state, query, inquiry);
+      co_await AddSavedStart(state, guard, query, inquiry);
     }
     inquiry.last_try = Now() >= until;
-    const VersionDecision decision = DecideVersion(inquiry);
+    decision = DecideVersion(inquiry);
     if (decision.verdict != VersionVerdict::kAskAgain) {
-      co_return decision;
+      break;
     }
     timer.expires_after(kKeeperRetryInterval);
-    co_await timer.async_wait(kAsTuple);
+    co_await guard.AwaitTimer(timer);
   }
+  co_return decision;
 }
 
 bool HasEndpointOf(const FleetView& view, const std::string& service, const std::string& version) {
@@ -324,7 +330,10 @@
   if (!is_known && !MayHaveBegunAtOthers(state, request)) {
     StreamQuery query{began_as, request.service};
     const VersionDecision decision =
-        co_await AskKeepersUntilKnown(state, std::move(query), request.deadline_at);
+        co_await AskKeepersUntilKnown(state, *request.guard, std::move(query));
+    if (request.guard->Interrupted()) {
+      co_return std::nullopt;
+    }
     is_known = decision.verdict != VersionVerdict::kUnknown;
     found.software_version = decision.software_version;
     found.known_by = KnownBy(decision.verdict);
--- a/src/rudderloom/http/call_guard.cpp
+++ b/src/rudderloom/http/call_guard.cpp
@@ -33,6 +33,15 @@
   }
 }
 
+Awaitable<void> CallGuard::AwaitTimer(Timer& timer) {
+  if (Interrupted()) {
+    co_return;
+  }
+  SetCancel([&timer] { timer.cancel(); });
+  co_await timer.async_wait(kAsTuple);
+  SetCancel({});
+}
+
 void CallGuard::SetResponseDeadline(std::optional<TimePoint> deadline) {
   state_->response_deadline = deadline;
   state_->confirms_silence = false;
--- a/src/rudderloom/http/call_guard_test.cpp
+++ b/src/rudderloom/http/call_guard_test.cpp
@@ -55,5 +55,26 @@
   CHECK(request.Guard().Cause() == Interruption::kEndpointSilent);
 }
 
+// Guards against a wait that begins after the interruption that was to end it.
+TEST_CASE("a request that is interrupted waits for no timer, before or during the wait") {
+  for (const Duration before_interruption : {Duration(0), kDelay}) {
+    asio::io_context context;
+    CallGuards guards;
+    CallGuard guard(context, guards, Now() + kLongTime, [] { return true; });
+    Timer timer(context, kLongTime);
+    Timer interruption(context, before_interruption);
+    bool waited = false;
+    if (before_interruption == Duration(0)) {
+      guard.ClientDisconnected();
+    } else {
+      interruption.async_wait([&](boost::system::error_code) { guard.ClientDisconnected(); });
+    }
+    asio::co_spawn(context, guard.AwaitTimer(timer),
+                   [&](const std::exception_ptr&) { waited = true; });
+    context.run_for(2 * kDelay);
+    CHECK(waited);
+  }
+}
+
 }  // namespace
 }  // namespace rudderloom
