Watch a client from the arrival of its request on

Endpoints saw requests of clients that had left while the granting node was asked for quota (up to 250 ms). Callers saw nothing; their quota was charged.

Cause: the guard that watches a client was made after the checks; the waits for a configuration and for quota state had guards of their own, and nobody watched in between and during the question for quota. With a kept connection to the endpoint nothing else waits, so that the request was sent.

Change: one guard from arrival to answer. It begins with the client's deadline, and takes the one that the route sets too once the route is known. The checks wait with it, and a client that has left is aborted before anything is counted.

--- a/include/rudderloom/http/call_guard.hpp
+++ b/include/rudderloom/http/call_guard.hpp
@@ -49,6 +49,9 @@
   /// none. If the request is already interrupted, it is called immediately.
   void SetCancel(std::function<void()> cancel);
 
+  /// @brief Replaces the deadline of the request; without effect once it was interrupted.
+  void SetDeadline(TimePoint deadline_at);
+
   /// @brief Sets the time by which the endpoint must send something; empty for no limit.
   void SetResponseDeadline(std::optional<TimePoint> deadline);
 
--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -40,23 +40,15 @@
         retry_(state, request_) {}
 
   Awaitable<void> Run() {
-    const auto refusal = co_await request_.checks.Check();
-    request_.routes = request_.checks.Routes();
-    request_.route = request_.checks.MatchedRoute();
-    if (refusal) {
-      request_.retry_delay = request_.checks.RetryDelay();
-      co_await Refuse(*refusal);
-      co_return;
-    }
-    request_.spent_before = TimeSpentBefore(state_, request_);
-    request_.service = ChooseService(*request_.route, SplitKey(state_, request_));
-    request_.deadline_at =
-        std::min(request_.arrived + request_.checks.TimeLimit(), state_.stop_deadline);
-    CallGuard guard(state_.context, state_.guards, request_.deadline_at,
+    CallGuard guard(state_.context, state_.guards,
+                    std::min(request_.checks.LatestDeadline(), state_.stop_deadline),
                     [this] { return MayAbandonEndpoint(); });
     request_.guard = &guard;
     exchange_.WatchPeer([&guard] { guard.ClientDisconnected(); });
-    co_await Serve();
+    const bool admitted = co_await Admit();
+    if (admitted) {
+      co_await Serve();
+    }
     exchange_.StopWatching();
     request_.guard = nullptr;
   }
@@ -69,7 +61,26 @@
     kEnd,     // the request has been answered or aborted
   };
 
+  // Checks the request; false if it has been answered or aborted.
+  Awaitable<bool> Admit() {
+    const auto refusal = co_await request_.checks.Check(*request_.guard);
+    request_.routes = request_.checks.Routes();
+    request_.route = request_.checks.MatchedRoute();
+    if (refusal && request_.guard->Cause() != Interruption::kClientDisconnected) {
+      request_.retry_delay = request_.checks.RetryDelay();
+      co_await Refuse(*refusal);
+      co_return false;
+    }
+    const bool ended = co_await HandleInterruption();
+    co_return !ended;
+  }
+
   Awaitable<void> Serve() {
+    request_.spent_before = TimeSpentBefore(state_, request_);
+    request_.service = ChooseService(*request_.route, SplitKey(state_, request_));
+    request_.deadline_at =
+        std::min(request_.arrived + request_.checks.TimeLimit(), state_.stop_deadline);
+    request_.guard->SetDeadline(request_.deadline_at);
     const bool may_go_on = co_await MayGoOn();
     if (request_.guard->Cause() != Interruption::kClientDisconnected) {
       state_.retries.CountRequest(request_.service, request_.arrived);
--- a/src/rudderloom/forwarding/quota_grant.cpp
+++ b/src/rudderloom/forwarding/quota_grant.cpp
@@ -55,7 +55,8 @@
   return decision;
 }
 
-Awaitable<std::optional<Duration>> QuotaGrant::Acquire(const Customer& customer,
+Awaitable<std::optional<Duration>> QuotaGrant::Acquire(CallGuard& guard,
+                                                       const Customer& customer,
                                                        const RequestMetadata& terms) {
   if (!customer.quota.Limited()) {
     co_return std::nullopt;
@@ -81,7 +82,10 @@
       state.metrics.Count({"rudderloom_quota_late_grants_total"});
     }
   };
-  const auto answer = co_await AwaitAnswer<SpendAnswer>(state_.context, nullptr, ask, return_late);
+  const auto answer = co_await AwaitAnswer<SpendAnswer>(state_.context, &guard, ask, return_late);
+  if (guard.Interrupted() && !answer) {
+    co_return std::nullopt;
+  }
   if (answer && answer->verdict == SpendVerdict::kGranted) {
     granted_ = true;
     co_return std::nullopt;
--- a/src/rudderloom/forwarding/quota_grant.hpp
+++ b/src/rudderloom/forwarding/quota_grant.hpp
@@ -22,7 +22,8 @@
 
   // Returns empty if the request is within the limit, else how long until the next one is likely to
   // be.
-  Awaitable<std::optional<Duration>> Acquire(const Customer& customer,
+  Awaitable<std::optional<Duration>> Acquire(CallGuard& guard,
+                                             const Customer& customer,
                                              const RequestMetadata& terms);
 
   void MarkMayHaveRun() { may_have_run_ = true; }
--- a/src/rudderloom/forwarding/request_checks.cpp
+++ b/src/rudderloom/forwarding/request_checks.cpp
@@ -19,8 +19,8 @@
       routes_(state.views.Current()->routes),
       quota_grant_(state) {}
 
-Awaitable<std::optional<ForwardRefusal>> RequestChecks::Check() {
-  co_await AwaitConfiguration();
+Awaitable<std::optional<ForwardRefusal>> RequestChecks::Check(CallGuard& guard) {
+  co_await AwaitConfiguration(guard);
   if (!routes_) {
     co_return ForwardRefusal::kNoConfiguration;
   }
@@ -40,7 +40,11 @@
   if (Quarantined(*state_.views.Current())) {
     co_return ForwardRefusal::kQuarantined;
   }
-  co_return co_await CheckQuota();
+  co_return co_await CheckQuota(guard);
+}
+
+TimePoint RequestChecks::LatestDeadline() const {
+  return arrived_ + terms_.deadline.value_or(kDefaultDeadline);
 }
 
 Duration RequestChecks::TimeLimit() const {
@@ -53,12 +57,12 @@
   return state_.notice_over && arrived_ + TimeLimit() > state_.stop_deadline;
 }
 
-Awaitable<std::optional<ForwardRefusal>> RequestChecks::CheckQuota() {
+Awaitable<std::optional<ForwardRefusal>> RequestChecks::CheckQuota(CallGuard& guard) {
   if (caller_.customer == nullptr || !caller_.customer->quota.Limited()) {
     co_return std::nullopt;
   }
-  co_await AwaitQuotaState();
-  const auto wait = co_await quota_grant_.Acquire(*caller_.customer, terms_);
+  co_await AwaitQuotaState(guard);
+  const auto wait = co_await quota_grant_.Acquire(guard, *caller_.customer, terms_);
   if (!wait) {
     co_return std::nullopt;
   }
@@ -69,34 +73,27 @@
 
 // A new process receives its configuration within about 100 ms, so waiting for it is faster than a
 // refusal and a retry.
-Awaitable<void> RequestChecks::AwaitConfiguration() {
+Awaitable<void> RequestChecks::AwaitConfiguration(CallGuard& guard) {
   if (!routes_) {
-    co_await AwaitView([](const FleetView& view) { return view.routes != nullptr; });
+    co_await AwaitView(guard, [](const FleetView& view) { return view.routes != nullptr; });
     routes_ = state_.views.Current()->routes;
   }
 }
 
 // Without quota state from the lease holder, a node grants a customer very little. The state
 // arrives sooner than the client would retry.
-Awaitable<void> RequestChecks::AwaitQuotaState() {
-  co_await AwaitView([](const FleetView& view) { return view.quota != nullptr; });
+Awaitable<void> RequestChecks::AwaitQuotaState(CallGuard& guard) {
+  co_await AwaitView(guard, [](const FleetView& view) { return view.quota != nullptr; });
 }
 
 // Waits for a view that satisfies `predicate`. Ends early when the startup period is over, at the
 // client's deadline or disconnect, or at a planned stop.
-Awaitable<void> RequestChecks::AwaitView(bool (*predicate)(const FleetView&)) {
-  const TimePoint until =
-      std::min(state_.configured_by, arrived_ + terms_.deadline.value_or(kDefaultDeadline));
-  if (predicate(*state_.views.Current()) || Now() >= until) {
-    co_return;
-  }
-  CallGuard guard(state_.context, state_.guards, until, [] { return true; });
-  exchange_.WatchPeer([&guard] { guard.ClientDisconnected(); });
-  while (!predicate(*state_.views.Current()) && Now() < until &&
-         guard.Cause() == Interruption::kNone && !state_.stopping) {
+Awaitable<void> RequestChecks::AwaitView(CallGuard& guard, bool (*predicate)(const FleetView&)) {
+  const TimePoint until = std::min(state_.configured_by, LatestDeadline());
+  while (!predicate(*state_.views.Current()) && Now() < until && !guard.Interrupted() &&
+         !state_.stopping) {
     co_await state_.views.WaitForNext(guard.WaitTimer(), until);
   }
-  exchange_.StopWatching();
 }
 
 std::string_view RequestChecks::Customer() const {
--- a/src/rudderloom/forwarding/request_checks.hpp
+++ b/src/rudderloom/forwarding/request_checks.hpp
@@ -28,12 +28,14 @@
                 TimePoint arrived);
 
   // Returns why the request is refused; empty if it may be forwarded. The accessors below are valid
-  // afterwards.
-  Awaitable<std::optional<ForwardRefusal>> Check();
+  // afterwards. Waits end when the guard interrupts the request.
+  Awaitable<std::optional<ForwardRefusal>> Check(CallGuard& guard);
 
   const RouteTablePtr& Routes() const { return routes_; }
   // Null when the request has no route.
   const Route* MatchedRoute() const { return route_; }
+  // When the client gives up; its route may set an earlier time.
+  TimePoint LatestDeadline() const;
   // How long the request may take from its arrival, by its route and its client.
   Duration TimeLimit() const;
   std::uint32_t Priority() const { return PriorityOf(caller_, *route_); }
@@ -61,10 +63,10 @@
 
  private:
   bool MayOutlastStop() const;
-  Awaitable<void> AwaitConfiguration();
-  Awaitable<void> AwaitQuotaState();
-  Awaitable<void> AwaitView(bool (*predicate)(const FleetView&));
-  Awaitable<std::optional<ForwardRefusal>> CheckQuota();
+  Awaitable<void> AwaitConfiguration(CallGuard& guard);
+  Awaitable<void> AwaitQuotaState(CallGuard& guard);
+  Awaitable<void> AwaitView(CallGuard& guard, bool (*predicate)(const FleetView&));
+  Awaitable<std::optional<ForwardRefusal>> CheckQuota(CallGuard& guard);
 
   ForwardingState& state_;
   HttpExchange& exchange_;
--- a/src/rudderloom/http/call_guard.cpp
+++ b/src/rudderloom/http/call_guard.cpp
@@ -33,6 +33,13 @@
   }
 }
 
+void CallGuard::SetDeadline(TimePoint deadline_at) {
+  state_->deadline_at = deadline_at;
+  if (!Interrupted()) {
+    Arm(state_);
+  }
+}
+
 Awaitable<void> CallGuard::AwaitTimer(Timer& timer) {
   if (Interrupted()) {
     co_return;
--- a/src/rudderloom/http/call_guard_test.cpp
+++ b/src/rudderloom/http/call_guard_test.cpp
@@ -76,5 +76,16 @@
   }
 }
 
+TEST_CASE("a request's deadline may be replaced until it has passed") {
+  asio::io_context context;
+  CallGuards guards;
+  CallGuard guard(context, guards, Now() + kLongTime, [] { return true; });
+  guard.SetDeadline(Now() + kDelay);
+  context.run_for(2 * kDelay);
+  CHECK(guard.Cause() == Interruption::kDeadlineExceeded);
+  guard.SetDeadline(Now() + kLongTime);
+  CHECK(guard.Cause() == Interruption::kDeadlineExceeded);
+}
+
 }  // namespace
 }  // namespace rudderloom
