Cancel calls of our own interface whose caller has left

Callers' endpoints saw: a call that waits for a slot is sent although its caller has closed its connection, and a call in progress runs to its end for nobody. docs/OPERATORS.md promised both interfaces that such a request is cancelled.

Cause: the same as on the platform's interface, that nobody asks whether anybody waits: HandleCall made a guard and never watched the caller's connection.

Change: completions and calls without a key are watched while they wait and run. A call that ends so is counted and logged as caller_gone, and is no failure of its endpoint (RouteResult::kAbandoned). HttpClient takes no pooled connection for a request that is interrupted already.

--- a/include/rudderloom/callers/call_context.hpp
+++ b/include/rudderloom/callers/call_context.hpp
@@ -41,6 +41,10 @@
                             Refusal refusal,
                             std::string request_id);
 
+/// @brief Ends a request whose caller has closed its connection: counts, logs and aborts it.
+/// @ingroup callers
+void EndForGoneCaller(CallContext& shared, HttpExchange& exchange, const std::string& request_id);
+
 /// @brief Converts a decision of the admission queue to a refusal.
 /// @param has_endpoints Whether any endpoint serves the target at present.
 /// @ingroup callers
--- a/include/rudderloom/routing/router.hpp
+++ b/include/rudderloom/routing/router.hpp
@@ -24,7 +24,12 @@
 
 /// @brief How a request on an endpoint ended, for later choices.
 /// @ingroup routing
-enum class RouteResult { kServed, kFailed, kRefused };
+enum class RouteResult {
+  kServed,
+  kFailed,
+  kRefused,
+  kAbandoned,  ///< The caller left or the node stops, which says nothing about the endpoint.
+};
 
 /// @brief Tracks this node's requests per endpoint and chooses an endpoint for each request.
 /// @ingroup routing
--- a/src/rudderloom/callers/call_context.cpp
+++ b/src/rudderloom/callers/call_context.cpp
@@ -24,6 +24,12 @@
   co_await exchange.Send(std::move(reply));
 }
 
+void EndForGoneCaller(CallContext& shared, HttpExchange& exchange, const std::string& request_id) {
+  shared.metrics.Count({"rudderloom_requests_total", "result", "caller_gone"});
+  LogLine("caller_gone").With("request_id", request_id);
+  exchange.Abort();
+}
+
 Refusal ToRefusal(const AdmissionRefusal& refused, bool has_endpoints) {
   Refusal refusal;
   refusal.retry_delay = refused.retry_delay;
--- a/src/rudderloom/callers/completion_call.cpp
+++ b/src/rudderloom/callers/completion_call.cpp
@@ -45,6 +45,13 @@
       co_await SendRefusal(shared_, exchange_, std::move(*refusal), info_.request_id);
       co_return;
     }
+    exchange_.WatchPeer([this] { guard_.ClientDisconnected(); });
+    co_await RunAttempts();
+    exchange_.StopWatching();
+  }
+
+ private:
+  Awaitable<void> RunAttempts() {
     shared_.retries.FirstAttempt();
     AttemptState state;
     state.deadline = info_.deadline;
@@ -113,7 +120,6 @@
     }
   }
 
- private:
   std::optional<Refusal> ReadBody() {
     Refusal refusal;
     refusal.reason = RefusalReason::kInvalidJson;
@@ -330,6 +336,10 @@
   // Sends the final error. Within a stream it sends an error event and aborts the connection, so
   // that the stream is never mistaken for a complete one.
   Awaitable<void> Fail(Refusal refusal) {
+    if (guard_.Cause() == Interruption::kClientDisconnected) {
+      EndForGoneCaller(shared_, exchange_, info_.request_id);
+      co_return;
+    }
     if (!stream_started_) {
       co_await SendRefusal(shared_, exchange_, std::move(refusal), info_.request_id);
       co_return;
@@ -345,10 +355,13 @@
     exchange_.Abort();
   }
 
-  static RouteResult ToRouteResult(const AttemptEnd& end) {
+  RouteResult ToRouteResult(const AttemptEnd& end) const {
     if (!end.failure) {
       return RouteResult::kServed;
     }
+    if (guard_.Interrupted()) {
+      return RouteResult::kAbandoned;
+    }
     const bool refused = *end.failure == AttemptFailure::kNotResident ||
                          *end.failure == AttemptFailure::kBusy ||
                          *end.failure == AttemptFailure::kLeaving;
--- a/src/rudderloom/callers/service_call.cpp
+++ b/src/rudderloom/callers/service_call.cpp
@@ -34,10 +34,17 @@
       co_await SendRefusal(shared_, exchange_, std::move(*refusal), info_.request_id);
       co_return;
     }
-    if (!repeatable_ && !info_.idempotency_key.empty() && !co_await AcquireClaim()) {
+    if (!repeatable_ && !info_.idempotency_key.empty()) {
+      // A caller that has lost its connection asks for the outcome with its key.
+      const bool claimed = co_await AcquireClaim();
+      if (claimed) {
+        co_await RunAttempts();
+      }
       co_return;
     }
+    exchange_.WatchPeer([this] { guard_.ClientDisconnected(); });
     co_await RunAttempts();
+    exchange_.StopWatching();
   }
 
  private:
@@ -227,7 +234,7 @@
                                                reuse, &guard_);
     if (auto* failed = std::get_if<HttpFailure>(&opened)) {
       const AttemptFailure failure = ClassifyFailure(*failed, AttemptFailure::kBrokenBeforeAnswer);
-      shared_.dispatcher.Release(grant, RouteResult::kFailed, Duration(0));
+      shared_.dispatcher.Release(grant, FailedResult(), Duration(0));
       co_return failure;
     }
     auto response = std::move(std::get<std::unique_ptr<HttpStream>>(opened));
@@ -240,7 +247,7 @@
     reply.status = response->Status();
     std::optional<HttpFailure> body_failure = co_await ReadBody(*response, reply);
     if (body_failure) {
-      shared_.dispatcher.Release(grant, RouteResult::kFailed, first_byte);
+      shared_.dispatcher.Release(grant, FailedResult(), first_byte);
       co_return ClassifyFailure(*body_failure, AttemptFailure::kBrokenMidAnswer);
     }
     shared_.dispatcher.Release(grant, RouteResult::kServed, first_byte);
@@ -257,6 +264,10 @@
     co_return std::nullopt;
   }
 
+  RouteResult FailedResult() const {
+    return guard_.Interrupted() ? RouteResult::kAbandoned : RouteResult::kFailed;
+  }
+
   Awaitable<std::optional<HttpFailure>> ReadBody(HttpStream& response, Reply& reply) {
     reply.content_type = response.Header("Content-Type");
     for (const auto& [name, value] : response.EndToEndHeaders()) {
@@ -294,6 +305,10 @@
       unknown.state = ClaimState::kUnknown;
       shared_.claims.Finish(key_, unknown);
     }
+    if (guard_.Cause() == Interruption::kClientDisconnected) {
+      EndForGoneCaller(shared_, exchange_, info_.request_id);
+      co_return;
+    }
     co_await SendRefusal(shared_, exchange_, std::move(refusal), info_.request_id);
   }
 
--- a/src/rudderloom/http/client.cpp
+++ b/src/rudderloom/http/client.cpp
@@ -218,9 +218,6 @@
   } catch (const std::invalid_argument& error) {
     co_return HttpFailure{false, false, false, error.what()};
   }
-  if (guard != nullptr && guard->Interrupted()) {
-    co_return HttpFailure{false, false, false, "interrupted"};
-  }
   Watchdog watchdog(socket, limit);
   if (guard != nullptr) {
     guard->SetCancel([&socket] { CloseSocket(socket); });
@@ -247,6 +244,9 @@
     CallTimeouts times,
     ConnectionReuse reuse,
     CallGuard* guard) {
+  if (guard != nullptr && guard->Interrupted()) {
+    co_return HttpFailure{false, false, false, "interrupted"};
+  }
   std::optional<tcp::socket> socket;
   if (reuse == ConnectionReuse::kAllowed) {
     socket = TakeIdle(address);
--- a/src/rudderloom/routing/router.cpp
+++ b/src/rudderloom/routing/router.cpp
@@ -144,6 +144,9 @@
                           TimePoint now) {
   Load& load = LoadOf(id);
   load.in_flight -= std::min(1U, load.in_flight);
+  if (result == RouteResult::kAbandoned) {
+    return;
+  }
   if (result == RouteResult::kFailed) {
     ++load.consecutive_failures;
     if (load.consecutive_failures >= kFailuresToEject) {
--- a/tests/process/caller_test.cpp
+++ b/tests/process/caller_test.cpp
@@ -6,6 +6,7 @@
 
 #include "fakes/cells.hpp"              // for ProvedCell
 #include "process/cluster.hpp"          // for Cluster
+#include "process/raw_caller.hpp"       // for RawCaller
 #include "standin/expected_answer.hpp"  // for ExpectedText
 
 namespace rudderloom::tests {
@@ -370,6 +371,61 @@
   fakes::ProvedCell("node leaving", "planned stop", "a planned stop cuts nothing");
 }
 
+std::string DeskCallBytes(const std::string& call, const std::string& headers = {}) {
+  return RequestBytes("/services/desk/slots", "{}", "X-Call-Id: " + call + "\r\n" + headers);
+}
+
+bool HasMetric(ServingCluster& cluster, const std::string& line) {
+  return cluster.WaitUntil(
+      [&] {
+        return cluster.Call(cluster.At("n1").Address(), "/metrics").body.find(line + "\n") !=
+               std::string::npos;
+      },
+      Duration(5'000));
+}
+
+// Guards against calls that are sent although their caller left while they waited for a slot.
+TEST_CASE("a call whose caller leaves while it waits is not sent, and one in progress is ended") {
+  ServingCluster cluster;
+  constexpr int kSlots = 6;  // three quarters of eight
+  cluster.SetFaults("desk1", {{"hang", kSlots}});
+  const std::string node = cluster.At("n1").Address();
+  std::vector<std::unique_ptr<RawCaller>> in_progress;
+  for (int i = 0; i < kSlots; ++i) {
+    in_progress.push_back(
+        std::make_unique<RawCaller>(node, DeskCallBytes("running-" + std::to_string(i))));
+  }
+  REQUIRE(HasMetric(cluster, "rudderloom_running " + std::to_string(kSlots)));
+  auto waiting = std::make_unique<RawCaller>(node, DeskCallBytes("waiting"));
+  REQUIRE(HasMetric(cluster, "rudderloom_waiting 1"));
+  waiting.reset();
+  CHECK(HasMetric(cluster, "rudderloom_waiting 0"));
+  in_progress.clear();
+  CHECK(HasMetric(cluster, "rudderloom_running 0"));
+  CHECK(HasMetric(cluster, "rudderloom_requests_total{result=\"caller_gone\"} " +
+                               std::to_string(kSlots + 1)));
+  cluster.SetFaults("desk1", {{"hang", 0}});
+  CHECK(cluster.CallDesk("n1", "next", {}).status == 200);
+  CHECK(cluster.RunCount("waiting") == 0);
+}
+
+// Guards against the loss of an outcome that a caller asks for after its connection broke.
+TEST_CASE("a call with a key goes on when its caller leaves, and the next one gets its outcome") {
+  ServingCluster cluster;
+  cluster.SetFaults("desk1", {{"hang", 1}});
+  const std::string key = "X-Caller: c\r\nIdempotency-Key: k\r\n";
+  auto caller = std::make_unique<RawCaller>(cluster.At("n1").Address(), DeskCallBytes("one", key));
+  REQUIRE(HasMetric(cluster, "rudderloom_running 1"));
+  caller.reset();
+  cluster.Sleep(Duration(300));
+  cluster.SetFaults("desk1", {{"hang", 0}});
+  const HeaderList again{{"X-Caller", "c"}, {"Idempotency-Key", "k"}};
+  CHECK(cluster.WaitUntil([&] {
+    return cluster.CallDesk("n1", "one", again).Header("Idempotency-Replayed") == "true";
+  }));
+  CHECK(cluster.RunCount("one") == 1);
+}
+
 TEST_CASE("a full system refuses requests immediately with a Retry-After header") {
   ServingCluster cluster({{"limits", {{"queue", 2}}}});
   std::vector<std::future<Response>> responses;
