Give the calls of a test time beyond its waits

The calls of a caller that leaves ended by their deadline while the test still waited, so that with the daemon of only its last check failed. With a time limit of a minute four checks fail there: the call waits on, runs when a slot is free, and nothing is counted. They hold on the present code.

--- a/tests/process/caller_test.cpp
+++ b/tests/process/caller_test.cpp
@@ -372,7 +372,8 @@
 }
 
 std::string DeskCallBytes(const std::string& call, const std::string& headers = {}) {
-  return RequestBytes("/services/desk/slots", "{}", "X-Call-Id: " + call + "\r\n" + headers);
+  return RequestBytes("/services/desk/slots", "{}",
+                      "X-Call-Id: " + call + "\r\nX-Request-Timeout: 60s\r\n" + headers);
 }
 
 bool HasMetric(ServingCluster& cluster, const std::string& line) {
@@ -402,8 +403,8 @@
   CHECK(HasMetric(cluster, "rudderloom_waiting 0"));
   in_progress.clear();
   CHECK(HasMetric(cluster, "rudderloom_running 0"));
-  CHECK(HasMetric(cluster, "rudderloom_requests_total{result=\"caller_gone\"} " +
-                               std::to_string(kSlots + 1)));
+  CHECK(HasMetric(
+      cluster, "rudderloom_requests_total{result=\"caller_gone\"} " + std::to_string(kSlots + 1)));
   cluster.SetFaults("desk1", {{"hang", 0}});
   CHECK(cluster.CallDesk("n1", "next", {}).status == 200);
   CHECK(cluster.RunCount("waiting") == 0);
