Relay events of our own interface by the same rules as those of the platform's

Callers of our own interface could get a complete stream without its last event: an id that doesn't rise was dropped as a duplicate within one run, and behind the last event before the end mark no later one shows the gap. So was the event that a further attempt sends under a wrong id.

Cause: the same belief as on the platform's interface, in a second copy of the duty. Ids were read by a lenient parser too: "7x" passed for 7, and of two ids in one event the first counted, while clients keep the last.

Change: EventFramer and EventSequence move to the attempts module, and EventRelay uses them. Its ids begin at 0 and rise by 1, which it says to the sequence, so that the first wrong id is a gap. An id is a whole number or none. What an endpoint sends once its ids are of no use is relayed whole, and was cut before.

All earlier cases of attempts_test pass unchanged.

--- a/include/rudderloom/attempts/event_framer.hpp
+++ b/include/rudderloom/attempts/event_framer.hpp
@@ -1,7 +1,7 @@
 /// @file
 /// Splits a stream of server-sent events into complete events.
-#ifndef RUDDERLOOM_FORWARDING_EVENT_FRAMER_HPP
-#define RUDDERLOOM_FORWARDING_EVENT_FRAMER_HPP
+#ifndef RUDDERLOOM_ATTEMPTS_EVENT_FRAMER_HPP
+#define RUDDERLOOM_ATTEMPTS_EVENT_FRAMER_HPP
 
 #include <cstdint>      // for uint64_t
 #include <optional>     // for optional
@@ -11,14 +11,14 @@
 namespace rudderloom {
 
 /// @brief One complete event, including the blank line that ends it.
-/// @ingroup forwarding
+/// @ingroup attempts
 struct StreamEvent {
   std::string text;
   std::optional<std::uint64_t> id;
 };
 
 /// @brief Buffers body chunks and extracts complete events.
-/// @ingroup forwarding
+/// @ingroup attempts
 class EventFramer {
  public:
   void Feed(std::string_view chunk) { pending_ += chunk; }
--- a/include/rudderloom/attempts/event_relay.hpp
+++ b/include/rudderloom/attempts/event_relay.hpp
@@ -8,18 +8,22 @@
 #include <string>       // for string
 #include <string_view>  // for string_view
 
+#include "rudderloom/attempts/event_framer.hpp"    // for EventFramer
+#include "rudderloom/attempts/event_sequence.hpp"  // for EventSequence
+
 namespace rudderloom {
 
 /// @brief Joins the attempts at one streamed answer without duplicate or missing events. Engines
 /// number their events in the `id` field. A later attempt requests the events after the last one
-/// with `Last-Event-ID`. Repeated events are dropped, and a gap is an error.
+/// with `Last-Event-ID`. Events that it repeats are dropped, and an id that doesn't follow the one
+/// before is an error.
 /// @ingroup attempts
 class EventRelay {
  public:
   /// @brief Result of processing a chunk.
   enum class Verdict {
     kOk,
-    kGap,      ///< An event is missing.
+    kGap,      ///< An event is missing or has a wrong id.
     kTooLong,  ///< An event is longer than kMaxEventBytes.
   };
 
@@ -31,24 +35,23 @@
   Verdict Feed(std::string_view chunk, std::string& out);
 
   /// @brief Starts the next attempt and drops an incomplete event of the previous one.
-  void NextAttempt() { partial_.clear(); }
+  void NextAttempt();
 
   /// @brief Id of the last forwarded event; -1 before the first.
-  std::int64_t LastId() const { return last_id_; }
+  std::int64_t LastId() const;
 
   /// @brief True once the end-of-stream event was forwarded.
   bool Done() const { return done_; }
 
   /// @brief True while every forwarded event had an id, so that another attempt can resume the
   /// stream.
-  bool Resumable() const { return unnumbered_ == 0; }
+  bool Resumable() const { return sequence_.Resumable(); }
 
  private:
-  Verdict AppendEvent(std::string_view event, std::string& out);
+  Verdict AppendEvent(const StreamEvent& event, std::string& out);
 
-  std::string partial_;
-  std::int64_t last_id_ = -1;
-  std::int64_t unnumbered_ = 0;
+  EventFramer framer_;
+  EventSequence sequence_ = EventSequence::Consecutive();
   bool done_ = false;
 };
 
--- a/include/rudderloom/attempts/event_sequence.hpp
+++ b/include/rudderloom/attempts/event_sequence.hpp
@@ -1,13 +1,13 @@
 /// @file
 /// Decides which events of a stream the client gets, over one or more attempts.
-#ifndef RUDDERLOOM_FORWARDING_EVENT_SEQUENCE_HPP
-#define RUDDERLOOM_FORWARDING_EVENT_SEQUENCE_HPP
+#ifndef RUDDERLOOM_ATTEMPTS_EVENT_SEQUENCE_HPP
+#define RUDDERLOOM_ATTEMPTS_EVENT_SEQUENCE_HPP
 
 #include <cstddef>   // for size_t
 #include <cstdint>   // for uint64_t
 #include <optional>  // for optional
 
-#include "rudderloom/forwarding/event_framer.hpp"  // for StreamEvent
+#include "rudderloom/attempts/event_framer.hpp"  // for StreamEvent
 
 namespace rudderloom {
 
@@ -18,7 +18,7 @@
 /// that the endpoint numbers wrongly. The attempt fails if the last id is known to be right, so
 /// that another one can go on from there. Otherwise all further events pass, and the stream can't
 /// go on elsewhere.
-/// @ingroup forwarding
+/// @ingroup attempts
 class EventSequence {
  public:
   enum class Verdict {
@@ -27,6 +27,12 @@
     kGap,        ///< An event is missing or has a wrong id; the attempt has failed.
   };
 
+  /// @brief A stream whose ids may begin anywhere and rise in steps that are not known before.
+  EventSequence() = default;
+
+  /// @brief A stream whose ids begin at 0 and rise by 1.
+  static EventSequence Consecutive();
+
   /// @brief Begins an attempt. A further one is asked for the events after Last(), and may repeat
   /// earlier ones at its start.
   void BeginAttempt();
@@ -55,11 +61,12 @@
   Verdict RejectOrGiveUp(bool last_is_right);
   void RecordStep(std::uint64_t step);
 
+  std::optional<std::uint64_t> first_;  // id of the first event, if it is known before
   std::optional<std::uint64_t> last_;
-  std::size_t last_text_ = 0;          // hash of the last forwarded event
-  std::optional<std::uint64_t> step_;  // largest difference between ids within an attempt
-  std::uint32_t regular_steps_ = 0;    // that were as long as step_, up to the last event
-  bool has_new_event_ = false;         // this attempt has sent an event that was forwarded
+  std::size_t last_text_ = 0;              // hash of the last forwarded event
+  std::optional<std::uint64_t> step_;      // largest difference between ids within an attempt
+  std::uint32_t regular_steps_ = 0;        // that were as long as step_, up to the last event
+  bool has_new_event_ = false;             // this attempt has sent an event that was forwarded
   std::optional<std::uint64_t> repeated_;  // last id that this attempt repeated
   bool resumable_ = true;
   bool misnumbered_ = false;
--- a/src/rudderloom/attempts/attempts_test.cpp
+++ b/src/rudderloom/attempts/attempts_test.cpp
@@ -78,6 +78,27 @@
   CHECK(out == Event(0));
 }
 
+// Guards against a stream that ends as complete without an event whose id doesn't rise.
+TEST_CASE("an event whose id doesn't follow the one before is never dropped") {
+  for (const char* id : {"-1", "0", "2", "3", "5", "71"}) {
+    const std::string wrong = std::string("id: ") + id + "\ndata: token4\n\n";
+    EventRelay relay;
+    std::string out;
+    const std::string sound = Event(0) + Event(1) + Event(2) + Event(3);
+    const auto verdict = relay.Feed(sound + wrong + "data: [DONE]\n\n", out);
+    CAPTURE(id);
+    const bool is_whole = out == sound + wrong + "data: [DONE]\n\n";
+    CHECK((is_whole || (verdict == EventRelay::Verdict::kGap && out == sound)));
+    // A further attempt that brings the event under a wrong id.
+    EventRelay resumed;
+    out.clear();
+    resumed.Feed(sound, out);
+    resumed.NextAttempt();
+    CHECK(resumed.Feed(wrong + "data: [DONE]\n\n", out) == EventRelay::Verdict::kGap);
+    CHECK(out == sound);
+  }
+}
+
 TEST_CASE("a stream with events without ids is not resumable") {
   EventRelay relay;
   std::string out;
--- a/src/rudderloom/attempts/event_framer.cpp
+++ b/src/rudderloom/attempts/event_framer.cpp
@@ -1,4 +1,4 @@
-#include "rudderloom/forwarding/event_framer.hpp"
+#include "rudderloom/attempts/event_framer.hpp"
 
 #include <algorithm>  // for min
 #include <charconv>   // for from_chars
@@ -21,22 +21,31 @@
   return end;
 }
 
+// Empty unless the whole value is a number.
+std::optional<std::uint64_t> ParseId(std::string_view value) {
+  value.remove_prefix(std::min(value.find_first_not_of(' '), value.size()));
+  if (value.ends_with('\r')) {
+    value.remove_suffix(1);
+  }
+  std::uint64_t id = 0;
+  const char* end = value.data() + value.size();
+  const auto parsed = std::from_chars(value.data(), end, id);
+  return parsed.ec == std::errc() && parsed.ptr == end ? std::optional(id) : std::nullopt;
+}
+
+// Of several ids in one event the last one counts, as for the clients that read it.
 std::optional<std::uint64_t> IdOf(std::string_view event) {
+  std::optional<std::uint64_t> id;
   while (!event.empty()) {
     const std::size_t end = event.find('\n');
     std::string_view line = event.substr(0, end);
     event = end == std::string_view::npos ? std::string_view() : event.substr(end + 1);
-    if (!line.starts_with(kIdField)) {
-      continue;
-    }
-    line.remove_prefix(kIdField.size());
-    line.remove_prefix(std::min(line.find_first_not_of(' '), line.size()));
-    std::uint64_t id = 0;
-    if (std::from_chars(line.data(), line.data() + line.size(), id).ec == std::errc()) {
-      return id;
+    if (line.starts_with(kIdField)) {
+      line.remove_prefix(kIdField.size());
+      id = ParseId(line);
     }
   }
-  return std::nullopt;
+  return id;
 }
 
 }  // namespace
--- a/src/rudderloom/attempts/event_relay.cpp
+++ b/src/rudderloom/attempts/event_relay.cpp
@@ -1,71 +1,52 @@
 #include "rudderloom/attempts/event_relay.hpp"
 
-#include <charconv>  // for from_chars
-#include <optional>  // for optional
-
 namespace rudderloom {
 
 namespace {
 
-constexpr std::string_view kEventEnd = "\n\n";
 constexpr std::string_view kDoneEvent = "data: [DONE]";
 
-std::optional<std::int64_t> IdOf(std::string_view event) {
-  constexpr std::string_view kField = "id:";
-  if (!event.starts_with(kField)) {
-    return std::nullopt;
-  }
-  event.remove_prefix(kField.size());
-  if (event.starts_with(' ')) {
-    event.remove_prefix(1);
-  }
-  std::int64_t id = 0;
-  const auto parsed = std::from_chars(event.data(), event.data() + event.size(), id);
-  if (parsed.ec != std::errc()) {
-    return std::nullopt;
-  }
-  return id;
-}
-
 }  // namespace
 
 EventRelay::Verdict EventRelay::Feed(std::string_view chunk, std::string& out) {
-  partial_ += chunk;
-  std::size_t start = 0;
-  for (std::size_t end = partial_.find(kEventEnd); end != std::string::npos;
-       end = partial_.find(kEventEnd, start)) {
-    const std::size_t next = end + kEventEnd.size();
-    if (AppendEvent(std::string_view(partial_).substr(start, next - start), out) == Verdict::kGap) {
+  framer_.Feed(chunk);
+  while (const auto event = framer_.Next()) {
+    if (AppendEvent(*event, out) == Verdict::kGap) {
       return Verdict::kGap;
     }
-    start = next;
   }
-  partial_.erase(0, start);
-  return partial_.size() > kMaxEventBytes ? Verdict::kTooLong : Verdict::kOk;
+  return framer_.PartialBytes() > kMaxEventBytes ? Verdict::kTooLong : Verdict::kOk;
+}
+
+void EventRelay::NextAttempt() {
+  framer_ = EventFramer();
+  sequence_.BeginAttempt();
+}
+
+std::int64_t EventRelay::LastId() const {
+  constexpr std::int64_t kNone = -1;
+  return sequence_.Last() ? static_cast<std::int64_t>(*sequence_.Last()) : kNone;
 }
 
-EventRelay::Verdict EventRelay::AppendEvent(std::string_view event, std::string& out) {
+EventRelay::Verdict EventRelay::AppendEvent(const StreamEvent& event, std::string& out) {
   if (done_) {
     return Verdict::kOk;
   }
-  if (event.starts_with(kDoneEvent)) {
+  if (event.text.starts_with(kDoneEvent)) {
+    if (!sequence_.MayEnd()) {
+      return Verdict::kGap;
+    }
     done_ = true;
-    out += event;
-    return Verdict::kOk;
-  }
-  const auto id = IdOf(event);
-  if (id && *id <= last_id_) {
+    out += event.text;
     return Verdict::kOk;
   }
-  if (id && *id > last_id_ + 1) {
+  const EventSequence::Verdict verdict = sequence_.Take(event);
+  if (verdict == EventSequence::Verdict::kGap) {
     return Verdict::kGap;
   }
-  if (id) {
-    last_id_ = *id;
-  } else {
-    ++unnumbered_;
+  if (verdict == EventSequence::Verdict::kPass) {
+    out += event.text;
   }
-  out += event;
   return Verdict::kOk;
 }
 
--- a/src/rudderloom/attempts/event_sequence.cpp
+++ b/src/rudderloom/attempts/event_sequence.cpp
@@ -1,4 +1,4 @@
-#include "rudderloom/forwarding/event_sequence.hpp"
+#include "rudderloom/attempts/event_sequence.hpp"
 
 #include <algorithm>   // for max
 #include <functional>  // for hash
@@ -16,6 +16,14 @@
 
 }  // namespace
 
+EventSequence EventSequence::Consecutive() {
+  EventSequence sequence;
+  sequence.first_ = 0;
+  sequence.step_ = 1;
+  sequence.regular_steps_ = kConfirmingSteps;
+  return sequence;
+}
+
 void EventSequence::BeginAttempt() {
   has_new_event_ = false;
   repeated_.reset();
@@ -70,7 +78,7 @@
     return Verdict::kPass;
   }
   if (!last_) {
-    return Verdict::kPass;
+    return first_ && event.id != first_ ? Verdict::kGap : Verdict::kPass;
   }
   if (RepeatsLast(event)) {
     return Verdict::kDuplicate;
--- a/src/rudderloom/attempts/event_sequence_test.cpp
+++ b/src/rudderloom/attempts/event_sequence_test.cpp
@@ -1,4 +1,4 @@
-#include "rudderloom/forwarding/event_sequence.hpp"
+#include "rudderloom/attempts/event_sequence.hpp"
 
 #include <doctest/doctest.h>  // for TEST_CASE
 
--- a/src/rudderloom/forwarding/attempt.cpp
+++ b/src/rudderloom/forwarding/attempt.cpp
@@ -139,8 +139,7 @@
 
   // The request was interrupted, and not because of the endpoint.
   bool WasGivenUp() const {
-    return guard_.Cause() != Interruption::kNone &&
-           guard_.Cause() != Interruption::kEndpointSilent;
+    return guard_.Cause() != Interruption::kNone && guard_.Cause() != Interruption::kEndpointSilent;
   }
 
   static AttemptResult PermitExpired() {
@@ -444,7 +443,8 @@
     bool in_order = true;  // false: an event is missing after them
   };
 
-  // The sequence counts the returned events as received, so they must be forwarded whatever follows.
+  // The sequence counts the returned events as received, so they must be forwarded whatever
+  // follows.
   CollectedEvents CollectEvents(EventFramer& framer) {
     EventSequence& sequence = params_.stream->sequence;
     const bool was_misnumbered = sequence.Misnumbered();
@@ -508,7 +508,7 @@
     result.status = status_;
     result.outcome = AttemptOutcome::kAnswered;
     result.feedback = params_.stream->sequence.Misnumbered() ? EndpointFeedback::kFailed
-                                                              : EndpointFeedback::kServed;
+                                                             : EndpointFeedback::kServed;
     result.ends_with_connection = link_.EndsWithConnection();
     const bool started = co_await StartClientStream();
     if (!started) {
--- a/src/rudderloom/forwarding/attempt.hpp
+++ b/src/rudderloom/forwarding/attempt.hpp
@@ -8,9 +8,9 @@
 #include <string>       // for string
 #include <string_view>  // for string_view
 
-#include "rudderloom/http/call_guard.hpp"            // for CallGuard
-#include "rudderloom/forwarding/event_sequence.hpp"  // for EventSequence
-#include "rudderloom/forwarding/forwarder.hpp"       // for ForwardingState
+#include "rudderloom/attempts/event_sequence.hpp"  // for EventSequence
+#include "rudderloom/forwarding/forwarder.hpp"     // for ForwardingState
+#include "rudderloom/http/call_guard.hpp"          // for CallGuard
 
 namespace rudderloom {
 
--- a/src/rudderloom/forwarding/await_answer.hpp
+++ b/src/rudderloom/forwarding/await_answer.hpp
@@ -15,8 +15,8 @@
 constexpr Duration kNodeAnswerTimeout{250};
 
 // Calls `send_request` once with a callback that takes the answer, or an empty value if there is
-// none. Returns empty after `kNodeAnswerTimeout`, and when the request of `guard` is interrupted; an
-// answer that comes later is passed to `on_late` on the traffic thread. A null guard interrupts
+// none. Returns empty after `kNodeAnswerTimeout`, and when the request of `guard` is interrupted;
+// an answer that comes later is passed to `on_late` on the traffic thread. A null guard interrupts
 // nothing.
 template <class Answer, class SendRequest>
 Awaitable<std::optional<Answer>> AwaitAnswer(asio::io_context& context,
--- a/src/rudderloom/forwarding/endpoint_connection_test.cpp
+++ b/src/rudderloom/forwarding/endpoint_connection_test.cpp
@@ -158,10 +158,9 @@
   EndpointConnection connection(context);
   connection.Close();
   std::optional<ConnectionFailure> failure;
-  asio::co_spawn(context,
-                 connection.Connect("127.0.0.1:" +
-                                    std::to_string(acceptor.local_endpoint().port())),
-                 [&](const std::exception_ptr&, auto result) { failure = std::move(result); });
+  asio::co_spawn(
+      context, connection.Connect("127.0.0.1:" + std::to_string(acceptor.local_endpoint().port())),
+      [&](const std::exception_ptr&, auto result) { failure = std::move(result); });
   context.run();
   REQUIRE(failure);
   CHECK_FALSE(failure->sent);
--- a/src/rudderloom/forwarding/forwarding_test.cpp
+++ b/src/rudderloom/forwarding/forwarding_test.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>  // for count_if
 
 #include "rudderloom/forwarding/balancer.hpp"      // for Balancer
-#include "rudderloom/forwarding/event_framer.hpp"  // for EventFramer
+#include "rudderloom/attempts/event_framer.hpp"    // for EventFramer
 #include "rudderloom/forwarding/retry_budget.hpp"  // for RetryBudget
 
 namespace rudderloom {
@@ -32,6 +32,25 @@
   }
 }
 
+// Guards against an id that is taken for another one, behind which the stream then goes on.
+TEST_CASE("an id is a whole number, and the last one of its event") {
+  for (const auto& [text, id] : std::vector<std::pair<std::string, std::optional<std::uint64_t>>>{
+           {"id: 7\n\n", 7},
+           {"id:7\r\n\r\n", 7},
+           {"id: 7x\n\n", std::nullopt},
+           {"id: 7 8\n\n", std::nullopt},
+           {"id: -7\n\n", std::nullopt},
+           {"id:\n\n", std::nullopt},
+           {"id: 18446744073709551616\n\n", std::nullopt},
+           {"id: 7\ndata: a\nid: 9\n\n", 9},
+           {"id: 7\nid: x\n\n", std::nullopt}}) {
+    EventFramer framer;
+    framer.Feed(text);
+    CAPTURE(text);
+    CHECK(framer.Next()->id == id);
+  }
+}
+
 TEST_CASE("retries of all nodes together stay within the ratio and the extra in every window") {
   constexpr int kNodes = 8;
   constexpr double kRatio = 0.2;
