--- a/src/rudderloom/attempts/event_sequence_test.cpp
+++ b/src/rudderloom/attempts/event_sequence_test.cpp
@@ -12,6 +12,7 @@
 
 std::vector<Verdict> TakeAll(EventSequence& sequence, const std::vector<std::uint64_t>& ids) {
   std::vector<Verdict> verdicts;
+  verdicts.reserve(ids.size());
   for (const std::uint64_t id : ids) {
     verdicts.push_back(sequence.Take({"event " + std::to_string(verdicts.size()), id}));
   }
