--- a/src/rudderloom/forwarding/forwarding_test.cpp
+++ b/src/rudderloom/forwarding/forwarding_test.cpp
@@ -32,22 +32,27 @@
   }
 }
 
+struct IdCase {
+  std::string text;
+  std::optional<std::uint64_t> id;
+};
+
 // Guards against an id that is taken for another one, behind which the stream then goes on.
 TEST_CASE("an id is a whole number, and the last one of its event") {
-  for (const auto& [text, id] : std::vector<std::pair<std::string, std::optional<std::uint64_t>>>{
-           {"id: 7\n\n", 7},
-           {"id:7\r\n\r\n", 7},
-           {"id: 7x\n\n", std::nullopt},
-           {"id: 7 8\n\n", std::nullopt},
-           {"id: -7\n\n", std::nullopt},
-           {"id:\n\n", std::nullopt},
-           {"id: 18446744073709551616\n\n", std::nullopt},
-           {"id: 7\ndata: a\nid: 9\n\n", 9},
-           {"id: 7\nid: x\n\n", std::nullopt}}) {
+  const std::vector<IdCase> cases{{"id: 7\n\n", 7},
+                                  {"id:7\r\n\r\n", 7},
+                                  {"id: 7x\n\n", std::nullopt},
+                                  {"id: 7 8\n\n", std::nullopt},
+                                  {"id: -7\n\n", std::nullopt},
+                                  {"id:\n\n", std::nullopt},
+                                  {"id: 18446744073709551616\n\n", std::nullopt},
+                                  {"id: 7\ndata: a\nid: 9\n\n", 9},
+                                  {"id: 7\nid: x\n\n", std::nullopt}};
+  for (const IdCase& event : cases) {
     EventFramer framer;
-    framer.Feed(text);
-    CAPTURE(text);
-    CHECK(framer.Next()->id == id);
+    framer.Feed(event.text);
+    CAPTURE(event.text);
+    CHECK(framer.Next()->id == event.id);
   }
 }
 
--- a/tests/process/caller_test.cpp
+++ b/tests/process/caller_test.cpp
@@ -392,6 +392,7 @@
   cluster.SetFaults("desk1", {{"hang", kSlots}});
   const std::string node = cluster.At("n1").Address();
   std::vector<std::unique_ptr<RawCaller>> in_progress;
+  in_progress.reserve(kSlots);
   for (int i = 0; i < kSlots; ++i) {
     in_progress.push_back(
         std::make_unique<RawCaller>(node, DeskCallBytes("running-" + std::to_string(i))));
