Test streams of a replaced version, and failing: a lost store and the settings of a first start

The simulated schedules could not express writes that fail, a store that has lost everything, or nodes that restart with the settings of the first start of the whole system.

--- a/tests/fakes/fleet_world.cpp
+++ b/tests/fakes/fleet_world.cpp
@@ -281,13 +281,15 @@
 
 void FleetWorld::WriteLease(Node& node, const LeaseWrite& write) {
   calls_.lease += 1;
-  if (!ReachesStore(node)) {
+  const bool is_done = ReachesStore(node) && store_writes_ != StoreWrites::kRefused;
+  const bool taken = is_done && store_.lease.Put(write);
+  if (!is_done || store_writes_ == StoreWrites::kUnanswered) {
+    SnapshotStore();
     ScheduleOnNode(node, kStoreTimeoutMs, [this, &node] {
       HandleMessage(node, fleet_message::LeaseWritten{std::nullopt});
     });
     return;
   }
-  const bool taken = store_.lease.Put(write);
   SnapshotStore();
   const auto version = taken ? std::optional(store_.lease.Version()) : std::nullopt;
   ScheduleOnNode(node, kStoreLatencyMs, [this, &node, version] {
--- a/tests/fakes/fleet_world.hpp
+++ b/tests/fakes/fleet_world.hpp
@@ -43,6 +43,13 @@
   double All() const { return lists + watches + lease; }
 };
 
+/// @brief What becomes of the nodes' writes to the store.
+enum class StoreWrites {
+  kDone,
+  kRefused,
+  kUnanswered,  ///< Done, but the answer is lost.
+};
+
 class FleetWorld {
  public:
   explicit FleetWorld(const FleetWorldOptions& options);
@@ -64,6 +71,10 @@
   /// @brief Returns the number of the node with this gateway.
   int NodeOfGateway(const Gateway& gateway) const;
   void SetStoreDown(bool down) { store_down_ = down; }
+  void SetStoreWrites(StoreWrites writes) { store_writes_ = writes; }
+  StoreWrites Writes() const { return store_writes_; }
+  /// @brief Starts nodes from now on with the settings of the first start of the whole system.
+  void SetRestartsAsFirst() { first_generation_ = true; }
   /// @brief Restores the store to its state `age` milliseconds ago. Its revisions go back and are
   /// assigned again. The lost writes of the operator and the endpoints are repeated after
   /// `replay_delay_ms` in a different order; the lost writes of the nodes are not.
@@ -214,6 +225,7 @@
   StoreContents store_;
   std::map<int, StoreContents> store_snapshots_;  // by time
   bool store_down_ = false;
+  StoreWrites store_writes_ = StoreWrites::kDone;
   StoreCalls calls_;
   int configuration_regressions_ = 0;
   bool first_generation_ = true;
--- a/tests/fakes/stream_traffic.cpp
+++ b/tests/fakes/stream_traffic.cpp
@@ -195,12 +195,19 @@
     return;
   }
   process.saver_runs_at = world_.Now() + kSaveInterval;
-  if (!world_.ReachesStore(node)) {
+  const StoreWrites writes = world_.Writes();
+  if (!world_.ReachesStore(node) || writes == StoreWrites::kRefused) {
+    process.saver_runs_at = world_.Now() + kStoreTimeout;
+    return;
+  }
+  if (process.pending.number == 0) {
+    process.pending.number = ++process.last_number;
+  }
+  saved_.push_back({world_.Now(), process.pending});
+  if (writes == StoreWrites::kUnanswered) {
     process.saver_runs_at = world_.Now() + kStoreTimeout;
     return;
   }
-  process.pending.number = ++process.last_number;
-  saved_.push_back({world_.Now(), std::move(process.pending)});
   process.pending = {};
 }
 
--- a/tests/process/fleet_cluster.hpp
+++ b/tests/process/fleet_cluster.hpp
@@ -61,6 +61,8 @@
 
   /// @brief Sets the memory in MB that the nodes started from now on may use.
   void SetNodeMemory(int megabytes) { node_memory_ = megabytes; }
+  /// @brief Starts nodes from now on with the settings of the first start of the whole system.
+  void SetFirstStart() { first_start_ = true; }
   /// @brief Sets `overload_control` for the nodes started from now on: "on", "off" or "auto".
   void SetOverloadControl(std::string value) { overload_control_ = std::move(value); }
   /// @brief Sets the retries that the nodes started from now on may make beyond a share of
@@ -104,6 +106,7 @@
   std::vector<std::string> nodes_;
   bool uses_link_proxies_ = false;
   int node_memory_ = 0;
+  bool first_start_ = false;
   std::string overload_control_ = "off";
   double retry_extra_ = 50.0;
   Duration route_timeout_{5'000};
--- a/tests/process/fleet_version_restarts_test.cpp
+++ b/tests/process/fleet_version_restarts_test.cpp
@@ -23,6 +23,9 @@
 // A node that has just started may need about a second until it knows the lease holder.
 constexpr int kAttempts = 3;
 constexpr Duration kReturnDelay{2'000};  // of a version's engines, after the nodes
+// From the first engine of the next version to the end of the former ones.
+constexpr Duration kLeavesAfter{1'000};
+constexpr Duration kWholeHistory{3'600'000};  // longer than any test
 // From the signal to the streams that begin at stopping nodes. These accept requests for 2.6 s.
 constexpr Duration kBeginAfterStop{500};
 
@@ -78,6 +81,19 @@
     WaitUntilUnlisted();
   }
 
+  // Another version replaces `former`, which leaves a second later. Streams run on meanwhile.
+  void Replace(const std::string& former, const std::string& next) {
+    StartEngines(next);
+    Cluster().Sleep(kLeavesAfter);
+    StopVersion(former);
+    WaitForKillTime();
+    Drop(streams_);
+    WaitUntilUnlisted();
+  }
+
+  // The store comes back without anything that was ever written to it.
+  void LoseStore() { Cluster().SetFaults("store", {{"restore_ms", kWholeHistory.count()}}); }
+
   void End(const std::vector<int>& nodes, How how) {
     for (const int node : nodes) {
       Node(node).Signal(how == How::kKill ? SIGKILL : SIGTERM);
@@ -335,5 +351,37 @@
   run.TakeUpAndCheck({{"v1", Expect::kGoOn}, {"v2", Expect::kGoOn}});
 }
 
+// Guards against streams of a version that began while it was the only one, and that go on at its
+// successor once no process is left that knew both.
+TEST_CASE("streams of a replaced version are refused after all nodes are stopped at once") {
+  RestartRun run(16, {"v1"});
+  run.Replace("v1", "v1.1");
+  run.RestartAll(How::kStop);
+  run.TakeUpAndCheck({{"v1", Expect::kRefused}});
+}
+
+// Guards against the same if no process could hand on what it knew.
+TEST_CASE("streams of a replaced version are refused after all nodes are killed at once") {
+  RestartRun run(17, {"v1"});
+  run.Replace("v1", "v1.1");
+  run.RestartAll(How::kKill);
+  run.TakeUpAndCheck({{"v1", Expect::kRefused}});
+}
+
+// Guards against nodes that conclude from an empty store, or from settings that were left over from
+// the first start, that nothing has served before.
+TEST_CASE("streams stay at their version if the store is lost and all nodes start as the first") {
+  RestartRun run(18);
+  run.RemoveVersion("v1");
+  run.End(run.AllNodes(), How::kKill);
+  run.LoseStore();
+  run.Cluster().SetFirstStart();
+  for (const int node : run.AllNodes()) {
+    run.StartNode(node);
+  }
+  run.WaitUntilAllReady();
+  run.TakeUpAndCheck({{"v1", Expect::kRefused}, {"v2", Expect::kEither}});
+}
+
 }  // namespace
 }  // namespace rudderloom::tests
--- a/tests/process/version_streams.cpp
+++ b/tests/process/version_streams.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>  // for REQUIRE
 
 #include <algorithm>  // for any_of
+#include <csignal>    // for SIGTERM
 #include <numeric>    // for iota
 
 namespace rudderloom::tests {
@@ -50,6 +51,15 @@
   }
 }
 
+void VersionsCluster::StopVersion(const std::string& version) {
+  for (std::size_t i = 0; i < engines_.size(); ++i) {
+    if (engines_[i].version == version && !engines_[i].ended) {
+      cluster_.At(EngineName(i)).Signal(SIGTERM);
+      engines_[i].ended = true;
+    }
+  }
+}
+
 void VersionsCluster::WaitUntilUnlisted() {
   const std::string store = cluster_.At("store").Address();
   for (std::size_t i = 0; i < engines_.size(); ++i) {
--- a/tests/process/version_streams.hpp
+++ b/tests/process/version_streams.hpp
@@ -46,7 +46,9 @@
   void KillEngine(int engine);
   /// @brief Kills all engines of a version.
   void KillVersion(const std::string& version);
-  /// @brief Waits until the store lists no engine that was killed.
+  /// @brief Tells all engines of a version to end: they leave, and serve on for some time.
+  void StopVersion(const std::string& version);
+  /// @brief Waits until the store lists no engine that was killed or told to end.
   void WaitUntilUnlisted();
 
   /// @brief Starts all nodes and waits until each serves.
