Conclude only from a store of its first era that no version has served

Callers got the rest of a stream from another software version when all nodes had ended, the store had come back without anything, and the nodes started with settings left over from the first start of the whole system: a new holder took the missing lease record for one that was never written, told all nodes that no version had served before, and the only version that it saw for the only one ever. A missing record alone proves nothing. Now the settings and the store must agree: the first start, and an era in which the store has never lost a write.

The new case of lease_restore_test fails before (a record missing in era 1, and without the settings of a first start). Tests over real processes start their nodes as a deployment does, the first time with these settings.

--- a/include/rudderloom/placement/lease_keeper.hpp
+++ b/include/rudderloom/placement/lease_keeper.hpp
@@ -38,7 +38,7 @@
   LowBalances low_balances = {};  ///< At the time of its last write.
   std::set<RequestDigest> quarantined = {};  ///< At the time of its last write.
   /// @brief That have served lately; empty if not known, or if later writes may be lost. None has
-  /// if the lease was never held.
+  /// at the first start of the whole system, if the store has never lost a write.
   std::optional<VersionsByService> software_versions = {};
   /// @brief No node of the former holder was of an earlier version of this program, which has no
   /// start of a stream confirmed.
--- a/src/rudderloom/placement/lease_keeper.cpp
+++ b/src/rudderloom/placement/lease_keeper.cpp
@@ -260,10 +260,11 @@
   former.low_balances = record.low_balances;
   former.quarantined = record.quarantined;
   if (record.holder.empty()) {
-    if (!writes_may_be_lost_) {
+    // A missing record alone proves nothing: the store may have lost it, or never taken a write.
+    if (store_is_new_ && version_->Era() == 0) {
       former.software_versions.emplace();
+      former.confirms_starts = true;
     }
-    former.confirms_starts = true;
     return former;
   }
   if (!writes_may_be_lost_) {
--- a/src/rudderloom/placement/lease_restore_test.cpp
+++ b/src/rudderloom/placement/lease_restore_test.cpp
@@ -131,5 +131,22 @@
   CHECK(other.Former().inherited_all);
 }
 
+// Guards against a store that has lost everything taken for one that nothing was ever written to.
+TEST_CASE("no version has served if the store lost nothing and the whole system starts first") {
+  const auto knows_versions = [](LeaseStart start, std::uint64_t era) {
+    LeaseObject store;
+    store.era = era;
+    LeaseKeeper keeper("a:1", "x", kBound, Duration(0), start);
+    for (int ms = 0; ms < 10'000 && !keeper.Holds(At(ms)); ms += 50) {
+      Step(keeper, store, At(ms));
+    }
+    CHECK(keeper.Former().software_versions.value_or(VersionsByService()).empty());
+    return keeper.Former().software_versions.has_value();
+  };
+  CHECK(knows_versions(LeaseStart::kFirst, 0));
+  CHECK_FALSE(knows_versions(LeaseStart::kFirst, 1));
+  CHECK_FALSE(knows_versions(LeaseStart::kUnknown, 0));
+}
+
 }  // namespace
 }  // namespace rudderloom
--- a/tests/process/fleet_cluster.hpp
+++ b/tests/process/fleet_cluster.hpp
@@ -61,8 +61,9 @@
 
   /// @brief Sets the memory in MB that the nodes started from now on may use.
   void SetNodeMemory(int megabytes) { node_memory_ = megabytes; }
-  /// @brief Starts nodes from now on with the settings of the first start of the whole system.
-  void SetFirstStart() { first_start_ = true; }
+  /// @brief Starts nodes from now on with the settings of the first start of the whole system, or
+  /// with those of a later one.
+  void SetFirstStart(bool is_first) { first_start_ = is_first; }
   /// @brief Sets `overload_control` for the nodes started from now on: "on", "off" or "auto".
   void SetOverloadControl(std::string value) { overload_control_ = std::move(value); }
   /// @brief Sets the retries that the nodes started from now on may make beyond a share of
--- a/tests/process/fleet_version_restarts_test.cpp
+++ b/tests/process/fleet_version_restarts_test.cpp
@@ -375,7 +375,7 @@
   run.RemoveVersion("v1");
   run.End(run.AllNodes(), How::kKill);
   run.LoseStore();
-  run.Cluster().SetFirstStart();
+  run.StartAsFirst();
   for (const int node : run.AllNodes()) {
     run.StartNode(node);
   }
--- a/tests/process/fleet_versions_test.cpp
+++ b/tests/process/fleet_versions_test.cpp
@@ -111,8 +111,8 @@
     }));
     auto streams = fleet.Begin(kBatch);
     fleet.Cluster().At(holder).Kill();
-    fleet.Cluster().StartFleetNode(holder);
     const int node = std::stoi(holder.substr(1));
+    fleet.StartNode(node);
     fleet.WaitUntilReady(node);
     fleet.TakeUp(streams);
     fleet.RecordRuns(streams);
--- a/tests/process/version_streams.cpp
+++ b/tests/process/version_streams.cpp
@@ -77,6 +77,7 @@
 }
 
 void VersionsCluster::StartNode(int node) {
+  cluster_.SetFirstStart(started_.insert(node).second);
   cluster_.StartFleetNode(NodeName(node));
 }
 
--- a/tests/process/version_streams.hpp
+++ b/tests/process/version_streams.hpp
@@ -53,7 +53,10 @@
 
   /// @brief Starts all nodes and waits until each serves.
   void StartNodes();
+  /// @brief Starts a node, the first time with the settings of the first start of the whole system.
   void StartNode(int node);
+  /// @brief Starts nodes from now on as if for the first time.
+  void StartAsFirst() { started_.clear(); }
   void WaitUntilReady(int node);
   /// @brief Waits until each of these nodes has answered a request with a whole stream.
   void WaitUntilServing(const std::vector<int>& nodes);
@@ -94,6 +97,7 @@
   const int node_count_;
   const Duration event_time_;
   std::vector<Engine> engines_;
+  std::set<int> started_;  // nodes that are not started for the first time
   int last_id_ = 0;
 };
 
