Begin streams that clients may take up only once a lease record is known

Callers could get the rest of a stream from another software version if the stream began before the first lease record of a system was written: while the store takes no writes at the first start, nodes serve from its lists without a holder, and nobody records that they do.

A node now begins resumable streams once it has read a lease record, has seen that the store has lost one, or has heard of a holder; until then they wait for it as for a model that is about to be loaded. So that no record exists proves that no stream began. Requests that can't be taken up, and streams that are taken up, go as before. `streams_may_begin` is logged once a process.

--- a/include/rudderloom/fleet/fleet_state.hpp
+++ b/include/rudderloom/fleet/fleet_state.hpp
@@ -193,6 +193,7 @@
   std::uint64_t RoutesVersion() const;
   void UpdateVersions(FleetEffects& effects, TimePoint now);
   void RestoreVersions(const FormerLease& lease, TimePoint now);
+  void UpdateStreamsMayBegin();
   void ApplyVersions(const HolderDigest& digest, TimePoint now);
   // `beginning`: versions of the endpoints at which streams may begin.
   void UpdateUnrecordedVersions(const VersionsByService& beginning, TimePoint now);
@@ -254,6 +255,7 @@
   ServiceVersions beginning_versions_;  // Of endpoints at which streams may begin, as seen here.
   UnrecordedVersions unrecorded_versions_;  // While this node holds the lease.
   VersionsByService settled_versions_;      // See `FleetView`.
+  bool streams_may_begin_ = false;          // See `FleetView`.
   bool told_settled_ = false;               // A holder has told them, or this node held the lease.
   bool read_settled_ = false;               // The lease record has told them.
   std::optional<TimePoint> unconfirming_seen_at_;  // A node that has no starts confirmed.
--- a/include/rudderloom/fleet/fleet_view.hpp
+++ b/include/rudderloom/fleet/fleet_view.hpp
@@ -69,6 +69,9 @@
   bool knows_version_history = false;
   /// @brief Versions at which streams may begin before the lease holder has confirmed their start.
   VersionsByService settled_versions;
+  /// @brief A lease record is known to exist or to have existed, so that no later process concludes
+  /// that nothing has served before.
+  bool streams_may_begin = false;
   std::uint32_t live_nodes = 1;  ///< Entry nodes that share limits, including this one.
   bool endpoints_known = false;  ///< The platform's list has been read.
   QuotaSnapshotPtr quota;        ///< Customer balances; null before the first are received.
--- a/include/rudderloom/placement/lease_keeper.hpp
+++ b/include/rudderloom/placement/lease_keeper.hpp
@@ -179,6 +179,10 @@
     return version_ && !writes_may_be_lost_ ? &record_ : nullptr;
   }
 
+  /// @brief True once a record is known or may have been lost, so that no later process concludes
+  /// that the lease was never held.
+  bool EverHeld() const { return version_ && (version_->Era() > 0 || !record_.holder.empty()); }
+
   /// @brief Address of the last known holder; empty if there is none.
   const std::string& HolderAddress() const { return record_.holder; }
 
--- a/src/rudderloom/fleet/fleet_state.cpp
+++ b/src/rudderloom/fleet/fleet_state.cpp
@@ -338,6 +338,7 @@
   view->software_versions = version_knowledge_.lately;
   view->knows_version_history = version_knowledge_.knows_history;
   view->settled_versions = version_knowledge_.settled;
+  view->streams_may_begin = streams_may_begin_;
   const LoadTable loads = OtherLoads(now);
   const bool placed = holds_lease_ || DigestFresh(now);
   for (const auto& [instance, known] : directory_.Endpoints()) {
--- a/src/rudderloom/fleet/fleet_versions.cpp
+++ b/src/rudderloom/fleet/fleet_versions.cpp
@@ -35,7 +35,18 @@
 
 }  // namespace
 
+// A stream that began before the first lease record was written would look to a later holder as if
+// it had never been.
+void FleetState::UpdateStreamsMayBegin() {
+  if (!streams_may_begin_ && (lease_.EverHeld() || told_settled_)) {
+    streams_may_begin_ = true;
+    MarkViewUrgent();
+    LogLine("streams_may_begin").With("known_by", lease_.EverHeld() ? "lease_record" : "holder");
+  }
+}
+
 void FleetState::UpdateVersions(FleetEffects& effects, TimePoint now) {
+  UpdateStreamsMayBegin();
   if (!endpoints_known_ || (!ViewDue(now) && now - versions_observed_at_ < kObserveInterval)) {
     return;
   }
--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -166,7 +166,16 @@
     return begins_stream ? PreferredVersion(state_, request_.service) : std::string();
   }
 
+  // A stream that its client may take up later, at its beginning.
+  bool BeginsResumableStream() const {
+    return request_.route->kind == RouteKind::kStream && request_.route->Repeatable() &&
+           !request_.GoesOn();
+  }
+
   std::variant<EndpointChoice, NoEndpointReason> ChooseEndpoint(const FleetView& view) {
+    if (!view.streams_may_begin && BeginsResumableStream()) {
+      return NoEndpointReason::kNotResident;
+    }
     const std::set<std::string> excluded = request_.Excluded();
     BalancerQuery query = MakeQuery(state_, request_, excluded, permit_.AskedTooOften());
     const std::string preferred = PreferredStartVersion();
--- a/src/rudderloom/placement/lease_restore_test.cpp
+++ b/src/rudderloom/placement/lease_restore_test.cpp
@@ -148,5 +148,23 @@
   CHECK_FALSE(knows_versions(LeaseStart::kUnknown, 0));
 }
 
+// Guards against streams that begin before a lease record exists, which a later holder takes for
+// ones that never were.
+TEST_CASE("a lease counts as held once a record exists or may have been lost") {
+  LeaseKeeper keeper("a:1", "x", kBound);
+  CHECK_FALSE(keeper.EverHeld());
+  LeaseObject store;
+  keeper.ApplyRead(store.record, store.Version(), true, At(0));
+  CHECK_FALSE(keeper.EverHeld());
+  REQUIRE(keeper.NextWrite(At(0)));
+  CHECK_FALSE(keeper.EverHeld());
+  keeper.OnWriteSucceeded(StoreRevision(0, 1), At(10));
+  CHECK(keeper.EverHeld());
+
+  LeaseKeeper other("b:1", "y", kBound);
+  other.ApplyRead(std::nullopt, StoreRevision(1, 0), true, At(0));
+  CHECK(other.EverHeld());
+}
+
 }  // namespace
 }  // namespace rudderloom
--- a/tests/fakes/stream_traffic.cpp
+++ b/tests/fakes/stream_traffic.cpp
@@ -227,6 +227,9 @@
   if (!node) {
     return;
   }
+  if (!ProcessOf(*node).view->streams_may_begin) {
+    return;
+  }
   const auto endpoint = ChooseEndpoint(*node);
   // The platform lists an endpoint for some time after its end.
   if (!endpoint || !running_.contains(endpoint->instance)) {
