Treat the versions of a service that the lease record doesn't list as unknown

Callers could get the rest of a stream from another software version of a service that appeared while the store took no writes, if all nodes ended before its first version was in the lease record and only the second one was left: the new holder took a record without the service for one that says that nothing has served there.

Services that serve when the lease is taken and that the former holder did not list now count as having served at a version that nobody knows, for 60 s. All that follows from several versions follows from that: starts are told and saved, streams go on whose start is known, and the only version proves nothing. No message or field is added.

--- a/include/rudderloom/fleet/fleet_state.hpp
+++ b/include/rudderloom/fleet/fleet_state.hpp
@@ -194,6 +194,7 @@
   void UpdateVersions(FleetEffects& effects, TimePoint now);
   void RestoreVersions(const FormerLease& lease, TimePoint now);
   void UpdateStreamsMayBegin();
+  void CountUnlistedServices(const VersionsByService& present, TimePoint now);
   void ApplyVersions(const HolderDigest& digest, TimePoint now);
   // `beginning`: versions of the endpoints at which streams may begin.
   void UpdateUnrecordedVersions(const VersionsByService& beginning, TimePoint now);
@@ -252,6 +253,8 @@
   std::uint64_t quarantine_changes_ = 0;  // Changes since this node took the lease.
   QuarantineListPtr quarantine_;          // As last published to request handling.
   ServiceVersions versions_;
+  // Of the former holder, until they are compared with the endpoints.
+  std::optional<VersionsByService> inherited_versions_;
   ServiceVersions beginning_versions_;  // Of endpoints at which streams may begin, as seen here.
   UnrecordedVersions unrecorded_versions_;  // While this node holds the lease.
   VersionsByService settled_versions_;      // See `FleetView`.
--- a/src/rudderloom/fleet/fleet_versions.cpp
+++ b/src/rudderloom/fleet/fleet_versions.cpp
@@ -20,6 +20,9 @@
 // than a holder that can't reach the store keeps its lease, as its list of endpoints may be old.
 constexpr Duration kMaxAbsence{3'000};
 
+// Stands for versions of a service that may have served unseen.
+constexpr const char* kUnknownVersion = "?";
+
 // Where what no node knows speaks for one version, starts at the others must be known.
 VersionsByService SettledVersions(VersionsByService recorded, const VersionOfService& unrecorded) {
   for (const auto& [service, version] : unrecorded) {
@@ -70,6 +73,7 @@
       beginning[known.record.service].insert(known.record.software_version);
     }
   }
+  CountUnlistedServices(present, now);
   versions_.Observe(present, now);
   beginning_versions_.Observe(beginning, now);
   knows_version_history_ = knows_version_history_ || now - *versions_watched_since_ >= kFullHistory;
@@ -99,6 +103,19 @@
   effects.versions = std::move(knowledge);
 }
 
+// Streams may have begun at a service that the former holder did not list, at any version.
+void FleetState::CountUnlistedServices(const VersionsByService& present, TimePoint now) {
+  if (!inherited_versions_) {
+    return;
+  }
+  for (const auto& [service, versions] : present) {
+    if (!inherited_versions_->contains(service)) {
+      versions_.Restore({{service, {kUnknownVersion}}}, now);
+    }
+  }
+  inherited_versions_.reset();
+}
+
 VersionsByService FleetState::RecordedVersions() const {
   const LeaseRecord* record = holds_lease_ ? lease_.Record() : nullptr;
   return record != nullptr ? record->software_versions.value_or(VersionsByService())
@@ -156,6 +173,9 @@
     unconfirming_seen_at_ = now;
   }
   if (lease.software_versions) {
+    if (lease.former_holder != FormerHolder::kNone) {
+      inherited_versions_ = lease.software_versions;
+    }
     versions_.Restore(*lease.software_versions, now);
     knows_version_history_ = true;
   }
