Wait for a holder whose record the store has lost, also at a first start

Endpoints could get orders from two holders at once: a node that restarted with settings left over from the first start of the whole system took a lease record that the store had lost for one that was never written, and took the lease at once, while the holder's was valid for 2.5 s more.

In a later era of the store the settings count no more: as any other node, one that starts as the first waits for a term there, and sends no orders to endpoints until the bound has passed. In the store's first era nothing changes, as nothing can have been lost. A first start of a system on a store that came back from a copy before takes that much longer.

Evidence: the case fails before and passes; placement_test, fleet_restore_test, fleet_versions_test, fleet_state_test and fleet_dissemination_test pass.

--- a/include/rudderloom/placement/lease_keeper.hpp
+++ b/include/rudderloom/placement/lease_keeper.hpp
@@ -49,7 +49,7 @@
 /// @brief What a process knows about the lease when it starts.
 /// @ingroup placement
 enum class LeaseStart {
-  kFirst,    ///< First start of the whole system: the lease has never been held.
+  kFirst,    ///< First start of the whole system, by its settings.
   kUnknown,  ///< The lease may have been held before.
 };
 
@@ -90,8 +90,8 @@
  public:
   /// @param bound Minimum time between orders of two holders.
   /// @param yield How long this node waits for others to take a free lease first.
-  /// @param start At the first start of the whole system, no previous holder's record can have been
-  /// lost.
+  /// @param start At the first start of the whole system, a missing record tells that no software
+  /// version has served, if the store has never lost a write.
   LeaseKeeper(std::string address,
               std::string incarnation,
               Duration bound,
@@ -236,7 +236,7 @@
   // The record is from an older copy of the store, or was written by a program without eras, so
   // later writes may be lost.
   bool writes_may_be_lost_ = false;
-  bool store_is_new_;  // nothing can have been lost: no read has failed since the first start
+  bool first_start_;  // by the settings, and no record has been seen
   TimePoint first_seen_;
   TimePoint last_seen_;      // when any read last returned this revision
   TimePoint read_fresh_at_;  // when a fresh read last returned this revision
--- a/src/rudderloom/placement/lease_keeper.cpp
+++ b/src/rudderloom/placement/lease_keeper.cpp
@@ -65,7 +65,7 @@
       renew_every_(bound / 3),
       bound_(bound),
       yield_(yield),
-      store_is_new_(start == LeaseStart::kFirst) {
+      first_start_(start == LeaseStart::kFirst) {
   const auto jitter = static_cast<Duration::rep>(std::hash<std::string>{}(address_) %
                                                  static_cast<std::size_t>(kMaxJitterMilliseconds));
   renewal_timeout_ = renew_every_ + kRenewalSlack + yield + Duration(jitter);
@@ -112,7 +112,6 @@
   }
   const bool same_era = version_ && version_->Era() == version.Era();
   const bool changed_in_era = same_era && version > *version_;
-  store_is_new_ = store_is_new_ && (same_era || !version_);
   // A holder writes only on the basis of a fresh read.
   needs_read_ = needs_read_ || (holding_ && !same_era && !fresh);
   version_ = version;
@@ -136,10 +135,9 @@
 
 void LeaseKeeper::ApplyRecord(const LeaseRecord& record, bool changed_in_era) {
   const std::uint64_t era = version_->Era();
-  const bool never_held = record.holder.empty() && store_is_new_;
+  first_start_ = first_start_ && record.holder.empty();
   // A record without an era was written in the current one if it was seen to change in it.
-  const bool written_in_era =
-      era == 0 || never_held || (record.era ? *record.era == era : changed_in_era);
+  const bool written_in_era = era == 0 || (record.era ? *record.era == era : changed_in_era);
   writes_may_be_lost_ = !written_in_era;
   if (writes_may_be_lost_) {
     ApplyOldRecord(record);
@@ -170,7 +168,6 @@
 }
 
 void LeaseKeeper::OnReadFailed(TimePoint now) {
-  store_is_new_ = store_is_new_ && Known();
   if (!holding_) {
     first_seen_ = now;
     last_seen_ = now;
@@ -261,7 +258,7 @@
   former.quarantined = record.quarantined;
   if (record.holder.empty()) {
     // A missing record alone proves nothing: the store may have lost it, or never taken a write.
-    if (store_is_new_ && version_->Era() == 0) {
+    if (first_start_ && version_->Era() == 0) {
       former.software_versions.emplace();
       former.confirms_starts = true;
     }
@@ -384,6 +381,7 @@
     return;
   }
   record_ = pending_write_->record;
+  first_start_ = false;
   version_ = version;
   version_certain_ = true;
   writes_may_be_lost_ = false;
--- a/src/rudderloom/placement/lease_restore_test.cpp
+++ b/src/rudderloom/placement/lease_restore_test.cpp
@@ -131,6 +131,27 @@
   CHECK(other.Former().inherited_all);
 }
 
+// Guards against two holders: a node that restarts with settings left over from the first start
+// took a record that the store had lost for one that was never written.
+TEST_CASE("a node that starts as the first waits for a holder whose record the store has lost") {
+  LeaseObject store;
+  LeaseKeeper holder("a:1", "x", kBound);
+  Step(holder, store, At(0));
+  REQUIRE(holder.Holds(At(0)));
+  Restore(store, LeaseObject());
+  LeaseKeeper restarted("b:1", "y", kBound, Duration(0), LeaseStart::kFirst);
+  int ms = 0;
+  for (; holder.Holds(At(ms)); ms += 50) {
+    Step(restarted, store, At(ms));
+    CHECK_FALSE(restarted.Holds(At(ms)));
+  }
+  for (; ms < 10'000 && !restarted.Holds(At(ms)); ms += 50) {
+    Step(restarted, store, At(ms));
+  }
+  CHECK(restarted.Holds(At(ms)));
+  CHECK(restarted.Former().inherited_all);
+}
+
 // Guards against a store that has lost everything taken for one that nothing was ever written to.
 TEST_CASE("no version has served if the store lost nothing and the whole system starts first") {
   const auto knows_versions = [](LeaseStart start, std::uint64_t era) {
