Give customers no full balance while it isn't proved that none was spent

Customers could spend their whole burst once more: when nodes restarted with settings left over from the first start of the whole system and the store had lost everything, the new holder began all balances full. Like the versions that have served, that is now concluded only if the settings and a store that has lost nothing agree (`FormerLease::never_held`); otherwise balances begin empty, as after any restart that finds no record.

--- a/include/rudderloom/placement/lease_keeper.hpp
+++ b/include/rudderloom/placement/lease_keeper.hpp
@@ -31,6 +31,9 @@
 /// @ingroup placement
 struct FormerLease {
   FormerHolder former_holder = FormerHolder::kNone;
+  /// @brief Nobody has held it: the settings say so, and a store in its first era, which has lost
+  /// nothing, has no record. Without a former holder alone, its record may be lost.
+  bool never_held = false;
   OrderScopes own;        ///< Announced by an earlier process on this machine.
   OrderScopes inherited;  ///< Announced by other machines; no orders are sent to these endpoints
                           ///< until `blocked_for` has passed.
@@ -38,7 +41,7 @@
   LowBalances low_balances = {};  ///< At the time of its last write.
   std::set<RequestDigest> quarantined = {};  ///< At the time of its last write.
   /// @brief That have served lately; empty if not known, or if later writes may be lost. None has
-  /// at the first start of the whole system, if the store has never lost a write.
+  /// if the lease was never held.
   std::optional<VersionsByService> software_versions = {};
   /// @brief No node of the former holder was of an earlier version of this program, which has no
   /// start of a stream confirmed.
--- a/src/rudderloom/fleet/fleet_quota.cpp
+++ b/src/rudderloom/fleet/fleet_quota.cpp
@@ -100,7 +100,7 @@
   }
   AssumedBalance unknown = AssumedBalance::kQuarter;
   if (lease.former_holder == FormerHolder::kNone) {
-    unknown = settings_.first_start ? AssumedBalance::kFull : AssumedBalance::kEmpty;
+    unknown = lease.never_held ? AssumedBalance::kFull : AssumedBalance::kEmpty;
   }
   ledger_.Begin(former, unknown, now);
 }
--- a/src/rudderloom/fleet/fleet_quota_test.cpp
+++ b/src/rudderloom/fleet/fleet_quota_test.cpp
@@ -228,5 +228,29 @@
   CHECK(*after <= left + 60);
 }
 
+// Guards against customers that may spend everything once more, as nodes that restart with the
+// settings of a first start take a lost lease record for one that was never written.
+TEST_CASE("after a first start with a lost store nobody has a full balance") {
+  FleetWorld world(Options());
+  world.Play(8'000);
+  SpendEverywhere(world);
+  world.Play(2'000);
+  for (int i = 0; i < world.Nodes(); ++i) {
+    world.Kill(i);
+  }
+  world.RestoreStore(world.Now() + 1, 500);
+  world.SetRestartsAsFirst();
+  for (int i = 0; i < world.Nodes(); ++i) {
+    world.Start(i);
+  }
+  world.Play(12'000);
+  REQUIRE(world.Holder());
+  world.Spend(*world.Holder(), kName, 1);
+  world.Play(2'000);
+  const auto after = world.BalanceAt(*world.Holder(), kName);
+  REQUIRE(after);
+  CHECK(*after < kBurst / 2);
+}
+
 }  // namespace
 }  // namespace rudderloom
--- a/src/rudderloom/fleet/fleet_versions.cpp
+++ b/src/rudderloom/fleet/fleet_versions.cpp
@@ -173,7 +173,7 @@
     unconfirming_seen_at_ = now;
   }
   if (lease.software_versions) {
-    if (lease.former_holder != FormerHolder::kNone) {
+    if (!lease.never_held) {
       inherited_versions_ = lease.software_versions;
     }
     versions_.Restore(*lease.software_versions, now);
--- a/src/rudderloom/placement/lease_keeper.cpp
+++ b/src/rudderloom/placement/lease_keeper.cpp
@@ -258,7 +258,8 @@
   former.quarantined = record.quarantined;
   if (record.holder.empty()) {
     // A missing record alone proves nothing: the store may have lost it, or never taken a write.
-    if (first_start_ && version_->Era() == 0) {
+    former.never_held = first_start_ && version_->Era() == 0;
+    if (former.never_held) {
       former.software_versions.emplace();
       former.confirms_starts = true;
     }
