Number the attempts that begin a stream, so that a late message replaces no later one

Callers could get the rest of a stream from another software version: a node asks the lease holder every 50 ms to confirm a start, and if it isn't answered the stream begins at a settled version, which the node tells. Questions that were under way to a suspended holder, each on a connection of its own, may be read after that, and the holder took the version of the last message for the one at which the stream began. Starts now carry the number of the node's attempt; a lower one replaces nothing, and is confirmed only if it names the version that is known. Messages of an earlier build count as attempt 0, as all did.

Evidence: the new case of unrecorded_versions_test has v2 for a stream that went on to begin at v1 before. stream_versions, fleet_codec, fleet_versions and platform_forwarding tests and four process tests of versions pass. Such an order was not produced over real processes.

--- a/include/rudderloom/stream_versions/kept_starts.hpp
+++ b/include/rudderloom/stream_versions/kept_starts.hpp
@@ -70,7 +70,8 @@
   void Record(const StreamStarts& starts, TimePoint now);
 
   /// @brief Records starts. Returns true if every later answer of a lease holder takes them into
-  /// account: this node holds the lease, and its record lists their versions.
+  /// account: this node holds the lease, its record lists their versions, and it knows of no later
+  /// attempts.
   bool Confirm(const StartsToConfirm& told, TimePoint now);
 
   /// @brief Replaces what is known of versions.
--- a/include/rudderloom/stream_versions/version_book.hpp
+++ b/include/rudderloom/stream_versions/version_book.hpp
@@ -4,6 +4,7 @@
 #define RUDDERLOOM_STREAM_VERSIONS_VERSION_BOOK_HPP
 
 #include <cstddef>        // for size_t
+#include <cstdint>        // for uint32_t
 #include <deque>          // for deque
 #include <string>         // for string
 #include <unordered_map>  // for unordered_map
@@ -18,6 +19,7 @@
 struct StreamStart {
   std::string began_as;  ///< Id of the client's attempt.
   std::string software_version;
+  std::uint32_t attempt = 0;  ///< Of the node, before the first event. A later one is right.
 
   bool operator==(const StreamStart&) const = default;
 };
@@ -32,7 +34,7 @@
 /// @ingroup stream_versions
 class VersionBook {
  public:
-  /// @brief Records a start; a later one of the same attempt replaces it.
+  /// @brief Records a start, unless a later attempt of the node is known to have begun the stream.
   void Record(const StreamStart& start, TimePoint now);
 
   /// @brief Records a start that an earlier process saved, unless one is known already or the book
@@ -59,6 +61,7 @@
   struct Entry {
     std::string software_version;
     TimePoint recorded_at;
+    std::uint32_t attempt = 0;
   };
   struct Recorded {
     std::string began_as;
--- a/src/rudderloom/peers/fleet_codec_test.cpp
+++ b/src/rudderloom/peers/fleet_codec_test.cpp
@@ -299,7 +299,7 @@
   NodeCounts counts;
   Write(counts, message.initRoot<rpc::NodeCounts>());
   CHECK(Read(message.getRoot<rpc::NodeCounts>().asReader()).confirms_starts);
-  const StartsToConfirm told{{{"s", "v2"}}, "desk"};
+  const StartsToConfirm told{{{"s", "v2", 1}}, "desk"};
   Write(told, message.initRoot<rpc::PlacementHolder::StreamsBeginParams>());
   const StartsToConfirm read =
       Read(message.getRoot<rpc::PlacementHolder::StreamsBeginParams>().asReader());
--- a/src/rudderloom/peers/versions_codec.cpp
+++ b/src/rudderloom/peers/versions_codec.cpp
@@ -14,6 +14,7 @@
     auto stream = streams[index++];
     stream.setBeganAs(start.began_as);
     stream.setSoftwareVersion(start.software_version);
+    stream.setAttempt(start.attempt);
   }
 }
 
@@ -21,7 +22,8 @@
   StartsToConfirm told;
   told.service = in.getService().cStr();
   for (const auto stream : in.getStreams()) {
-    told.starts.push_back({stream.getBeganAs().cStr(), stream.getSoftwareVersion().cStr()});
+    told.starts.push_back(
+        {stream.getBeganAs().cStr(), stream.getSoftwareVersion().cStr(), stream.getAttempt()});
   }
   return told;
 }
--- a/src/rudderloom/stream_versions/kept_starts.cpp
+++ b/src/rudderloom/stream_versions/kept_starts.cpp
@@ -19,7 +19,8 @@
   }
   return now < knowledge_.held_until &&
          std::all_of(told.starts.begin(), told.starts.end(), [&](const StreamStart& start) {
-           return HasVersion(knowledge_.recorded, told.service, start.software_version);
+           return book_.Find(start.began_as) == start.software_version &&
+                  HasVersion(knowledge_.recorded, told.service, start.software_version);
          });
 }
 
--- a/src/rudderloom/stream_versions/unrecorded_versions_test.cpp
+++ b/src/rudderloom/stream_versions/unrecorded_versions_test.cpp
@@ -149,5 +149,19 @@
   CHECK_FALSE(holder.starts.Confirm(second, At(0)));
 }
 
+// Guards against a question that is repeated and arrives late, after the stream has begun at
+// another version for want of an answer, or against one that arrives before what was told with it.
+TEST_CASE("what a node tells of an earlier attempt doesn't replace the version of a later one") {
+  Holder holder;
+  const StartsToConfirm first{{{"s", "v2", 0}}, "pool"};
+  CHECK(holder.starts.Confirm(first, At(0)));
+  holder.starts.Record({{"s", "v1", 1}}, At(600));
+  CHECK_FALSE(holder.starts.Confirm(first, At(700)));
+  holder.starts.Record(first.starts, At(700));
+  CHECK(holder.Answer("s", 800).software_version == "v1");
+  CHECK(holder.starts.Confirm({{{"s", "v2", 2}}, "pool"}, At(900)));
+  CHECK(holder.Answer("s", 900).software_version == "v2");
+}
+
 }  // namespace
 }  // namespace rudderloom
--- a/src/rudderloom/stream_versions/version_book.cpp
+++ b/src/rudderloom/stream_versions/version_book.cpp
@@ -27,7 +27,11 @@
   if (!IsRecordable(start.began_as)) {
     return;
   }
-  entries_[start.began_as] = {start.software_version, now};
+  const auto known = entries_.find(start.began_as);
+  if (known != entries_.end() && known->second.attempt > start.attempt) {
+    return;
+  }
+  entries_[start.began_as] = {start.software_version, now, start.attempt};
   order_.push_back({start.began_as, now});
 }
 
@@ -41,7 +45,7 @@
     return;
   }
   const auto [entry, added] =
-      entries_.try_emplace(start.began_as, Entry{start.software_version, now});
+      entries_.try_emplace(start.began_as, Entry{start.software_version, now, start.attempt});
   if (added) {
     order_.push_back({start.began_as, now, true});
   }
@@ -68,7 +72,7 @@
   StreamStarts starts;
   starts.reserve(entries_.size());
   for (const auto& [began_as, entry] : entries_) {
-    starts.push_back({began_as, entry.software_version});
+    starts.push_back({began_as, entry.software_version, entry.attempt});
   }
   return starts;
 }
--- a/tests/fakes/stream_traffic.cpp
+++ b/tests/fakes/stream_traffic.cpp
@@ -250,8 +250,9 @@
   if (random_() % kOneIsReplacedOf == 0) {
     RecordStart(*node, {stream.began_as, first});
     needs_confirmation = needs_confirmation || first != stream.version;
+    start.attempt = 1;
   }
-  RecordStart(*node, {stream.began_as, stream.version});
+  RecordStart(*node, {stream.began_as, stream.version, start.attempt});
   if (needs_confirmation) {
     starts_.push_back(start);
   } else {
@@ -296,7 +297,8 @@
   const int node = start.stream.began_node;
   const auto holder = world_.ReachableNodeAt(node, ProcessOf(node).view->quota_holder);
   return holder && ProcessOf(*holder).kept.Confirm(
-                       {{{start.stream.began_as, start.stream.version}}, kService}, world_.Time());
+                       {{{start.stream.began_as, start.stream.version, start.attempt}}, kService},
+                       world_.Time());
 }
 
 bool StreamTraffic::GivesUp(const Start& start) {
--- a/tests/fakes/stream_traffic.hpp
+++ b/tests/fakes/stream_traffic.hpp
@@ -74,6 +74,7 @@
     TakenStream stream;
     int generation = 0;  // of the node's process
     int pause = 0;       // until its client takes it up
+    std::uint32_t attempt = 0;
   };
 
   // A client's try to take a stream up at a node.
