Vouch for versions only while no other node can have taken the lease

Callers could get the rest of a stream from another software version while a lease holder was cut off from the store: its lease is valid for 2.5 s, but another node takes it over 1.5 s after the last renewal, as orders are kept apart by the endpoints that each announces. For up to a second two holders each said that no other node knows of a further version: the old one named its only version, or the first one, for streams that had begun at the new one's.

`LeaseKeeper::ExclusiveUntil` is the earliest time at which another node may take the lease; confirmations of starts, answers as the holder and saves of starts go by it. Orders, permits and quotas go by the whole lease as before.

--- a/include/rudderloom/placement/lease_keeper.hpp
+++ b/include/rudderloom/placement/lease_keeper.hpp
@@ -171,6 +171,9 @@
   /// cut off from the platform, and other nodes should check the lease.
   bool IsRenewalOverdue(TimePoint now) const;
   TimePoint ValidUntil() const { return valid_until_; }
+  /// @brief Until then no other node can have taken the lease. It may be valid for longer: the next
+  /// holder sends no orders to this one's endpoints meanwhile.
+  TimePoint ExclusiveUntil() const;
   std::uint64_t Epoch() const { return record_.epoch; }
 
   /// @brief The previous lease, before this process acquired it.
--- a/src/rudderloom/fleet/fleet_versions.cpp
+++ b/src/rudderloom/fleet/fleet_versions.cpp
@@ -81,7 +81,7 @@
   knowledge.lately = versions_.Lately();
   knowledge.knows_history = knows_version_history_;
   if (holds_lease_) {
-    knowledge.held_until = lease_.ValidUntil();
+    knowledge.held_until = lease_.ExclusiveUntil();
     knowledge.epoch = lease_.Epoch();
   }
   UpdateUnrecordedVersions(beginning, now);
--- a/src/rudderloom/placement/lease_keeper.cpp
+++ b/src/rudderloom/placement/lease_keeper.cpp
@@ -240,6 +240,10 @@
   return Holds(now) && now >= valid_until_ - valid_for_ + renew_every_ + kRenewalOverdueAfter;
 }
 
+TimePoint LeaseKeeper::ExclusiveUntil() const {
+  return std::min(valid_until_, valid_until_ - valid_for_ + renew_every_ + kRenewalSlack);
+}
+
 std::uint64_t LeaseKeeper::NextEpoch() const {
   const std::uint64_t first_of_era = (version_->Era() << kEraShift) + 1;
   return std::max(record_.epoch + 1, first_of_era);
