Count the versions of the lease record at nodes that have heard of no holder

Callers could get the rest of a stream from another software version after all nodes had ended while nobody had listed the second version: until one of them took the lease, they saw only the second version, took it for the only one, and began streams at it without a confirmation. When the first version came back as the lease was taken, the new holder named it for streams that no node knew. The nodes had read the lease record, but used it only for where streams may begin.

What the record lists now counts as having served lately at such a node, so starts at the other version wait for the holder's confirmation, which comes with the lease.

--- a/include/rudderloom/fleet/fleet_state.hpp
+++ b/include/rudderloom/fleet/fleet_state.hpp
@@ -194,6 +194,7 @@
   void UpdateVersions(FleetEffects& effects, TimePoint now);
   void RestoreVersions(const FormerLease& lease, TimePoint now);
   void UpdateStreamsMayBegin();
+  void AdoptRecordedVersions(TimePoint now);
   void CountUnlistedServices(const VersionsByService& present, TimePoint now);
   void ApplyVersions(const HolderDigest& digest, TimePoint now);
   // `beginning`: versions of the endpoints at which streams may begin.
--- a/src/rudderloom/fleet/fleet_versions.cpp
+++ b/src/rudderloom/fleet/fleet_versions.cpp
@@ -1,6 +1,6 @@
 // Software versions that have served lately, which streams may have begun at.
 #include <algorithm>  // for any_of
-#include <utility>    // for exchange, move
+#include <utility>    // for move
 
 #include "rudderloom/base/log_line.hpp"                  // for LogLine
 #include "rudderloom/fleet/fleet_state.hpp"              // for FleetState
@@ -50,6 +50,7 @@
 
 void FleetState::UpdateVersions(FleetEffects& effects, TimePoint now) {
   UpdateStreamsMayBegin();
+  AdoptRecordedVersions(now);
   if (!endpoints_known_ || (!ViewDue(now) && now - versions_observed_at_ < kObserveInterval)) {
     return;
   }
@@ -103,6 +104,19 @@
   effects.versions = std::move(knowledge);
 }
 
+// A node that has heard of no holder goes by the lease record: a version that has gone may have
+// served until the node started.
+void FleetState::AdoptRecordedVersions(TimePoint now) {
+  const LeaseRecord* record = lease_.Record();
+  if (read_settled_ || told_settled_ || holds_lease_ || record == nullptr ||
+      record->holder.empty()) {
+    return;
+  }
+  read_settled_ = true;
+  beginning_versions_.Restore(SettledVersionsOf(*record), now);
+  versions_.Restore(record->software_versions.value_or(VersionsByService()), now);
+}
+
 // Streams may have begun at a service that the former holder did not list, at any version.
 void FleetState::CountUnlistedServices(const VersionsByService& present, TimePoint now) {
   if (!inherited_versions_) {
@@ -158,9 +172,6 @@
     told_settled_ = true;
   } else if (!told_settled_ && record != nullptr) {
     settled_versions_ = record->holder.empty() ? beginning : SettledVersionsOf(*record);
-    if (!std::exchange(read_settled_, true)) {
-      beginning_versions_.Restore(settled_versions_, now);
-    }
   }
   settled_versions_ =
       CommonVersions(settled_versions_, beginning_versions_.Within(kMaxAbsence, now));
