Soak streams while engines change their software version

Engines are now replaced by ones of the next version, or of the one before, while nodes are killed, frozen, stopped and cut off from the store, one or all at once, and while the store fails or comes back from an older copy; clients take their streams up at nodes drawn at random.

--- a/tools/test.sh
+++ b/tools/test.sh
@@ -48,6 +48,7 @@
   tools/soak.sh --seconds 20 --seed 1
   python3 tools/fleet_soak.py --seconds 20 --seed 1
   python3 tools/fleet_soak.py --seconds 15 --seed 4  # with overload control on
+  python3 tools/version_soak.py --seconds 20 --seed 1
   echo "== two builds side by side, upgrade and downgrade"
   earlier=$(tools/earlier_build.sh)
   python3 tools/fleet_soak.py --seconds 15 --seed 2 --other-daemon "$earlier"
