--- a/src/rudderloom/forwarding/forwarded_request.cpp
+++ b/src/rudderloom/forwarding/forwarded_request.cpp
@@ -11,6 +11,10 @@
       terms(state.dialect.ReadRequest(exchange.Request())),
       checks(state, exchange, terms, arrived) {}
 
+bool ForwardedRequest::BeginsResumableStream() const {
+  return route->kind == RouteKind::kStream && route->Repeatable() && !GoesOn();
+}
+
 TimePoint ForwardedRequest::LatestStart() const {
   // The client of a started stream waits from the last event on.
   const TimePoint patient_until = stream.started ? deadline_at : arrived + route->patience;
--- a/src/rudderloom/forwarding/forwarded_request.hpp
+++ b/src/rudderloom/forwarding/forwarded_request.hpp
@@ -31,6 +31,9 @@
   // The client has events of this stream.
   bool GoesOn() const { return terms.resumes_stream || stream.started; }
 
+  // The client has no event yet of a stream that it may take up later.
+  bool BeginsResumableStream() const;
+
   // Time that the client has waited for its answer, since its first attempt as far as known.
   Duration Spent() const { return SpentAt(Now()); }
   Duration SpentAt(TimePoint now) const { return spent_before + Between(arrived, now); }
--- a/src/rudderloom/forwarding/forwarder.cpp
+++ b/src/rudderloom/forwarding/forwarder.cpp
@@ -166,14 +166,8 @@
     return begins_stream ? PreferredVersion(state_, request_.service) : std::string();
   }
 
-  // A stream that its client may take up later, at its beginning.
-  bool BeginsResumableStream() const {
-    return request_.route->kind == RouteKind::kStream && request_.route->Repeatable() &&
-           !request_.GoesOn();
-  }
-
   std::variant<EndpointChoice, NoEndpointReason> ChooseEndpoint(const FleetView& view) {
-    if (!view.streams_may_begin && BeginsResumableStream()) {
+    if (!view.streams_may_begin && request_.BeginsResumableStream()) {
       return NoEndpointReason::kNotResident;
     }
     const std::set<std::string> excluded = request_.Excluded();
