Forget recorded versions at a restarted node when all others do

Callers of a node that had restarted would have been refused for up to a minute longer than at the others when they took up streams of the only version left: since such a node counted a version that it had read from the lease record as serving until its own start, and nothing corrected that. The record tells no times, so what it lists now counts only until a holder has told the versions with their ages, or this node has taken the lease.

Found by reading again.

--- a/include/rudderloom/fleet/fleet_state.hpp
+++ b/include/rudderloom/fleet/fleet_state.hpp
@@ -254,6 +254,7 @@
   std::uint64_t quarantine_changes_ = 0;  // Changes since this node took the lease.
   QuarantineListPtr quarantine_;          // As last published to request handling.
   ServiceVersions versions_;
+  VersionsByService adopted_versions_;  // Of the lease record, until a holder tells them.
   // Of the former holder, until they are compared with the endpoints.
   std::optional<VersionsByService> inherited_versions_;
   ServiceVersions beginning_versions_;  // Of endpoints at which streams may begin, as seen here.
--- a/src/rudderloom/fleet/fleet_versions.cpp
+++ b/src/rudderloom/fleet/fleet_versions.cpp
@@ -80,6 +80,9 @@
   knows_version_history_ = knows_version_history_ || now - *versions_watched_since_ >= kFullHistory;
   VersionKnowledge knowledge;
   knowledge.lately = versions_.Lately();
+  for (const auto& [service, versions] : adopted_versions_) {
+    knowledge.lately[service].insert(versions.begin(), versions.end());
+  }
   knowledge.knows_history = knows_version_history_;
   if (holds_lease_) {
     knowledge.held_until = lease_.ExclusiveUntil();
@@ -105,7 +108,8 @@
 }
 
 // A node that has heard of no holder goes by the lease record: a version that has gone may have
-// served until the node started.
+// served until the node started. The record tells no times, so this lasts until a holder tells
+// them.
 void FleetState::AdoptRecordedVersions(TimePoint now) {
   const LeaseRecord* record = lease_.Record();
   if (read_settled_ || told_settled_ || holds_lease_ || record == nullptr ||
@@ -114,7 +118,7 @@
   }
   read_settled_ = true;
   beginning_versions_.Restore(SettledVersionsOf(*record), now);
-  versions_.Restore(record->software_versions.value_or(VersionsByService()), now);
+  adopted_versions_ = record->software_versions.value_or(VersionsByService());
 }
 
 // Streams may have begun at a service that the former holder did not list, at any version.
@@ -179,6 +183,7 @@
 
 // Called when the lease is taken.
 void FleetState::RestoreVersions(const FormerLease& lease, TimePoint now) {
+  adopted_versions_.clear();
   unrecorded_versions_.Begin(lease.software_versions.value_or(VersionsByService()), now);
   if (!lease.confirms_starts) {
     unconfirming_seen_at_ = now;
@@ -209,6 +214,7 @@
     return;
   }
   versions_.Merge(*digest.software_versions, now - digest.age);
+  adopted_versions_.clear();
   knows_version_history_ = true;
 }
 
--- a/src/rudderloom/fleet/fleet_versions_test.cpp
+++ b/src/rudderloom/fleet/fleet_versions_test.cpp
@@ -162,6 +162,22 @@
   CHECK(fleet.traffic.Wrong().empty());
 }
 
+// Guards against a restarted node that refuses streams for longer than all others, as it counts a
+// version that has gone from its own start on.
+TEST_CASE("a node that restarts forgets a version when the others do") {
+  FleetAtOneVersion fleet;
+  fleet.traffic.StartEndpoint("v2-1", "v2");
+  fleet.traffic.EndEndpoint("v1-1");
+  fleet.world.Play(50'000);
+  const int node = fleet.world.Holder() == 0 ? 1 : 0;
+  fleet.world.Start(node);
+  fleet.world.Play(20'000);
+  for (int i = 0; i < fleet.world.Nodes(); ++i) {
+    CAPTURE(i);
+    CHECK(fleet.world.KnowledgeOf(i).lately == VersionsByService{{"desk", {"v2"}}});
+  }
+}
+
 // Guards against a lease record that lists no version of a service, as its holder could not write
 // any more, taken for one that says that none has served.
 TEST_CASE("streams of a service that the lease record doesn't list stay at their version") {
