--- a/tools/earlier_build.sh
+++ b/tools/earlier_build.sh
@@ -3,7 +3,7 @@
 # of two builds running side by side, as during an upgrade.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-commit=${1:-f2d0287}
+commit=${1:-537bfb1}
 tree=${XDG_CACHE_HOME:-$HOME/.cache}/rudderloom-earlier/$commit
 program=$tree/build/src/rudderloom/app/rudderloom
 if [ ! -x "$program" ]; then
