--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -321,7 +321,8 @@
 struct StreamStart {
   beganAs @0 :Text;  # id of the client's attempt
   softwareVersion @1 :Text;
-  attempt @2 :UInt32;  # of the node, from 0 on: a later one is right about the version
+  attempt @2 :UInt32;  # of the node, from 0 on: a later one is right about the version, also if an
+                       # earlier one has reached no endpoint
 }
 
 interface PlacementHolder {
--- a/src/rudderloom/forwarding/attempt.hpp
+++ b/src/rudderloom/forwarding/attempt.hpp
@@ -39,6 +39,7 @@
   std::string weights_version;   // of the first attempt
   std::string software_version;  // of the endpoint that began it; empty: not known
   std::string told_version;      // of the last attempt, which other nodes may have been told
+  std::uint32_t times_told = 0;  // versions, with a number each
   bool unconfirmed = false;      // an attempt could not begin it at a version that isn't settled
   std::string_view version_known_by = "answer";  // how this node knows it, for logs
 };
--- a/src/rudderloom/forwarding/attempt_runner.cpp
+++ b/src/rudderloom/forwarding/attempt_runner.cpp
@@ -106,7 +106,8 @@
                         request_.stream.version_known_by});
     }
   } else if (request_.route->kind == RouteKind::kStream) {
-    const StreamStart start{request_.terms.id, endpoint.software_version, request_.attempts};
+    const StreamStart start{request_.terms.id, endpoint.software_version,
+                            request_.stream.times_told++};
     const std::string told = request_.stream.told_version;
     request_.stream.told_version = endpoint.software_version;
     RecordStreamStart(state_, request_.service, start);
