Confirm starts that can't be recorded as before

Callers with ids of over 64 characters would have been refused at a new version for 50 s after it appeared: since a start is confirmed only if the holder's book names its version, and such ids are not recorded. A failed confirmation also turns all new streams of the node to the settled version for 2 s. What the book doesn't know is confirmed by the lease record alone again. Found by the review; the new case of unrecorded_versions_test fails before.

--- a/src/rudderloom/stream_versions/kept_starts.cpp
+++ b/src/rudderloom/stream_versions/kept_starts.cpp
@@ -19,7 +19,8 @@
   }
   return now < knowledge_.held_until &&
          std::all_of(told.starts.begin(), told.starts.end(), [&](const StreamStart& start) {
-           return book_.Find(start.began_as) == start.software_version &&
+           const std::string known = book_.Find(start.began_as);
+           return (known.empty() || known == start.software_version) &&
                   HasVersion(knowledge_.recorded, told.service, start.software_version);
          });
 }
--- a/src/rudderloom/stream_versions/unrecorded_versions_test.cpp
+++ b/src/rudderloom/stream_versions/unrecorded_versions_test.cpp
@@ -163,5 +163,13 @@
   CHECK(holder.Answer("s", 900).software_version == "v2");
 }
 
+// Guards against clients with long ids whose streams are not confirmed at a new version.
+TEST_CASE("starts that can't be recorded are confirmed like others") {
+  Holder holder;
+  CHECK(holder.starts.Confirm({{{std::string(65, 's'), "v2"}}, "pool"}, At(0)));
+  CHECK(holder.starts.Confirm({{{"", "v2"}}, "pool"}, At(0)));
+  CHECK_FALSE(holder.starts.Confirm({{{std::string(65, 's'), "v3"}}, "pool"}, At(0)));
+}
+
 }  // namespace
 }  // namespace rudderloom
