Compare services with the former holder's list for a minute, not once

Callers could still get the rest of a stream from another software version of a service that the lease record doesn't list, if none of its endpoints served when the lease was taken and the second version appeared a second or more later: compared the services once. Each unlisted service now counts as having served at an unknown version when it is first seen within a minute.

--- a/include/rudderloom/fleet/fleet_state.hpp
+++ b/include/rudderloom/fleet/fleet_state.hpp
@@ -255,7 +255,7 @@
   QuarantineListPtr quarantine_;          // As last published to request handling.
   ServiceVersions versions_;
   VersionsByService adopted_versions_;  // Of the lease record, until a holder tells them.
-  // Of the former holder, until they are compared with the endpoints.
+  // Of the former holder, with the services that were compared with it; for a minute.
   std::optional<VersionsByService> inherited_versions_;
   ServiceVersions beginning_versions_;  // Of endpoints at which streams may begin, as seen here.
   UnrecordedVersions unrecorded_versions_;  // While this node holds the lease.
--- a/src/rudderloom/fleet/fleet_versions.cpp
+++ b/src/rudderloom/fleet/fleet_versions.cpp
@@ -121,17 +121,21 @@
   adopted_versions_ = record->software_versions.value_or(VersionsByService());
 }
 
-// Streams may have begun at a service that the former holder did not list, at any version.
+// Streams may have begun at a service that the former holder did not list, at any version, also if
+// none of its endpoints serves when the lease is taken.
 void FleetState::CountUnlistedServices(const VersionsByService& present, TimePoint now) {
   if (!inherited_versions_) {
     return;
   }
   for (const auto& [service, versions] : present) {
-    if (!inherited_versions_->contains(service)) {
+    const bool is_unlisted = inherited_versions_->try_emplace(service).second;
+    if (is_unlisted) {
       versions_.Restore({{service, {kUnknownVersion}}}, now);
     }
   }
-  inherited_versions_.reset();
+  if (now - held_since_ >= kFullHistory) {
+    inherited_versions_.reset();
+  }
 }
 
 VersionsByService FleetState::RecordedVersions() const {
--- a/src/rudderloom/fleet/fleet_versions_test.cpp
+++ b/src/rudderloom/fleet/fleet_versions_test.cpp
@@ -181,23 +181,28 @@
 // Guards against a lease record that lists no version of a service, as its holder could not write
 // any more, taken for one that says that none has served.
 TEST_CASE("streams of a service that the lease record doesn't list stay at their version") {
-  FleetWorld world(FleetOf(0));
-  StreamTraffic traffic(world, 1);
-  world.RemoveEndpoint("e1");
-  world.RemoveEndpoint("e2");
-  world.Play(6'000);
-  world.SetStoreWrites(StoreWrites::kRefused);
-  traffic.StartEndpoint("v1-1", "v1");
-  traffic.Play(4'000);
-  traffic.StartEndpoint("v2-1", "v2");
-  traffic.EndEndpoint("v1-1");
-  KillAll(world);
-  traffic.Play(500);
-  world.SetStoreWrites(StoreWrites::kDone);
-  StartAll(world);
-  traffic.Play(26'000, false);
-  CHECK(traffic.Streams().size() > 20);
-  CHECK(traffic.Wrong().empty());
+  // From the start of the nodes to the second version.
+  for (const int pause : {0, 1'000, 2'000, 6'000}) {
+    CAPTURE(pause);
+    FleetWorld world(FleetOf(0));
+    StreamTraffic traffic(world, 1);
+    world.RemoveEndpoint("e1");
+    world.RemoveEndpoint("e2");
+    world.Play(6'000);
+    world.SetStoreWrites(StoreWrites::kRefused);
+    traffic.StartEndpoint("v1-1", "v1");
+    traffic.Play(4'000);
+    traffic.EndEndpoint("v1-1");
+    KillAll(world);
+    traffic.Play(500);
+    world.SetStoreWrites(StoreWrites::kDone);
+    StartAll(world);
+    traffic.Play(pause, false);
+    traffic.StartEndpoint("v2-1", "v2");
+    traffic.Play(26'000, false);
+    CHECK(traffic.Streams().size() > 20);
+    CHECK(traffic.Wrong().empty());
+  }
 }
 
 // Guards against what a missing or outdated lease record is taken for: that nothing served before.
