Keep the settled versions while a holder can't rely on its lease record

Callers could get the rest of a stream from another software version after a store had come back from an older copy and its answers were lost: the holder, which may have lost writes, told all nodes that no version is settled, so that they began streams at a second version without a confirmation; the next holder named the first one for them. The versions told before now stay valid until the holder has written its record again.

--- a/src/rudderloom/fleet/fleet_versions.cpp
+++ b/src/rudderloom/fleet/fleet_versions.cpp
@@ -172,7 +172,10 @@
 // some time longer. A node that has heard of no holder goes by the lease record.
 void FleetState::UpdateSettledVersions(const VersionsByService& beginning, TimePoint now) {
   const LeaseRecord* record = lease_.Record();
-  if (holds_lease_) {
+  if (holds_lease_ && knows_version_history_ && record == nullptr) {
+    // The versions told so far stay valid until this holder has written its record again.
+    told_settled_ = true;
+  } else if (holds_lease_) {
     // Without a history, what no node knows proves nothing, and nothing needs to be known.
     settled_versions_ = knows_version_history_
                             ? SettledVersions(RecordedVersions(), unrecorded_versions_.Current())
--- a/src/rudderloom/fleet/fleet_versions_test.cpp
+++ b/src/rudderloom/fleet/fleet_versions_test.cpp
@@ -205,6 +205,25 @@
   }
 }
 
+// Guards against a holder that can't rely on the lease record after a restore, and tells all nodes
+// that they may begin streams without a confirmation.
+TEST_CASE("streams begin where they are confirmed while the lease record may be lost") {
+  FleetAtOneVersion fleet;
+  fleet.traffic.Play(300);
+  fleet.world.SetStoreWrites(StoreWrites::kUnanswered);
+  fleet.traffic.RestoreStore(2'000, 100);
+  fleet.traffic.Play(1'200);
+  fleet.traffic.StartEndpoint("v2-1", "v2");
+  fleet.traffic.Play(900);
+  KillAll(fleet.world);
+  fleet.traffic.Play(500);
+  fleet.world.SetStoreWrites(StoreWrites::kDone);
+  StartAll(fleet.world);
+  fleet.traffic.Play(20'000, false);
+  CHECK(fleet.traffic.Streams().size() > 20);
+  CHECK(fleet.traffic.Wrong().empty());
+}
+
 // Guards against what a missing or outdated lease record is taken for: that nothing served before.
 TEST_CASE("streams go on at their own software version only, under random faults of the store") {
   Outcome all;
