Read the recorded versions until a node knows the history itself, and no longer

A node that hears of no holder counted what the first lease record that it read lists, and for as long as nobody held the lease: a version that is recorded later was missed, and one that had gone counted for 200 s and more. It now goes by the record as read last, until it is told by a holder or has watched for a minute itself.

--- a/src/rudderloom/fleet/fleet_versions.cpp
+++ b/src/rudderloom/fleet/fleet_versions.cpp
@@ -1,6 +1,6 @@
 // Software versions that have served lately, which streams may have begun at.
 #include <algorithm>  // for any_of
-#include <utility>    // for move
+#include <utility>    // for exchange, move
 
 #include "rudderloom/base/log_line.hpp"                  // for LogLine
 #include "rudderloom/fleet/fleet_state.hpp"              // for FleetState
@@ -112,12 +112,16 @@
 // them.
 void FleetState::AdoptRecordedVersions(TimePoint now) {
   const LeaseRecord* record = lease_.Record();
-  if (read_settled_ || told_settled_ || holds_lease_ || record == nullptr ||
-      record->holder.empty()) {
+  if (knows_version_history_) {
+    adopted_versions_.clear();
     return;
   }
-  read_settled_ = true;
-  beginning_versions_.Restore(SettledVersionsOf(*record), now);
+  if (told_settled_ || holds_lease_ || record == nullptr || record->holder.empty()) {
+    return;
+  }
+  if (!std::exchange(read_settled_, true)) {
+    beginning_versions_.Restore(SettledVersionsOf(*record), now);
+  }
   adopted_versions_ = record->software_versions.value_or(VersionsByService());
 }
 
--- a/src/rudderloom/fleet/fleet_versions_test.cpp
+++ b/src/rudderloom/fleet/fleet_versions_test.cpp
@@ -224,6 +224,21 @@
   CHECK(fleet.traffic.Wrong().empty());
 }
 
+// Guards against a version of the record that counts for as long as nobody holds the lease.
+TEST_CASE("a node that hears of no holder forgets a recorded version after a minute") {
+  FleetAtOneVersion fleet;
+  fleet.traffic.StartEndpoint("v2-1", "v2");
+  fleet.traffic.EndEndpoint("v1-1");
+  fleet.world.Play(10'000);
+  fleet.world.SetStoreWrites(StoreWrites::kRefused);
+  KillAll(fleet.world);
+  StartAll(fleet.world);
+  fleet.world.Play(30'000);
+  CHECK(fleet.world.KnowledgeOf(0).lately.at("desk").size() == 2);
+  fleet.world.Play(40'000);
+  CHECK(fleet.world.KnowledgeOf(0).lately.at("desk") == std::set<std::string>{"v2"});
+}
+
 // Guards against what a missing or outdated lease record is taken for: that nothing served before.
 TEST_CASE("streams go on at their own software version only, under random faults of the store") {
   Outcome all;
