--- a/tools/test.sh
+++ b/tools/test.sh
@@ -16,7 +16,13 @@
   # ccache needs -fpch-preprocess to cache sources with precompiled headers.
   cmake -S . -B "$1" -G Ninja -DCMAKE_BUILD_TYPE="$type" -DCMAKE_CXX_FLAGS="${3:--fpch-preprocess}" \
     -DRUDDERLOOM_SANITIZE="$2" -DCMAKE_CXX_COMPILER_LAUNCHER=ccache >/dev/null
-  cmake --build "$1" -j "$jobs" | tail -n 1
+  # Ninja's last line doesn't say what failed.
+  cmake --build "$1" -j "$jobs" >"$1/build.log" || {
+    grep -A 40 -m 3 '^FAILED' "$1/build.log" || tail -n 40 "$1/build.log"
+    df -h "$1"
+    return 1
+  }
+  tail -n 1 "$1/build.log"
 }
 
 echo "== build"
